Daemon file, upstream client, response shapes and the scenario harness

Cause: the thin path needs a checked daemon file, a client of engines and services, and the two OpenAI answer shapes. Ruled out: keep-alive connections for dispatches: an idle connection may have gone silent unnoticed, and for a call that may not be repeated its outcome would be unknown. Ruled out too: the client that ogen would give for the stream, which keeps no types for raw lines.

--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"os"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/finding"
+)
+
+// Daemon is a checked daemon file.
+type Daemon struct {
+	Host       string   // name of this host, unique in the site
+	Domain     string   // failure domain
+	Region     string   // region of the failure domain
+	Listen     string   // IP:port for callers and operators
+	PeerListen string   // IP:port for other daemons
+	PeerKey    string   // shared by all daemons of the site
+	Seeds      []string // IP:port of peers to ask first when the platform is away
+	Platform   Platform
+	LogLevel   string
+	// OperatorTokenSHA256 is the hex hash of the site's first operator token. Its
+	// bearer may change the settings at every path, also before there are any.
+	OperatorTokenSHA256 string
+	// ShutdownTimeout is the longest a graceful shutdown waits for requests in
+	// progress; zero waits until all have ended.
+	ShutdownTimeout time.Duration
+	// TestFaults opens the fault switches used by the scenarios.
+	TestFaults bool
+}
+
+// Platform holds the IP:port of the platform's services.
+type Platform struct {
+	Log     string
+	Hosts   string
+	Weights string
+}
+
+// MinPeerKeyLen is the shortest peer key accepted, in bytes.
+const MinPeerKeyLen = 32
+
+// Load reads and checks a daemon file. The error is a finding.List with every
+// fault of the file, or that of reading it.
+func Load(file string) (*Daemon, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	d, findings := Parse(file, text)
+	return d, findings.Err()
+}
+
+// Parse checks the text of a daemon file. The Daemon is usable only when there
+// are no findings.
+func Parse(file string, text []byte) (*Daemon, finding.List) {
+	p := &parser{file: file, seen: map[string]field{}}
+	p.flatten(text)
+	d := p.daemon()
+	p.unknownKeys()
+	p.findings.Sort()
+	return d, p.findings
+}
--- /dev/null
+++ b/internal/config/parser.go
@@ -0,0 +1,265 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+	yamlparser "github.com/goccy/go-yaml/parser"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/finding"
+)
+
+// field is one key of the file with the line it stands on.
+type field struct {
+	line  int
+	value string
+	list  []string
+	kind  fieldKind
+	taken bool
+}
+
+type fieldKind uint8
+
+const (
+	scalar fieldKind = iota
+	sequence
+	mapping
+)
+
+// parser collects the fields of a file and the findings about them.
+type parser struct {
+	file     string
+	seen     map[string]field
+	findings finding.List
+}
+
+func (p *parser) addf(line int, key, format string, args ...any) {
+	p.findings.Addf(finding.Place{File: p.file, Line: line, Key: key}, format, args...)
+}
+
+// flatten fills seen with dotted keys.
+func (p *parser) flatten(text []byte) {
+	f, err := yamlparser.ParseBytes(text, 0)
+	if err != nil {
+		p.addf(0, "", "not YAML: %s", firstLine(err.Error()))
+		return
+	}
+	if len(f.Docs) == 0 || f.Docs[0].Body == nil {
+		p.addf(1, "", "the file is empty")
+		return
+	}
+	p.walk("", f.Docs[0].Body)
+}
+
+func (p *parser) walk(prefix string, n ast.Node) {
+	switch n := n.(type) {
+	case *ast.MappingNode:
+		for _, v := range n.Values {
+			p.entry(prefix, v)
+		}
+	case *ast.MappingValueNode:
+		p.entry(prefix, n)
+	default:
+		p.addf(n.GetToken().Position.Line, prefix, "expected keys and values")
+	}
+}
+
+func (p *parser) entry(prefix string, v *ast.MappingValueNode) {
+	name := v.Key.GetToken().Value
+	key := name
+	if prefix != "" {
+		key = prefix + "." + name
+	}
+	line := v.Key.GetToken().Position.Line
+	if _, twice := p.seen[key]; twice {
+		p.addf(line, key, "the key stands twice")
+		return
+	}
+	switch value := v.Value.(type) {
+	case *ast.MappingNode, *ast.MappingValueNode:
+		p.seen[key] = field{line: line, kind: mapping, taken: true}
+		p.walk(key, value)
+	case *ast.SequenceNode:
+		f := field{line: line, kind: sequence}
+		for _, item := range value.Values {
+			f.list = append(f.list, item.GetToken().Value)
+		}
+		p.seen[key] = f
+	case *ast.NullNode:
+		p.seen[key] = field{line: line}
+	default:
+		p.seen[key] = field{line: line, value: value.GetToken().Value}
+	}
+}
+
+// take returns a scalar field and marks the key as known.
+func (p *parser) take(key string) (field, bool) {
+	f, ok := p.seen[key]
+	if !ok {
+		return field{}, false
+	}
+	f.taken = true
+	p.seen[key] = f
+	if f.kind != scalar {
+		p.addf(f.line, key, "expected one value")
+		return field{}, false
+	}
+	return f, true
+}
+
+func (p *parser) required(key string) (field, bool) {
+	if _, there := p.seen[key]; !there {
+		p.addf(0, key, "missing")
+		return field{}, false
+	}
+	f, ok := p.take(key)
+	if ok && f.value == "" {
+		p.addf(f.line, key, "empty")
+		return field{}, false
+	}
+	return f, ok
+}
+
+func (p *parser) name(key string) string {
+	f, _ := p.required(key)
+	if strings.ContainsAny(f.value, " \t/=\"") {
+		p.addf(f.line, key, "%q: blanks, slashes, quotes and = are not allowed in a name", f.value)
+	}
+	return f.value
+}
+
+func (p *parser) address(key string) string {
+	f, ok := p.required(key)
+	if !ok {
+		return ""
+	}
+	p.checkAddress(f.line, key, f.value)
+	return f.value
+}
+
+func (p *parser) checkAddress(line int, key, value string) {
+	if a, err := netip.ParseAddrPort(value); err != nil || a.Port() == 0 {
+		p.addf(line, key, "%q is not IP:port", value)
+	}
+}
+
+func (p *parser) addresses(key string) []string {
+	f, ok := p.seen[key]
+	if !ok {
+		return nil
+	}
+	f.taken = true
+	p.seen[key] = f
+	if f.kind != sequence {
+		p.addf(f.line, key, "expected a list of IP:port")
+		return nil
+	}
+	for i, a := range f.list {
+		p.checkAddress(f.line, key+"["+strconv.Itoa(i)+"]", a)
+	}
+	return f.list
+}
+
+func (p *parser) boolean(key string) bool {
+	f, ok := p.take(key)
+	if !ok {
+		return false
+	}
+	b, err := strconv.ParseBool(f.value)
+	if err != nil {
+		p.addf(f.line, key, "%q is neither true nor false", f.value)
+	}
+	return b
+}
+
+func (p *parser) seconds(key string) time.Duration {
+	f, ok := p.take(key)
+	if !ok {
+		return 0
+	}
+	n, err := strconv.Atoi(f.value)
+	if err != nil || n < 0 {
+		p.addf(f.line, key, "%q is not a number of seconds", f.value)
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
+
+func (p *parser) logLevel(key string) string {
+	f, ok := p.take(key)
+	if !ok {
+		return ""
+	}
+	if _, err := logrus.ParseLevel(f.value); err != nil {
+		p.addf(f.line, key, "%q is not a log level", f.value)
+	}
+	return f.value
+}
+
+func (p *parser) tokenHash(key string) string {
+	f, ok := p.take(key)
+	if !ok {
+		return ""
+	}
+	b, err := hex.DecodeString(f.value)
+	if err != nil || len(b) != sha256.Size {
+		p.addf(f.line, key, "not a SHA-256 in hex")
+	}
+	return f.value
+}
+
+func (p *parser) peerKey(key string) string {
+	f, ok := p.required(key)
+	if ok && len(f.value) < MinPeerKeyLen {
+		p.addf(f.line, key, "shorter than %d bytes", MinPeerKeyLen)
+	}
+	return f.value
+}
+
+// daemon takes every known key.
+func (p *parser) daemon() *Daemon {
+	d := &Daemon{
+		Host:       p.name("host"),
+		Domain:     p.name("domain"),
+		Region:     p.name("region"),
+		Listen:     p.address("listen"),
+		PeerListen: p.address("peer_listen"),
+		PeerKey:    p.peerKey("peer_key"),
+		Seeds:      p.addresses("seeds"),
+		Platform: Platform{
+			Log:     p.address("platform.log"),
+			Hosts:   p.address("platform.hosts"),
+			Weights: p.address("platform.weights"),
+		},
+		LogLevel:            p.logLevel("log_level"),
+		OperatorTokenSHA256: p.tokenHash("operator_token_sha256"),
+		ShutdownTimeout:     p.seconds("shutdown_timeout_seconds"),
+		TestFaults:          p.boolean("test_faults"),
+	}
+	if d.Listen != "" && d.Listen == d.PeerListen {
+		p.addf(p.seen["peer_listen"].line, "peer_listen", "the same as listen")
+	}
+	return d
+}
+
+func (p *parser) unknownKeys() {
+	for key, f := range p.seen {
+		switch {
+		case f.kind == mapping && key != "platform":
+			p.addf(f.line, key, "unknown key")
+		case f.kind != mapping && !f.taken:
+			p.addf(f.line, key, "unknown key")
+		}
+	}
+}
+
+func firstLine(s string) string {
+	line, _, _ := strings.Cut(s, "\n")
+	return line
+}
--- /dev/null
+++ b/internal/front/errors.go
@@ -0,0 +1,103 @@
+package front
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/callerapi"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+)
+
+// Response headers.
+const (
+	headerRequestID    = "X-Request-Id"
+	headerRetryAfter   = "Retry-After"
+	headerRetryAfterMs = "Retry-After-Ms"
+	// headerShouldRetry is honoured by the usual OpenAI clients.
+	headerShouldRetry = "X-Should-Retry"
+)
+
+var statusOf = map[request.Code]int{
+	request.CodeBadRequest:     http.StatusBadRequest,
+	request.CodeTooLarge:       http.StatusRequestEntityTooLarge,
+	request.CodeNeverPossible:  http.StatusUnprocessableEntity,
+	request.CodeUnauthorized:   http.StatusUnauthorized,
+	request.CodeUnknownTarget:  http.StatusNotFound,
+	request.CodeForbidden:      http.StatusForbidden,
+	request.CodeNotReady:       http.StatusServiceUnavailable,
+	request.CodeLeaving:        http.StatusServiceUnavailable,
+	request.CodeLimit:          http.StatusTooManyRequests,
+	request.CodeQueueFull:      http.StatusTooManyRequests,
+	request.CodeNoUpstream:     http.StatusServiceUnavailable,
+	request.CodeUpstreamFailed: http.StatusBadGateway,
+	request.CodeQuarantined:    http.StatusUnprocessableEntity,
+	request.CodeKeyConflict:    http.StatusConflict,
+	request.CodeKeyExpired:     http.StatusConflict,
+	request.CodeKeyUnavailable: http.StatusServiceUnavailable,
+	request.CodeOutcomeLost:    http.StatusBadGateway,
+	request.CodeAnswerDropped:  http.StatusGone,
+	request.CodeInternal:       http.StatusInternalServerError,
+}
+
+// status returns the HTTP status of a refusal.
+func status(r *request.Refusal) int {
+	if r.Code == request.CodeDeadline {
+		if r.Outcome == request.NotRun {
+			return http.StatusServiceUnavailable
+		}
+		return http.StatusGatewayTimeout
+	}
+	if s, ok := statusOf[r.Code]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// errorBody returns the typed body of a refusal.
+func errorBody(requestID string, r *request.Refusal) *callerapi.ErrorBody {
+	detail := callerapi.ErrorDetail{
+		Code:      string(r.Code),
+		Message:   r.Message,
+		Type:      "buckthorndock_error",
+		Outcome:   callerapi.ErrorDetailOutcome(r.Outcome),
+		RequestID: requestID,
+	}
+	if r.RetryAfter > 0 {
+		detail.RetryAfterS = callerapi.NewOptFloat64(r.RetryAfter.Seconds())
+	}
+	return &callerapi.ErrorBody{Error: detail}
+}
+
+// writeRefusal writes a refusal as a whole response. The caller must not have
+// written anything.
+func writeRefusal(w http.ResponseWriter, requestID string, r *request.Refusal) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerRequestID, requestID)
+	if r.RetryAfter > 0 {
+		h.Set(headerRetryAfter, strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+		h.Set(headerRetryAfterMs, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+	}
+	if !worthRetrying(r) {
+		h.Set(headerShouldRetry, "false")
+	}
+	w.WriteHeader(status(r))
+	body, err := errorBody(requestID, r).MarshalJSON()
+	if err != nil {
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+// worthRetrying reports whether a client that retries by itself should: only
+// when the request was not run and coming back can help.
+func worthRetrying(r *request.Refusal) bool {
+	return r.Outcome == request.NotRun && r.RetryAfter > 0
+}
+
+// failed returns a refusal of a request that may have run.
+func failed(code request.Code, retryAfter time.Duration, message string) *request.Refusal {
+	return &request.Refusal{Outcome: request.Failed, Code: code, RetryAfter: retryAfter, Message: message}
+}
--- /dev/null
+++ b/internal/upstream/generate.go
@@ -0,0 +1,98 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
+)
+
+// maxChunkLine bounds one line of a stream, in bytes. An engine that sends a
+// longer one is broken.
+const maxChunkLine = 1 << 20
+
+// maxErrorBody bounds what is read of a refusal, in bytes.
+const maxErrorBody = 64 << 10
+
+// Chunk is one line of an answer's stream, as api/engine.yaml describes it.
+type Chunk struct {
+	RequestID    string `json:"request_id"`
+	Attempt      int    `json:"attempt"`
+	Index        int    `json:"index"`
+	Text         string `json:"text"`
+	Done         bool   `json:"done"`          // the final marker; text is empty
+	TotalTokens  int    `json:"total_tokens"`  // with Done
+	CachedTokens int    `json:"cached_tokens"` // with the first chunk
+	Error        string `json:"error"`
+}
+
+// GenerateRequest is one attempt at a request.
+type GenerateRequest = engineapi.GenerateRequest
+
+// Stream is the answer to an attempt. It is used by one goroutine.
+type Stream struct {
+	body io.ReadCloser
+	scan *bufio.Scanner
+}
+
+// Generate dispatches an attempt on a new connection. The context bounds the
+// whole stream. An error for which IsNotStarted holds proves that nothing ran;
+// after any other it may have run.
+func (c *Client) Generate(ctx context.Context, address string, req *GenerateRequest) (*Stream, error) {
+	ec, err := c.worker(address)
+	if err != nil {
+		return nil, &NotSent{Err: err}
+	}
+	res, err := ec.Generate(ctx, req)
+	if err != nil {
+		return nil, classify(err)
+	}
+	raw, ok := res.(*engineapi.GenerateOKRawApplicationXNdjson)
+	if !ok {
+		return nil, merry.Errorf("unexpected answer type %T", res)
+	}
+	resp := raw.GetResponse()
+	if resp.StatusCode != http.StatusOK {
+		return nil, readRefusal(resp)
+	}
+	scan := bufio.NewScanner(resp.Body)
+	scan.Buffer(make([]byte, 0, 4096), maxChunkLine)
+	return &Stream{body: resp.Body, scan: scan}, nil
+}
+
+// Next returns the next chunk, io.EOF at the end of the connection. The end of
+// the connection does not say that the answer is whole; a chunk with Done does.
+func (s *Stream) Next() (Chunk, error) {
+	if !s.scan.Scan() {
+		if err := s.scan.Err(); err != nil {
+			return Chunk{}, err
+		}
+		return Chunk{}, io.EOF
+	}
+	var chunk Chunk
+	if err := json.Unmarshal(s.scan.Bytes(), &chunk); err != nil {
+		return Chunk{}, merry.Prepend(err, "undecodable chunk")
+	}
+	return chunk, nil
+}
+
+// Close ends the connection. It does not cancel the attempt on the engine.
+func (s *Stream) Close() { _ = s.body.Close() }
+
+func readRefusal(resp *http.Response) error {
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	if err != nil {
+		return merry.Prependf(err, "status %d", resp.StatusCode)
+	}
+	var refusal engineapi.Refusal
+	if err := json.Unmarshal(body, &refusal); err != nil {
+		return merry.Errorf("status %d with an undecodable body", resp.StatusCode)
+	}
+	return &Refused{Code: string(refusal.Code), Message: refusal.Message}
+}
--- /dev/null
+++ b/test/scenarios/process_test.go
@@ -0,0 +1,166 @@
+package scenarios
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// patience bounds every wait for a condition. It is generous: a scenario fails
+// by it only when the condition never comes true.
+const patience = 30 * time.Second
+
+// pollEvery is the time between two looks at a condition.
+const pollEvery = 20 * time.Millisecond
+
+// process is one started program of a scenario.
+type process struct {
+	name    string
+	kind    string // engine, service, log, hosts, weights or daemon
+	args    []string
+	domain  string
+	address string // of its API
+	peer    string // of a daemon's peer listener
+	logFile string
+
+	cmd    *exec.Cmd
+	exited chan struct{}
+	state  *os.ProcessState
+}
+
+// launch starts the program. A stand-in's address is read from its first line.
+func (p *process) launch() error {
+	program := "standin"
+	if p.kind == kindDaemon {
+		program = "buckthorndockd"
+	}
+	log, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.CommandContext(context.Background(), filepath.Join(binDir, program), p.args...)
+	cmd.Stderr = log
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.cmd = cmd
+	p.exited = make(chan struct{})
+	first := make(chan string, 1)
+	copied := make(chan struct{})
+	go func() {
+		defer close(copied)
+		r := bufio.NewReader(out)
+		line, _ := r.ReadString('\n')
+		first <- line
+		_, _ = io.WriteString(log, line)
+		_, _ = io.Copy(log, r)
+	}()
+	go func() {
+		<-copied
+		_ = cmd.Wait()
+		p.state = cmd.ProcessState
+		_ = log.Close()
+		close(p.exited)
+	}()
+	if p.kind == kindDaemon {
+		return nil
+	}
+	select {
+	case line := <-first:
+		return p.learnAddress(line)
+	case <-time.After(patience):
+		return fmt.Errorf("%s printed no address", p.name)
+	}
+}
+
+func (p *process) learnAddress(line string) error {
+	_, address, ok := strings.Cut(strings.TrimSpace(line), "address=")
+	if !ok {
+		return fmt.Errorf("%s: no address in %q", p.name, line)
+	}
+	p.address = address
+	return nil
+}
+
+func (p *process) signal(s syscall.Signal) error {
+	return p.cmd.Process.Signal(s)
+}
+
+func (p *process) running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// waitExit waits until the process has ended.
+func (p *process) waitExit() error {
+	select {
+	case <-p.exited:
+		return nil
+	case <-time.After(patience):
+		return fmt.Errorf("%s did not exit", p.name)
+	}
+}
+
+// end kills the process, also when it is stopped.
+func (p *process) end() {
+	if p.cmd == nil || !p.running() {
+		return
+	}
+	_ = p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// Ports for daemons come from below the range that the kernel gives to outgoing
+// connections, so that none is taken between its choice and its use.
+const (
+	portsFrom = 10000
+	numPorts  = 20000
+)
+
+var ports struct {
+	sync.Mutex
+	used map[int]bool
+}
+
+// freeAddress returns a loopback IP:port that nobody listens on.
+func freeAddress() (string, error) {
+	ports.Lock()
+	defer ports.Unlock()
+	if ports.used == nil {
+		ports.used = map[int]bool{}
+	}
+	for range numPorts {
+		port := portsFrom + rand.IntN(numPorts)
+		if ports.used[port] {
+			continue
+		}
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		ports.used[port] = true
+		return address, nil
+	}
+	return "", fmt.Errorf("no free port")
+}
--- /dev/null
+++ b/test/scenarios/scenarios_test.go
@@ -0,0 +1,65 @@
+package scenarios
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// binDir holds the programs under test.
+var binDir string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "buckthorndock-bin-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	build := exec.CommandContext(context.Background(), "go", "build", "-o", dir+string(filepath.Separator), "../../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	binDir = dir
+	return m.Run()
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 ".",
+		RequireExplicitExec: true,
+		Setup:               setupSite,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"start":    cmdStart,
+			"restart":  cmdRestart,
+			"kill":     cmdKill,
+			"freeze":   cmdFreeze,
+			"resume":   cmdResume,
+			"stop":     cmdStop,
+			"leave":    cmdLeave,
+			"exited":   cmdExited,
+			"hosts":    cmdHosts,
+			"fault":    cmdFault,
+			"publish":  cmdPublish,
+			"ready":    cmdReady,
+			"runs":     cmdRuns,
+			"books":    cmdBooks,
+			"logged":   cmdLogged,
+			"status":   cmdStatus,
+			"answer":   cmdAnswer,
+			"metric":   cmdMetric,
+			"nap":      cmdNap,
+			"promptof": cmdPromptOf,
+		},
+	})
+}
