--- /dev/null
+++ b/internal/core/settings/bench_test.go
@@ -0,0 +1,59 @@
+package settings
+
+import (
+	"fmt"
+	"testing"
+)
+
+// siteSources is a site of the size to design for: 7 domains, 210 customers in 21
+// teams, 7 models, 880 upstreams in 8 pools.
+func siteSources(b *testing.B) []Source {
+	var sources []Source
+	add := func(path, text string) {
+		sources = append(sources, Source{Path: path, Version: int64(len(sources) + 1), Document: mustParse(b, path, text)})
+	}
+	root := "pools:\n"
+	for p := range 8 {
+		kind := PoolEngine
+		if p == 7 {
+			kind = PoolService
+		}
+		root += fmt.Sprintf("  - name: pool%d\n    kind: %s\n    upstreams:\n", p, kind)
+		for u := range 110 {
+			root += fmt.Sprintf("      - {name: u%d-%d, address: \"10.0.%d.%d:80\", domain: d%d}\n", p, u, p, u+1, u%7)
+		}
+	}
+	root += "models:\n"
+	for m := range 7 {
+		root += fmt.Sprintf("  - {name: model%d, pool: pool%d}\n", m, m)
+	}
+	add("/", root)
+	for team := range 21 {
+		text := "limits: {requests_in_flight: 100}\ncustomers:\n"
+		for c := range 10 {
+			text += fmt.Sprintf("  - {name: c%d-%d, token_sha256: [%064x]}\n", team, c, team*10+c)
+		}
+		add(fmt.Sprintf("/team%d", team), text)
+	}
+	return sources
+}
+
+func BenchmarkCompile(b *testing.B) {
+	sources := siteSources(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		if s, findings := Compile(sources); len(findings) > 0 || len(s.Upstreams()) != 880 {
+			b.Fatal(findings)
+		}
+	}
+}
+
+func BenchmarkCustomerByToken(b *testing.B) {
+	s, _ := Compile(siteSources(b))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := s.CustomerByToken("not a token of anyone"); ok {
+			b.Fatal("a wrong token was taken")
+		}
+	}
+}
--- a/internal/core/settings/schema.go
+++ b/internal/core/settings/schema.go
@@ -14,6 +14,8 @@
 	Pools     []Pool     `yaml:"pools,omitempty"`
 	Models    []Model    `yaml:"models,omitempty"`
 	Services  []Service  `yaml:"services,omitempty"`
+
+	lines map[string]int // of each key that the text has, for findings
 }
 
 // Limits bound what a subtree or a customer may have in flight over the whole
