Placement: view, estimates, policies and verdicts

Cause: the front needs one place that chooses an engine or service, with types it can log and answer from.

Ruled out: errors for "too late" and "needs a gang", because both carry data that the front acts on and logs; they are verdicts of a Decision. A lock inside the view: the caller has one already.

Conclusion: the API is fixed enough to build on; its constants are not measured yet.

--- /dev/null
+++ b/internal/core/placement/estimate.go
@@ -0,0 +1,150 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+)
+
+// queueAhead returns the prompt tokens that will be computed before a new request
+// of the priority: those of the report, less what has been worked off since, and
+// own placements that the report does not show.
+func (e *Engine) queueAhead(o *Options, p request.Priority, now time.Time) int64 {
+	ahead := e.reportedAhead(p)
+	if ahead > 0 {
+		age := min(max(now.Sub(e.report.Taken), 0), o.MaxDrain)
+		drained := e.prefill(o, now) * age.Seconds()
+		ahead = max(ahead-drained, 0)
+	}
+	sum := int64(ahead)
+	for _, tokens := range e.own.prefill[:p+1] {
+		sum += tokens
+	}
+	return sum
+}
+
+func (e *Engine) reportedAhead(p request.Priority) float64 {
+	if !e.report.SplitKnown {
+		return float64(e.report.QueuedPrefill) * e.group.boundary.shareUpTo(p)
+	}
+	var sum int64
+	for _, tokens := range e.report.QueuedByPriority[:p+1] {
+		sum += tokens
+	}
+	return float64(sum)
+}
+
+// prefixUse is the part of a prompt that some engine of the group has cached.
+type prefixUse struct {
+	blocks []uint64
+	depth  int // leading blocks worth looking up
+}
+
+// estimator works out the estimates of one ask in one group.
+type estimator struct {
+	opts   *Options
+	ask    *Ask
+	class  Class
+	now    time.Time
+	prefix prefixUse
+	share  float64 // expected answer as a share of its bound
+}
+
+func (v *View) estimator(g *group, a *Ask, now time.Time) estimator {
+	share := v.opts.AnswerShare
+	if m := v.models[a.Model]; m != nil {
+		share = m.answerShare.value(share, now, v.opts.RateHalfLife)
+	}
+	return estimator{
+		opts:   &v.opts,
+		ask:    a,
+		class:  ClassOf(a.Tokens, a.LongFrom),
+		now:    now,
+		prefix: prefixUse{blocks: a.Prefix, depth: g.prefixes.depth(a.Prefix)},
+		share:  share,
+	}
+}
+
+// defaultBlockTokens is the size of a prefix block before a report tells it.
+const defaultBlockTokens = 256
+
+func (s *estimator) cachedTokens(e *Engine) int {
+	depth := e.cachedDepth(s.prefix.blocks, s.prefix.depth)
+	if depth == 0 {
+		return 0
+	}
+	size := e.report.BlockTokens
+	if size <= 0 {
+		size = defaultBlockTokens
+	}
+	// The last token is always computed.
+	return max(min(depth*size, s.ask.Tokens-1), 0)
+}
+
+// of estimates the ask on one engine.
+func (s *estimator) of(e *Engine) Estimate {
+	rate := e.prefill(s.opts, s.now)
+	cached := s.cachedTokens(e)
+	est := Estimate{
+		Cached:     cached,
+		Queue:      tokensTime(float64(e.queueAhead(s.opts, s.priority(e), s.now)), rate),
+		Prefill:    tokensTime(float64(s.ask.Tokens-cached), rate),
+		MemoryWait: s.memoryWait(e),
+	}
+	if e.requests() > 0 {
+		est.Residual = max(e.report.Step, 0)
+	}
+	if e.reported {
+		est.Stale = min(max(s.now.Sub(e.report.Taken)-s.opts.StaleAfter, 0), maxWait)
+	}
+	est.FirstToken = est.Queue + est.Prefill + est.Residual + est.MemoryWait + est.Stale
+	answer := s.share * float64(s.ask.MaxTokens)
+	est.Finish = est.FirstToken + tokensTime(answer, e.decode(s.opts, s.now))
+	return est
+}
+
+// priority returns the least urgent priority whose work counts as ahead. On an
+// engine that takes long prompts a short one may find a long prefill running,
+// which not every engine interrupts: there all work counts.
+func (s *estimator) priority(e *Engine) request.Priority {
+	const all = request.NumPriorities - 1
+	if !usesPriority(s.ask.Policy) {
+		return all
+	}
+	if s.class == Short && e.group.live > 1 && e.takesLong() {
+		return all
+	}
+	return min(s.ask.Priority, all)
+}
+
+// memoryWait estimates how long it takes until enough memory is free: what is
+// used turns over once in the mean time for which a request holds it.
+func (s *estimator) memoryWait(e *Engine) time.Duration {
+	need := s.ask.Need()
+	if e.hasRoom(need) {
+		return 0
+	}
+	prior := s.opts.Residence.Seconds()
+	residence := e.group.residence.value(prior, s.now, s.opts.RateHalfLife)
+	used := e.report.MemoryTotal - e.free()
+	return tokensTime(float64(need-e.free()), float64(used)/max(residence, 0.001))
+}
+
+// missesDeadline reports whether the answer is expected after the deadline.
+func (s *estimator) missesDeadline(est *Estimate) bool {
+	d := s.ask.Deadline
+	return !d.IsZero() && s.now.Add(est.Finish).After(d)
+}
+
+// backlog sums the work ahead of the ask over the live engines of the group.
+func (s *estimator) backlog(g *group) Backlog {
+	var b Backlog
+	for _, e := range g.engines {
+		if !e.accepts() || !e.serves(s.ask.Model) {
+			continue
+		}
+		b.Tokens += e.queueAhead(s.opts, min(s.ask.Priority, request.NumPriorities-1), s.now)
+		b.Rate += e.prefill(s.opts, s.now)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/core/placement/options.go
@@ -0,0 +1,55 @@
+package placement
+
+import "time"
+
+// Options tunes a View. A zero field takes its default.
+type Options struct {
+	Samples int // candidates drawn for one placement, 3
+
+	ReportSlack time.Duration // a report shows placements older than this at its time, 10 ms
+	StaleAfter  time.Duration // age from which a report is penalised, 3 s
+	MaxDrain    time.Duration // longest time for which work is assumed done since a report, 1 s
+	MaxFlight   time.Duration // a placement without a deadline is forgotten after it, 1 h
+	FlightGrace time.Duration // a placement is forgotten this long after its deadline, 30 s
+
+	PrefillRate   float64       // tokens a second without report or observation, 4000
+	DecodeRate    float64       // tokens a second of one stream without either, 20
+	TokensPerByte float64       // of a prompt, without observation, 0.25
+	AnswerShare   float64       // expected answer as a share of its bound, without observation, 0.25
+	Residence     time.Duration // time for which a request holds memory, without observation, 10 s
+	RateHalfLife  time.Duration // after it an observation counts half, 30 s
+
+	PrefixBlocks int // cached blocks kept for one engine, 2048
+
+	WorkHalfLife   time.Duration // of the offered work that moves the boundary, 20 s
+	ShortHeadroom  float64       // engines kept for short work, as a multiple of its share, 1.25
+	BoundaryMargin float64       // engines by which the target must differ before it moves, 0.75
+	BoundaryDwell  time.Duration // least time between two moves, 2 s
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Samples, 3)
+	setDefault(&o.ReportSlack, 10*time.Millisecond)
+	setDefault(&o.StaleAfter, 3*time.Second)
+	setDefault(&o.MaxDrain, time.Second)
+	setDefault(&o.MaxFlight, time.Hour)
+	setDefault(&o.FlightGrace, 30*time.Second)
+	setDefault(&o.PrefillRate, 4000)
+	setDefault(&o.DecodeRate, 20)
+	setDefault(&o.TokensPerByte, 0.25)
+	setDefault(&o.AnswerShare, 0.25)
+	setDefault(&o.Residence, 10*time.Second)
+	setDefault(&o.RateHalfLife, 30*time.Second)
+	setDefault(&o.PrefixBlocks, 2048)
+	setDefault(&o.WorkHalfLife, 20*time.Second)
+	setDefault(&o.ShortHeadroom, 1.25)
+	setDefault(&o.BoundaryMargin, 0.75)
+	setDefault(&o.BoundaryDwell, 2*time.Second)
+	return o
+}
+
+func setDefault[T int | float64 | time.Duration](p *T, value T) {
+	if *p <= 0 {
+		*p = value
+	}
+}
