--- /dev/null
+++ b/internal/core/stream/fault.go
@@ -0,0 +1,42 @@
+package stream
+
+import "fmt"
+
+// Fault names a contradiction between the chunks of one answer.
+type Fault uint8
+
+// Faults of an answer.
+const (
+	FaultNone    Fault = iota
+	FaultIndex         // a negative index
+	FaultTotal         // two totals, or more tokens than the total
+	FaultText          // two texts for one index
+	FaultTooLong       // more tokens than were asked for
+	FaultMarker        // a final marker with text
+)
+
+var faultNames = [...]string{"none", "negative index", "total disagrees", "text disagrees", "longer than asked for", "final marker with text"}
+
+// String returns a short description.
+func (f Fault) String() string {
+	if int(f) >= len(faultNames) {
+		return "unknown"
+	}
+	return faultNames[f]
+}
+
+// FaultError tells which chunk contradicted the answer.
+type FaultError struct {
+	Fault      Fault
+	Attempt    int
+	Index      int // of the chunk
+	Next       int // first index not handed out
+	Total      int // known before the chunk, -1 when none
+	ChunkTotal int // told by the chunk
+}
+
+// Error implements error.
+func (e *FaultError) Error() string {
+	return fmt.Sprintf("stream: %s: attempt %d, index %d, next %d, total %d, chunk's total %d",
+		e.Fault, e.Attempt, e.Index, e.Next, e.Total, e.ChunkTotal)
+}
