core/retry: what follows an attempt without a whole answer

Cause: retries must not double work that may run once, outlive the deadline, or multiply the load of a failing pool. Ruled out: a token bucket by time (allows the same retries with no traffic at all as at the peak); charging refused connections to the budget (one dead engine of six would use it up for the five live ones); reading a non-repeatable stream on (a resume that the engine no longer knows would be a second dispatch); telling "not run" when a service refused after it had the bytes. Conclusion: one Policy a pool, or a daemon, serves the front.

--- /dev/null
+++ b/internal/core/retry/policy.go
@@ -0,0 +1,168 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+)
+
+// End says how an attempt ended without a whole answer.
+type End uint8
+
+// Ends of an attempt.
+const (
+	// NotWritten: the connection was refused or broke before a byte of the
+	// request was written.
+	NotWritten End = iota
+	// Refused: the upstream answered that it did not start the request.
+	Refused
+	// Silent: no chunk within the idle limit.
+	Silent
+	// Broken: the stream ended or had a gap before the final marker.
+	Broken
+	// Died: the upstream is gone.
+	Died
+	// Garbage: the upstream's answer contradicts itself or cannot be read.
+	Garbage
+)
+
+var endNames = [...]string{"not_written", "refused", "silent", "broken", "died", "garbage"}
+
+// String returns the end's name for logs.
+func (e End) String() string {
+	if int(e) >= len(endNames) {
+		return "unknown"
+	}
+	return endNames[e]
+}
+
+// Attempt is one attempt of a request, ended.
+type Attempt struct {
+	Number       int  // from 1
+	End          End  //
+	EarlierWrote bool // a byte was written by an earlier attempt, whatever came of it
+	Reachable    bool // a new connection to the upstream works, and it still knows the attempt
+	Resumes      int  // resumes of this attempt so far
+}
+
+// mayHaveRun reports whether some upstream may have started the request.
+func (a Attempt) mayHaveRun() bool { return a.EarlierWrote || a.End != NotWritten }
+
+// Action is what to do next.
+type Action uint8
+
+// Actions after an attempt.
+const (
+	GiveUp    Action = iota // tell the caller Decision.Refusal
+	Elsewhere               // cancel the attempt and start the next on another upstream
+	Resume                  // read on from the next index on a new connection, same attempt
+)
+
+var actionNames = [...]string{"give_up", "elsewhere", "resume"}
+
+// String returns the action's name for logs.
+func (a Action) String() string {
+	if int(a) >= len(actionNames) {
+		return "unknown"
+	}
+	return actionNames[a]
+}
+
+// Decision is what follows an attempt.
+type Decision struct {
+	Action  Action
+	Attempt int              // number of the attempt to go on with; zero with GiveUp
+	Refusal *request.Refusal // with GiveUp
+}
+
+// Defaults of a Policy.
+const (
+	DefaultMaxAttempts  = 4
+	DefaultMaxResumes   = 3
+	DefaultMinRemaining = 20 * time.Millisecond
+	DefaultRetryAfter   = time.Second
+)
+
+// PolicyOptions configures a Policy.
+type PolicyOptions struct {
+	MaxAttempts  int           // attempts a request, the first included; DefaultMaxAttempts when zero
+	MaxResumes   int           // resumes an attempt; DefaultMaxResumes when zero
+	MinRemaining time.Duration // time a new attempt needs at the least; DefaultMinRemaining when zero
+	RetryAfter   time.Duration // told to callers whose request was not run; DefaultRetryAfter when zero
+}
+
+// Policy decides for the requests that share a Budget. It is not safe for
+// concurrent use.
+type Policy struct {
+	opts   PolicyOptions
+	budget *Budget
+}
+
+// NewPolicy returns a Policy that spends from budget.
+func NewPolicy(o PolicyOptions, budget *Budget) *Policy {
+	if o.MaxAttempts <= 0 {
+		o.MaxAttempts = DefaultMaxAttempts
+	}
+	if o.MaxResumes <= 0 {
+		o.MaxResumes = DefaultMaxResumes
+	}
+	if o.MinRemaining <= 0 {
+		o.MinRemaining = DefaultMinRemaining
+	}
+	if o.RetryAfter <= 0 {
+		o.RetryAfter = DefaultRetryAfter
+	}
+	return &Policy{opts: o, budget: budget}
+}
+
+// Next decides what follows an attempt and takes a retry from the budget when
+// work is to be repeated.
+func (p *Policy) Next(a Attempt, r *request.Request, now time.Time) Decision {
+	if !r.Repeatable && a.mayHaveRun() {
+		return p.giveUp(a, r, request.CodeOutcomeLost, "dispatched once, its end was lost")
+	}
+	if r.Remaining(now) < p.opts.MinRemaining {
+		return p.giveUp(a, r, request.CodeDeadline, "no time left for another attempt")
+	}
+	if p.canResume(a) {
+		return Decision{Action: Resume, Attempt: a.Number}
+	}
+	if a.Number >= p.opts.MaxAttempts {
+		return p.giveUp(a, r, request.CodeUpstreamFailed, "attempts used up")
+	}
+	if a.End != NotWritten && !p.budget.TryRetry(now) {
+		return p.giveUp(a, r, request.CodeUpstreamFailed, "retry budget used up")
+	}
+	return Decision{Action: Elsewhere, Attempt: a.Number + 1}
+}
+
+// canResume reports whether the same execution can be read on: no work is
+// repeated, so it needs no budget.
+func (p *Policy) canResume(a Attempt) bool {
+	if a.End != Silent && a.End != Broken {
+		return false
+	}
+	return a.Reachable && a.Resumes < p.opts.MaxResumes
+}
+
+func (p *Policy) giveUp(a Attempt, r *request.Request, code request.Code, why string) Decision {
+	refusal := request.Refuse(code, 0, "%s (attempt %d: %s)", why, a.Number, a.End)
+	refusal.Outcome = outcomeOf(a, r)
+	if refusal.Outcome == request.NotRun {
+		refusal.RetryAfter = p.opts.RetryAfter
+	}
+	return Decision{Action: GiveUp, Refusal: refusal}
+}
+
+// outcomeOf tells the truth about a request that is given up: "not run" only when
+// no upstream ever had a byte of it.
+func outcomeOf(a Attempt, r *request.Request) request.Outcome {
+	switch {
+	case !a.mayHaveRun():
+		return request.NotRun
+	case r.Repeatable:
+		return request.Failed
+	default:
+		return request.Unknown
+	}
+}
