Command-line tool: settings, status, call and explain

Cause: operators and callers have no tool yet; the daemons only have an API.

Ruled out: a client that resends by itself (it would hide losses and break "at most once"): a change goes to the next daemon only when the connection was refused, and a call with a key is never replayed by the transport. Ruled out too: telling a conflict from the text of a refusal; the tool compares the bases with the versions in force instead.

Change: cmd/buckthorndock and internal/cli with settings get, set, delete, apply, diff and history, status, call (completion, chat, service), explain; documented exit codes; JSON output. internal/cli/caller sends and classifies calls; an answer counts as whole only with a finish reason and the final marker.

--- /dev/null
+++ b/internal/cli/caller/answer.go
@@ -0,0 +1,194 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+)
+
+// maxEventBytes bounds one line of an event stream.
+const maxEventBytes = 4 << 20
+
+// maxErrorBytes bounds the body of an error answer that is read.
+const maxErrorBytes = 1 << 20
+
+// completion is an answer or a chunk of one, of both completions and chats.
+type completion struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Text         string  `json:"text"`
+		Message      content `json:"message"`
+		Delta        content `json:"delta"`
+		FinishReason string  `json:"finish_reason"`
+	} `json:"choices"`
+	Error *errorDetail `json:"error"`
+}
+
+type content struct {
+	Content string `json:"content"`
+}
+
+type errorDetail struct {
+	Code        request.Code    `json:"code"`
+	Message     string          `json:"message"`
+	Outcome     request.Outcome `json:"outcome"`
+	RetryAfterS float64         `json:"retry_after_s"`
+	RequestID   string          `json:"request_id"`
+}
+
+// reader collects one answer.
+type reader struct {
+	call   Call
+	start  time.Time
+	last   time.Time
+	onText func(string)
+	result Result
+	text   bytes.Buffer
+}
+
+// refusal reads an error answer.
+func (r *reader) refusal(resp *http.Response) {
+	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	var body struct {
+		Error *errorDetail `json:"error"`
+	}
+	if json.Unmarshal(data, &body) != nil || body.Error == nil {
+		r.end(r.call.afterLoss(), CodeBadAnswer, fmt.Sprintf("status %d without an error body", resp.StatusCode))
+		return
+	}
+	r.fail(body.Error)
+	if r.result.RetryAfter == 0 {
+		r.result.RetryAfter = retryAfter(resp.Header.Get(headerRetryAfter))
+	}
+}
+
+func (r *reader) fail(e *errorDetail) {
+	switch e.Outcome {
+	case request.NotRun, request.Failed, request.Unknown:
+	default:
+		r.end(r.call.afterLoss(), CodeBadAnswer, fmt.Sprintf("error with outcome %q", e.Outcome))
+		return
+	}
+	r.end(e.Outcome, e.Code, e.Message)
+	r.result.RetryAfter = time.Duration(e.RetryAfterS * float64(time.Second))
+	if e.RequestID != "" {
+		r.result.RequestID = e.RequestID
+	}
+}
+
+func retryAfter(header string) time.Duration {
+	s, err := strconv.ParseFloat(header, 64)
+	if err != nil || s < 0 {
+		return 0
+	}
+	return time.Duration(s * float64(time.Second))
+}
+
+// whole reads an answer that comes in one piece.
+func (r *reader) whole(body io.Reader) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		r.end(r.call.afterLoss(), CodeConnectionLost, err.Error())
+		return
+	}
+	if r.call.Service != nil {
+		r.token(string(data))
+		r.end(request.Complete, "", "")
+		return
+	}
+	var c completion
+	if err := json.Unmarshal(data, &c); err != nil || len(c.Choices) == 0 {
+		r.end(r.call.afterLoss(), CodeBadAnswer, "the answer has no choice")
+		return
+	}
+	r.take(&c)
+	r.finish(c.Choices[0].FinishReason != "")
+}
+
+// events reads an answer that comes as server-sent events. It is whole only with
+// a finish reason and the final marker.
+func (r *reader) events(body io.Reader) {
+	sc := bufio.NewScanner(body)
+	sc.Buffer(nil, maxEventBytes)
+	finished := false
+	for sc.Scan() {
+		data, ok := bytes.CutPrefix(sc.Bytes(), []byte("data:"))
+		data = bytes.TrimSpace(data)
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			r.finish(finished)
+			drain(body)
+			return
+		}
+		var c completion
+		if err := json.Unmarshal(data, &c); err != nil {
+			r.end(r.call.afterLoss(), CodeBadAnswer, "an event is not JSON")
+			return
+		}
+		if c.Error != nil {
+			r.fail(c.Error)
+			return
+		}
+		r.take(&c)
+		finished = finished || (len(c.Choices) > 0 && c.Choices[0].FinishReason != "")
+	}
+	message := "the stream ended before its final marker"
+	if err := sc.Err(); err != nil {
+		message = err.Error()
+	}
+	r.end(r.call.afterLoss(), CodeConnectionLost, message)
+}
+
+func (r *reader) finish(finished bool) {
+	if finished {
+		r.end(request.Complete, "", "")
+		return
+	}
+	r.end(r.call.afterLoss(), CodeBadAnswer, "the answer has no finish reason")
+}
+
+// take adds the text of an answer or a chunk.
+func (r *reader) take(c *completion) {
+	if r.result.RequestID == "" {
+		r.result.RequestID = c.ID
+	}
+	if len(c.Choices) == 0 {
+		return
+	}
+	ch := c.Choices[0]
+	if text := ch.Text + ch.Message.Content + ch.Delta.Content; text != "" {
+		r.token(text)
+	}
+}
+
+func (r *reader) token(text string) {
+	now := time.Now()
+	if r.result.Chunks == 0 {
+		r.result.FirstToken = now.Sub(r.start)
+	} else {
+		r.result.Gaps = append(r.result.Gaps, now.Sub(r.last))
+	}
+	r.last = now
+	r.result.Chunks++
+	r.text.WriteString(text)
+	if r.onText != nil {
+		r.onText(text)
+	}
+}
+
+// end notes the outcome. The answer keeps what had come until then.
+func (r *reader) end(o request.Outcome, code request.Code, message string) {
+	r.result.Outcome = o
+	r.result.Code = code
+	r.result.Message = message
+	r.result.Answer = r.text.String()
+}
--- /dev/null
+++ b/internal/cli/output.go
@@ -0,0 +1,40 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+)
+
+// emit prints a result: as JSON, or by the function that writes its text.
+func emit(c *cli.Command, value any, text func(w io.Writer)) error {
+	w := c.Root().Writer
+	if c.String(flagOutput) != outputJSON {
+		text(w)
+		return nil
+	}
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return failed(err)
+	}
+	_, err = fmt.Fprintln(w, string(data))
+	return failed(err)
+}
+
+// table writes rows in aligned columns, the header first.
+func table(w io.Writer, rows [][]string) {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				fmt.Fprint(tw, "\t")
+			}
+			fmt.Fprint(tw, cell)
+		}
+		fmt.Fprintln(tw)
+	}
+	tw.Flush()
+}
--- /dev/null
+++ b/internal/cli/settings.go
@@ -0,0 +1,324 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"path"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/callerapi"
+)
+
+const (
+	flagAt     = "at"
+	flagAuthor = "author"
+	flagBase   = "base"
+	flagFile   = "file"
+	flagTo     = "to"
+	flagPrune  = "prune"
+	flagLimit  = "limit"
+)
+
+func newSettings() *cli.Command {
+	return group("settings", "read and change the settings of the site",
+		newSettingsGet(), newSettingsSet(), newSettingsDelete(), newSettingsApply(), newSettingsDiff(), newSettingsHistory())
+}
+
+func authorFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: flagAuthor, Usage: "`NAME` recorded with the change",
+		Sources: cli.EnvVars("BUCKTHORNDOCK_AUTHOR"), Value: defaultAuthor(), HideDefault: true,
+	}
+}
+
+func baseFlag() cli.Flag {
+	return &cli.Int64Flag{
+		Name: flagBase, Usage: "`VERSION` that the change starts from, 0 where no document stands; the present one by default",
+		HideDefault: true,
+	}
+}
+
+func newSettingsGet() *cli.Command {
+	return &cli.Command{
+		Name:      "get",
+		Usage:     "print the documents in force under a path, or write them to a directory",
+		ArgsUsage: "[PATH]",
+		Description: `With --to, every document is written to a file whose place mirrors its path, and
+their versions to .versions.json beside them. "settings apply" takes these
+versions as the bases of its change, so that a change made by somebody else in
+the meantime is found as a conflict and not overwritten.
+
+Examples:
+   buckthorndock settings get /frigolijst
+   buckthorndock settings get --to mine /frigolijst`,
+		Flags:  []cli.Flag{&cli.StringFlag{Name: flagTo, Usage: "write the documents to `DIR`"}},
+		Action: settingsGet,
+	}
+}
+
+func settingsGet(ctx context.Context, c *cli.Command) error {
+	prefix, err := pathArg(c, "/")
+	if err != nil {
+		return err
+	}
+	view, err := getView(ctx, c, prefix)
+	if err != nil {
+		return err
+	}
+	if dir := c.String(flagTo); dir != "" {
+		return failed(writeTree(dir, prefix, view))
+	}
+	return emit(c, view, func(w io.Writer) {
+		fmt.Fprintf(w, "# offset %d, digest %s\n", view.Offset, view.Digest)
+		for _, d := range view.Documents {
+			fmt.Fprintf(w, "--- # %s, version %d\n%s", d.Path, d.Version, endLine(d.Yaml))
+		}
+	})
+}
+
+func newSettingsSet() *cli.Command {
+	return &cli.Command{
+		Name:      "set",
+		Usage:     "replace the document at a path",
+		ArgsUsage: "PATH",
+		Description: `Examples:
+   buckthorndock settings set --file baskets.yaml /frigolijst/baskets
+   echo 'routing: {policy: length-aware}' | buckthorndock settings set --file - /kuopio`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagFile, Aliases: []string{"f"}, Usage: "`FILE` with the YAML document, - for standard input", Required: true},
+			authorFlag(), baseFlag(),
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			text, err := readInput(c, c.String(flagFile))
+			if err != nil {
+				return err
+			}
+			return changeOne(ctx, c, callerapi.NewOptString(text))
+		},
+	}
+}
+
+func newSettingsDelete() *cli.Command {
+	return &cli.Command{
+		Name:        "delete",
+		Usage:       "remove the document at a path",
+		ArgsUsage:   "PATH",
+		Description: "Example:\n   buckthorndock settings delete /frigolijst/baskets",
+		Flags:       []cli.Flag{authorFlag(), baseFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return changeOne(ctx, c, callerapi.OptString{})
+		},
+	}
+}
+
+// changeOne sends a change of the one path named as an argument.
+func changeOne(ctx context.Context, c *cli.Command, yaml callerapi.OptString) error {
+	p, err := pathArg(c, "")
+	if err != nil {
+		return err
+	}
+	base := c.Int64(flagBase)
+	if !c.IsSet(flagBase) {
+		view, err := getView(ctx, c, p)
+		if err != nil {
+			return err
+		}
+		base = versions(view)[p]
+	}
+	_, err = sendChange(ctx, c, []callerapi.SettingsEdit{{Path: p, Base: base, Yaml: yaml}})
+	return err
+}
+
+func newSettingsHistory() *cli.Command {
+	return &cli.Command{
+		Name:        "history",
+		Usage:       "list accepted and refused changes of a path and its subtree, newest first",
+		ArgsUsage:   "[PATH]",
+		Description: "Example:\n   buckthorndock settings history --limit 10 /frigolijst",
+		Flags:       []cli.Flag{&cli.IntFlag{Name: flagLimit, Usage: "`NUMBER` of changes", Value: 50}},
+		Action:      settingsHistory,
+	}
+}
+
+func settingsHistory(ctx context.Context, c *cli.Command) error {
+	p, err := pathArg(c, "/")
+	if err != nil {
+		return err
+	}
+	params := callerapi.GetSettingsHistoryParams{
+		Path:  callerapi.NewOptString(p),
+		Limit: callerapi.NewOptInt(c.Int(flagLimit)),
+	}
+	res, err := first(c, true, func(api *callerapi.Client) (callerapi.GetSettingsHistoryRes, error) {
+		return api.GetSettingsHistory(ctx, params)
+	})
+	if err != nil {
+		return err
+	}
+	switch r := res.(type) {
+	case *callerapi.SettingsHistory:
+		return emit(c, r, func(w io.Writer) { writeHistory(w, r) })
+	case *callerapi.ErrorStatusCode:
+		return apiError(r)
+	default:
+		return unexpected(res)
+	}
+}
+
+func writeHistory(w io.Writer, h *callerapi.SettingsHistory) {
+	rows := [][]string{{"OFFSET", "AT", "AUTHOR", "PATHS", "VERDICT", "REASON"}}
+	for _, ch := range h.Changes {
+		verdict := "refused"
+		if ch.Accepted {
+			verdict = "accepted"
+		}
+		at := ch.At.UTC().Format(time.RFC3339)
+		rows = append(rows, []string{fmt.Sprint(ch.Offset), at, ch.Author, strings.Join(ch.Paths, " "), verdict, ch.Reason})
+	}
+	table(w, rows)
+}
+
+// getView reads the documents in force under a path.
+func getView(ctx context.Context, c *cli.Command, prefix string) (*callerapi.SettingsView, error) {
+	params := callerapi.GetSettingsParams{Prefix: callerapi.NewOptString(prefix)}
+	res, err := first(c, true, func(api *callerapi.Client) (callerapi.GetSettingsRes, error) {
+		return api.GetSettings(ctx, params)
+	})
+	if err != nil {
+		return nil, err
+	}
+	switch r := res.(type) {
+	case *callerapi.SettingsView:
+		return r, nil
+	case *callerapi.ErrorStatusCode:
+		return nil, apiError(r)
+	default:
+		return nil, unexpected(res)
+	}
+}
+
+// versions returns the version of each document.
+func versions(view *callerapi.SettingsView) map[string]int64 {
+	m := make(map[string]int64, len(view.Documents))
+	for _, d := range view.Documents {
+		m[d.Path] = d.Version
+	}
+	return m
+}
+
+// sendChange publishes edits as one change, reports the verdict and returns the
+// new version.
+func sendChange(ctx context.Context, c *cli.Command, edits []callerapi.SettingsEdit) (int64, error) {
+	change := &callerapi.SettingsChange{ChangeID: uuid.NewString(), Author: c.String(flagAuthor), Edits: edits}
+	res, err := first(c, false, func(api *callerapi.Client) (callerapi.ChangeSettingsRes, error) {
+		return api.ChangeSettings(ctx, change)
+	})
+	if err != nil {
+		return 0, fmt.Errorf("change %s: %w", change.ChangeID, err)
+	}
+	switch r := res.(type) {
+	case *callerapi.SettingsVerdict:
+		return r.Offset, reportVerdict(ctx, c, edits, r)
+	case *callerapi.ErrorStatusCode:
+		return 0, apiError(r)
+	default:
+		return 0, unexpected(res)
+	}
+}
+
+func reportVerdict(ctx context.Context, c *cli.Command, edits []callerapi.SettingsEdit, v *callerapi.SettingsVerdict) error {
+	var lost []string
+	if !v.Accepted {
+		lost = conflicts(ctx, c, edits)
+	}
+	err := emit(c, v, func(w io.Writer) { writeVerdict(w, edits, v, lost) })
+	switch {
+	case err != nil || v.Accepted:
+		return err
+	case len(lost) > 0:
+		return exitf(ExitConflict, "conflict: nothing was changed; read the present documents and apply again")
+	default:
+		return exitf(ExitUsage, "refused: nothing was changed")
+	}
+}
+
+func writeVerdict(w io.Writer, edits []callerapi.SettingsEdit, v *callerapi.SettingsVerdict, lost []string) {
+	if v.Accepted {
+		fmt.Fprintf(w, "accepted: change %s, version %d\n", v.ChangeID, v.Offset)
+		for _, e := range edits {
+			fmt.Fprintln(w, "  "+e.Path)
+		}
+		return
+	}
+	for _, line := range lost {
+		fmt.Fprintln(w, line)
+	}
+	for _, f := range v.Findings {
+		fmt.Fprintf(w, "%s: %s\n", f.Place, f.Message)
+	}
+}
+
+// conflicts says which edits start from a version that is no longer in force.
+func conflicts(ctx context.Context, c *cli.Command, edits []callerapi.SettingsEdit) []string {
+	view, err := getView(ctx, c, "/")
+	if err != nil {
+		return nil
+	}
+	now := versions(view)
+	var lost []string
+	for _, e := range edits {
+		if now[e.Path] != e.Base {
+			lost = append(lost, fmt.Sprintf("%s: conflict: the change starts from version %d, in force is %d", e.Path, e.Base, now[e.Path]))
+		}
+	}
+	return lost
+}
+
+// pathArg returns the only argument as a settings path, or the default when it
+// may be left out.
+func pathArg(c *cli.Command, byDefault string) (string, error) {
+	switch {
+	case c.NArg() == 0 && byDefault != "":
+		return byDefault, nil
+	case c.NArg() != 1:
+		return "", exitf(ExitUsage, "%s takes one settings path", c.FullName())
+	}
+	p := c.Args().First()
+	if !strings.HasPrefix(p, "/") {
+		return "", exitf(ExitUsage, "settings path %q does not start with /", p)
+	}
+	return path.Clean(p), nil
+}
+
+// readInput returns the text of a file, or of standard input for "-".
+func readInput(c *cli.Command, file string) (string, error) {
+	var data []byte
+	var err error
+	if file == "-" {
+		data, err = io.ReadAll(c.Root().Reader)
+	} else {
+		data, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return "", &exitError{code: ExitUsage, err: err}
+	}
+	return string(data), nil
+}
+
+func endLine(s string) string {
+	return strings.TrimSuffix(s, "\n") + "\n"
+}
+
+func defaultAuthor() string {
+	if u, err := user.Current(); err == nil && u.Username != "" {
+		return u.Username
+	}
+	return "unknown"
+}
