--- /dev/null
+++ b/internal/core/ledger/gather_test.go
@@ -0,0 +1,227 @@
+package ledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// gangWorld adds gathering fronts to a world. Each engine has its own owner.
+type gangWorld struct {
+	*world
+	turns   []*Turns // two hosts may both believe that they keep the turn
+	gathers []*Gather
+	ids     []string // reservation id of each gathered gang, else empty
+	ends    []time.Time
+	over    []bool
+	forget  bool // mutant: a release counts as done once it was sent
+}
+
+func newGangWorld(seed uint64, gangs int, lossy bool) *gangWorld {
+	w := &gangWorld{world: newWorld(seed, 4, 4, 0, true)}
+	w.lossy = lossy
+	for i, n := range w.names {
+		w.do(w.owners[i], w.owners[i].Own(n))
+	}
+	w.turns = []*Turns{NewTurns(4 * time.Second), NewTurns(4 * time.Second)}
+	for i := range gangs {
+		gang := Gang{
+			Request:  fmt.Sprintf("g%d", i),
+			Pool:     "p",
+			Holder:   Holder{Host: fmt.Sprintf("h%d", i), Incarnation: "1"},
+			Deadline: epoch.Add(10 * time.Minute),
+		}
+		for _, m := range w.rnd.Perm(4)[:2+w.rnd.IntN(3)] {
+			gang.Members = append(gang.Members, Member{Engine: w.names[m], Tokens: 600})
+		}
+		w.gathers = append(w.gathers, NewGather(GatherOptions{}, gang, rand.New(rand.NewPCG(seed, uint64(i)))))
+	}
+	w.ids = make([]string, gangs)
+	w.ends = make([]time.Time, gangs)
+	w.over = make([]bool, gangs)
+	w.ended = func(e Ended) {
+		for _, g := range w.gathers {
+			w.reply(func() { g.Released(e.Engine, e.ID.Name) })
+		}
+	}
+	return w
+}
+
+func (w *gangWorld) owner(engine string) *Ledger {
+	for i, n := range w.names {
+		if n == engine {
+			return w.owners[i]
+		}
+	}
+	return nil
+}
+
+func (w *gangWorld) drive(i int, steps []Step) {
+	g := w.gathers[i]
+	for _, s := range steps {
+		switch s := s.(type) {
+		case AskTurn:
+			w.send(func() {
+				wait, ok := w.turns[w.rnd.IntN(2)].Take(s.Pool, s.Gang, w.now)
+				w.reply(func() { w.drive(i, g.Turn(ok, wait, w.now)) })
+			})
+		case GiveTurn:
+			w.send(func() { w.turns[0].Give(s.Pool, s.Gang); w.turns[1].Give(s.Pool, s.Gang) })
+		case AskMember:
+			l := w.owner(s.Ask.Engine)
+			w.send(func() { w.answer(i, l, l.Reserve(s.Ask, w.now)) })
+		case ReleaseMember:
+			w.releaseMember(i, s)
+		case Gathered:
+			w.ids[i] = s.ID
+			w.ends[i] = w.now.Add(3 * time.Second)
+		case GaveUp:
+			w.over[i] = true
+		}
+	}
+}
+
+func (w *gangWorld) releaseMember(i int, s ReleaseMember) {
+	l := w.owner(s.Engine)
+	if w.forget {
+		w.gathers[i].Released(s.Engine, s.ID)
+	}
+	w.send(func() {
+		if w.lost() {
+			return
+		}
+		id := ID{Kind: Reservation, Name: s.ID}
+		w.answer(i, l, l.Release(s.Engine, id, w.gathers[i].gang.Holder, w.now))
+	})
+}
+
+// reply delivers an answer to a front, or loses it.
+func (w *gangWorld) reply(f func()) {
+	if !w.lost() {
+		w.send(f)
+	}
+}
+
+// answer carries out an owner's actions; what concerns a front is sent to it.
+func (w *gangWorld) answer(i int, l *Ledger, acts []Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Grant:
+			w.reply(func() { w.drive(i, w.gathers[i].Granted(a.Ask, w.now)) })
+		case Deny:
+			w.reply(func() { w.drive(i, w.gathers[i].Denied(a, false, w.now)) })
+		case ReserveOn:
+			w.send(func() {
+				result := w.engines[a.Ask.Engine].reserve(a.Ask)
+				w.send(func() { w.answer(i, l, l.ReserveAnswer(a.Ask, result, w.now)) })
+			})
+		default:
+			w.do(l, []Action{a})
+		}
+	}
+}
+
+// run steps all until every gang has worked and ended, and returns what is wrong.
+func (w *gangWorld) run() error {
+	for range 20000 {
+		w.now = w.now.Add(time.Duration(w.rnd.IntN(20)) * time.Millisecond)
+		for range 5 {
+			w.deliver()
+		}
+		i := w.rnd.IntN(len(w.gathers))
+		w.drive(i, w.gathers[i].Tick(w.now))
+		if err := w.check(i); err != nil {
+			return err
+		}
+		for _, l := range w.owners {
+			w.do(l, l.Tick(w.now))
+		}
+		if w.done() {
+			return w.left()
+		}
+	}
+	return fmt.Errorf("not done: over %v, gathered %v", w.over, w.ids)
+}
+
+// check verifies that a gathered gang has each member, and ends it in time.
+func (w *gangWorld) check(i int) error {
+	if w.ids[i] == "" || w.over[i] {
+		return nil
+	}
+	for _, m := range w.gathers[i].gang.Members {
+		if _, ok := w.engines[m.Engine].books[ID{Kind: Reservation, Name: w.ids[i]}]; !ok {
+			return fmt.Errorf("gang %d runs without member %s", i, m.Engine)
+		}
+	}
+	if w.now.After(w.ends[i]) {
+		w.drive(i, w.gathers[i].Abort(w.now))
+	}
+	return nil
+}
+
+func (w *gangWorld) done() bool {
+	if len(w.under) > 0 {
+		return false
+	}
+	for i, g := range w.gathers {
+		if !w.over[i] || !g.Over() {
+			return false
+		}
+	}
+	return true
+}
+
+func TestGangsAreAllOrNothingAndEndAtZero(t *testing.T) {
+	props := gopter.NewProperties(parameters(60))
+	for _, lossy := range []bool{false, true} {
+		name := fmt.Sprintf("overlapping gangs over four owners and two turns, answers lost: %v", lossy)
+		props.Property(name, prop.ForAll(func(seed uint64) string {
+			w := newGangWorld(seed, 5, lossy)
+			if err := w.run(); err != nil {
+				return err.Error()
+			}
+			for i, id := range w.ids {
+				if id == "" {
+					return fmt.Sprintf("gang %d was never gathered", i)
+				}
+			}
+			return ""
+		}, gen.UInt64()))
+	}
+	props.TestingRun(t)
+}
+
+// A Gather that takes a release for done once it was sent must leak.
+func TestMutantForgettingReleasesIsCaught(t *testing.T) {
+	for seed := range uint64(30) {
+		w := newGangWorld(seed, 5, true)
+		w.forget = true
+		if w.run() != nil {
+			return
+		}
+	}
+	t.Error("forgotten releases passed 30 runs")
+}
+
+func TestTurnsGoInOrderAndLapse(t *testing.T) {
+	turns := NewTurns(4 * time.Second)
+	take := func(gang string, at time.Duration) bool {
+		_, ok := turns.Take("p", gang, epoch.Add(at))
+		return ok
+	}
+	if !take("a", 0) || take("b", 0) || take("c", 0) {
+		t.Fatal("the first to ask alone must have the turn")
+	}
+	turns.Give("p", "a")
+	if take("c", time.Second) || !take("b", time.Second) {
+		t.Fatal("the turn goes to the one who asked first")
+	}
+	if take("c", 4*time.Second) || !take("c", 5*time.Second) {
+		t.Fatal("a turn that is not given back lapses after its limit")
+	}
+}
