--- /dev/null
+++ b/internal/standin/helper_test.go
@@ -0,0 +1,216 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
+)
+
+const (
+	testModel    = "assistant"
+	patience     = 20 * time.Second
+	pollInterval = 2 * time.Millisecond
+)
+
+// quick is an engine that is fast enough for tests.
+func quick() EngineOptions {
+	return EngineOptions{
+		Models:       []string{testModel},
+		MemoryTokens: 10_000,
+		PrefillTPS:   1_000_000,
+		DecodeStep:   time.Millisecond,
+		BlockTokens:  16,
+		LoadTime:     10 * time.Millisecond,
+	}
+}
+
+// slow is an engine whose requests are still running when a test looks.
+func slow() EngineOptions {
+	o := quick()
+	o.DecodeStep = 20 * time.Millisecond
+	return o
+}
+
+func start(t *testing.T, h http.Handler) *Server {
+	t.Helper()
+	s, err := Start(h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func startEngine(t *testing.T, o EngineOptions) (*Engine, *Server) {
+	t.Helper()
+	e := NewEngine(o)
+	return e, start(t, e)
+}
+
+func setFault(t *testing.T, address string, x Fault) {
+	t.Helper()
+	body, err := json.Marshal(x)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.Post("http://"+address+"/standin/fault", "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		t.Fatalf("fault %+v: status %d", x, res.StatusCode)
+	}
+}
+
+// eventually waits for a condition, with much time for a busy machine.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(pollInterval) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+func generateRequest(id string, prompt string, maxTokens int) *engineapi.GenerateRequest {
+	return &engineapi.GenerateRequest{
+		RequestID: id,
+		Attempt:   1,
+		Model:     testModel,
+		Prompt:    prompt,
+		MaxTokens: maxTokens,
+		Priority:  1,
+		Holder:    engineapi.Holder{Host: "entry-1", Incarnation: "a"},
+	}
+}
+
+// open sends a generate call; the context ends its connection.
+func open(t *testing.T, ctx context.Context, address string, req *engineapi.GenerateRequest) *http.Response {
+	t.Helper()
+	body, err := req.MarshalJSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+generatePath, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	call.Header.Set("Content-Type", "application/json")
+	res, err := http.DefaultClient.Do(call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { res.Body.Close() })
+	return res
+}
+
+// chunks reads a stream to its end. Lines that are not JSON are counted.
+func chunks(t *testing.T, res *http.Response) (all []Chunk, garbage int) {
+	t.Helper()
+	if res.StatusCode != http.StatusOK {
+		t.Fatalf("generate: status %d", res.StatusCode)
+	}
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() {
+		var c Chunk
+		if json.Unmarshal(lines.Bytes(), &c) != nil {
+			garbage++
+			continue
+		}
+		all = append(all, c)
+	}
+	return all, garbage
+}
+
+// refused returns the code of a generate call that must be refused.
+func refused(t *testing.T, address string, req *engineapi.GenerateRequest) engineapi.RefusalCode {
+	t.Helper()
+	res := open(t, context.Background(), address, req)
+	if res.StatusCode == http.StatusOK {
+		t.Fatalf("request %s was taken", req.RequestID)
+	}
+	var r engineapi.Refusal
+	if err := json.NewDecoder(res.Body).Decode(&r); err != nil {
+		t.Fatal(err)
+	}
+	return r.Code
+}
+
+// whole joins the tokens of a complete answer and checks its chunks.
+func whole(t *testing.T, req *engineapi.GenerateRequest, all []Chunk) string {
+	t.Helper()
+	text := ""
+	for i, c := range all {
+		if c.RequestID != req.RequestID || c.Attempt != req.Attempt || c.Index != req.ResumeFrom+i {
+			t.Fatalf("chunk %d is %+v", i, c)
+		}
+		text += c.Text
+	}
+	last := all[len(all)-1]
+	if !last.Done || last.TotalTokens == nil || *last.TotalTokens != req.MaxTokens {
+		t.Fatalf("last chunk is %+v", last)
+	}
+	return text
+}
+
+func books(t *testing.T, e *Engine) *engineapi.Books {
+	t.Helper()
+	res, err := e.GetBooks(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, ok := res.(*engineapi.Books)
+	if !ok {
+		t.Fatalf("books: %T", res)
+	}
+	return b
+}
+
+// checkSum holds the books against themselves.
+func checkSum(t *testing.T, b *engineapi.Books) {
+	t.Helper()
+	sum := int64(0)
+	for _, r := range b.Running {
+		sum += r.Tokens
+	}
+	for _, r := range b.Reservations {
+		sum += r.Tokens
+	}
+	for _, x := range b.Exports {
+		sum += x.Tokens.Value
+	}
+	if sum != b.MemoryUsedTokens || sum > b.MemoryTotalTokens {
+		t.Fatalf("entries hold %d, used %d of %d", sum, b.MemoryUsedTokens, b.MemoryTotalTokens)
+	}
+}
+
+func cancelRun(t *testing.T, e *Engine, id string, attempt int) bool {
+	t.Helper()
+	res, err := e.Cancel(context.Background(), &engineapi.CancelRequest{RequestID: id, Attempt: attempt})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, ok := res.(*engineapi.CancelResult)
+	return ok && c.Known
+}
+
+func phaseIs(t *testing.T, e *Engine, phase engineapi.RunningPhase) func() bool {
+	return func() bool {
+		b := books(t, e)
+		return len(b.Running) == 1 && b.Running[0].Phase == phase
+	}
+}
+
+func stateIs(b interface{ Runs() []Run }, i int, s RunState) func() bool {
+	return func() bool {
+		runs := b.Runs()
+		return len(runs) > i && runs[i].State == s
+	}
+}
--- /dev/null
+++ b/internal/standin/log.go
@@ -0,0 +1,190 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/platformapi"
+)
+
+// Defaults of LogOptions, and limits of the log.
+const (
+	DefaultRetention        = time.Hour
+	DefaultRetentionRecords = 100_000
+	DefaultAppendRate       = 500
+	appendQueueTime         = time.Second
+)
+
+// LogOptions sets up a log. Zero values take the defaults.
+type LogOptions struct {
+	Retention        time.Duration // age at which a record is dropped; 1h
+	RetentionRecords int           // records kept per stream; 100,000
+	AppendRate       float64       // appends a second; 500. More wait, up to a second
+	Exit             func(code int)
+}
+
+// Log is the append-only log.
+type Log struct {
+	*base
+	unserved
+	opts    LogOptions
+	limiter *rate.Limiter
+
+	mu      sync.Mutex
+	streams map[string]*logStream
+}
+
+// logStream holds offsets first to first+len(records)-1.
+type logStream struct {
+	first   int64
+	records []platformapi.Record
+	grown   chan struct{} // closed at the next append
+}
+
+// NewLog returns a log with no streams.
+func NewLog(o LogOptions) *Log {
+	if o.Retention <= 0 {
+		o.Retention = DefaultRetention
+	}
+	if o.RetentionRecords <= 0 {
+		o.RetentionRecords = DefaultRetentionRecords
+	}
+	if o.AppendRate <= 0 {
+		o.AppendRate = DefaultAppendRate
+	}
+	l := &Log{
+		base:    newBase("log", o.Exit),
+		opts:    o,
+		limiter: rate.NewLimiter(rate.Limit(o.AppendRate), max(1, int(o.AppendRate/10))),
+		streams: make(map[string]*logStream),
+	}
+	l.api = platformServer(l)
+	return l
+}
+
+// platformServer cannot fail: the generated server takes no options here.
+func platformServer(h platformapi.Handler) http.Handler {
+	s, err := platformapi.NewServer(h)
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+func (l *Log) stream(name string) *logStream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &logStream{first: 1, grown: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (s *logStream) next() int64 {
+	return s.first + int64(len(s.records))
+}
+
+// trim drops what is too old or too much.
+func (s *logStream) trim(o LogOptions, now time.Time) {
+	oldest := now.Add(-o.Retention).UnixMilli()
+	n := max(0, len(s.records)-o.RetentionRecords)
+	for n < len(s.records) && s.records[n].AtMs < oldest {
+		n++
+	}
+	s.first += int64(n)
+	s.records = s.records[n:]
+}
+
+// Append implements platformapi.Handler.
+func (l *Log) Append(_ context.Context, req *platformapi.AppendRequest, p platformapi.AppendParams) (*platformapi.AppendResult, error) {
+	if !l.takeTurn() {
+		return nil, &problem{status: http.StatusTooManyRequests, message: "too many appends"}
+	}
+	first := l.append(p.Stream, req.Records)
+	if _, hit := l.faults.strike(FaultDuplicate, p.Stream); hit {
+		l.append(p.Stream, req.Records)
+	}
+	return &platformapi.AppendResult{FirstOffset: first}, nil
+}
+
+// takeTurn waits for the append rate. A caller that goes away meanwhile does not
+// take its append back.
+func (l *Log) takeTurn() bool {
+	r := l.limiter.Reserve()
+	d := r.Delay()
+	if d > appendQueueTime {
+		r.Cancel()
+		return false
+	}
+	time.Sleep(d)
+	return true
+}
+
+func (l *Log) append(name string, data [][]byte) (first int64) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	first = s.next()
+	for i, d := range data {
+		r := platformapi.Record{Offset: first + int64(i), AtMs: now.UnixMilli(), Data: d}
+		s.records = append(s.records, r)
+	}
+	s.trim(l.opts, now)
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return first
+}
+
+// Read implements platformapi.Handler.
+func (l *Log) Read(ctx context.Context, p platformapi.ReadParams) (*platformapi.ReadResult, error) {
+	res, err := l.await(ctx, p)
+	l.thaw()
+	return res, err
+}
+
+// await waits for a first record.
+func (l *Log) await(ctx context.Context, p platformapi.ReadParams) (*platformapi.ReadResult, error) {
+	timeout := time.NewTimer(time.Duration(p.WaitMs.Or(0)) * time.Millisecond)
+	defer timeout.Stop()
+	for {
+		changed := l.faults.wait()
+		res, grown := l.page(p)
+		if len(res.Records) > 0 {
+			return res, nil
+		}
+		select {
+		case <-grown:
+		case <-changed:
+			if l.faults.isOn(FaultOutage) {
+				return nil, &problem{status: http.StatusServiceUnavailable, message: "outage"}
+			}
+		case <-timeout.C:
+			return res, nil
+		case <-ctx.Done():
+			return res, nil
+		case <-l.closed:
+			return nil, &problem{status: http.StatusServiceUnavailable, message: "closed"}
+		}
+	}
+}
+
+// page returns what a read finds now, and a channel closed at the next append.
+func (l *Log) page(p platformapi.ReadParams) (*platformapi.ReadResult, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(p.Stream)
+	s.trim(l.opts, time.Now())
+	res := &platformapi.ReadResult{FirstKept: s.first, Next: s.next(), Records: []platformapi.Record{}}
+	from := max(0, p.From-s.first)
+	if from < int64(len(s.records)) {
+		found := s.records[from:]
+		found = found[:min(len(found), p.Max.Or(1000))]
+		res.Records = append(res.Records, found...)
+	}
+	return res, s.grown
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,167 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	shutdownTimeout   = 2 * time.Second
+)
+
+// Server serves one stand-in.
+type Server struct {
+	Address string // IP:port
+
+	handler http.Handler
+	srv     *http.Server
+	done    chan struct{}
+}
+
+// Start serves a stand-in at a free port of 127.0.0.1.
+func Start(h http.Handler) (*Server, error) {
+	return Listen("127.0.0.1:0", h)
+}
+
+// Listen serves a stand-in at an IP:port; port 0 takes a free one.
+func Listen(address string, h http.Handler) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, merry.Prependf(err, "listen at %s", address)
+	}
+	conns := &connSet{all: make(map[*conn]struct{})}
+	s := &Server{
+		Address: l.Addr().String(),
+		handler: h,
+		srv: &http.Server{
+			Handler:           h,
+			ReadHeaderTimeout: readHeaderTimeout,
+			ConnContext:       contextWithConn,
+		},
+		done: make(chan struct{}),
+	}
+	if b, ok := h.(attacher); ok {
+		b.attach(conns, s.kill)
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.srv.Serve(&listener{Listener: l, conns: conns})
+	}()
+	return s, nil
+}
+
+// attacher is a stand-in that strikes at its own connections.
+type attacher interface {
+	attach(conns *connSet, kill func())
+}
+
+// kill cuts every connection and stops to listen.
+func (s *Server) kill() {
+	_ = s.srv.Close()
+}
+
+// Close cuts every connection and closes the stand-in.
+func (s *Server) Close() {
+	s.kill()
+	<-s.done
+	if c, ok := s.handler.(io.Closer); ok {
+		_ = c.Close()
+	}
+}
+
+// Shutdown lets calls in progress end for a short time, then closes.
+func (s *Server) Shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	_ = s.srv.Shutdown(ctx)
+	s.Close()
+}
+
+type connKey struct{}
+
+func contextWithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// connSet holds the open connections of a server.
+type connSet struct {
+	mu  sync.Mutex
+	all map[*conn]struct{}
+}
+
+// silence makes every open connection silent for good, but the one that asks.
+func (s *connSet) silence(ctx context.Context) {
+	asker, _ := ctx.Value(connKey{}).(*conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.all {
+		if c != asker {
+			c.silent.Store(true)
+		}
+	}
+}
+
+type listener struct {
+	net.Listener
+	conns *connSet
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc, set: l.conns, closed: make(chan struct{})}
+	l.conns.mu.Lock()
+	l.conns.all[c] = struct{}{}
+	l.conns.mu.Unlock()
+	return c, nil
+}
+
+// conn is a connection whose path can be lost: writes then vanish, and reads
+// give nothing more, not even the other end's close.
+type conn struct {
+	net.Conn
+	set    *connSet
+	silent atomic.Bool
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.silent.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.set.mu.Lock()
+		delete(c.set.all, c)
+		c.set.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
