--- a/internal/core/settings/bench_test.go
+++ b/internal/core/settings/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 // siteSources is a site of the size to design for: 7 domains, 210 customers in 21
@@ -57,3 +58,57 @@
 		}
 	}
 }
+
+// changeLog returns records of changes that spread over 210 documents.
+func changeLog(b *testing.B, n int) (log [][]byte) {
+	versions := map[string]int64{}
+	yaml := "customers:\n"
+	for c := range 10 {
+		yaml += fmt.Sprintf("  - {name: c%d, token_sha256: [%064x]}\n", c, c)
+	}
+	for i := range n {
+		path := fmt.Sprintf("/team%d", i%210)
+		c := Change{ID: fmt.Sprintf("%036d", i), Author: "operator", Seen: int64(i)}
+		c.Edits = []Edit{{Path: path, Base: versions[path], YAML: &yaml}}
+		data, err := c.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		versions[path] = int64(i + 1)
+		log = append(log, data)
+	}
+	return log
+}
+
+func benchmarkReplay(b *testing.B, n int) {
+	log := changeLog(b, n)
+	b.ReportAllocs()
+	for b.Loop() {
+		s := NewState()
+		for i, data := range log {
+			if v := s.Apply(int64(i+1), time.UnixMilli(int64(i)), data); !v.Accepted() {
+				b.Fatal(v.Reason())
+			}
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*n), "ns/record")
+	b.ReportMetric(float64(len(log[n-1])), "B/change")
+}
+
+func BenchmarkReplay1k(b *testing.B)   { benchmarkReplay(b, 1_000) }
+func BenchmarkReplay100k(b *testing.B) { benchmarkReplay(b, 100_000) }
+
+func BenchmarkExportImport(b *testing.B) {
+	s := NewState()
+	for i, data := range changeLog(b, 2*HistoryWindow) {
+		s.Apply(int64(i+1), time.UnixMilli(int64(i)), data)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		data := export(s)
+		if _, err := ImportState(data); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(data)), "B/snapshot")
+	}
+}
--- /dev/null
+++ b/internal/core/settings/export.go
@@ -0,0 +1,79 @@
+package settings
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const exportFormat = 1
+
+// exported is the form of a State that peers and the snapshot stream carry.
+type exported struct {
+	Format      int              `json:"format"`
+	Offset      int64            `json:"offset"`
+	Digest      uint64           `json:"digest"`
+	Undecodable int64            `json:"undecodable"`
+	Documents   []StoredDocument `json:"documents,omitempty"` // by path
+	History     []Verdict        `json:"history,omitempty"`   // by offset
+}
+
+// Export returns the state as bytes. Equal states give equal bytes.
+func (s *State) Export() ([]byte, error) {
+	data, err := json.Marshal(exported{
+		Format:      exportFormat,
+		Offset:      s.offset,
+		Digest:      s.digest,
+		Undecodable: s.undecodable,
+		Documents:   s.Documents(Root),
+		History:     s.history,
+	})
+	return data, merry.Prepend(err, "export settings")
+}
+
+// ImportState reads what Export wrote. It refuses bytes that break an invariant
+// of State.
+func ImportState(data []byte) (*State, error) {
+	var e exported
+	if err := json.Unmarshal(data, &e); err != nil {
+		return nil, merry.Prepend(err, "import settings")
+	}
+	if e.Format != exportFormat {
+		return nil, merry.Errorf("settings snapshot has format %d, not %d", e.Format, exportFormat)
+	}
+	if e.Offset < 0 || e.Undecodable < 0 {
+		return nil, merry.Errorf("settings snapshot has offset %d", e.Offset)
+	}
+	s := NewState()
+	s.offset, s.digest, s.undecodable = e.Offset, e.Digest, e.Undecodable
+	if err := s.importDocuments(e.Documents); err != nil {
+		return nil, err
+	}
+	return s, s.importHistory(e.History)
+}
+
+func (s *State) importDocuments(documents []StoredDocument) error {
+	for _, d := range documents {
+		_, twice := s.documents[d.Path]
+		if !ValidPath(d.Path) || twice || d.Version < 1 || d.Version > s.offset {
+			return merry.Errorf("settings snapshot has a bad document %q of version %d", d.Path, d.Version)
+		}
+		s.documents[d.Path] = d
+	}
+	return nil
+}
+
+func (s *State) importHistory(history []Verdict) error {
+	last := max(s.offset-HistoryWindow, 0)
+	for _, v := range history {
+		_, twice := s.byID[v.ChangeID]
+		if v.Offset <= last || v.Offset > s.offset || twice {
+			return merry.Errorf("settings snapshot has a bad verdict at offset %d", v.Offset)
+		}
+		last = v.Offset
+		s.byID[v.ChangeID] = v.Offset
+	}
+	s.history = slices.Clone(history)
+	return nil
+}
