--- /dev/null
+++ b/internal/bench/histogram.go
@@ -0,0 +1,55 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the histograms: from a microsecond to an hour, three digits.
+const (
+	histogramMin    = 1
+	histogramMax    = int64(time.Hour / time.Microsecond)
+	histogramDigits = 3
+)
+
+// Quantiles of a group of times in milliseconds; all zero when Count is.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+// histogram counts times.
+type histogram struct {
+	h *hdrhistogram.Histogram
+}
+
+func newHistogram() *histogram {
+	return &histogram{h: hdrhistogram.New(histogramMin, histogramMax, histogramDigits)}
+}
+
+// record adds a time, cut to the bounds of the histogram.
+func (h *histogram) record(d time.Duration) {
+	us := min(max(d.Microseconds(), histogramMin), histogramMax)
+	_ = h.h.RecordValue(us) // only a value out of bounds is an error
+}
+
+func (h *histogram) quantiles() Quantiles {
+	if h.h.TotalCount() == 0 {
+		return Quantiles{}
+	}
+	return Quantiles{
+		Count: h.h.TotalCount(),
+		P50:   toMs(h.h.ValueAtQuantile(50)),
+		P95:   toMs(h.h.ValueAtQuantile(95)),
+		P99:   toMs(h.h.ValueAtQuantile(99)),
+		Max:   toMs(h.h.Max()),
+	}
+}
+
+func toMs(us int64) float64 {
+	return float64(us) / 1000
+}
