Command-line tool: check settings, bench run and bench compare

Cause: operators need to validate documents before they publish them, and the load tool needs a command.

Ruled out: changing the policy by a daemon flag for a comparison: it goes through the settings, as an operator would do it, and the document is put back as it was.

Change: check settings reports all findings of files and directories together; bench run and bench compare write text, JSON and a page, verify every answer and show progress on a terminal only.

Run: go test ./internal/cli/... ./internal/bench passes; vet and staticcheck are clean.

Conclusion: not yet run against a daemon.

--- a/internal/cli/caller/prompt.go
+++ b/internal/cli/caller/prompt.go
@@ -11,9 +11,9 @@
 const letters = "abcdefghijklmnopqrstuvwxyz"
 
 // Prompt returns pseudo-words that make up about the given number of tokens. The
-// text follows from the seed.
+// text follows from the seed; a longer prompt starts with the shorter one.
 func Prompt(tokens int, seed uint64) string {
-	rng := rand.New(rand.NewPCG(seed, uint64(tokens)))
+	rng := rand.New(rand.NewPCG(seed, 0))
 	var b strings.Builder
 	b.Grow(tokens * BytesPerToken)
 	for range tokens {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -86,10 +86,12 @@
 			},
 		},
 		Commands: []*cli.Command{
+			newCheck(),
 			newSettings(),
 			newStatus(),
 			newCall(),
 			newExplain(),
+			newBench(),
 		},
 	}
 	quietUsageErrors(root)
--- /dev/null
+++ b/internal/cli/policy.go
@@ -0,0 +1,120 @@
+package cli
+
+import (
+	"context"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/callerapi"
+)
+
+const settlePoll = 50 * time.Millisecond
+
+// policySetter changes the placement policy in the document at one path and can
+// put the document back as it was.
+type policySetter struct {
+	c        *cli.Command
+	path     string
+	stood    bool
+	original string
+	version  int64
+	changed  bool
+}
+
+func newPolicySetter(ctx context.Context, c *cli.Command) (*policySetter, error) {
+	p := &policySetter{c: c, path: c.String(flagPolicyPath)}
+	view, err := getView(ctx, c, p.path)
+	if err != nil {
+		return nil, err
+	}
+	p.original, p.stood = texts(view)[p.path]
+	p.version = versions(view)[p.path]
+	return p, nil
+}
+
+// set puts a policy in force and returns once every daemon follows it.
+func (p *policySetter) set(ctx context.Context, policy string) error {
+	text, err := withPolicy(p.original, policy)
+	if err != nil {
+		return failed(err)
+	}
+	return p.publish(ctx, callerapi.NewOptString(text))
+}
+
+// restore puts the document back that stood before.
+func (p *policySetter) restore(ctx context.Context) error {
+	switch {
+	case !p.changed:
+		return nil
+	case p.stood:
+		return p.publish(ctx, callerapi.NewOptString(p.original))
+	default:
+		return p.publish(ctx, callerapi.OptString{})
+	}
+}
+
+func (p *policySetter) publish(ctx context.Context, yaml callerapi.OptString) error {
+	edits := []callerapi.SettingsEdit{{Path: p.path, Base: p.version, Yaml: yaml}}
+	v, err := publishChange(ctx, p.c, &callerapi.SettingsChange{ChangeID: uuid.NewString(), Author: "bench", Edits: edits})
+	if err != nil {
+		return err
+	}
+	if !v.Accepted {
+		return exitf(ExitConflict, "the policy change was refused: %v", v.Findings)
+	}
+	p.changed = true
+	p.version = v.Offset
+	if !yaml.Set {
+		p.version = 0
+	}
+	return awaitOffset(ctx, p.c, v.Offset)
+}
+
+// withPolicy returns the document with another placement policy.
+func withPolicy(document, policy string) (string, error) {
+	var doc yaml.MapSlice
+	if err := yaml.UnmarshalWithOptions([]byte(document), &doc, yaml.UseOrderedMap()); err != nil {
+		return "", err
+	}
+	routing, _ := doc.ToMap()["routing"].(yaml.MapSlice)
+	doc = setKey(doc, "routing", setKey(routing, "policy", policy))
+	text, err := yaml.Marshal(doc)
+	return string(text), err
+}
+
+// setKey sets one key of an ordered map.
+func setKey(m yaml.MapSlice, key string, value any) yaml.MapSlice {
+	for i := range m {
+		if m[i].Key == key {
+			m[i].Value = value
+			return m
+		}
+	}
+	return append(m, yaml.MapItem{Key: key, Value: value})
+}
+
+// awaitOffset waits until every daemon follows the settings up to an offset.
+func awaitOffset(ctx context.Context, c *cli.Command, offset int64) error {
+	ds, err := daemons(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	for _, d := range ds {
+		for {
+			s := askStatus(ctx, d)
+			if s.Status != nil && s.Status.SettingsOffset >= offset {
+				break
+			}
+			if ctx.Err() != nil {
+				return exitf(ExitFailed, "daemon %s does not follow offset %d: %s", d.address, offset, s.Error)
+			}
+			time.Sleep(settlePoll)
+		}
+	}
+	return nil
+}
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -217,19 +217,28 @@
 // new version.
 func sendChange(ctx context.Context, c *cli.Command, edits []callerapi.SettingsEdit) (int64, error) {
 	change := &callerapi.SettingsChange{ChangeID: uuid.NewString(), Author: c.String(flagAuthor), Edits: edits}
+	v, err := publishChange(ctx, c, change)
+	if err != nil {
+		return 0, err
+	}
+	return v.Offset, reportVerdict(ctx, c, edits, v)
+}
+
+// publishChange sends a change to the first daemon that takes it.
+func publishChange(ctx context.Context, c *cli.Command, change *callerapi.SettingsChange) (*callerapi.SettingsVerdict, error) {
 	res, err := first(c, false, func(api *callerapi.Client) (callerapi.ChangeSettingsRes, error) {
 		return api.ChangeSettings(ctx, change)
 	})
 	if err != nil {
-		return 0, fmt.Errorf("change %s: %w", change.ChangeID, err)
+		return nil, fmt.Errorf("change %s: %w", change.ChangeID, err)
 	}
 	switch r := res.(type) {
 	case *callerapi.SettingsVerdict:
-		return r.Offset, reportVerdict(ctx, c, edits, r)
+		return r, nil
 	case *callerapi.ErrorStatusCode:
-		return 0, apiError(r)
+		return nil, apiError(r)
 	default:
-		return 0, unexpected(res)
+		return nil, unexpected(res)
 	}
 }
 
--- a/internal/cli/settings_apply.go
+++ b/internal/cli/settings_apply.go
@@ -127,7 +127,10 @@
 		return "", nil, nil, exitf(ExitUsage, "%s takes one directory", c.FullName())
 	}
 	dir, at := c.Args().First(), c.String(flagAt)
-	docs, err := readTree(dir, at)
+	docs, findings, err := readTree(dir, at)
+	if err == nil {
+		err = findings.Err()
+	}
 	if err != nil {
 		return "", nil, nil, &exitError{code: ExitUsage, err: err}
 	}
--- a/internal/cli/tree.go
+++ b/internal/cli/tree.go
@@ -46,7 +46,7 @@
 // readTree reads every document below a directory, in the order of their paths.
 // Hidden files and those without the extension .yaml are left out. Two files of
 // one path are a finding.
-func readTree(dir, at string) ([]treeDocument, error) {
+func readTree(dir, at string) ([]treeDocument, finding.List, error) {
 	var docs []treeDocument
 	err := filepath.WalkDir(dir, func(file string, e fs.DirEntry, err error) error {
 		if err != nil {
@@ -71,18 +71,18 @@
 		return nil
 	})
 	if err != nil {
-		return nil, merry.Prependf(err, "read settings from %s", dir)
+		return nil, nil, merry.Prependf(err, "read settings from %s", dir)
 	}
 	sort.Slice(docs, func(i, j int) bool { return docs[i].Path < docs[j].Path })
-	return docs, duplicatePaths(docs)
+	return docs, duplicatePaths(docs), nil
 }
 
-func duplicatePaths(docs []treeDocument) error {
+func duplicatePaths(docs []treeDocument) finding.List {
 	var list finding.List
 	for i := 1; i < len(docs); i++ {
 		if docs[i].Path == docs[i-1].Path {
 			list.Addf(finding.Place{File: docs[i].File}, "path %s is also set by %s", docs[i].Path, docs[i-1].File)
 		}
 	}
-	return list.Err()
+	return list
 }
--- a/internal/cli/tree_test.go
+++ b/internal/cli/tree_test.go
@@ -37,9 +37,9 @@
 	writeFile(t, filepath.Join(dir, "a.yaml"), "limits: {}\n")
 	writeFile(t, filepath.Join(dir, "a", "_root.yaml"), "limits: {}\n")
 	writeFile(t, filepath.Join(dir, ".hidden.yaml"), "garbage")
-	docs, err := readTree(dir, "/")
-	if err == nil || len(docs) != 2 {
-		t.Fatalf("got %d documents and error %v, want 2 and a finding", len(docs), err)
+	docs, findings, err := readTree(dir, "/")
+	if err != nil || len(findings) != 1 || len(docs) != 2 {
+		t.Fatalf("got %d documents, findings %v and error %v, want 2 and one finding", len(docs), findings, err)
 	}
 }
 
