Thin path: one request from caller to engine and service, as separate processes

Cause: nothing could serve a request yet; the parts existed singly. Ruled out: one attempt loop for generations and calls of plain services: a generation resumes a stream and a call cannot, so the common part is only the retry decision, which lies in core/retry already.

--- /dev/null
+++ b/internal/front/auth.go
@@ -0,0 +1,149 @@
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/callerapi"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+)
+
+// maxOperatorBody bounds a body that comes from no customer, in bytes.
+const maxOperatorBody = 4 << 20
+
+// identity is who sent a request.
+type identity struct {
+	customer *settings.CustomerView
+	operator *settings.OperatorView
+}
+
+type identityKey struct{}
+
+func identityOf(ctx context.Context) *identity {
+	id, _ := ctx.Value(identityKey{}).(*identity)
+	return id
+}
+
+// errNotAuthorized is what the API's security handler returns.
+var errNotAuthorized = merry.Sentinel("the bearer token is missing, unknown or of another kind")
+
+// authenticate finds out who sends a request before its body is read, so that
+// the bound on the body is that of its customer.
+func (s *Server) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := s.identify(bearer(r))
+		limit := int64(maxOperatorBody)
+		if id.customer != nil {
+			limit = int64(id.customer.Requests.MaxBodyBytes)
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+		ctx := context.WithValue(r.Context(), identityKey{}, id)
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+func bearer(r *http.Request) string {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return token
+}
+
+func (s *Server) identify(token string) *identity {
+	id := &identity{}
+	if token == "" {
+		return id
+	}
+	if s.isFirstOperator(token) {
+		id.operator = &settings.OperatorView{Name: "first-operator", Path: settings.Root}
+		return id
+	}
+	snap := s.opts.Settings.Current()
+	if snap == nil {
+		return id
+	}
+	if c, ok := snap.CustomerByToken(token); ok {
+		id.customer = c
+	}
+	if o, ok := snap.OperatorByToken(token); ok {
+		id.operator = o
+	}
+	return id
+}
+
+func (s *Server) isFirstOperator(token string) bool {
+	want, err := hex.DecodeString(s.opts.OperatorTokenSHA256)
+	if err != nil || len(want) != sha256.Size {
+		return false
+	}
+	got := sha256.Sum256([]byte(token))
+	return subtle.ConstantTimeCompare(want, got[:]) == 1
+}
+
+// HandleBearerAuth implements callerapi.SecurityHandler: operator calls need an
+// operator, all others a customer.
+func (s *Server) HandleBearerAuth(ctx context.Context, op callerapi.OperationName, _ callerapi.BearerAuth) (context.Context, error) {
+	id := identityOf(ctx)
+	if id == nil {
+		return ctx, errNotAuthorized
+	}
+	switch op {
+	case callerapi.GetStatusOperation, callerapi.ListPlacementsOperation,
+		callerapi.GetSettingsOperation, callerapi.ChangeSettingsOperation, callerapi.GetSettingsHistoryOperation:
+		if id.operator == nil {
+			return ctx, errNotAuthorized
+		}
+	default:
+		if id.customer == nil {
+			return ctx, errNotAuthorized
+		}
+	}
+	return ctx, nil
+}
+
+// handleAPIError turns what the generated server found into the typed error body.
+func (s *Server) handleAPIError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	id := newID()
+	refusal := s.refusalOfAPIError(err)
+	s.log.WithFields(refusalFields(id, refusal)).Info("refused_input")
+	writeRefusal(w, id, refusal)
+}
+
+func (s *Server) refusalOfAPIError(err error) *request.Refusal {
+	var security *ogenerrors.SecurityError
+	var tooLarge *http.MaxBytesError
+	var params *ogenerrors.DecodeParamsError
+	var body *ogenerrors.DecodeRequestError
+	switch {
+	case errors.As(err, &security):
+		if s.opts.Settings.Current() == nil {
+			return request.Refuse(request.CodeNotReady, retryElsewhere, "this daemon has no settings yet")
+		}
+		return request.Refuse(request.CodeUnauthorized, 0, "%s", errNotAuthorized.Error())
+	case errors.As(err, &tooLarge):
+		return request.Refuse(request.CodeTooLarge, 0, "the body is larger than %d bytes", tooLarge.Limit)
+	case errors.As(err, &params), errors.As(err, &body):
+		return request.Refuse(request.CodeBadRequest, 0, "%s", err.Error())
+	}
+	s.log.WithError(err).Error("api_error")
+	return request.Refuse(request.CodeInternal, retryElsewhere, "internal error")
+}
+
+func (s *Server) handleNotFound(w http.ResponseWriter, r *http.Request) {
+	writeRefusal(w, newID(), request.Refuse(request.CodeUnknownTarget, 0, "no such path: %s", r.URL.Path))
+}
+
+func (s *Server) handleMethodNotAllowed(w http.ResponseWriter, r *http.Request, allowed string) {
+	w.Header().Set("Allow", allowed)
+	writeRefusal(w, newID(), request.Refuse(request.CodeBadRequest, 0, "%s is not allowed here, only %s", r.Method, allowed))
+}
--- /dev/null
+++ b/internal/front/build.go
@@ -0,0 +1,156 @@
+package front
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/callerapi"
+	"github.com/buckthorndock/buckthorndock/internal/core/placement"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+)
+
+// maxAskedDeadline is the longest deadline that is taken for meant; a longer one
+// is refused as absurd.
+const maxAskedDeadline = 30 * 24 * time.Hour
+
+// Bounds of the prefix hashes of one prompt.
+const (
+	prefixBlockBytes = 2048
+	maxPrefixBlocks  = 64
+)
+
+// callParams are the headers that all calls share.
+type callParams struct {
+	key        callerapi.OptString
+	repeatable callerapi.OptBool
+	deadlineMs callerapi.OptInt64
+	priority   callerapi.OptPriority
+}
+
+// job is one request on its way through the front.
+type job struct {
+	req      *request.Request
+	customer *settings.CustomerView
+	routing  settings.Routing
+	pool     *settings.PoolView
+
+	prompt string // of a generation
+	body   []byte // of a service's call
+	sink   sink   // of a generation
+}
+
+// defaults of one call, from the settings or the operation.
+type callDefaults struct {
+	deadline   time.Duration
+	priority   request.Priority
+	repeatable bool
+}
+
+// newRequest fills in what generations and calls have in common.
+func newRequest(id string, c *settings.CustomerView, p callParams, def callDefaults, now time.Time) (*request.Request, *request.Refusal) {
+	deadline, refusal := askedDeadline(p.deadlineMs, def.deadline, c.Requests.MaxDeadline())
+	if refusal != nil {
+		return nil, refusal
+	}
+	return &request.Request{
+		ID:         id,
+		Customer:   c.Name,
+		Path:       c.Path,
+		Priority:   askedPriority(p.priority, def.priority, c.Requests.MostUrgent()),
+		Arrived:    now,
+		Deadline:   now.Add(deadline),
+		Repeatable: p.repeatable.Or(true) && def.repeatable,
+		Key:        p.key.Or(""),
+	}, nil
+}
+
+func askedDeadline(asked callerapi.OptInt64, def, longest time.Duration) (time.Duration, *request.Refusal) {
+	ms, ok := asked.Get()
+	if !ok {
+		return min(def, longest), nil
+	}
+	if ms <= 0 || ms > int64(maxAskedDeadline/time.Millisecond) {
+		return 0, request.Refuse(request.CodeBadRequest, 0, "X-Deadline-Ms: %d is not between 1 and %d", ms, maxAskedDeadline/time.Millisecond)
+	}
+	return min(time.Duration(ms)*time.Millisecond, longest), nil
+}
+
+func askedPriority(asked callerapi.OptPriority, def, mostUrgent request.Priority) request.Priority {
+	p := def
+	if word, ok := asked.Get(); ok {
+		p, _ = request.ParsePriority(string(word))
+	}
+	return max(p, mostUrgent)
+}
+
+// fingerprint tells requests of one customer apart.
+func fingerprint(customer, target, operation, body string, maxTokens int) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{customer, target, operation, body} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write([]byte{byte(maxTokens), byte(maxTokens >> 8), byte(maxTokens >> 16), byte(maxTokens >> 24)})
+	return d.Sum64()
+}
+
+// newGeneration builds the job of a completion or chat.
+func (s *Server) newGeneration(id string, c *settings.CustomerView, p callParams, model string, text prompt, maxTokens callerapi.OptInt) (*job, *request.Refusal) {
+	snap := s.opts.Settings.Current()
+	m, err := snap.Model(c, model)
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+	def := callDefaults{deadline: c.Requests.Deadline(), priority: c.Requests.DefaultPriority(), repeatable: true}
+	req, refusal := newRequest(id, c, p, def, time.Now())
+	if refusal != nil {
+		return nil, refusal
+	}
+	req.Kind = request.Generate
+	req.Target = model
+	req.MaxTokens = maxTokens.Or(c.Requests.MaxTokens)
+	req.PromptTokens = text.tokens
+	if req.PromptTokens == 0 {
+		perByte := s.opts.Router.TokensPerByte(model, 1/m.BytesPerToken)
+		req.PromptTokens = max(1, int(math.Ceil(float64(len(text.text))*perByte)))
+	}
+	req.Prefix = placement.PrefixBlocks(text.text, prefixBlockBytes, maxPrefixBlocks)
+	req.Fingerprint = fingerprint(c.Name, model, "", text.text, req.MaxTokens)
+	return &job{req: req, customer: c, routing: m.Routing, pool: m.Pool, prompt: text.text}, nil
+}
+
+// newCall builds the job of a plain service's call.
+func (s *Server) newCall(id string, c *settings.CustomerView, p callParams, service, operation string, body []byte) (*job, *request.Refusal) {
+	snap := s.opts.Settings.Current()
+	op, err := snap.Service(c, service, operation)
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+	def := callDefaults{deadline: op.Deadline(), priority: c.Requests.DefaultPriority(), repeatable: op.Repeatable}
+	if def.deadline == 0 {
+		def.deadline = c.Requests.Deadline()
+	}
+	if word, ok := request.ParsePriority(op.Priority); ok {
+		def.priority = word
+	}
+	req, refusal := newRequest(id, c, p, def, time.Now())
+	if refusal != nil {
+		return nil, refusal
+	}
+	req.Kind = request.Call
+	req.Target = service
+	req.Operation = operation
+	req.Fingerprint = fingerprint(c.Name, service, operation, string(body), 0)
+	return &job{req: req, customer: c, routing: op.Service.Routing, pool: op.Service.Pool, body: body}, nil
+}
+
+// asRefusal returns the refusal that an error of the settings is.
+func asRefusal(err error) *request.Refusal {
+	if r, ok := err.(*request.Refusal); ok {
+		return r
+	}
+	return request.Refuse(request.CodeInternal, retryElsewhere, "internal error")
+}
--- /dev/null
+++ b/internal/front/generate.go
@@ -0,0 +1,215 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/placement"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/core/retry"
+	"github.com/buckthorndock/buckthorndock/internal/core/stream"
+	"github.com/buckthorndock/buckthorndock/internal/router"
+)
+
+// generation is one request for an answer on its way through its attempts. One
+// goroutine owns it.
+type generation struct {
+	s   *Server
+	job *job
+	asm *stream.Assembler
+
+	attempt      int // number of the running attempt, from 1
+	resumes      int // of the running attempt, since its last token
+	earlierWrote bool
+	exclude      []string
+	first        time.Time // of the first token, zero before
+}
+
+// generate runs a job until its one end. It returns nil when the whole answer
+// was delivered.
+func (s *Server) generate(ctx context.Context, j *job) *request.Refusal {
+	g := &generation{
+		s:       s,
+		job:     j,
+		asm:     stream.New(stream.Options{RequestID: j.req.ID, MaxTokens: j.req.MaxTokens}),
+		attempt: 1,
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.req.Deadline)
+	defer cancel()
+	for {
+		target, refusal := g.place(ctx)
+		if refusal != nil {
+			return refusal
+		}
+		refusal, again := g.onTarget(ctx, target)
+		if !again {
+			return refusal
+		}
+	}
+}
+
+// onTarget runs the attempt on one upstream, resuming its stream as often as is
+// worth while. again asks for another upstream.
+func (g *generation) onTarget(ctx context.Context, t *target) (refusal *request.Refusal, again bool) {
+	id := placement.ID{Request: g.job.req.ID, Attempt: g.attempt}
+	g.s.opts.Router.Placed(t.placement)
+	end := placement.End{}
+	defer func() { g.s.opts.Router.Finished(id, end) }()
+	for {
+		res := g.stream(ctx, t)
+		if res.complete {
+			end = placement.End{Complete: true, AnswerTokens: g.asm.NextIndex()}
+			g.s.retries.success(g.job.routing, time.Now())
+			return g.finish(), false
+		}
+		decision := g.next(ctx, t, res)
+		if decision.Action == retry.Resume {
+			g.resumes++
+			continue
+		}
+		g.abandon(t, res)
+		if decision.Action == retry.GiveUp {
+			return decision.Refusal, false
+		}
+		g.attempt = decision.Attempt
+		g.resumes = 0
+		g.exclude = append(g.exclude, t.name())
+		return nil, true
+	}
+}
+
+// finish tells the caller that the answer is whole. A caller that has gone in
+// the meantime changes nothing about the outcome.
+func (g *generation) finish() *request.Refusal {
+	if err := g.job.sink.finish(g.asm.NextIndex()); err != nil {
+		g.s.log.WithFields(jobFields(g.job)).WithError(err).Debug("caller_gone_at_end")
+	}
+	return nil
+}
+
+// next decides what follows an attempt that ended without a whole answer.
+func (g *generation) next(ctx context.Context, t *target, res streamEnd) retry.Decision {
+	now := time.Now()
+	if res.callerGone {
+		return retry.Decision{Action: retry.GiveUp, Refusal: failed(request.CodeCallerGone, 0, "the caller has gone")}
+	}
+	a := retry.Attempt{
+		Number:       g.attempt,
+		End:          res.end,
+		EarlierWrote: g.earlierWrote,
+		Reachable:    res.reachable,
+		Resumes:      g.resumes,
+	}
+	if res.end != retry.NotWritten {
+		g.earlierWrote = true
+	}
+	g.s.noteUpstream(t.name(), res.end, res.reachable)
+	decision := g.s.retries.next(a, g.job, now)
+	fields := jobFields(g.job)
+	fields["attempt"] = g.attempt
+	fields["upstream"] = t.name()
+	fields["end"] = res.end.String()
+	fields["action"] = decision.Action.String()
+	fields["next_index"] = g.asm.NextIndex()
+	log := g.s.log.WithFields(fields)
+	if res.err != nil {
+		log = log.WithError(res.err)
+	}
+	log.Info("attempt_ended")
+	return decision
+}
+
+// abandon makes sure that the engine gives up an attempt that may hold memory
+// there.
+func (g *generation) abandon(t *target, res streamEnd) {
+	if res.end == retry.NotWritten || res.end == retry.Refused {
+		return
+	}
+	g.s.opts.Canceller.Cancel(t.address(), g.job.req.ID, g.attempt)
+}
+
+// place waits until the request can be placed, or says why it cannot.
+func (g *generation) place(ctx context.Context) (*target, *request.Refusal) {
+	for {
+		changed := g.s.opts.Router.Changed()
+		t, verdict := g.decide()
+		if verdict == nil {
+			return t, nil
+		}
+		if !verdict.wait {
+			return nil, g.refused(verdict.refusal)
+		}
+		select {
+		case <-changed:
+		case <-time.After(placeRetry):
+		case <-ctx.Done():
+			return nil, g.refused(g.ended(ctx))
+		}
+	}
+}
+
+// placeRetry is the longest time between two looks for a place while nothing is
+// heard of the upstreams.
+const placeRetry = 50 * time.Millisecond
+
+// ended returns why the context has ended.
+func (g *generation) ended(ctx context.Context) *request.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return request.Refuse(request.CodeDeadline, retryElsewhere, "no upstream had room within the deadline")
+	}
+	return failed(request.CodeCallerGone, 0, "the caller has gone")
+}
+
+// refused corrects a refusal's outcome: what an earlier attempt wrote may have
+// run.
+func (g *generation) refused(r *request.Refusal) *request.Refusal {
+	if !g.earlierWrote {
+		return r
+	}
+	changed := *r
+	changed.Outcome = request.Failed
+	if !g.job.req.Repeatable {
+		changed.Outcome = request.Unknown
+	}
+	return &changed
+}
+
+// verdict says why a request was not placed.
+type verdict struct {
+	wait    bool // it may be placed later
+	refusal *request.Refusal
+}
+
+// decide asks the router once.
+func (g *generation) decide() (*target, *verdict) {
+	ask := router.Ask(g.job.req, g.job.pool.Name, g.job.routing)
+	ask.Exclude = g.exclude
+	d, err := g.s.opts.Router.Place(ask)
+	if err != nil {
+		return nil, &verdict{refusal: request.Refuse(request.CodeInternal, retryElsewhere, "placement failed")}
+	}
+	switch d.Verdict {
+	case placement.Placed:
+		g.s.noteDecision(g.job, g.attempt, d, []string{d.Chosen.Name})
+		return newTarget(g.job, g.attempt, d), nil
+	case placement.WaitMemory, placement.NeedsGang:
+		return nil, &verdict{wait: true}
+	case placement.NeverPossible:
+		g.s.noteDecision(g.job, g.attempt, d, nil)
+		return nil, &verdict{refusal: request.Refuse(request.CodeNeverPossible, 0,
+			"needs %d tokens of memory, at most %d can be gathered", ask.Need(), d.MemoryLimit)}
+	case placement.TooLate:
+		g.s.noteDecision(g.job, g.attempt, d, nil)
+		return nil, &verdict{refusal: request.Refuse(request.CodeDeadline, max(d.Backlog.Drain(), retryElsewhere),
+			"the deadline cannot be met at the present load")}
+	}
+	if len(g.exclude) > 0 {
+		// All that is left has failed before; one of them may be back.
+		g.exclude = nil
+		return g.decide()
+	}
+	g.s.noteDecision(g.job, g.attempt, d, nil)
+	return nil, &verdict{refusal: request.Refuse(request.CodeNoUpstream, max(d.Backlog.Drain(), retryElsewhere),
+		"no upstream of pool %s can take it now", g.job.pool.Name)}
+}
--- /dev/null
+++ b/internal/front/handlers.go
@@ -0,0 +1,119 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/callerapi"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+)
+
+// CreateCompletion implements callerapi.RawHandler.
+func (s *Server) CreateCompletion(ctx context.Context, req *callerapi.CompletionRequest, p callerapi.CreateCompletionParams, w http.ResponseWriter) error {
+	ask := generationAsk{
+		shape:     shapeCompletion,
+		params:    callParams{key: p.IdempotencyKey, repeatable: p.XRepeatable, deadlineMs: p.XDeadlineMs, priority: p.XPriority},
+		model:     req.Model,
+		maxTokens: req.MaxTokens,
+		stream:    req.Stream.Or(false),
+	}
+	ask.prompt, ask.err = completionPrompt(req.Prompt)
+	s.serveGeneration(ctx, ask, w)
+	return nil
+}
+
+// CreateChatCompletion implements callerapi.RawHandler.
+func (s *Server) CreateChatCompletion(ctx context.Context, req *callerapi.ChatCompletionRequest, p callerapi.CreateChatCompletionParams, w http.ResponseWriter) error {
+	ask := generationAsk{
+		shape:     shapeChat,
+		params:    callParams{key: p.IdempotencyKey, repeatable: p.XRepeatable, deadlineMs: p.XDeadlineMs, priority: p.XPriority},
+		model:     req.Model,
+		maxTokens: req.MaxTokens,
+		stream:    req.Stream.Or(false),
+	}
+	if req.MaxCompletionTokens.Set {
+		ask.maxTokens = req.MaxCompletionTokens
+	}
+	ask.prompt, ask.err = chatPrompt(req.Messages)
+	s.serveGeneration(ctx, ask, w)
+	return nil
+}
+
+// generationAsk is a decoded request for an answer.
+type generationAsk struct {
+	shape     answerShape
+	params    callParams
+	model     string
+	prompt    prompt
+	err       error // of decoding the prompt
+	maxTokens callerapi.OptInt
+	stream    bool
+}
+
+func (s *Server) serveGeneration(ctx context.Context, ask generationAsk, w http.ResponseWriter) {
+	id := newID()
+	if refusal := s.enter(); refusal != nil {
+		writeRefusal(w, id, refusal)
+		return
+	}
+	defer s.exit()
+	if ask.err != nil {
+		writeRefusal(w, id, request.Refuse(request.CodeBadRequest, 0, "%s", ask.err.Error()))
+		return
+	}
+	j, refusal := s.newGeneration(id, identityOf(ctx).customer, ask.params, ask.model, ask.prompt, ask.maxTokens)
+	if refusal != nil {
+		s.log.WithFields(refusalFields(id, refusal)).Info("refused_input")
+		writeRefusal(w, id, refusal)
+		return
+	}
+	meta := answerMeta{shape: ask.shape, id: id, model: ask.model, created: time.Now().Unix(), promptTokens: j.req.PromptTokens}
+	if ask.stream {
+		j.sink = &eventSink{w: w, meta: meta}
+	} else {
+		j.sink = &wholeSink{w: w, meta: meta}
+	}
+	refusal = s.generate(ctx, j)
+	if refusal != nil {
+		j.sink.refuse(refusal)
+	}
+	s.noteEnd(j, refusal)
+}
+
+// CallService implements callerapi.RawHandler.
+func (s *Server) CallService(ctx context.Context, body callerapi.AnyJSON, p callerapi.CallServiceParams, w http.ResponseWriter) error {
+	id := newID()
+	if refusal := s.enter(); refusal != nil {
+		writeRefusal(w, id, refusal)
+		return nil
+	}
+	defer s.exit()
+	params := callParams{key: p.IdempotencyKey, repeatable: p.XRepeatable, deadlineMs: p.XDeadlineMs, priority: p.XPriority}
+	j, refusal := s.newCall(id, identityOf(ctx).customer, params, p.Service, p.Operation, body)
+	if refusal != nil {
+		s.log.WithFields(refusalFields(id, refusal)).Info("refused_input")
+		writeRefusal(w, id, refusal)
+		return nil
+	}
+	result, refusal := s.callService(ctx, j)
+	s.noteEnd(j, refusal)
+	setWriteDeadline(w)
+	if refusal != nil {
+		writeRefusal(w, id, refusal)
+		return nil
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(headerRequestID, id)
+	_, _ = w.Write(result)
+	return nil
+}
+
+// ListModels implements callerapi.Handler.
+func (s *Server) ListModels(ctx context.Context) (callerapi.ListModelsRes, error) {
+	list := &callerapi.ModelList{Object: "list", Data: []callerapi.ModelListDataItem{}}
+	for _, m := range s.opts.Settings.Current().Models(identityOf(ctx).customer) {
+		list.Data = append(list.Data, callerapi.ModelListDataItem{ID: m.Name, Object: "model", OwnedBy: m.Path})
+	}
+	return list, nil
+}
--- /dev/null
+++ b/internal/front/notes.go
@@ -0,0 +1,99 @@
+package front
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/placement"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/core/retry"
+	"github.com/buckthorndock/buckthorndock/internal/router"
+)
+
+// jobFields are the log fields that name a request.
+func jobFields(j *job) logrus.Fields {
+	return logrus.Fields{
+		"request_id": j.req.ID,
+		"customer":   j.req.Customer,
+		"target":     j.req.Target,
+	}
+}
+
+func refusalFields(id string, r *request.Refusal) logrus.Fields {
+	return logrus.Fields{
+		"request_id":     id,
+		"outcome":        string(r.Outcome),
+		"code":           string(r.Code),
+		"detail":         r.Message,
+		"retry_after_ms": r.RetryAfter.Milliseconds(),
+	}
+}
+
+// noteDecision logs a routing decision and keeps it for operators.
+func (s *Server) noteDecision(j *job, attempt int, d placement.Decision, chosen []string) {
+	fields := jobFields(j)
+	fields["attempt"] = attempt
+	fields["prompt_tokens"] = j.req.PromptTokens
+	fields["priority"] = j.req.Priority.String()
+	fields["class"] = d.Class.String()
+	fields["verdict"] = d.Verdict.String()
+	fields["chosen"] = strings.Join(chosen, ",")
+	fields["estimate_ms"] = milliseconds(d.Chosen.Estimate.FirstToken)
+	fields["why"] = string(d.Reason)
+	for i, r := range d.Rejected {
+		if r.Name != "" {
+			fields[fmt.Sprintf("rejected_%d", i+1)] = fmt.Sprintf("%s:%dms:%s", r.Name, milliseconds(r.Estimate.FirstToken), r.Reason)
+		}
+	}
+	s.log.WithFields(fields).Info("placement")
+	s.opts.Journal.Add(router.Entry{
+		RequestID: j.req.ID,
+		Attempt:   attempt,
+		At:        time.Now(),
+		Request:   j.req,
+		Decision:  d,
+		Members:   chosen,
+	})
+	metrics.GetOrCreateCounter(fmt.Sprintf(`buckthorndock_placements_total{class=%q,verdict=%q}`, d.Class, d.Verdict)).Inc()
+}
+
+// noteFirstToken measures the time to first token.
+func (s *Server) noteFirstToken(j *job, t *target, cached int, now time.Time) {
+	s.opts.Router.FirstToken(t.placement.ID, cached)
+	took := now.Sub(j.req.Arrived)
+	name := fmt.Sprintf(`buckthorndock_first_token_seconds{class=%q,priority=%q}`, t.decision.Class, j.req.Priority)
+	metrics.GetOrCreateHistogram(name).Update(took.Seconds())
+}
+
+// noteUpstream passes on what an attempt's end says of its upstream.
+func (s *Server) noteUpstream(name string, end retry.End, reachable bool) {
+	switch {
+	case end == retry.NotWritten, end == retry.Died:
+		s.opts.Router.SetState(name, placement.Dead)
+	case end == retry.Silent && !reachable, end == retry.Garbage:
+		s.opts.Router.SetState(name, placement.Suspect)
+	}
+}
+
+// noteEnd logs and counts the one end of a request.
+func (s *Server) noteEnd(j *job, refusal *request.Refusal) {
+	outcome := request.Complete
+	fields := jobFields(j)
+	if refusal != nil {
+		outcome = refusal.Outcome
+		for k, v := range refusalFields(j.req.ID, refusal) {
+			fields[k] = v
+		}
+	}
+	fields["outcome"] = string(outcome)
+	fields["took_ms"] = time.Since(j.req.Arrived).Milliseconds()
+	s.log.WithFields(fields).Info("request_ended")
+	s.opts.Journal.End(j.req.ID, string(outcome))
+	metrics.GetOrCreateCounter(fmt.Sprintf(`buckthorndock_requests_total{outcome=%q}`, outcome)).Inc()
+}
+
+func milliseconds(d time.Duration) int64 { return d.Milliseconds() }
--- /dev/null
+++ b/internal/front/server.go
@@ -0,0 +1,150 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/callerapi"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+	"github.com/buckthorndock/buckthorndock/internal/router"
+	"github.com/buckthorndock/buckthorndock/internal/upstream"
+)
+
+// Settings is what the front needs of the settings' follower.
+type Settings interface {
+	// Current returns what is in force, nil before the first settings.
+	Current() *settings.Snapshot
+}
+
+// Options configure a Server.
+type Options struct {
+	Host        string
+	Domain      string
+	Incarnation string
+	Settings    Settings
+	Router      *router.Router
+	Journal     *router.Journal
+	Client      *upstream.Client
+	Canceller   *upstream.Canceller
+	Operator    Operator // status and settings
+	// OperatorTokenSHA256 is the hex hash of the site's first operator token.
+	OperatorTokenSHA256 string
+	Log                 *logrus.Entry
+}
+
+// Server serves callers and operators.
+type Server struct {
+	opts    Options
+	log     *logrus.Entry
+	retries *retries
+	handler http.Handler
+
+	leaving  atomic.Bool // not ready for the balancer
+	refusing atomic.Bool // takes nothing new
+	inFlight atomic.Int64
+}
+
+// NewServer returns a Server; Handler serves it.
+func NewServer(opts Options) (*Server, error) {
+	s := &Server{opts: opts, log: opts.Log, retries: newRetries()}
+	api, err := callerapi.NewServer(s, s, s,
+		callerapi.WithErrorHandler(s.handleAPIError),
+		callerapi.WithNotFound(s.handleNotFound),
+		callerapi.WithMethodNotAllowed(s.handleMethodNotAllowed),
+	)
+	if err != nil {
+		return nil, merry.Prepend(err, "caller API")
+	}
+	s.handler = s.authenticate(api)
+	return s, nil
+}
+
+// Handler returns the HTTP handler of the API.
+func (s *Server) Handler() http.Handler { return s.handler }
+
+// Leave makes the daemon not ready for the balancer. Requests that still come are
+// taken until Refuse is called.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Refuse makes the daemon refuse new requests; those in progress go on.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
+// InFlight returns the number of requests in progress.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// enter counts a request in, or says why the daemon takes none. The caller must
+// call exit after a nil return.
+func (s *Server) enter() *request.Refusal {
+	s.inFlight.Add(1)
+	if s.refusing.Load() {
+		s.inFlight.Add(-1)
+		return request.Refuse(request.CodeLeaving, retryElsewhere, "this daemon is shutting down")
+	}
+	return nil
+}
+
+// Queued returns the number of requests that wait for a place.
+func (s *Server) Queued() int { return 0 }
+
+func (s *Server) exit() { s.inFlight.Add(-1) }
+
+// retryElsewhere is the time to come back in when another daemon behind the
+// balancer can be expected to serve.
+const retryElsewhere = time.Second
+
+// GetHealth implements callerapi.Handler.
+func (s *Server) GetHealth(context.Context) (*callerapi.Health, error) {
+	return &callerapi.Health{Ok: true, State: s.state()}, nil
+}
+
+// GetReady implements callerapi.Handler.
+func (s *Server) GetReady(context.Context) (callerapi.GetReadyRes, error) {
+	state := s.state()
+	health := callerapi.Health{Ok: state == stateReady, State: state}
+	if lag, ok := s.opts.Operator.SettingsLag(); ok {
+		health.SettingsLagS = callerapi.NewOptFloat64(lag.Seconds())
+	}
+	if health.Ok {
+		ready := callerapi.GetReadyOK(health)
+		return &ready, nil
+	}
+	not := callerapi.GetReadyServiceUnavailable(health)
+	return &not, nil
+}
+
+// States of a daemon.
+const (
+	stateReady    = "ready"
+	stateStarting = "starting" // no settings yet
+	stateLeaving  = "leaving"
+)
+
+func (s *Server) state() string {
+	switch {
+	case s.leaving.Load():
+		return stateLeaving
+	case s.opts.Settings.Current() == nil:
+		return stateStarting
+	}
+	return stateReady
+}
+
+// GetMetrics implements callerapi.RawHandler.
+func (s *Server) GetMetrics(_ context.Context, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	metrics.WritePrometheus(w, true)
+	return nil
+}
+
+// newID returns a request id that sorts by time.
+func newID() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
--- /dev/null
+++ b/internal/front/target.go
@@ -0,0 +1,62 @@
+package front
+
+import (
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
+	"github.com/buckthorndock/buckthorndock/internal/core/placement"
+	"github.com/buckthorndock/buckthorndock/internal/upstream"
+)
+
+// target is where an attempt goes.
+type target struct {
+	decision  placement.Decision
+	placement placement.Placement
+
+	reservation string   // id of the memory held for it, empty without
+	gang        []string // addresses of the members, the receiver first
+}
+
+func newTarget(j *job, attempt int, d placement.Decision) *target {
+	return &target{
+		decision: d,
+		placement: placement.Placement{
+			ID:        placement.ID{Request: j.req.ID, Attempt: attempt},
+			Upstream:  d.Chosen.Name,
+			Model:     j.req.Target,
+			Class:     d.Class,
+			Priority:  d.EnginePriority,
+			Tokens:    j.req.PromptTokens,
+			MaxTokens: j.req.MaxTokens,
+			Cached:    d.Chosen.Estimate.Cached,
+			Prefix:    j.req.Prefix,
+			Deadline:  j.req.Deadline,
+		},
+	}
+}
+
+func (t *target) name() string    { return t.decision.Chosen.Name }
+func (t *target) address() string { return t.decision.Chosen.Address }
+
+// engineRequest returns what is sent to the engine.
+func (g *generation) engineRequest(t *target) *upstream.GenerateRequest {
+	req := g.job.req
+	er := &upstream.GenerateRequest{
+		RequestID:    req.ID,
+		Attempt:      g.attempt,
+		Model:        req.Target,
+		Prompt:       g.job.prompt,
+		PromptTokens: req.PromptTokens,
+		PrefixBlocks: placement.HexBlocks(req.Prefix),
+		MaxTokens:    req.MaxTokens,
+		Priority:     int(t.decision.EnginePriority),
+		ResumeFrom:   g.asm.NextIndex(),
+		DeadlineMs:   engineapi.NewOptInt64(time.Until(req.Deadline).Milliseconds()),
+		Holder:       engineapi.Holder{Host: g.s.opts.Host, Incarnation: g.s.opts.Incarnation},
+		Gang:         t.gang,
+	}
+	if t.reservation != "" {
+		er.ReservationID = engineapi.NewOptString(t.reservation)
+	}
+	return er
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,247 @@
+package router
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/placement"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+)
+
+// Options configure a Router.
+type Options struct {
+	Domain string // failure domain of this host
+	// SpillDomains returns the other failure domains that can be reached now. Nil
+	// means none.
+	SpillDomains func() []string
+	Now          func() time.Time // time.Now by default
+	Seed         uint64           // of the random choices
+}
+
+// Router is safe for concurrent use.
+type Router struct {
+	opts Options
+
+	mu      sync.Mutex
+	view    *placement.View
+	rng     *rand.Rand
+	pools   map[string]bool
+	changed chan struct{} // closed and replaced when capacity may have grown
+}
+
+// New returns a Router without upstreams.
+func New(opts Options) *Router {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.SpillDomains == nil {
+		opts.SpillDomains = func() []string { return nil }
+	}
+	return &Router{
+		opts:    opts,
+		view:    placement.NewView(placement.Options{}),
+		rng:     rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
+		pools:   map[string]bool{},
+		changed: make(chan struct{}),
+	}
+}
+
+// ApplySettings makes the upstreams those of a snapshot.
+func (r *Router) ApplySettings(snap *settings.Snapshot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := map[string]bool{}
+	for _, p := range snap.Pools() {
+		seen[p.Name] = true
+		r.view.SetPool(p.Name, specsOf(p))
+		for _, u := range p.Upstreams {
+			r.applyLeaving(u)
+		}
+	}
+	for name := range r.pools {
+		if !seen[name] {
+			r.view.SetPool(name, nil)
+		}
+	}
+	r.pools = seen
+	r.signal()
+}
+
+func specsOf(p *settings.PoolView) []placement.Spec {
+	specs := make([]placement.Spec, len(p.Upstreams))
+	for i, u := range p.Upstreams {
+		specs[i] = placement.Spec{Name: u.Name, Address: u.Address, Domain: u.Domain}
+	}
+	return specs
+}
+
+func (r *Router) applyLeaving(u *settings.UpstreamView) {
+	e := r.view.Engine(u.Name)
+	switch {
+	case u.Leaving:
+		r.view.SetState(u.Name, placement.Leaving)
+	case e.State() == placement.Leaving:
+		r.view.SetState(u.Name, placement.Live)
+	}
+}
+
+// Place decides where a request goes; see placement.Place. The spill domains are
+// filled in for work that may be sent to another domain.
+func (r *Router) Place(ask placement.Ask) (placement.Decision, error) {
+	ask.Domain = r.opts.Domain
+	ask.SpillDomains = r.opts.SpillDomains()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return placement.Place(r.view, ask, r.opts.Now(), r.rng)
+}
+
+// PlaceService decides which server of a plain service gets a call.
+func (r *Router) PlaceService(ask placement.ServiceAsk) (placement.Decision, error) {
+	ask.Domain = r.opts.Domain
+	ask.SpillDomains = r.opts.SpillDomains()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return placement.PlaceService(r.view, ask, r.opts.Now(), r.rng)
+}
+
+// Placed notes that an attempt goes to an upstream.
+func (r *Router) Placed(p placement.Placement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.view.NotePlaced(p, r.opts.Now())
+}
+
+// FirstToken notes an attempt's first token.
+func (r *Router) FirstToken(id placement.ID, cachedTokens int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.view.NoteFirstToken(id, cachedTokens, r.opts.Now())
+}
+
+// Finished notes an attempt's end and wakes those who wait for capacity.
+func (r *Router) Finished(id placement.ID, end placement.End) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.view.NoteFinished(id, end, r.opts.Now())
+	r.signal()
+}
+
+// Report takes a load report in.
+func (r *Router) Report(upstream string, report placement.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.view.ApplyReport(upstream, report) {
+		r.signal()
+	}
+}
+
+// CacheEvents takes an engine's cache events in.
+func (r *Router) CacheEvents(upstream, incarnation string, events []placement.CacheEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.view.ApplyCacheEvents(upstream, incarnation, events)
+}
+
+// SetState notes what is thought of an upstream. One that the settings have
+// leaving stays so until they say otherwise, unless it is dead.
+func (r *Router) SetState(upstream string, s placement.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.view.Engine(upstream)
+	if e == nil || e.State() == s {
+		return
+	}
+	if e.State() == placement.Leaving && s != placement.Dead {
+		return
+	}
+	r.view.SetState(upstream, s)
+	r.signal()
+}
+
+// State returns what is thought of an upstream; ok is false for an unknown one.
+func (r *Router) State(upstream string) (s placement.State, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.view.Engine(upstream)
+	if e == nil {
+		return placement.Dead, false
+	}
+	return e.State(), true
+}
+
+// TokensPerByte returns what is known of a model's tokens.
+func (r *Router) TokensPerByte(model string, prior float64) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.TokensPerByte(model, prior, r.opts.Now())
+}
+
+// Changed returns a channel that is closed when capacity may have grown since.
+func (r *Router) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// signal wakes those who wait. The caller holds the lock.
+func (r *Router) signal() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Expire forgets attempts whose end was never noted and returns how many.
+func (r *Router) Expire() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.Expire(r.opts.Now())
+}
+
+// UpstreamStatus is what an operator is shown of an upstream.
+type UpstreamStatus struct {
+	Name, Pool, Domain, Address string
+	State                       placement.State
+	InFlight                    int // own attempts
+	QueueTokens                 int64
+	MemoryUsed, MemoryTotal     int64 // tokens
+	ReportAge                   time.Duration
+	Reported                    bool
+}
+
+// Upstreams returns the status of all upstreams of a pool.
+func (r *Router) Upstreams(pool string) []UpstreamStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.opts.Now()
+	var all []UpstreamStatus
+	for _, e := range r.view.Engines(pool) {
+		report, ok := e.Report()
+		st := UpstreamStatus{
+			Name: e.Name(), Pool: e.Pool(), Domain: e.Domain(), Address: e.Address(),
+			State: e.State(), InFlight: e.InFlight(), Reported: ok,
+			QueueTokens: report.QueuedPrefill, MemoryUsed: report.MemoryUsed, MemoryTotal: report.MemoryTotal,
+		}
+		if ok {
+			st.ReportAge = now.Sub(report.Taken)
+		}
+		all = append(all, st)
+	}
+	return all
+}
+
+// Ask fills in what a request says of itself.
+func Ask(req *request.Request, pool string, routing settings.Routing) placement.Ask {
+	return placement.Ask{
+		Pool:      pool,
+		Model:     req.Target,
+		Tokens:    req.PromptTokens,
+		MaxTokens: req.MaxTokens,
+		Prefix:    req.Prefix,
+		Priority:  req.Priority,
+		Deadline:  req.Deadline,
+		Policy:    routing.Policy,
+		LongFrom:  routing.LongFromTokens,
+		Spill:     routing.Spill,
+	}
+}
--- /dev/null
+++ b/internal/upstream/probe.go
@@ -0,0 +1,56 @@
+package upstream
+
+import (
+	"context"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
+)
+
+// Phase is where an attempt stands on its engine.
+type Phase string
+
+// Phases of an attempt.
+const (
+	PhaseUnknown  Phase = "" // the engine does not know the attempt
+	PhaseQueued   Phase = Phase(engineapi.RunningPhaseQueued)
+	PhasePrefill  Phase = Phase(engineapi.RunningPhasePrefill)
+	PhaseDecode   Phase = Phase(engineapi.RunningPhaseDecode)
+	PhaseOrphaned Phase = Phase(engineapi.RunningPhaseOrphaned)
+)
+
+// Probe asks an engine, on a new connection, where an attempt stands. An error
+// means that the engine cannot be reached now.
+func (c *Client) Probe(ctx context.Context, address, requestID string, attempt int) (Phase, error) {
+	ctx, cancel := c.withTimeout(ctx)
+	defer cancel()
+	books, err := c.Books(ctx, address)
+	if err != nil {
+		return PhaseUnknown, err
+	}
+	for _, r := range books.Running {
+		if r.RequestID == requestID && r.Attempt == attempt {
+			return Phase(r.Phase), nil
+		}
+	}
+	return PhaseUnknown, nil
+}
+
+// Books returns, over a new connection, everything that holds memory on an
+// engine.
+func (c *Client) Books(ctx context.Context, address string) (*engineapi.Books, error) {
+	ec, err := c.worker(address)
+	if err != nil {
+		return nil, err
+	}
+	res, err := ec.GetBooks(ctx)
+	if err != nil {
+		return nil, classify(err)
+	}
+	switch r := res.(type) {
+	case *engineapi.Books:
+		return r, nil
+	case *engineapi.RefusalStatusCode:
+		return nil, refusedFrom(r)
+	}
+	return nil, unexpected(res)
+}
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -403,7 +403,8 @@
 	need(ts, neg, args, 3, "answer FILE TOKENS PROMPT-FILE")
 	n, err := strconv.Atoi(args[1])
 	ts.Check(err)
-	text := answer.Whole(ts.ReadFile(args[2]), n)
+	// The command-line tool ends what it prints by a newline.
+	text := answer.Whole(ts.ReadFile(args[2]), n) + "\n"
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
 }
 
