--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -31,6 +31,6 @@
 	_ "gonum.org/v1/plot/plotter"
 	_ "gonum.org/v1/plot/plotutil"
 	_ "gonum.org/v1/plot/vg"
-	_ "gonum.org/v1/plot/vg/vgsvg"
 	_ "gonum.org/v1/plot/vg/draw"
+	_ "gonum.org/v1/plot/vg/vgsvg"
 )
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -123,7 +123,8 @@
 // abandon makes sure that the engine gives up an attempt that may hold memory
 // there.
 func (g *generation) abandon(t *target, res streamEnd) {
-	if res.end == retry.NotWritten || res.end == retry.Refused {
+	notStarted := res.end == retry.NotWritten || res.end == retry.Refused
+	if notStarted && !res.callerGone {
 		return
 	}
 	g.s.opts.Canceller.Cancel(t.address(), g.job.req.ID, g.attempt)
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -397,14 +397,18 @@
 	return sum
 }
 
-// cmdAnswer writes the answer that an engine must give: answer FILE TOKENS
-// PROMPT-FILE.
+// cmdAnswer writes the answer that an engine must give to a prompt, with chomp to
+// the prompt without its last newline: answer FILE TOKENS PROMPT-FILE [chomp].
 func cmdAnswer(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, neg, args, 3, "answer FILE TOKENS PROMPT-FILE")
+	need(ts, neg, args, 3, "answer FILE TOKENS PROMPT-FILE [chomp]")
 	n, err := strconv.Atoi(args[1])
 	ts.Check(err)
+	prompt := ts.ReadFile(args[2])
+	if len(args) > 3 {
+		prompt = strings.TrimSuffix(prompt, "\n")
+	}
 	// The command-line tool ends what it prints by a newline.
-	text := answer.Whole(ts.ReadFile(args[2]), n) + "\n"
+	text := answer.Whole(prompt, n) + "\n"
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
 }
 
@@ -480,3 +484,11 @@
 	}
 	return b.String(), nil
 }
+
+// cmdGarbage appends a record that is nothing to a stream of the log: garbage
+// LOG STREAM.
+func cmdGarbage(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "garbage LOG STREAM")
+	body := map[string][][]byte{"records": {[]byte("\x00garbage")}}
+	ts.Check(post(siteOf(ts).process(ts, args[0]).address, "/v1/streams/"+args[1]+"/records", body))
+}
--- a/test/scenarios/process_test.go
+++ b/test/scenarios/process_test.go
@@ -78,7 +78,7 @@
 		close(p.exited)
 	}()
 	if p.kind == kindDaemon {
-		return nil
+		return p.waitListening()
 	}
 	select {
 	case line := <-first:
@@ -88,6 +88,22 @@
 	}
 }
 
+// waitListening waits until a daemon takes connections, or has ended.
+func (p *process) waitListening() error {
+	deadline := time.Now().Add(patience)
+	for p.running() && time.Now().Before(deadline) {
+		conn, err := net.Dial("tcp", p.address)
+		if err == nil {
+			return conn.Close()
+		}
+		time.Sleep(pollEvery)
+	}
+	if !p.running() {
+		return nil // a scenario may be about a daemon that does not start
+	}
+	return fmt.Errorf("%s does not listen", p.name)
+}
+
 func (p *process) learnAddress(line string) error {
 	_, address, ok := strings.Cut(strings.TrimSpace(line), "address=")
 	if !ok {
