--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -33,6 +33,7 @@
 			logCommand(out),
 			hostsCommand(out),
 			weightsCommand(out),
+			siteCommand(out),
 		},
 	}
 }
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -40,19 +40,19 @@
 
 func TestOrphanIsKeptUntilResumed(t *testing.T) {
 	e, s := startEngine(t, slow())
-	req := generateRequest("r", "a whole archive", 20)
+	req := generateRequest("r", "a whole archive", 60)
 	ctx, cut := context.WithCancel(context.Background())
 	open(t, ctx, s.Address, req)
 	eventually(t, "decode", phaseIs(t, e, engineapi.RunningPhaseDecode))
 	cut()
 	eventually(t, "orphaned", phaseIs(t, e, engineapi.RunningPhaseOrphaned))
 	eventually(t, "finished alone", stateIs(e, 0, RunFinished))
-	if b := books(t, e); b.MemoryUsedTokens != int64(answer.PromptTokens(req.Prompt)+20) {
+	if b := books(t, e); b.MemoryUsedTokens != int64(answer.PromptTokens(req.Prompt)+60) {
 		t.Fatalf("used %d", b.MemoryUsedTokens)
 	}
 	req.ResumeFrom = 7
 	all, _ := chunks(t, open(t, context.Background(), s.Address, req))
-	if got := answer.Whole(req.Prompt, 7) + whole(t, req, all); got != answer.Whole(req.Prompt, 20) {
+	if got := answer.Whole(req.Prompt, 7) + whole(t, req, all); got != answer.Whole(req.Prompt, 60) {
 		t.Fatalf("resumed: %q", got)
 	}
 	eventually(t, "books empty", func() bool { return len(books(t, e).Running) == 0 })
@@ -63,18 +63,18 @@
 
 func TestSecondConnectionTakesOver(t *testing.T) {
 	e, s := startEngine(t, slow())
-	req := generateRequest("r", "question", 10)
+	req := generateRequest("r", "question", 60)
 	first := open(t, context.Background(), s.Address, req)
 	second := open(t, context.Background(), s.Address, req)
 	all, _ := chunks(t, second)
-	if whole(t, req, all) != answer.Whole(req.Prompt, 10) {
+	if whole(t, req, all) != answer.Whole(req.Prompt, 60) {
 		t.Fatal("wrong answer")
 	}
 	old, _ := chunks(t, first)
 	if n := len(old); n > 0 && old[n-1].Done {
 		t.Fatal("both connections got the end")
 	}
-	other := generateRequest("r", "another question", 10)
+	other := generateRequest("r", "another question", 60)
 	other.Attempt = 2
 	chunks(t, open(t, context.Background(), s.Address, other))
 	if runs := e.Runs(); len(runs) != 2 || runs[1].Attempt != 2 {
--- a/internal/standin/witness.go
+++ b/internal/standin/witness.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
@@ -71,5 +70,5 @@
 func (w *witness) list() []Run {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return slices.Clone(w.runs)
+	return append([]Run{}, w.runs...)
 }
