--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -34,10 +34,25 @@
 			hostsCommand(out),
 			weightsCommand(out),
 			siteCommand(out),
+			controlCommand(out),
 		},
 	}
 }
 
+// witnessFlag keeps what a process ran beyond its end.
+func witnessFlag() cli.Flag {
+	return &cli.StringFlag{Name: "witness-file", Usage: "append each change of a run to the file, as a JSON line"}
+}
+
+// openWitness returns nil when no file is wanted.
+func openWitness(c *cli.Command) (io.Writer, error) {
+	path := c.String("witness-file")
+	if path == "" {
+		return nil, nil
+	}
+	return os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, siteFileMode)
+}
+
 func listenFlag() cli.Flag {
 	return &cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "IP:port to listen at; port 0 takes a free one"}
 }
@@ -63,6 +78,7 @@
 		Usage: "a model engine with continuous batching",
 		Flags: []cli.Flag{
 			listenFlag(),
+			witnessFlag(),
 			&cli.StringFlag{Name: "name", Value: "engine", Usage: "name in log lines"},
 			&cli.StringSliceFlag{Name: "model", Usage: "model that is loaded from the start, `NAME[@VERSION]`; repeatable"},
 			&cli.StringFlag{Name: "role", Usage: "role that is reported until an order changes it"},
@@ -80,7 +96,13 @@
 			&cli.FloatFlag{Name: "time-scale", Value: 1, Usage: "engine seconds in a real second, for steps and loads"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return serve(ctx, c, out, standin.NewEngine(engineOptions(c)))
+			o := engineOptions(c)
+			witness, err := openWitness(c)
+			if err != nil {
+				return err
+			}
+			o.Witness = witness
+			return serve(ctx, c, out, standin.NewEngine(o))
 		},
 	}
 }
@@ -112,12 +134,18 @@
 		Usage: "a plain service",
 		Flags: []cli.Flag{
 			listenFlag(),
+			witnessFlag(),
 			&cli.StringFlag{Name: "name", Value: "service", Usage: "name in answers"},
 			&cli.StringSliceFlag{Name: "operation", Usage: "operation that it has; repeatable"},
 			&cli.DurationFlag{Name: "latency", Value: 5 * time.Millisecond, Usage: "time of each call"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			witness, err := openWitness(c)
+			if err != nil {
+				return err
+			}
 			return serve(ctx, c, out, standin.NewService(standin.ServiceOptions{
+				Witness:    witness,
 				Name:       c.String("name"),
 				Operations: c.StringSlice("operation"),
 				Latency:    c.Duration("latency"),
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"io"
 	"math"
 	"net/http"
 	"slices"
@@ -48,6 +49,7 @@
 	// loads, not EventDelay and LoadLag.
 	TimeScale float64
 	Exit      func(code int) // nil: the engine dies alone, within its process
+	Witness   io.Writer      // if set, gets each change of a run as a JSON line
 }
 
 func (o *EngineOptions) setDefaults() {
@@ -141,6 +143,7 @@
 		stepTime:     o.DecodeStep,
 	}
 	e.failure = writeOverloaded
+	e.witness.out = o.Witness
 	e.api = engineServer(e, e)
 	e.control.HandleFunc("POST "+assistPath, e.handleAssist)
 	e.mu.Lock()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 	Operations []string
 	Latency    time.Duration // of each call
 	Exit       func(code int)
+	Witness    io.Writer // if set, gets each change of a run as a JSON line
 }
 
 // Service is a plain service. Each call that reaches it is one run in the
@@ -43,6 +45,7 @@
 func NewService(o ServiceOptions) *Service {
 	s := &Service{base: newBase(o.Name, o.Exit), opts: o}
 	s.failure = writeOverloaded
+	s.witness.out = o.Witness
 	s.api = engineServer(s, s)
 	return s
 }
--- a/internal/standin/witness.go
+++ b/internal/standin/witness.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"encoding/json"
+	"io"
 	"sync"
 	"time"
 )
@@ -36,6 +38,18 @@
 type witness struct {
 	mu   sync.Mutex
 	runs []Run
+	out  io.Writer // nil, or gets each change as a line
+}
+
+// report writes a run as it is now, so that it outlives the stand-in. A line that
+// cannot be written would make a test judge by too little.
+func (w *witness) report(i int) {
+	if w.out == nil {
+		return
+	}
+	if err := json.NewEncoder(w.out).Encode(w.runs[i]); err != nil {
+		panic("standin: witness: " + err.Error())
+	}
 }
 
 // add records a run and returns its index.
@@ -44,6 +58,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.runs = append(w.runs, r)
+	w.report(len(w.runs) - 1)
 	return len(w.runs) - 1
 }
 
@@ -55,6 +70,7 @@
 	case RunFinished, RunCancelled, RunCrashed:
 	default:
 		w.runs[i].State = s
+		w.report(i)
 	}
 }
 
