--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -27,6 +27,7 @@
 	flagPolicy       = "policy"
 	flagPolicyPath   = "policy-path"
 	flagRest         = "rest"
+	flagStrict       = "strict"
 )
 
 // settleTime bounds the wait until every daemon follows a change of policy.
@@ -67,7 +68,10 @@
 Examples:
    buckthorndock -a 127.0.0.1:8080 -a 127.0.0.1:8081 bench run --mix bench/mixes/kuopio-evening.yaml
    buckthorndock bench run --mix bench/mixes/frigolijst-hour.yaml --rate 200 --duration 30s --seed 7 --html hour.html`,
-		Flags:  benchFlags(),
+		Flags: append(benchFlags(), &cli.BoolFlag{
+			Name:  flagStrict,
+			Usage: "exit with code 1 unless every request that was not refused has its whole answer, and each class has one",
+		}),
 		Action: benchRun,
 	}
 }
@@ -87,6 +91,9 @@
 	if err := benchResults(c, report); err != nil {
 		return err
 	}
+	if c.Bool(flagStrict) {
+		return everyAnswer(report)
+	}
 	return wrongAnswers(report)
 }
 
@@ -254,3 +261,20 @@
 	}
 	return nil
 }
+
+// everyAnswer wants a whole answer for each admitted request, and for at least
+// one of each class, so that a site which refuses all does not pass.
+func everyAnswer(r *bench.Report) error {
+	if err := wrongAnswers(r); err != nil {
+		return err
+	}
+	if n := r.All.Failed + r.All.Unknown; n > 0 {
+		return exitf(ExitFailed, "%d of %d requests were admitted and have no whole answer", n, r.All.Sent)
+	}
+	for _, row := range r.Classes {
+		if row.Complete == 0 {
+			return exitf(ExitFailed, "no request of class %s is complete", row.Class)
+		}
+	}
+	return nil
+}
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -10,6 +11,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/buckthorndock/buckthorndock/internal/config"
 	"github.com/buckthorndock/buckthorndock/internal/core/finding"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 )
@@ -28,7 +30,7 @@
 }
 
 func newCheck() *cli.Command {
-	return group("check", "validate files without a daemon", newCheckSettings())
+	return group("check", "validate files without a daemon", newCheckSettings(), newCheckDaemon())
 }
 
 func newCheckSettings() *cli.Command {
@@ -49,6 +51,31 @@
 	}
 }
 
+func newCheckDaemon() *cli.Command {
+	return &cli.Command{
+		Name:      "daemon",
+		Usage:     "validate a daemon file",
+		ArgsUsage: "FILE",
+		Description: `All findings are printed, one a line, and the exit code is 2 when there are any.
+
+Example:
+   buckthorndock check daemon daemon.yaml`,
+		Action: checkDaemon,
+	}
+}
+
+func checkDaemon(_ context.Context, c *cli.Command) error {
+	if c.NArg() != 1 {
+		return exitf(ExitUsage, "%s takes one file", c.FullName())
+	}
+	_, err := config.Load(c.Args().First())
+	var list finding.List
+	if err != nil && !errors.As(err, &list) {
+		return &exitError{code: ExitUsage, err: err}
+	}
+	return reportCheck(c, 1, list)
+}
+
 func checkSettings(_ context.Context, c *cli.Command) error {
 	if !c.Args().Present() {
 		return exitf(ExitUsage, "%s takes files or directories", c.FullName())
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -195,3 +195,33 @@
 		_ = json.NewEncoder(w).Encode(map[string]any{"error": detail})
 	}
 }
+
+func TestCheckReportsAllFindings(t *testing.T) {
+	dir := t.TempDir()
+	writeFile(t, filepath.Join(dir, "a.yaml"), "routing: {policy: fast, colour: 1}\n")
+	writeFile(t, filepath.Join(dir, "b.yaml"), "limits: {requests_in_flight: -1}\n")
+	code, out, _ := run(t, "127.0.0.1:1", "check", "settings", dir)
+	for _, want := range []string{"a.yaml:1: routing.colour: ", "a.yaml:1: routing.policy: ", "b.yaml:1: limits.requests_in_flight: "} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q is not in\n%s", want, out)
+		}
+	}
+	if code != ExitUsage {
+		t.Errorf("exit code %d", code)
+	}
+	writeFile(t, filepath.Join(dir, "a.yaml"), "models: [{name: m, pool: nowhere}]\n")
+	writeFile(t, filepath.Join(dir, "b.yaml"), "limits: {requests_in_flight: 1}\n")
+	if code, out, _ := run(t, "127.0.0.1:1", "check", "settings", dir); code != ExitUsage || !strings.Contains(out, "a.yaml:1: ") {
+		t.Errorf("exit code %d, output %q", code, out)
+	}
+	daemon := filepath.Join(dir, "daemon")
+	writeFile(t, daemon, "host: entry-1\nlisten: somewhere:1\n")
+	code, out, _ = run(t, "127.0.0.1:1", "check", "daemon", daemon)
+	if code != ExitUsage || !strings.Contains(out, "listen") || !strings.Contains(out, "peer_key") {
+		t.Errorf("exit code %d, output %q", code, out)
+	}
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	mustRun(t, "127.0.0.1:1", "check", "settings", filepath.Join("..", "..", "examples"))
+}
