--- /dev/null
+++ b/internal/core/order/keeper.go
@@ -0,0 +1,158 @@
+package order
+
+import "time"
+
+// Options are the times of order leases. Zero fields take the defaults.
+type Options struct {
+	Lease  time.Duration // length of a lease by the log's clock, the same on all hosts; 30 s
+	Renew  time.Duration // time between two renewals; 10 s
+	Margin time.Duration // a holder stops so much before its lease ends; 3 s
+	Answer time.Duration // a record not read back after this is written anew; 5 s
+}
+
+// Defaults of Options.
+const (
+	DefaultLease  = 30 * time.Second
+	DefaultRenew  = 10 * time.Second
+	DefaultMargin = 3 * time.Second
+	DefaultAnswer = 5 * time.Second
+)
+
+// WithDefaults fills zero fields.
+func (o Options) WithDefaults() Options {
+	setDefault(&o.Lease, DefaultLease)
+	setDefault(&o.Renew, DefaultRenew)
+	setDefault(&o.Margin, DefaultMargin)
+	setDefault(&o.Answer, DefaultAnswer)
+	return o
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
+
+// Keeper is one host's part in one pool's order lease. All times are of the
+// host's own clock.
+type Keeper struct {
+	opts    Options
+	me      Holder
+	pool    string
+	checks  bool          // the pool's engines check fencing
+	longest time.Duration // longest time an order takes to act
+	newID   func() string
+	sent    map[string]time.Time // records not yet read back, by the time before their append
+	last    time.Time            // when the last record was sent
+	other   string               // last record of another holder's lease
+	seen    time.Time            // when that was first read
+	fence   int64
+	valid   time.Time // orders may be given before it
+	from    time.Time // and not before this
+}
+
+// NewKeeper returns the part of a host in a pool's lease. newID returns ids that
+// are unique for ever.
+func NewKeeper(opts Options, me Holder, pool string, checks bool, longest time.Duration, newID func() string) *Keeper {
+	return &Keeper{
+		opts:    opts.WithDefaults(),
+		me:      me,
+		pool:    pool,
+		checks:  checks,
+		longest: longest,
+		newID:   newID,
+		sent:    map[string]time.Time{},
+	}
+}
+
+// Step compares the replay with what the host wants and returns a record to
+// append, or nil. The record counts from now on, so it must not be sent if the
+// caller waits first. It is for a replay that has caught up with the log.
+func (k *Keeper) Step(r *Replay, want bool, now time.Time) *Record {
+	l, known := r.Lease(k.pool)
+	mine := known && l.Holder == k.me && !l.Dropped
+	if mine {
+		k.readBack(l, now)
+	} else {
+		k.fence = 0
+		k.watch(l, now)
+	}
+	k.expire(now)
+	if now.Sub(k.last) < k.opts.Answer && len(k.sent) > 0 {
+		return nil
+	}
+	switch {
+	case mine && !want:
+		k.valid = time.Time{} // the record may come to the log at any time
+		return k.write(DropRecord, l.Fence, now)
+	case mine && now.Before(k.valid):
+		if now.Sub(k.last) < k.opts.Renew {
+			return nil
+		}
+		return k.write(RenewRecord, l.Fence, now)
+	case want && (!known || mine || l.Dropped || now.Sub(k.seen) >= k.opts.Lease):
+		if !k.last.IsZero() && now.Sub(k.last) < k.opts.Answer {
+			return nil
+		}
+		return k.write(ClaimRecord, 0, now)
+	}
+	return nil
+}
+
+// watch notes when another holder's last record came up: its lease has lapsed a
+// lease's time later at the latest.
+func (k *Keeper) watch(l Lease, now time.Time) {
+	if l.Last != k.other {
+		k.other = l.Last
+		k.seen = now
+	}
+}
+
+// readBack counts the lease from the moment before its last record was sent.
+func (k *Keeper) readBack(l Lease, now time.Time) {
+	if k.fence != l.Fence {
+		k.fence = l.Fence
+		k.valid = time.Time{}
+		if !k.checks && l.Previous != k.me {
+			k.from = now.Add(k.opts.Lease + k.longest)
+		}
+	}
+	at, ok := k.sent[l.Last]
+	if !ok {
+		return
+	}
+	delete(k.sent, l.Last)
+	if v := at.Add(k.opts.Lease - k.opts.Margin); v.After(k.valid) {
+		k.valid = v
+	}
+}
+
+func (k *Keeper) expire(now time.Time) {
+	for id, at := range k.sent {
+		if now.Sub(at) > k.opts.Lease {
+			delete(k.sent, id)
+		}
+	}
+}
+
+func (k *Keeper) write(kind RecordKind, fence int64, now time.Time) *Record {
+	rec := &Record{Kind: kind, ID: k.newID(), Pool: k.pool, Holder: k.me, Fence: fence}
+	k.sent[rec.ID] = now
+	k.last = now
+	return rec
+}
+
+// LogAway says that the log does not answer: no orders until a record is read
+// back again.
+func (k *Keeper) LogAway() {
+	k.valid = time.Time{}
+}
+
+// MayOrder returns the fencing number when orders may be given now. It is to be
+// asked anew before each order.
+func (k *Keeper) MayOrder(now time.Time) (fence int64, ok bool) {
+	if k.fence == 0 || now.Before(k.from) || !now.Before(k.valid) {
+		return 0, false
+	}
+	return k.fence, true
+}
--- /dev/null
+++ b/internal/core/order/record.go
@@ -0,0 +1,74 @@
+package order
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// RecordKind says what a record of the stream does.
+type RecordKind string
+
+// Kinds of record.
+const (
+	ClaimRecord RecordKind = "claim" // takes a free lease
+	RenewRecord RecordKind = "renew" // prolongs the writer's lease
+	DropRecord  RecordKind = "drop"  // gives the writer's lease up
+)
+
+// maxRecordBytes bounds what Decode reads.
+const maxRecordBytes = 4096
+
+// Holder is an entry host and its start.
+type Holder struct {
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Record is one record of a domain's order stream.
+type Record struct {
+	Kind   RecordKind `json:"kind"`
+	ID     string     `json:"id"` // unique; a record appended twice counts once
+	Pool   string     `json:"pool"`
+	Holder Holder     `json:"holder"`
+	Fence  int64      `json:"fence,omitempty"` // of the lease renewed or dropped
+}
+
+// Stream returns the name of a failure domain's order stream.
+func Stream(domain string) string {
+	return "orders-" + domain
+}
+
+// Encode returns the record as it stands in the log.
+func (r Record) Encode() ([]byte, error) {
+	b, err := json.Marshal(r)
+	return b, merry.Prepend(err, "encode order record")
+}
+
+// Decode reads a record.
+func Decode(b []byte) (Record, error) {
+	var r Record
+	if len(b) > maxRecordBytes {
+		return r, merry.Errorf("order record of %d bytes is too long", len(b))
+	}
+	if err := json.Unmarshal(b, &r); err != nil {
+		return r, merry.Prepend(err, "decode order record")
+	}
+	if r.ID == "" || r.Pool == "" || r.Holder.Host == "" {
+		return r, merry.New("order record lacks its id, pool or host")
+	}
+	switch r.Kind {
+	case ClaimRecord, RenewRecord, DropRecord:
+		return r, nil
+	default:
+		return r, merry.Errorf("order record of unknown kind %q", r.Kind)
+	}
+}
+
+// Entry is a record as read from the log.
+type Entry struct {
+	Offset int64
+	At     time.Time // by the log's clock
+	Data   []byte
+}
