Ledger: incarnations that are numbers, reservations of running requests

Cause: the membership counts incarnations as numbers, so 10 is newer than 9; and a renewal that names a running request need not name its reservation as well.

Ruled out: a numeric type in the ledger; the engine API carries a text.

Change: a longer incarnation is newer, else the greater text. A claimed running request claims the reservation it uses, and one with an open stream keeps its reservation as long as itself when its holder falls silent.

--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -18,7 +18,7 @@
 
 // runWorld returns what is wrong with a random run, or nothing.
 func runWorld(w *world, steps int) error {
-	stranger := Item{ID: ID{Kind: Export, Name: "x1"}, Holder: Holder{Host: "gone", Incarnation: "0"}, Tokens: 500}
+	stranger := Item{ID: ID{Kind: Export, Name: "x1"}, Holder: Holder{Host: "gone", Incarnation: "9"}, Tokens: 500}
 	for _, n := range w.names {
 		w.engines[n].books[stranger.ID] = stranger
 		for _, l := range w.owners {
@@ -197,13 +197,13 @@
 }
 
 func TestNewIncarnationEndsOldWorkAtOnce(t *testing.T) {
-	l := ownedWith(item(Running, "q", "h", "1"), item(Reservation, "r", "h", "1"), item(Reservation, "s", "other", "1"))
-	_, acts := l.Renew(Renewal{Holder: Holder{Host: "h", Incarnation: "2"}, Seq: 1}, epoch)
+	l := ownedWith(item(Running, "q", "h", "9"), item(Reservation, "r", "h", "9"), item(Reservation, "s", "other", "9"))
+	_, acts := l.Renew(Renewal{Holder: Holder{Host: "h", Incarnation: "10"}, Seq: 1}, epoch)
 	if len(acts) != 2 {
 		t.Fatalf("got %v, want the two holdings of the old incarnation ended", acts)
 	}
-	reply, _ := l.Renew(Renewal{Holder: Holder{Host: "h", Incarnation: "1"}, Seq: 9}, epoch)
-	if reply.Newer != "2" {
+	reply, _ := l.Renew(Renewal{Holder: Holder{Host: "h", Incarnation: "9"}, Seq: 9}, epoch)
+	if reply.Newer != "10" {
 		t.Errorf("the old incarnation was told %+v", reply)
 	}
 }
--- a/internal/core/ledger/reconcile.go
+++ b/internal/core/ledger/reconcile.go
@@ -111,6 +111,7 @@
 	en := e.entries[c.ID]
 	if en != nil && en.Holder == h && en.state != ending {
 		en.claimed = now
+		e.claimUsed(en, now)
 		return true
 	}
 	// A running request may be younger than the books, and books in doubt say
@@ -118,11 +119,21 @@
 	return c.ID.Kind != Reservation || !e.known
 }
 
+// claimUsed claims the reservation that a claimed running request uses.
+func (e *engine) claimUsed(run *entry, now time.Time) {
+	if run.Reservation == "" {
+		return
+	}
+	if r := e.entries[ID{Kind: Reservation, Name: run.Reservation}]; r != nil {
+		r.claimed = now
+	}
+}
+
 // sawHolder notes a holder; the first sight of a newer incarnation ends what the
 // older ones hold.
 func (l *Ledger) sawHolder(h Holder, now time.Time) []Action {
 	old := l.holders[h.Host]
-	if old != nil && old.incarnation >= h.Incarnation {
+	if old != nil && !newer(h.Incarnation, old.incarnation) {
 		return nil
 	}
 	l.holders[h.Host] = &holder{incarnation: h.Incarnation}
@@ -135,7 +146,7 @@
 // replaced tells whether a newer incarnation of the host is known.
 func (l *Ledger) replaced(h Holder) bool {
 	known := l.holders[h.Host]
-	return known != nil && known.incarnation > h.Incarnation
+	return known != nil && newer(known.incarnation, h.Incarnation)
 }
 
 // endReplaced ends at once what older incarnations hold.
@@ -179,7 +190,7 @@
 			}
 			continue
 		}
-		if cause := l.abandoned(en, now); cause != "" {
+		if cause := l.abandoned(e, en, now); cause != "" {
 			acts = append(acts, l.end(e, en, cause, now)...)
 		}
 	}
@@ -192,7 +203,7 @@
 }
 
 // abandoned returns why a holding is to be ended, or nothing.
-func (l *Ledger) abandoned(en *entry, now time.Time) Cause {
+func (l *Ledger) abandoned(e *engine, en *entry, now time.Time) Cause {
 	h := l.holders[en.Holder.Host]
 	since := latest(en.claimed, l.resumed)
 	if h == nil || h.first.IsZero() {
@@ -204,13 +215,26 @@
 	if now.Sub(h.renewed) <= l.opts.Soft {
 		return causeAfter(CauseUnclaimed, idle, l.opts.Soft)
 	}
-	if en.Kind == Running && !en.Orphaned {
+	if e.streams(en) {
 		// Its stream is open: the holder may be cut off from this owner only.
 		return causeAfter(CauseSilent, idle, l.opts.Hard)
 	}
 	return causeAfter(CauseSilent, idle, l.opts.Soft)
 }
 
+// streams tells whether an entry is, or serves, a request with an open stream.
+func (e *engine) streams(en *entry) bool {
+	if en.Kind == Running {
+		return !en.Orphaned
+	}
+	for _, run := range e.entries {
+		if run.Kind == Running && !run.Orphaned && run.Reservation == en.Name {
+			return true
+		}
+	}
+	return false
+}
+
 func causeAfter(c Cause, idle, limit time.Duration) Cause {
 	if idle > limit {
 		return c
--- a/internal/core/ledger/types.go
+++ b/internal/core/ledger/types.go
@@ -6,12 +6,21 @@
 )
 
 // Holder is an entry host and its start, on whose behalf memory is held. The
-// incarnations of one host sort as text in the order of their starts (UUIDv7).
+// incarnations of one host rise with its starts: numbers without leading zeros,
+// or texts of one length that sort by time.
 type Holder struct {
 	Host        string
 	Incarnation string
 }
 
+// newer tells whether incarnation a was started after b.
+func newer(a, b string) bool {
+	if len(a) != len(b) {
+		return len(a) > len(b)
+	}
+	return a > b
+}
+
 // Kind says what holds memory.
 type Kind uint8
 
