--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -23,6 +23,7 @@
 	read        time.Time // when the last applied read began
 	entries     map[ID]*entry
 	ended       map[ID]time.Time // ids that may still come up late, by time of their end
+	missed      map[ID]time.Time // claimed reservations not in the books, by first claim
 	hold        hold
 }
 
@@ -72,6 +73,7 @@
 		name:    name,
 		entries: map[ID]*entry{},
 		ended:   map[ID]time.Time{},
+		missed:  map[ID]time.Time{},
 	}
 	return []Action{ReadBooks{Engine: name}}
 }
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -208,6 +208,28 @@
 	}
 }
 
+// A claim that the books do not know is gone only when newer books lack it too.
+func TestGoneIsSaidAfterFreshBooks(t *testing.T) {
+	l := ownedWith()
+	claim := Claim{Engine: "e0", ID: ID{Kind: Reservation, Name: "r"}}
+	renew := func(seq uint64, at time.Duration) (int, int) {
+		h := Holder{Host: "h", Incarnation: "1"}
+		reply, acts := l.Renew(Renewal{Holder: h, Seq: seq, Held: []Claim{claim}}, epoch.Add(at))
+		return len(reply.Gone), len(acts)
+	}
+	if gone, reads := renew(1, time.Second); gone != 0 || reads != 1 {
+		t.Errorf("first claim: %d gone, %d reads of the books", gone, reads)
+	}
+	if gone, _ := renew(2, 2*time.Second); gone != 0 {
+		t.Error("gone by books older than the first claim")
+	}
+	now := epoch.Add(3 * time.Second)
+	l.ApplyBooks(Books{Engine: "e0", Total: 1000, Asked: now}, now)
+	if gone, _ := renew(3, 4*time.Second); gone != 1 {
+		t.Error("not gone by fresh books")
+	}
+}
+
 // A paused owner must not take its own pause for its holders' silence.
 func TestPauseOfTheOwnerEndsNothing(t *testing.T) {
 	l := ownedWith(item(Reservation, "r", "h", "1"))
--- a/internal/core/ledger/reconcile.go
+++ b/internal/core/ledger/reconcile.go
@@ -95,28 +95,42 @@
 	h.renewed = now
 	var reply RenewalReply
 	for _, c := range r.Held {
-		if !l.claim(c, r.Holder, now) {
+		gone, doubt := l.claim(c, r.Holder, now)
+		if gone {
 			reply.Gone = append(reply.Gone, c)
 		}
+		if doubt {
+			acts = append(acts, ReadBooks{Engine: c.Engine})
+		}
 	}
 	return reply, acts
 }
 
-// claim notes a claim and returns false for a reservation that is not there.
-func (l *Ledger) claim(c Claim, h Holder, now time.Time) bool {
+// claim notes a claim. It tells whether a claimed reservation is gone, or whether
+// the engine's books are to be read to know: another owner may have granted it
+// since they were read last.
+func (l *Ledger) claim(c Claim, h Holder, now time.Time) (gone, doubt bool) {
 	e := l.engines[c.Engine]
 	if e == nil {
-		return true
+		return false, false
 	}
 	en := e.entries[c.ID]
 	if en != nil && en.Holder == h && en.state != ending {
 		en.claimed = now
 		e.claimUsed(en, now)
-		return true
+		return false, false
 	}
 	// A running request may be younger than the books, and books in doubt say
 	// nothing.
-	return c.ID.Kind != Reservation || !e.known
+	if c.ID.Kind != Reservation || !e.known {
+		return false, false
+	}
+	missed, ok := e.missed[c.ID]
+	if !ok {
+		e.missed[c.ID] = now
+		return false, true
+	}
+	return e.read.After(missed), false
 }
 
 // claimUsed claims the reservation that a claimed running request uses.
@@ -194,12 +208,17 @@
 			acts = append(acts, l.end(e, en, cause, now)...)
 		}
 	}
-	for id, at := range e.ended {
-		if now.Sub(at) > l.opts.Hard {
-			delete(e.ended, id)
+	expire(e.ended, now, l.opts.Hard)
+	expire(e.missed, now, l.opts.Hard)
+	return acts
+}
+
+func expire(ids map[ID]time.Time, now time.Time, limit time.Duration) {
+	for id, at := range ids {
+		if now.Sub(at) > limit {
+			delete(ids, id)
 		}
 	}
-	return acts
 }
 
 // abandoned returns why a holding is to be ended, or nothing.
--- /dev/null
+++ b/internal/owner/act.go
@@ -0,0 +1,122 @@
+package owner
+
+import (
+	"context"
+	"errors"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
+)
+
+type fields = logrus.Fields
+
+// background carries out actions that nobody waits for.
+func (s *Service) background(ctx context.Context, acts []ledger.Action) {
+	for _, a := range acts {
+		if b, ok := a.(ledger.ReadBooks); ok {
+			s.wantBooks(b.Engine)
+			continue
+		}
+		if !s.slots.TryGo(func() error { s.do(ctx, []ledger.Action{a}); return nil }) {
+			// The ledger repeats every end that is not confirmed.
+			metricDeferred.Inc()
+		}
+	}
+}
+
+// do carries out actions one after another, with those that follow from them,
+// and returns the verdicts for fronts.
+func (s *Service) do(ctx context.Context, acts []ledger.Action) (verdicts []ledger.Action) {
+	for len(acts) > 0 {
+		a := acts[0]
+		acts = acts[1:]
+		switch a := a.(type) {
+		case ledger.ReserveOn:
+			acts = append(acts, s.reserveOn(ctx, a)...)
+		case ledger.ReleaseOn:
+			acts = append(acts, s.endOn(ctx, a.Engine, a.ID, a.Cause)...)
+		case ledger.CancelOn:
+			acts = append(acts, s.endOn(ctx, a.Engine, a.ID, a.Cause)...)
+		case ledger.ReadBooks:
+			s.wantBooks(a.Engine)
+		default:
+			verdicts = append(verdicts, a)
+		}
+	}
+	return verdicts
+}
+
+func (s *Service) reserveOn(ctx context.Context, a ledger.ReserveOn) []ledger.Action {
+	result := s.reserve(ctx, a.Ask)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.ReserveAnswer(a.Ask, result, s.opts.Clock())
+}
+
+func (s *Service) reserve(ctx context.Context, ask ledger.Ask) ledger.Result {
+	address, ok := s.address(ask.Engine)
+	if !ok {
+		return ledger.Refused // never sent
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	defer cancel()
+	err := s.opts.Engines.Reserve(ctx, address, ask)
+	var refused *Refused
+	switch {
+	case err == nil:
+		return ledger.Held
+	case errors.As(err, &refused):
+		return ledger.Refused
+	default:
+		s.opts.Log.WithFields(fields{"event": "reserve_lost", "engine": ask.Engine, "id": ask.ID}).WithError(err).Warn()
+		return ledger.Lost
+	}
+}
+
+func (s *Service) endOn(ctx context.Context, engine string, id ledger.ID, cause ledger.Cause) []ledger.Action {
+	address, ok := s.address(engine)
+	if !ok {
+		return nil
+	}
+	err := end(ctx, s.opts.Engines, s.opts.CallTimeout, address, id)
+	s.logEnd(engine, id, cause, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.EndAnswer(engine, id, err == nil, s.opts.Clock())
+}
+
+func (s *Service) logEnd(engine string, id ledger.ID, cause ledger.Cause, err error) {
+	metricEnds(cause).Inc()
+	entry := s.opts.Log.WithFields(fields{
+		"event":   "end",
+		"engine":  engine,
+		"kind":    id.Kind.String(),
+		"id":      id.Name,
+		"attempt": id.Attempt,
+		"cause":   string(cause),
+	})
+	if err != nil {
+		entry.WithError(err).Warn()
+		return
+	}
+	if cause == ledger.CauseReleased {
+		entry.Debug()
+		return
+	}
+	entry.Info()
+}
+
+// wantBooks has an engine's books read soon.
+func (s *Service) wantBooks(engine string) {
+	s.mu.Lock()
+	p := s.owned[engine]
+	s.mu.Unlock()
+	if p == nil {
+		return
+	}
+	select {
+	case p.doubt <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/owner/digest.go
@@ -0,0 +1,183 @@
+package owner
+
+import (
+	"bytes"
+	"encoding/gob"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Section is the name under which digests are published.
+const Section = "engines"
+
+// maxDigestBytes bounds what DecodeDigest reads.
+const maxDigestBytes = 1 << 20
+
+// Digest is what an owner tells the fronts of its failure domain about its
+// engines.
+type Digest struct {
+	Engines []EngineDigest
+}
+
+// EngineDigest is one engine's part of a digest. The names are short because gob
+// sends them in each digest.
+type EngineDigest struct {
+	Name    string
+	Inc     uint32 // hash of the engine's incarnation
+	Seq     int64  // of the load report
+	AgeMs   int64  // of the load report when the digest was made
+	StepUs  int64
+	Prefill int64 // tokens a second
+	Decode  int64 // tokens a second of one stream, in hundredths
+	Queued  int64
+	QueuedT int64 // prompt tokens queued
+	Running int64
+	Total   int64 // tokens
+	Used    int64 // tokens
+	Block   int64 // tokens of a block
+	Leaving bool
+	Models  string // separated by blanks
+	Role    string
+	HeldMs  int64    // a gang starts in this time; zero: none waits
+	HeldT   int64    // tokens it waits for
+	First   int64    // sequence number of the first cache event
+	Cache   []uint64 // pairs of (step of sequence number << 2 | kind, block)
+}
+
+const (
+	kindBits      = 2
+	kindMask      = 1<<kindBits - 1
+	decodeScale   = 100
+	modelsDivider = " "
+)
+
+// publish spreads the digest of the owned engines.
+func (s *Service) publish() {
+	if s.opts.Publisher == nil {
+		return
+	}
+	data, err := s.digest().Encode()
+	if err != nil {
+		s.opts.Log.WithFields(fields{"event": "digest_failed"}).WithError(err).Error()
+		return
+	}
+	metricDigest.Add(len(data))
+	s.opts.Publisher.Publish(Section, data)
+}
+
+// digest leaves out engines that do not answer: fronts then see no fresh report.
+func (s *Service) digest() Digest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.opts.Clock()
+	var d Digest
+	for _, name := range s.ledger.Owned() {
+		p := s.owned[name]
+		if p == nil || p.loadAt.IsZero() {
+			continue
+		}
+		d.Engines = append(d.Engines, p.digest(now))
+	}
+	return d
+}
+
+func (p *poller) digest(now time.Time) EngineDigest {
+	l := p.load
+	e := EngineDigest{
+		Name:    p.engine.Name,
+		Inc:     IncarnationHash(l.Incarnation),
+		Seq:     l.Seq,
+		AgeMs:   now.Sub(p.loadAt).Milliseconds(),
+		StepUs:  l.Step.Microseconds(),
+		Prefill: int64(l.PrefillRate),
+		Decode:  int64(l.DecodeRate * decodeScale),
+		Queued:  int64(l.Queued),
+		QueuedT: l.QueuedPrefill,
+		Running: int64(l.Running),
+		Total:   l.MemoryTotal,
+		Used:    l.MemoryUsed,
+		Block:   int64(l.BlockTokens),
+		Leaving: l.Leaving,
+		Models:  strings.Join(l.Models, modelsDivider),
+		Role:    l.Role,
+	}
+	if room, ok := p.service.ledger.Room(e.Name, now); ok && !room.ReservedUntil.IsZero() {
+		e.HeldMs = max(1, room.ReservedUntil.Sub(now).Milliseconds())
+		e.HeldT = room.ReservedRoom
+	}
+	e.setEvents(p.cache)
+	return e
+}
+
+// IncarnationHash returns the short form of an engine's incarnation in digests.
+func IncarnationHash(incarnation string) uint32 {
+	return uint32(xxhash.Sum64String(incarnation))
+}
+
+func (e *EngineDigest) setEvents(events []CacheEvent) {
+	if len(events) == 0 {
+		return
+	}
+	e.First = events[0].Seq
+	last := e.First
+	for _, ev := range events {
+		e.Cache = append(e.Cache, uint64(ev.Seq-last)<<kindBits|uint64(ev.Kind), ev.Block)
+		last = ev.Seq
+	}
+}
+
+// Events returns the last cache events of the engine. A front that has seen an
+// earlier digest ignores those that it knows.
+func (e *EngineDigest) Events() []CacheEvent {
+	events := make([]CacheEvent, 0, len(e.Cache)/2)
+	seq := e.First
+	for pair := range slices.Chunk(e.Cache, 2) {
+		if len(pair) < 2 {
+			break
+		}
+		seq += int64(pair[0] >> kindBits)
+		events = append(events, CacheEvent{Seq: seq, Kind: CacheKind(pair[0] & kindMask), Block: pair[1]})
+	}
+	return events
+}
+
+// Load returns the engine's load report, its age counted up to the digest.
+func (e *EngineDigest) Load() Load {
+	return Load{
+		Seq:           e.Seq,
+		Age:           time.Duration(e.AgeMs) * time.Millisecond,
+		Step:          time.Duration(e.StepUs) * time.Microsecond,
+		PrefillRate:   float64(e.Prefill),
+		DecodeRate:    float64(e.Decode) / decodeScale,
+		Queued:        int(e.Queued),
+		QueuedPrefill: e.QueuedT,
+		Running:       int(e.Running),
+		MemoryTotal:   e.Total,
+		MemoryUsed:    e.Used,
+		Models:        strings.Fields(e.Models),
+		Role:          e.Role,
+		Leaving:       e.Leaving,
+		BlockTokens:   int(e.Block),
+	}
+}
+
+// Encode returns the digest as it is published.
+func (d Digest) Encode() ([]byte, error) {
+	var b bytes.Buffer
+	err := gob.NewEncoder(&b).Encode(d)
+	return b.Bytes(), merry.Prepend(err, "encode digest")
+}
+
+// DecodeDigest reads a published digest.
+func DecodeDigest(data []byte) (Digest, error) {
+	var d Digest
+	if len(data) > maxDigestBytes {
+		return d, merry.Errorf("digest of %d bytes is too long", len(data))
+	}
+	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&d)
+	return d, merry.Prepend(err, "decode digest")
+}
--- /dev/null
+++ b/internal/owner/end.go
@@ -0,0 +1,18 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
+)
+
+// end asks an engine to end a holding.
+func end(ctx context.Context, engines Engines, timeout time.Duration, address string, id ledger.ID) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if id.Kind == ledger.Running {
+		return engines.Cancel(ctx, address, id.Name, id.Attempt)
+	}
+	return engines.Release(ctx, address, id.Name)
+}
--- /dev/null
+++ b/internal/owner/gang.go
@@ -0,0 +1,123 @@
+package owner
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
+)
+
+// turnKey is the key of the host that keeps a pool's turn.
+func turnKey(pool string) string { return "gang/" + pool }
+
+// GangFailed says why a gang was not gathered. Nothing is held, or its release is
+// under way.
+type GangFailed struct{ Reason ledger.Reason }
+
+// Error implements error.
+func (g *GangFailed) Error() string { return "gang not gathered: " + string(g.Reason) }
+
+// Gather reserves memory on all engines of a gang or on none, and returns the id
+// of the reservations, the same on each. It ends with the gang's deadline or the
+// context. The caller ends each member with End when the work is over.
+func (h *Holder) Gather(ctx context.Context, opts ledger.GatherOptions, gang ledger.Gang, engines []Engine) (id string, err error) {
+	d := &gatherDriver{holder: h, ctx: ctx, engines: map[string]Engine{}}
+	for _, e := range engines {
+		d.engines[e.Name] = e
+	}
+	for _, m := range gang.Members {
+		if _, ok := d.engines[m.Engine]; !ok {
+			return "", merry.Errorf("gang member %s has no address", m.Engine)
+		}
+	}
+	gang.Holder = h.opts.Me
+	d.gather = ledger.NewGather(opts, gang, gangRand(gang, h.opts.Clock()))
+	return d.run()
+}
+
+func gangRand(g ledger.Gang, now time.Time) *rand.Rand {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(g.Request)) // never fails
+	return rand.New(rand.NewPCG(sum.Sum64(), uint64(now.UnixNano())))
+}
+
+// gatherDriver carries out the steps of one Gather.
+type gatherDriver struct {
+	holder  *Holder
+	ctx     context.Context
+	gather  *ledger.Gather
+	engines map[string]Engine
+	id      string
+	failed  *GangFailed
+}
+
+func (d *gatherDriver) run() (string, error) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			d.do(d.gather.Abort(d.now()))
+		case <-timer.C:
+			d.do(d.gather.Tick(d.now()))
+		}
+		switch {
+		case d.failed != nil:
+			return "", d.failed
+		case d.id != "":
+			return d.id, nil
+		}
+		timer.Reset(max(time.Millisecond, d.gather.Next().Sub(d.now())))
+	}
+}
+
+func (d *gatherDriver) now() time.Time { return d.holder.opts.Clock() }
+
+func (d *gatherDriver) do(steps []ledger.Step) {
+	for len(steps) > 0 {
+		s := steps[0]
+		steps = append(steps[1:], d.step(s)...)
+	}
+}
+
+func (d *gatherDriver) step(s ledger.Step) []ledger.Step {
+	h := d.holder
+	switch s := s.(type) {
+	case ledger.AskTurn:
+		var reply TurnReply
+		args := TurnArgs{Pool: s.Pool, Gang: s.Gang}
+		err := h.callOwner(d.ctx, turnKey(s.Pool), methodTurn, args, &reply)
+		return d.gather.Turn(err == nil && reply.OK, reply.Wait, d.now())
+	case ledger.GiveTurn:
+		// A turn that is not given back lapses. The caller may be gone by now.
+		ctx := context.WithoutCancel(d.ctx)
+		args := TurnArgs{Pool: s.Pool, Gang: s.Gang, Give: true}
+		_ = h.callOwner(ctx, turnKey(s.Pool), methodTurn, args, &TurnReply{})
+	case ledger.AskMember:
+		return d.askMember(s.Ask)
+	case ledger.ReleaseMember:
+		// The holder keeps on asking until it is confirmed.
+		h.End(d.engines[s.Engine], ledger.ID{Kind: ledger.Reservation, Name: s.ID})
+		d.gather.Released(s.Engine, s.ID)
+	case ledger.Gathered:
+		d.id = s.ID
+	case ledger.GaveUp:
+		d.failed = &GangFailed{Reason: s.Reason}
+	}
+	return nil
+}
+
+func (d *gatherDriver) askMember(ask ledger.Ask) []ledger.Step {
+	reply, err := d.holder.Reserve(d.ctx, d.engines[ask.Engine], ask)
+	if err == nil && reply.Granted {
+		return d.gather.Granted(ask, d.now())
+	}
+	// What Reserve has begun to release must not be asked for again by its id.
+	lost := err != nil || reply.Reason == ledger.InProgress
+	deny := ledger.Deny{Ask: ask, Reason: reply.Reason, RetryAfter: reply.RetryAfter}
+	return d.gather.Denied(deny, lost, d.now())
+}
--- /dev/null
+++ b/internal/owner/holder.go
@@ -0,0 +1,230 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
+)
+
+// HolderOptions are what a Holder needs. Times left zero take the defaults.
+type HolderOptions struct {
+	Me        ledger.Holder
+	Engines   Engines
+	Peers     Peers
+	Ownership Ownership
+	Local     *RPC // of this host's own service
+	Clock     Clock
+	Log       logrus.FieldLogger
+
+	// Gone is called for each reservation that an engine no longer holds though
+	// this front claims it; nil: nobody hears of it.
+	Gone func(engine, reservation string)
+
+	RenewEvery  time.Duration // time between renewals; 5 s, a third of the ledger's soft limit
+	CallTimeout time.Duration // of a call to an owner or engine; 2 s
+	RetryMin    time.Duration // first wait before an end is repeated, doubled each time; 200 ms
+	RetryMax    time.Duration // 5 s
+	EndLimit    time.Duration // an end is left to the engine's owner after it; 10 min
+}
+
+// Defaults of HolderOptions.
+const (
+	DefaultRenewEvery    = 5 * time.Second
+	DefaultHolderTimeout = 2 * time.Second
+	DefaultRetryMin      = 200 * time.Millisecond
+	DefaultRetryMax      = 5 * time.Second
+	DefaultEndLimit      = 10 * time.Minute
+)
+
+func (o HolderOptions) withDefaults() HolderOptions {
+	setDefault(&o.RenewEvery, DefaultRenewEvery)
+	setDefault(&o.CallTimeout, DefaultHolderTimeout)
+	setDefault(&o.RetryMin, DefaultRetryMin)
+	setDefault(&o.RetryMax, DefaultRetryMax)
+	setDefault(&o.EndLimit, DefaultEndLimit)
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.Log == nil {
+		o.Log = logrus.StandardLogger()
+	}
+	return o
+}
+
+// Holder tracks all that this front has on engines: reservations, running
+// attempts and KV exports. Run renews it and repeats unconfirmed ends.
+//
+// Invariant: an id is tracked before the call that may make an engine hold it,
+// and until the engine or its owner has confirmed that it is gone, or the front
+// has seen its regular end (Done).
+type Holder struct {
+	opts HolderOptions
+	wake chan struct{}
+
+	mu      sync.Mutex
+	held    map[held]*tracked
+	renewed map[string]string // owners told at the last renewal, address by host
+	seq     uint64
+}
+
+// held names one holding.
+type held struct {
+	engine string
+	id     ledger.ID
+}
+
+type tracked struct {
+	address string // of the engine
+	asked   bool   // a reservation whose grant has not come: not yet to be claimed
+	ending  bool
+	busy    bool // an end is being asked for
+	since   time.Time
+	next    time.Time // when the end is asked for again
+	wait    time.Duration
+}
+
+// NewHolder returns a holder of nothing.
+func NewHolder(opts HolderOptions) *Holder {
+	return &Holder{
+		opts:    opts.withDefaults(),
+		wake:    make(chan struct{}, 1),
+		held:    map[held]*tracked{},
+		renewed: map[string]string{},
+	}
+}
+
+// Track notes a holding. It is to be called before the engine hears of it.
+func (h *Holder) Track(e Engine, id ledger.ID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	key := held{e.Name, id}
+	if h.held[key] == nil {
+		h.held[key] = &tracked{address: e.Address}
+	}
+}
+
+// Done forgets a holding that the engine has ended by itself: a request that ran
+// to its final marker or was never sent.
+func (h *Holder) Done(engine string, id ledger.ID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	key := held{engine, id}
+	if t := h.held[key]; t != nil && !t.ending {
+		delete(h.held, key)
+	}
+}
+
+// End has a holding released or cancelled. It returns at once; the end is asked
+// for until it is confirmed.
+func (h *Holder) End(e Engine, id ledger.ID) {
+	h.mu.Lock()
+	key := held{e.Name, id}
+	t := h.held[key]
+	if t == nil {
+		t = &tracked{address: e.Address}
+		h.held[key] = t
+	}
+	if !t.ending {
+		t.ending = true
+		t.since = h.opts.Clock()
+		t.wait = h.opts.RetryMin
+	}
+	h.mu.Unlock()
+	h.poke()
+}
+
+// Held returns the number of holdings, and of those whose end is not confirmed.
+func (h *Holder) Held() (all, ending int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, t := range h.held {
+		if t.ending {
+			ending++
+		}
+	}
+	return len(h.held), ending
+}
+
+// Reserve asks the engine's owner for memory. When it does not return a grant,
+// nothing is held or its release is under way. An error says that no owner
+// answered: the caller places the request without one or tries later.
+func (h *Holder) Reserve(ctx context.Context, e Engine, ask ledger.Ask) (ReserveReply, error) {
+	ask.Holder = h.opts.Me
+	id := ledger.ID{Kind: ledger.Reservation, Name: ask.ID}
+	h.Track(e, id)
+	h.setAsked(e, id, true)
+	var reply ReserveReply
+	err := h.callOwner(ctx, e.Name, methodReserve, ask, &reply)
+	if err != nil {
+		h.End(e, id)
+		return ReserveReply{}, merry.Prependf(err, "reserve on %s", e.Name)
+	}
+	if !reply.Granted {
+		h.denied(e, id, reply.Reason)
+	}
+	h.setAsked(e, id, false)
+	return reply, nil
+}
+
+func (h *Holder) setAsked(e Engine, id ledger.ID, asked bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if t := h.held[held{e.Name, id}]; t != nil {
+		t.asked = asked
+	}
+}
+
+// denied forgets what was certainly not taken and ends the rest.
+func (h *Holder) denied(e Engine, id ledger.ID, reason ledger.Reason) {
+	switch reason {
+	case ledger.InProgress, ledger.AnswerLost, ledger.NotOwner:
+		h.End(e, id)
+	default:
+		h.Done(e.Name, id)
+	}
+}
+
+// callOwner calls the owner of a key, without the network when it is this host.
+func (h *Holder) callOwner(ctx context.Context, key, method string, args, reply any) error {
+	host, address, self := h.opts.Ownership.Owner(key)
+	if host == "" {
+		return merry.Errorf("no owner of %s is known", key)
+	}
+	return h.call(ctx, address, self, method, args, reply)
+}
+
+func (h *Holder) call(ctx context.Context, address string, self bool, method string, args, reply any) error {
+	if self && h.opts.Local != nil {
+		return h.opts.Local.dispatch(method, args, reply)
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.opts.CallTimeout)
+	defer cancel()
+	return h.opts.Peers.Call(ctx, address, method, args, reply)
+}
+
+// dispatch calls a method of this host's own service.
+func (r *RPC) dispatch(method string, args, reply any) error {
+	switch method {
+	case methodReserve:
+		return r.Reserve(args.(ledger.Ask), reply.(*ReserveReply))
+	case methodRelease:
+		return r.Release(args.(ReleaseArgs), reply.(*ReleaseReply))
+	case methodRenew:
+		return r.Renew(args.(ledger.Renewal), reply.(*ledger.RenewalReply))
+	case methodTurn:
+		return r.Turn(args.(TurnArgs), reply.(*TurnReply))
+	}
+	return merry.Errorf("unknown method %s", method)
+}
+
+func (h *Holder) poke() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/owner/poller.go
@@ -0,0 +1,146 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
+)
+
+// maxCacheEvents bounds one read of cache events.
+const maxCacheEvents = 1000
+
+// poller reads one owned engine. Its fields after doubt belong to the service's
+// lock.
+type poller struct {
+	service *Service
+	engine  Engine
+	cancel  context.CancelFunc
+	doubt   chan struct{} // the books are wanted now
+
+	failures int
+	load     Load
+	loadAt   time.Time // when the load was received, less its age; zero: none yet
+	cache    []CacheEvent
+	next     int64 // first cache event not yet read
+}
+
+func newPoller(s *Service, e Engine, cancel context.CancelFunc) *poller {
+	return &poller{service: s, engine: e, cancel: cancel, doubt: make(chan struct{}, 1)}
+}
+
+// run polls until the engine is no longer owned.
+func (p *poller) run(ctx context.Context) {
+	load := time.NewTicker(p.service.opts.LoadEvery)
+	defer load.Stop()
+	books := time.NewTicker(p.service.opts.BooksEvery)
+	defer books.Stop()
+	p.readBooks(ctx)
+	p.readLoad(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-books.C:
+			p.readBooks(ctx)
+		case <-p.doubt:
+			p.readBooks(ctx)
+		case <-load.C:
+			p.readLoad(ctx)
+		}
+	}
+}
+
+func (p *poller) readBooks(ctx context.Context) {
+	s := p.service
+	call, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	defer cancel()
+	b, err := s.opts.Engines.Books(call, p.engine.Address)
+	p.answered(err)
+	if err != nil {
+		return
+	}
+	metricBooksRead.Inc()
+	b.Engine = p.engine.Name
+	s.mu.Lock()
+	var acts []ledger.Action
+	if s.owned[p.engine.Name] == p {
+		acts = s.ledger.ApplyBooks(b, s.opts.Clock())
+	}
+	s.mu.Unlock()
+	s.background(ctx, acts)
+}
+
+// answered counts calls without an answer; a refusal is an answer.
+func (p *poller) answered(err error) {
+	s := p.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		p.failures = 0
+		return
+	}
+	p.failures++
+	if p.failures != s.opts.DownAfter {
+		return
+	}
+	p.loadAt = time.Time{}
+	if s.owned[p.engine.Name] == p {
+		s.ledger.EngineDown(p.engine.Name)
+	}
+	s.opts.Log.WithFields(fields{"event": "engine_down", "engine": p.engine.Name}).WithError(err).Warn()
+}
+
+func (p *poller) readLoad(ctx context.Context) {
+	s := p.service
+	call, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	defer cancel()
+	l, err := s.opts.Engines.Load(call, p.engine.Address)
+	p.answered(err)
+	if err != nil {
+		return
+	}
+	restarted := p.takeLoad(l)
+	if restarted {
+		p.readBooks(ctx)
+	}
+	p.readCache(call)
+}
+
+// takeLoad stores a report and tells whether the engine has started anew.
+func (p *poller) takeLoad(l Load) (restarted bool) {
+	s := p.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	restarted = p.load.Incarnation != "" && p.load.Incarnation != l.Incarnation
+	if restarted {
+		p.cache = nil
+		p.next = 0
+	}
+	p.load = l
+	p.loadAt = s.opts.Clock().Add(-l.Age)
+	return restarted
+}
+
+// readCache keeps the last cache events for the digest. A failure only makes the
+// digest poorer.
+func (p *poller) readCache(ctx context.Context) {
+	s := p.service
+	s.mu.Lock()
+	from := p.next
+	s.mu.Unlock()
+	events, err := s.opts.Engines.CacheEvents(ctx, p.engine.Address, from, maxCacheEvents)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.next != from {
+		return
+	}
+	p.next = events.Next
+	p.cache = append(p.cache, events.Events...)
+	if extra := len(p.cache) - s.opts.CacheWindow; extra > 0 {
+		p.cache = append([]CacheEvent(nil), p.cache[extra:]...)
+	}
+}
--- /dev/null
+++ b/internal/owner/service.go
@@ -0,0 +1,133 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
+)
+
+// Service owns engines. Use New, register RPC with the peers' net/rpc server and
+// run Run.
+type Service struct {
+	opts Options
+
+	mu     sync.Mutex
+	ledger *ledger.Ledger
+	turns  *ledger.Turns
+	owned  map[string]*poller // by engine
+	work   sync.WaitGroup     // pollers and calls in the background
+	slots  errgroup.Group     // bounds calls in the background
+}
+
+// maxBackgroundCalls bounds the calls to engines that no front waits for.
+const maxBackgroundCalls = 64
+
+// New returns a service that owns nothing before Run.
+func New(opts Options) *Service {
+	opts = opts.withDefaults()
+	s := &Service{
+		opts:   opts,
+		ledger: ledger.New(opts.Ledger),
+		turns:  ledger.NewTurns(opts.TurnLimit),
+		owned:  map[string]*poller{},
+	}
+	s.slots.SetLimit(maxBackgroundCalls)
+	return s
+}
+
+// Run owns engines until the context ends.
+func (s *Service) Run(ctx context.Context) error {
+	tick := time.NewTicker(s.opts.TickEvery)
+	defer tick.Stop()
+	publish := time.NewTicker(s.opts.PublishEvery)
+	defer publish.Stop()
+	defer s.stop()
+	for {
+		s.tick(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		case <-publish.C:
+			s.publish()
+		}
+	}
+}
+
+// stop waits for all that Run has started. The context has ended by then.
+func (s *Service) stop() {
+	s.work.Wait()
+	_ = s.slots.Wait() // its functions return no errors
+}
+
+// tick follows ownership and lets the ledger look at its limits. Ownership comes
+// first: after a pause another host may own the engines by now.
+func (s *Service) tick(ctx context.Context) {
+	s.followOwnership(ctx)
+	s.mu.Lock()
+	acts := s.ledger.Tick(s.opts.Clock())
+	s.mu.Unlock()
+	s.background(ctx, acts)
+}
+
+// followOwnership takes over what this host owns now and lets go of the rest.
+func (s *Service) followOwnership(ctx context.Context) {
+	mine := map[string]Engine{}
+	for _, e := range s.opts.Catalog() {
+		if _, _, self := s.opts.Ownership.Owner(e.Name); self {
+			mine[e.Name] = e
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, p := range s.owned {
+		if mine[name] != p.engine {
+			s.letGo(name, p)
+		}
+	}
+	for name, e := range mine {
+		if s.owned[name] == nil {
+			s.takeOver(ctx, e)
+		}
+	}
+}
+
+// letGo needs the lock.
+func (s *Service) letGo(name string, p *poller) {
+	p.cancel()
+	delete(s.owned, name)
+	s.ledger.Disown(name)
+	s.opts.Log.WithFields(fields{"event": "engine_disowned", "engine": name}).Info()
+}
+
+// takeOver needs the lock.
+func (s *Service) takeOver(ctx context.Context, e Engine) {
+	ctx, cancel := context.WithCancel(ctx)
+	p := newPoller(s, e, cancel)
+	s.owned[e.Name] = p
+	s.ledger.Own(e.Name) // its ReadBooks is the poller's first act
+	s.work.Go(func() { p.run(ctx) })
+	s.opts.Log.WithFields(fields{"event": "engine_owned", "engine": e.Name, "address": e.Address}).Info()
+}
+
+// address returns where an owned engine is; ok is false when it is not owned.
+func (s *Service) address(engine string) (address string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.owned[engine]
+	if p == nil {
+		return "", false
+	}
+	return p.engine.Address, true
+}
+
+// Room returns the ledger's hint for an owned engine.
+func (s *Service) Room(engine string) (ledger.Room, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Room(engine, s.opts.Clock())
+}
