--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -18,7 +18,7 @@
 
 // runWorld returns what is wrong with a random run, or nothing.
 func runWorld(w *world, steps int) error {
-	stranger := Item{ID: ID{Kind: Export, Name: "x1"}, Holder: Holder{Host: "gone", Incarnation: "0"}, Tokens: 500}
+	stranger := Item{ID: ID{Kind: Export, Name: "x1"}, Holder: Holder{Host: "gone", Incarnation: "9"}, Tokens: 500}
 	for _, n := range w.names {
 		w.engines[n].books[stranger.ID] = stranger
 		for _, l := range w.owners {
@@ -197,17 +197,39 @@
 }
 
 func TestNewIncarnationEndsOldWorkAtOnce(t *testing.T) {
-	l := ownedWith(item(Running, "q", "h", "1"), item(Reservation, "r", "h", "1"), item(Reservation, "s", "other", "1"))
-	_, acts := l.Renew(Renewal{Holder: Holder{Host: "h", Incarnation: "2"}, Seq: 1}, epoch)
+	l := ownedWith(item(Running, "q", "h", "9"), item(Reservation, "r", "h", "9"), item(Reservation, "s", "other", "9"))
+	_, acts := l.Renew(Renewal{Holder: Holder{Host: "h", Incarnation: "10"}, Seq: 1}, epoch)
 	if len(acts) != 2 {
 		t.Fatalf("got %v, want the two holdings of the old incarnation ended", acts)
 	}
-	reply, _ := l.Renew(Renewal{Holder: Holder{Host: "h", Incarnation: "1"}, Seq: 9}, epoch)
-	if reply.Newer != "2" {
+	reply, _ := l.Renew(Renewal{Holder: Holder{Host: "h", Incarnation: "9"}, Seq: 9}, epoch)
+	if reply.Newer != "10" {
 		t.Errorf("the old incarnation was told %+v", reply)
 	}
 }
 
+// A claim that the books do not know is gone only when newer books lack it too.
+func TestGoneIsSaidAfterFreshBooks(t *testing.T) {
+	l := ownedWith()
+	claim := Claim{Engine: "e0", ID: ID{Kind: Reservation, Name: "r"}}
+	renew := func(seq uint64, at time.Duration) (int, int) {
+		h := Holder{Host: "h", Incarnation: "1"}
+		reply, acts := l.Renew(Renewal{Holder: h, Seq: seq, Held: []Claim{claim}}, epoch.Add(at))
+		return len(reply.Gone), len(acts)
+	}
+	if gone, reads := renew(1, time.Second); gone != 0 || reads != 1 {
+		t.Errorf("first claim: %d gone, %d reads of the books", gone, reads)
+	}
+	if gone, _ := renew(2, 2*time.Second); gone != 0 {
+		t.Error("gone by books older than the first claim")
+	}
+	now := epoch.Add(3 * time.Second)
+	l.ApplyBooks(Books{Engine: "e0", Total: 1000, Asked: now}, now)
+	if gone, _ := renew(3, 4*time.Second); gone != 1 {
+		t.Error("not gone by fresh books")
+	}
+}
+
 // A paused owner must not take its own pause for its holders' silence.
 func TestPauseOfTheOwnerEndsNothing(t *testing.T) {
 	l := ownedWith(item(Reservation, "r", "h", "1"))
--- a/internal/core/ledger/reconcile.go
+++ b/internal/core/ledger/reconcile.go
@@ -95,34 +95,59 @@
 	h.renewed = now
 	var reply RenewalReply
 	for _, c := range r.Held {
-		if !l.claim(c, r.Holder, now) {
+		gone, doubt := l.claim(c, r.Holder, now)
+		if gone {
 			reply.Gone = append(reply.Gone, c)
 		}
+		if doubt {
+			acts = append(acts, ReadBooks{Engine: c.Engine})
+		}
 	}
 	return reply, acts
 }
 
-// claim notes a claim and returns false for a reservation that is not there.
-func (l *Ledger) claim(c Claim, h Holder, now time.Time) bool {
+// claim notes a claim. It tells whether a claimed reservation is gone, or whether
+// the engine's books are to be read to know: another owner may have granted it
+// since they were read last.
+func (l *Ledger) claim(c Claim, h Holder, now time.Time) (gone, doubt bool) {
 	e := l.engines[c.Engine]
 	if e == nil {
-		return true
+		return false, false
 	}
 	en := e.entries[c.ID]
 	if en != nil && en.Holder == h && en.state != ending {
 		en.claimed = now
-		return true
+		e.claimUsed(en, now)
+		return false, false
 	}
 	// A running request may be younger than the books, and books in doubt say
 	// nothing.
-	return c.ID.Kind != Reservation || !e.known
+	if c.ID.Kind != Reservation || !e.known {
+		return false, false
+	}
+	missed, ok := e.missed[c.ID]
+	if !ok {
+		e.missed[c.ID] = now
+		return false, true
+	}
+	return e.read.After(missed), false
+}
+
+// claimUsed claims the reservation that a claimed running request uses.
+func (e *engine) claimUsed(run *entry, now time.Time) {
+	if run.Reservation == "" {
+		return
+	}
+	if r := e.entries[ID{Kind: Reservation, Name: run.Reservation}]; r != nil {
+		r.claimed = now
+	}
 }
 
 // sawHolder notes a holder; the first sight of a newer incarnation ends what the
 // older ones hold.
 func (l *Ledger) sawHolder(h Holder, now time.Time) []Action {
 	old := l.holders[h.Host]
-	if old != nil && old.incarnation >= h.Incarnation {
+	if old != nil && !newer(h.Incarnation, old.incarnation) {
 		return nil
 	}
 	l.holders[h.Host] = &holder{incarnation: h.Incarnation}
@@ -135,7 +160,7 @@
 // replaced tells whether a newer incarnation of the host is known.
 func (l *Ledger) replaced(h Holder) bool {
 	known := l.holders[h.Host]
-	return known != nil && known.incarnation > h.Incarnation
+	return known != nil && newer(known.incarnation, h.Incarnation)
 }
 
 // endReplaced ends at once what older incarnations hold.
@@ -179,20 +204,25 @@
 			}
 			continue
 		}
-		if cause := l.abandoned(en, now); cause != "" {
+		if cause := l.abandoned(e, en, now); cause != "" {
 			acts = append(acts, l.end(e, en, cause, now)...)
 		}
 	}
-	for id, at := range e.ended {
-		if now.Sub(at) > l.opts.Hard {
-			delete(e.ended, id)
+	expire(e.ended, now, l.opts.Hard)
+	expire(e.missed, now, l.opts.Hard)
+	return acts
+}
+
+func expire(ids map[ID]time.Time, now time.Time, limit time.Duration) {
+	for id, at := range ids {
+		if now.Sub(at) > limit {
+			delete(ids, id)
 		}
 	}
-	return acts
 }
 
 // abandoned returns why a holding is to be ended, or nothing.
-func (l *Ledger) abandoned(en *entry, now time.Time) Cause {
+func (l *Ledger) abandoned(e *engine, en *entry, now time.Time) Cause {
 	h := l.holders[en.Holder.Host]
 	since := latest(en.claimed, l.resumed)
 	if h == nil || h.first.IsZero() {
@@ -204,13 +234,26 @@
 	if now.Sub(h.renewed) <= l.opts.Soft {
 		return causeAfter(CauseUnclaimed, idle, l.opts.Soft)
 	}
-	if en.Kind == Running && !en.Orphaned {
+	if e.streams(en) {
 		// Its stream is open: the holder may be cut off from this owner only.
 		return causeAfter(CauseSilent, idle, l.opts.Hard)
 	}
 	return causeAfter(CauseSilent, idle, l.opts.Soft)
 }
 
+// streams tells whether an entry is, or serves, a request with an open stream.
+func (e *engine) streams(en *entry) bool {
+	if en.Kind == Running {
+		return !en.Orphaned
+	}
+	for _, run := range e.entries {
+		if run.Kind == Running && !run.Orphaned && run.Reservation == en.Name {
+			return true
+		}
+	}
+	return false
+}
+
 func causeAfter(c Cause, idle, limit time.Duration) Cause {
 	if idle > limit {
 		return c
