Peer: membership by anti-entropy, net/rpc over pinned TLS 1.3

Cause: fronts, owners and the settings spread need to know the hosts of the site, call each other, and share small digests, with a bounded cost at 420 daemons. Ruled out: full tables in each heartbeat (bytes grow with hosts x sections); a relay of third domains' beats (a host would look live that cannot be reached); a pooled connection to every host (420 of them for gossip alone). Change: core/membership is a state machine with version digests, slowly changing partners, gateways between domains and named sections; peer drives it and offers Register, Call, Publish, Sections and Leave over mutual TLS 1.3 with a key pair derived from the shared key.

--- /dev/null
+++ b/internal/core/membership/rendezvous.go
@@ -0,0 +1,80 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Owner returns the live member that comes first for a key by rendezvous
+// hashing; ok is false when no member is live. Hosts with equal views agree.
+func Owner(key string, members []Member) (owner Member, ok bool) {
+	var best uint64
+	prefix := xxhash.Sum64String(key)
+	for i := range members {
+		m := &members[i]
+		if m.State != Live {
+			continue
+		}
+		s := score(prefix, m.Host)
+		if !ok || s > best || s == best && m.Host < owner.Host {
+			owner, best, ok = *m, s, true
+		}
+	}
+	return owner, ok
+}
+
+// Rank returns up to n live members in rendezvous order for a key.
+func Rank(key string, members []Member, n int) []Member {
+	type scored struct {
+		score uint64
+		index int
+	}
+	prefix := xxhash.Sum64String(key)
+	order := make([]scored, 0, len(members))
+	for i := range members {
+		if members[i].State == Live {
+			order = append(order, scored{score(prefix, members[i].Host), i})
+		}
+	}
+	slices.SortFunc(order, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(members[a.index].Host, members[b.index].Host)
+	})
+	n = max(0, min(n, len(order)))
+	ranked := make([]Member, n)
+	for i := range ranked {
+		ranked[i] = members[order[i].index]
+	}
+	return ranked
+}
+
+// LocalRank is Rank among the members of one domain.
+func LocalRank(key, domain string, members []Member, n int) []Member {
+	return Rank(key, InDomain(members, domain), n)
+}
+
+// InDomain returns the members of one domain.
+func InDomain(members []Member, domain string) []Member {
+	local := make([]Member, 0, len(members))
+	for i := range members {
+		if members[i].Domain == domain {
+			local = append(local, members[i])
+		}
+	}
+	return local
+}
+
+// score mixes the hash of a key with that of a host. The host's incarnation is
+// left out, so that a restart moves no ownership.
+func score(prefix uint64, host string) uint64 {
+	h := prefix ^ xxhash.Sum64String(host)
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
--- /dev/null
+++ b/internal/core/membership/tick.go
@@ -0,0 +1,272 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Outgoing is a message that the caller has to send. Exactly one of Request and
+// Push is set.
+type Outgoing struct {
+	Address string
+	Request *Request // the answer goes to HandleResponse
+	Push    *Push
+}
+
+const (
+	leaveFanout  = 3 // hosts that each host passes a leave on to
+	aloneProbes  = 3 // addresses tried in a tick while no other host is known
+	failureQuiet = 30 * time.Second
+)
+
+// Tick raises the own version when a beat is due and returns the exchanges to
+// open now: one inside the domain, one with each other domain when this host is
+// a gateway and their time has come, and now and then a probe of a silent or
+// unknown address.
+func (m *Members) Tick(now time.Time, rng *rand.Rand) []Outgoing {
+	m.advance(now)
+	if !now.Before(m.nextBeat) {
+		m.nextBeat = now.Add(m.cfg.Beat)
+		m.self.version++
+		m.forget()
+	}
+	var out []Outgoing
+	partner := m.nextPartner(rng)
+	if partner != nil {
+		out = append(out, m.exchange(partner.id.Address))
+	}
+	if !now.Before(m.nextGateway) {
+		m.nextGateway = now.Add(m.cfg.GatewayEvery)
+		out = append(out, m.gatewayExchanges(rng)...)
+	}
+	return append(out, m.probes(rng, partner == nil)...)
+}
+
+// Failed notes that a message to an address could not be delivered.
+func (m *Members) Failed(now time.Time, address string) {
+	m.advance(now)
+	for _, e := range m.order {
+		if e.id.Address == address && e != m.self {
+			e.failed = now
+		}
+	}
+}
+
+// exchange opens an exchange inside the own domain, or with an address of which
+// nothing is known.
+func (m *Members) exchange(address string) Outgoing {
+	r := &Request{From: m.self.id, Other: m.nextOther()}
+	for _, e := range m.order {
+		covered := m.local(e) || e.id.Domain == r.Other
+		if covered && m.state(e) != Dead {
+			r.Have.add(e.key, e.version)
+		}
+	}
+	return Outgoing{Address: address, Request: r}
+}
+
+// crossExchange opens an exchange with another domain, which tells of its own
+// hosts only.
+func (m *Members) crossExchange(address, domain string) Outgoing {
+	r := &Request{From: m.self.id}
+	for _, e := range m.order {
+		if e.id.Domain == domain && m.state(e) != Dead {
+			r.Have.add(e.key, e.version)
+		}
+	}
+	return Outgoing{Address: address, Request: r}
+}
+
+// nextOther goes round the other domains, naming one in every second exchange.
+func (m *Members) nextOther() string {
+	domains := m.otherDomains()
+	if len(domains) == 0 {
+		return ""
+	}
+	m.otherTurn = (m.otherTurn + 1) % (2 * len(domains))
+	if m.otherTurn%2 == 0 {
+		return ""
+	}
+	return domains[m.otherTurn/2]
+}
+
+func (m *Members) otherDomains() []string {
+	domains := make([]string, 0, len(m.domains))
+	for d := range m.domains {
+		domains = append(domains, d)
+	}
+	slices.Sort(domains)
+	return domains
+}
+
+// nextPartner returns the next of a small set of hosts of the own domain, nil
+// when none is known. The set is random and changes slowly: a few connections
+// serve all exchanges, and no group of hosts stays by itself.
+func (m *Members) nextPartner(rng *rand.Rand) *entry {
+	m.partners = slices.DeleteFunc(m.partners, func(host string) bool {
+		e := m.byHost[host]
+		return e == nil || !m.reachable(e)
+	})
+	if len(m.partners) > 1 && !m.clock.Before(m.nextRotate) {
+		m.nextRotate = m.clock.Add(m.cfg.RotateEvery)
+		m.partners = m.partners[1:]
+	}
+	m.fillPartners(rng)
+	if len(m.partners) == 0 {
+		return nil
+	}
+	m.turn = (m.turn + 1) % len(m.partners)
+	return m.byHost[m.partners[m.turn]]
+}
+
+func (m *Members) fillPartners(rng *rand.Rand) {
+	var free []string
+	for _, e := range m.order {
+		if m.local(e) && m.reachable(e) && !slices.Contains(m.partners, e.id.Host) {
+			free = append(free, e.id.Host)
+		}
+	}
+	for len(m.partners) < m.cfg.Partners && len(free) > 0 {
+		i := rng.IntN(len(free))
+		m.partners = append(m.partners, free[i])
+		free = slices.Delete(free, i, i+1)
+	}
+}
+
+func (m *Members) local(e *entry) bool {
+	return e.id.Domain == m.self.id.Domain
+}
+
+// reachable tells whether a call to a host has a fair chance.
+func (m *Members) reachable(e *entry) bool {
+	if e == m.self || m.state(e) == Dead {
+		return false
+	}
+	return e.failed.IsZero() || m.clock.Sub(e.failed) >= failureQuiet
+}
+
+// Gateways returns the hosts of a domain that exchange with other domains.
+func (m *Members) gateways(domain string) []Member {
+	return LocalRank("gateway/"+domain, domain, m.view(), m.cfg.Gateways)
+}
+
+func (m *Members) isGateway() bool {
+	for _, g := range m.gateways(m.self.id.Domain) {
+		if g.Host == m.self.id.Host {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Members) gatewayExchanges(rng *rand.Rand) []Outgoing {
+	if !m.isGateway() {
+		return nil
+	}
+	var out []Outgoing
+	for _, domain := range m.otherDomains() {
+		if address := m.pickGateway(domain, rng); address != "" {
+			out = append(out, m.crossExchange(address, domain))
+		}
+	}
+	return out
+}
+
+// pickGateway returns an address of another domain: a gateway of it, else any
+// host that may be reached, else any address that was ever told.
+func (m *Members) pickGateway(domain string, rng *rand.Rand) string {
+	var reachable []Member
+	var others []string
+	for _, e := range m.order {
+		if e.id.Domain != domain {
+			continue
+		}
+		if m.reachable(e) {
+			reachable = append(reachable, m.member(e))
+		}
+		others = append(others, e.id.Address)
+	}
+	others = append(others, m.hints[domain]...)
+	if ranked := Rank("gateway/"+domain, reachable, m.cfg.Gateways); len(ranked) > 0 {
+		return ranked[rng.IntN(len(ranked))].Address
+	}
+	if len(reachable) > 0 {
+		return reachable[rng.IntN(len(reachable))].Address
+	}
+	for _, c := range m.sortedContacts() {
+		if c.domain == domain {
+			others = append(others, c.address)
+		}
+	}
+	if len(others) == 0 {
+		return ""
+	}
+	return others[rng.IntN(len(others))]
+}
+
+// probes returns exchanges with addresses that are silent or were never heard:
+// this is how hosts meet first, and again after a cut.
+func (m *Members) probes(rng *rand.Rand, alone bool) []Outgoing {
+	if !alone && m.clock.Before(m.nextProbe) {
+		return nil
+	}
+	m.nextProbe = m.clock.Add(m.cfg.ProbeEvery)
+	candidates := m.silentAddresses()
+	n := 1
+	if alone {
+		n = aloneProbes
+	}
+	var out []Outgoing
+	for ; n > 0 && len(candidates) > 0; n-- {
+		i := rng.IntN(len(candidates))
+		out = append(out, m.exchange(candidates[i]))
+		candidates = slices.Delete(candidates, i, i+1)
+	}
+	return out
+}
+
+// silentAddresses returns where nobody is heard: of the own domain, or of an
+// unknown one. Known other domains are the gateways' business.
+func (m *Members) silentAddresses() []string {
+	heard := make(map[string]bool, len(m.order))
+	var silent []string
+	for _, e := range m.order {
+		if e == m.self || m.reachable(e) {
+			heard[e.id.Address] = true
+			continue
+		}
+		if m.local(e) {
+			heard[e.id.Address] = true
+			silent = append(silent, e.id.Address)
+		}
+	}
+	for _, c := range m.sortedContacts() {
+		elsewhere := m.domains[c.domain] && c.domain != m.self.id.Domain
+		if !heard[c.address] && !elsewhere {
+			heard[c.address] = true
+			silent = append(silent, c.address)
+		}
+	}
+	for _, address := range m.hints[m.self.id.Domain] {
+		if !heard[address] {
+			heard[address] = true
+			silent = append(silent, address)
+		}
+	}
+	return silent
+}
+
+func (m *Members) sortedContacts() []contact {
+	contacts := make([]contact, 0, len(m.contacts))
+	for _, c := range m.contacts {
+		contacts = append(contacts, c)
+	}
+	slices.SortFunc(contacts, func(a, b contact) int {
+		if a.address < b.address {
+			return -1
+		}
+		return 1
+	})
+	return contacts
+}
--- /dev/null
+++ b/internal/peer/faults.go
@@ -0,0 +1,52 @@
+package peer
+
+import "sync"
+
+// faults cuts this node off from others, for tests only.
+type faults struct {
+	mu  sync.RWMutex
+	cut map[string]bool // hosts and domains
+}
+
+func (f *faults) isCut(r remote) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.cut[r.host] || f.cut[r.domain]
+}
+
+func (f *faults) set(names []string) {
+	cut := make(map[string]bool, len(names))
+	for _, name := range names {
+		cut[name] = true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+// SetCut cuts this node off from the named hosts and domains, both ways, and
+// heals what is not named. Open connections to them are closed. It returns
+// ErrNoFaults unless Options.TestFaults is set.
+func (n *Node) SetCut(hostsOrDomains []string) error {
+	if !n.opts.TestFaults {
+		return ErrNoFaults
+	}
+	n.faults.set(hostsOrDomains)
+	n.pool.closeCut()
+	n.server.closeCut()
+	n.log.WithField("cut", hostsOrDomains).Warn("peer cut set")
+	return nil
+}
+
+// SilenceConnections makes all connections that are open now silent for good:
+// they stay open and carry nothing, while new ones work. It returns ErrNoFaults
+// unless Options.TestFaults is set.
+func (n *Node) SilenceConnections() error {
+	if !n.opts.TestFaults {
+		return ErrNoFaults
+	}
+	n.pool.silence()
+	n.server.silence()
+	n.log.Warn("peer connections silenced")
+	return nil
+}
--- /dev/null
+++ b/internal/peer/node.go
@@ -0,0 +1,244 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+)
+
+// Node is this daemon among its peers. All methods may be called from any
+// goroutine.
+type Node struct {
+	opts      Options
+	log       *logrus.Entry
+	clientTLS *tls.Config
+	serverTLS *tls.Config
+	pool      *pool
+	server    *server
+	faults    faults
+	traffic   traffic
+
+	mu      sync.Mutex // guards members and rng
+	members *membership.Members
+	rng     *rand.Rand
+
+	view       atomic.Pointer[[]membership.Member]
+	superseded atomic.Bool
+	exchanging sync.Map // addresses with an exchange under way
+
+	background context.Context // of work that no caller waits for
+	stop       context.CancelFunc
+	wgMu       sync.Mutex // orders the start of work before the wait for its end
+	wg         sync.WaitGroup
+}
+
+// New checks the options and opens the listener; Run serves it.
+func New(opts Options) (*Node, error) {
+	opts.setDefaults()
+	if err := opts.check(); err != nil {
+		return nil, err
+	}
+	n := &Node{opts: opts}
+	n.log = opts.Logger.WithField("component", "peer")
+	n.traffic.known = newPurposes()
+	n.rng = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	n.background, n.stop = context.WithCancel(context.Background())
+	n.pool = newPool(n)
+	var err error
+	if n.clientTLS, n.serverTLS, err = newTLS(opts.Key, opts.Host, opts.Domain); err != nil {
+		return nil, err
+	}
+	if n.server, err = newServer(n, opts.Listen); err != nil {
+		return nil, err
+	}
+	cfg := opts.Membership
+	cfg.Self = membership.Identity{
+		Host:        opts.Host,
+		Domain:      opts.Domain,
+		Region:      opts.Region,
+		Address:     n.Addr(),
+		Incarnation: opts.Incarnation,
+	}
+	n.members = membership.New(cfg, time.Now())
+	n.members.AddSeeds(opts.Seeds)
+	n.refresh()
+	if err := n.Register(heartbeatService, &heartbeats{n}); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// Register offers the methods of a receiver to peers, by the rules of net/rpc,
+// and counts their bytes under the name in lower case. It must be called before
+// Run.
+func (n *Node) Register(name string, rcvr any) error {
+	if err := n.server.rpc.RegisterName(name, rcvr); err != nil {
+		return merry.Prependf(err, "register %s", name)
+	}
+	n.traffic.known.add(name)
+	return nil
+}
+
+// Run serves peers and sends heartbeats until the context ends, then closes all
+// connections.
+func (n *Node) Run(ctx context.Context) error {
+	n.inBackground(func() { n.server.run(n.background) })
+	if n.opts.HostList != nil {
+		n.inBackground(func() { n.followList(n.background) })
+	}
+	n.log.WithFields(logrus.Fields{
+		"address":     n.Addr(),
+		"incarnation": n.opts.Incarnation,
+	}).Info("peer node started")
+	for ctx.Err() == nil {
+		n.tick()
+		pause(ctx, n.jitter(n.opts.Interval))
+	}
+	n.Close()
+	return nil
+}
+
+// Close ends the listener, all connections and the background work. It is
+// called by Run, and needed only for a node that never ran.
+func (n *Node) Close() {
+	n.wgMu.Lock()
+	n.stop()
+	n.wgMu.Unlock()
+	n.server.close()
+	n.pool.close()
+	n.wg.Wait()
+	n.server.wg.Wait()
+}
+
+// inBackground starts work that Close waits for. After Close it does nothing.
+func (n *Node) inBackground(work func()) {
+	n.wgMu.Lock()
+	defer n.wgMu.Unlock()
+	if n.background.Err() == nil {
+		n.wg.Go(work)
+	}
+}
+
+// jitter spreads a period by a tenth, so that hosts started together do not
+// stay in step.
+func (n *Node) jitter(d time.Duration) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Duration(float64(d) * (0.9 + 0.2*n.rng.Float64()))
+}
+
+// Leave tells peers that this host leaves, and returns when a few of them have
+// confirmed it, from where it spreads. It cannot be taken back. An error means
+// that no peer could be told; the platform's list is then the only source.
+func (n *Node) Leave(ctx context.Context) error {
+	n.mu.Lock()
+	n.members.Leave(time.Now())
+	pushes := n.members.Forwards(n.rng)
+	n.refresh()
+	n.mu.Unlock()
+	errs := make(chan error, len(pushes))
+	for _, out := range pushes {
+		go func() { errs <- n.deliver(ctx, out) }()
+	}
+	var failed error
+	told := len(pushes) == 0
+	for range pushes {
+		if err := <-errs; err != nil {
+			failed = err
+		} else {
+			told = true
+		}
+	}
+	if told {
+		return nil
+	}
+	return merry.Prepend(failed, "leave")
+}
+
+// Addr returns the address of the listener, IP:port.
+func (n *Node) Addr() string {
+	return n.server.listener.Addr().String()
+}
+
+// Self returns the own identity.
+func (n *Node) Self() membership.Member {
+	for _, m := range n.Members() {
+		if m.Host == n.opts.Host {
+			return m
+		}
+	}
+	return membership.Member{}
+}
+
+// Superseded tells whether a newer incarnation of this host runs elsewhere.
+// This process then has to stop taking work.
+func (n *Node) Superseded() bool {
+	return n.superseded.Load()
+}
+
+// Members returns all known hosts ordered by name, this one among them, as of
+// the last tick. The slice is shared and must not be changed.
+func (n *Node) Members() []membership.Member {
+	return *n.view.Load()
+}
+
+// Owner returns the live host of the whole site that comes first for a key.
+func (n *Node) Owner(key string) (membership.Member, bool) {
+	return membership.Owner(key, n.Members())
+}
+
+// Rank returns up to limit live hosts of the whole site in order for a key.
+func (n *Node) Rank(key string, limit int) []membership.Member {
+	return membership.Rank(key, n.Members(), limit)
+}
+
+// LocalOwner returns the live host of the own domain that comes first for a
+// key.
+func (n *Node) LocalOwner(key string) (membership.Member, bool) {
+	return membership.Owner(key, membership.InDomain(n.Members(), n.opts.Domain))
+}
+
+// LocalRank returns up to limit live hosts of the own domain in order for a key.
+func (n *Node) LocalRank(key string, limit int) []membership.Member {
+	return membership.LocalRank(key, n.opts.Domain, n.Members(), limit)
+}
+
+// Publish spreads a section of up to membership.MaxSectionBytes to the hosts of
+// the own domain, in place of its former data. Data must not be changed
+// afterwards.
+func (n *Node) Publish(section string, data []byte) error {
+	return n.publish(section, data, false)
+}
+
+// PublishWide is Publish to the hosts of all domains.
+func (n *Node) PublishWide(section string, data []byte) error {
+	return n.publish(section, data, true)
+}
+
+func (n *Node) publish(section string, data []byte, wide bool) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.Publish(time.Now(), section, data, wide)
+}
+
+// Sections returns a section of each host that published it and is not dead,
+// this one included, ordered by host.
+func (n *Node) Sections(section string) []membership.SectionView {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.Sections(time.Now(), section)
+}
+
+// Traffic returns the bytes sent and received so far over all connections, TLS
+// included.
+func (n *Node) Traffic() (sent, received uint64) {
+	return n.traffic.sent.Load(), n.traffic.received.Load()
+}
