--- a/internal/core/settings/export.go
+++ b/internal/core/settings/export.go
@@ -50,7 +50,10 @@
 	if err := s.importDocuments(e.Documents); err != nil {
 		return nil, err
 	}
-	return s, s.importHistory(e.History)
+	if err := s.importHistory(e.History); err != nil {
+		return nil, err
+	}
+	return s, nil
 }
 
 func (s *State) importDocuments(documents []StoredDocument) error {
--- /dev/null
+++ b/internal/follow/apply.go
@@ -0,0 +1,136 @@
+package follow
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+)
+
+// Record is one record of the settings stream on its way between peers.
+type Record struct {
+	Offset int64
+	AtMs   int64 // Unix time by the log's clock
+	Data   []byte
+}
+
+// apply steps the state by those records that come next and skips the known ones.
+// It reports whether a gap stopped it.
+func (f *Follower) apply(records []Record) (gap bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.state.Offset()
+	changed := false
+	for _, r := range records {
+		if r.Offset <= f.state.Offset() {
+			continue
+		}
+		verdict := f.state.Apply(r.Offset, time.UnixMilli(r.AtMs), r.Data)
+		if verdict.Outcome == settings.OutOfOrder {
+			gap = true
+			break
+		}
+		f.recent.add(r)
+		f.logVerdict(&verdict)
+		changed = changed || verdict.Accepted()
+	}
+	if f.state.Offset() > before {
+		f.publish(changed)
+		signal(f.pushDue)
+	}
+	return gap
+}
+
+func (f *Follower) logVerdict(v *settings.Verdict) {
+	countVerdict(v.Outcome)
+	entry := f.o.Logger.WithFields(logrus.Fields{
+		"event":     "settings_record",
+		"offset":    v.Offset,
+		"change_id": v.ChangeID,
+		"author":    v.Author,
+		"paths":     v.Paths,
+		"outcome":   v.Outcome,
+	})
+	switch {
+	case !f.Ready():
+		entry.Debug("settings record replayed")
+	case v.Accepted():
+		entry.Info("settings change accepted")
+	default:
+		entry.WithField("reason", v.Reason()).Warn("settings record refused")
+	}
+}
+
+// adopt replaces the state by an imported one if that is newer. Going back would
+// revert accepted settings, so an older one is refused, whoever offers it.
+func (f *Follower) adopt(next *settings.State, source string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entry := f.o.Logger.WithFields(logrus.Fields{
+		"event": "settings_snapshot", "source": source,
+		"offset": next.Offset(), "own_offset": f.state.Offset(),
+	})
+	if next.Offset() <= f.state.Offset() {
+		snapshotsRefused.Inc()
+		entry.Debug("settings snapshot is not newer")
+		return false
+	}
+	snapshotsAdopted.Inc()
+	entry.Info("settings snapshot adopted")
+	f.state = next
+	f.recent.clear()
+	f.publish(true)
+	return true
+}
+
+// markCurrent notes that the state up to an offset was the newest at a time.
+func (f *Follower) markCurrent(offset int64, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state.Offset() >= offset && at.After(f.currentAt) {
+		f.currentAt = at
+	}
+}
+
+// compareDigest reports a peer that reached another state by the same offset.
+func (f *Follower) compareDigest(peer PeerRef, offset int64, digest uint64) {
+	v := f.view.Load()
+	if v.offset != offset || v.digest == digest {
+		return
+	}
+	divergences.Inc()
+	f.o.Logger.WithFields(logrus.Fields{
+		"event": "settings_divergence", "peer": peer.Name, "offset": offset,
+	}).Error("a peer has other settings at the same offset")
+}
+
+// recentRecords keeps the latest records, without gaps, within a size.
+type recentRecords struct {
+	records []Record
+	bytes   int
+	limit   int
+}
+
+func (r *recentRecords) add(record Record) {
+	r.records = append(r.records, record)
+	r.bytes += len(record.Data)
+	for r.bytes > r.limit && len(r.records) > 1 {
+		r.bytes -= len(r.records[0].Data)
+		r.records = r.records[1:]
+	}
+}
+
+func (r *recentRecords) clear() {
+	r.records, r.bytes = nil, 0
+}
+
+// from returns the records from an offset on; ok is false when the first of them
+// is no longer kept. The slice must not be changed.
+func (r *recentRecords) from(offset int64) (records []Record, ok bool) {
+	if len(r.records) == 0 || r.records[0].Offset > offset {
+		return nil, false
+	}
+	skip := min(offset-r.records[0].Offset, int64(len(r.records)))
+	return r.records[skip:len(r.records):len(r.records)], true
+}
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,300 @@
+package follow
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/finding"
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+)
+
+func edit(id, path string, base int64, idleMs int) settings.Change {
+	yaml := fmt.Sprintf("routing: {idle_ms: %d}", idleMs)
+	return settings.Change{ID: id, Author: "op", Edits: []settings.Edit{{Path: path, Base: base, YAML: &yaml}}}
+}
+
+// accept makes a change that must be accepted.
+func accept(t *testing.T, h *host, c settings.Change) settings.Verdict {
+	t.Helper()
+	eventually(t, "host "+h.name+" ready", h.Ready)
+	v, err := h.Change(context.Background(), c)
+	if err != nil || !v.Accepted() {
+		t.Fatalf("change %s: %s, %v", c.ID, v.Reason(), err)
+	}
+	return v
+}
+
+func TestChangeReachesAllHosts(t *testing.T) {
+	s := newSite(t)
+	s.run(true)
+	for range 6 {
+		s.run(false)
+	}
+	changed, cancel := s.hosts[3].Subscribe()
+	defer cancel()
+	accept(t, s.hosts[6], edit("a", "/t", 0, 77))
+	accept(t, s.hosts[0], edit("b", "/t", 1, 78))
+	s.agree(2)
+	for _, h := range s.hosts {
+		if got := h.Current().RoutingAt("/t").IdleMs; got != 78 {
+			t.Errorf("host %s has idle_ms %d", h.name, got)
+		}
+		eventually(t, "lag is known", func() bool { return h.Lag(time.Now()) >= 0 })
+	}
+	<-changed
+	documents, offset := s.hosts[1].Documents("/")
+	if len(documents) != 1 || documents[0].Version != 2 || offset != 2 || len(s.hosts[1].History("/", 9)) != 2 {
+		t.Errorf("documents %v at %d", documents, offset)
+	}
+}
+
+func TestRaceHasOneWinner(t *testing.T) {
+	for name, paths := range map[string][]string{
+		"one path":         {"/t"},
+		"parent and child": {"/t", "/t/x", "/"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			for i := range 4 {
+				s.run(i == 0)
+			}
+			var wg sync.WaitGroup
+			verdicts := make([]settings.Verdict, 12)
+			for i := range verdicts {
+				h := s.hosts[i%len(s.hosts)]
+				eventually(t, "ready", h.Ready)
+				wg.Go(func() {
+					var err error
+					verdicts[i], err = h.Change(context.Background(), edit(fmt.Sprint(i), paths[i%len(paths)], 0, i+1))
+					if err != nil {
+						t.Error(err)
+					}
+				})
+			}
+			wg.Wait()
+			s.checkRace(paths, verdicts)
+		})
+	}
+}
+
+// checkRace demands a winner, a reason for each loser, and on one path no second
+// winner. On several paths a later change may win that saw the earlier.
+func (s *site) checkRace(paths []string, verdicts []settings.Verdict) {
+	s.t.Helper()
+	winners := map[string]int{}
+	for _, v := range verdicts {
+		if v.Accepted() {
+			winners[v.Paths[0]]++
+		} else if v.Reason() == "" {
+			s.t.Errorf("no reason: %+v", v)
+		}
+	}
+	if len(winners) == 0 {
+		s.t.Error("no winner")
+	}
+	for path, n := range winners {
+		if n > 1 {
+			s.t.Errorf("%d winners on %s", n, path)
+		}
+	}
+}
+
+func TestAppendAnswerLost(t *testing.T) {
+	for name, fault := range map[string]func(*memoryLog){
+		"after the effect":  func(l *memoryLog) { l.lose = 1 },
+		"before the effect": func(l *memoryLog) { l.drop = 2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			h := s.run(true)
+			eventually(t, "ready", h.Ready)
+			fault(s.log)
+			first := accept(t, h, edit("a", "/t", 0, 5))
+			again := accept(t, h, edit("a", "/t", 0, 5))
+			if first.Offset != 1 || again.Offset != 1 || s.log.stream(Stream).next() != 2 {
+				t.Errorf("offsets %d and %d", first.Offset, again.Offset)
+			}
+			if _, err := h.Change(context.Background(), edit("a", "/t", 0, 6)); !errors.Is(err, ErrIDReused) {
+				t.Errorf("another change under the same id: %v", err)
+			}
+		})
+	}
+}
+
+func TestChangeIsRefusedBeforeAppend(t *testing.T) {
+	s := newSite(t)
+	h := s.run(true)
+	eventually(t, "ready", h.Ready)
+	var findings finding.List
+	if _, err := h.Change(context.Background(), edit("a", "/t", 0, -1)); !errors.As(err, &findings) || len(findings) != 1 {
+		t.Errorf("bad document: %v", err)
+	}
+	if v, err := h.Change(context.Background(), edit("b", "/t", 9, 1)); err != nil || v.Outcome != settings.Conflict {
+		t.Errorf("wrong base: %+v, %v", v, err)
+	}
+	h.noLog.Store(true)
+	if _, err := h.Change(context.Background(), edit("c", "/t", 0, 1)); !errors.Is(err, ErrLogAway) {
+		t.Errorf("log away: %v", err)
+	}
+	if _, err := s.add(false).Change(context.Background(), edit("d", "/t", 0, 1)); !errors.Is(err, ErrNotReady) {
+		t.Errorf("not ready: %v", err)
+	}
+	if s.log.stream(Stream).next() != 1 {
+		t.Error("a refused change was appended")
+	}
+}
+
+func TestCutHostCatchesUp(t *testing.T) {
+	s := newSite(t)
+	a, b := s.run(true), s.run(true)
+	accept(t, a, edit("a", "/t", 0, 1))
+	s.agree(1)
+	b.noLog.Store(true)
+	b.cut.Store(true)
+	// More than the records that are kept for peers, so that a snapshot is due too.
+	a.mu.Lock()
+	a.recent.limit = 1
+	a.mu.Unlock()
+	for i := range 5 {
+		accept(t, a, edit(fmt.Sprint(i), "/t", int64(i+1), i+10))
+	}
+	if b.Offset() != 1 || b.Current().RoutingAt("/t").IdleMs != 1 {
+		t.Errorf("cut host is at %d", b.Offset())
+	}
+	b.cut.Store(false) // the platform stays out of its reach
+	s.agree(6)
+	if b.Current().RoutingAt("/t").IdleMs != 14 {
+		t.Error("healed host has old settings")
+	}
+}
+
+func TestFreshHostWhilePlatformIsDown(t *testing.T) {
+	s := newSite(t)
+	a := s.run(true)
+	accept(t, a, edit("a", "/t", 0, 9))
+	a.noLog.Store(true)
+	a.cut.Store(true)
+	fresh := s.add(true)
+	fresh.noLog.Store(true)
+	fresh.start()
+	time.Sleep(20 * time.Millisecond)
+	if fresh.Ready() {
+		t.Error("ready without any settings")
+	}
+	a.cut.Store(false)
+	eventually(t, "fresh host ready", fresh.Ready)
+	if fresh.Offset() != 1 || fresh.Current().RoutingAt("/t").IdleMs != 9 {
+		t.Errorf("fresh host at %d", fresh.Offset())
+	}
+}
+
+func TestRetentionPassed(t *testing.T) {
+	s := newSite(t)
+	a := s.run(true)
+	for i := range 4 {
+		accept(t, a, edit(fmt.Sprint(i), "/t", int64(i), i+1))
+	}
+	s.log.trim(Stream, 3)
+	a.stop()
+	a.cut.Store(true)
+	fresh := s.run(true)
+	time.Sleep(20 * time.Millisecond)
+	if fresh.Ready() {
+		t.Error("ready although records are missing")
+	}
+	a.o.SnapshotEvery = 3
+	for range 2 {
+		if err := a.snapshotOnce(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := s.log.stream(SnapshotStream).next() - 1; n != 1 {
+		t.Errorf("%d snapshots were written", n)
+	}
+	eventually(t, "fresh host ready", fresh.Ready)
+	accept(t, fresh, edit("last", "/t", 4, 50))
+	if fresh.Offset() != 5 {
+		t.Errorf("fresh host at %d", fresh.Offset())
+	}
+}
+
+func TestSnapshotIsRenewedBeforeItIsTrimmed(t *testing.T) {
+	s := newSite(t)
+	a := s.add(true)
+	now := time.Now()
+	a.o.Now = func() time.Time { return now }
+	a.bootstrap(context.Background())
+	accept(t, a, edit("a", "/t", 0, 1))
+	for _, step := range []time.Duration{0, time.Minute, 15 * time.Minute, 14 * time.Minute} {
+		now = now.Add(step)
+		if err := a.snapshotOnce(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := s.log.stream(SnapshotStream).next() - 1; n != 2 {
+		t.Errorf("%d snapshots were written, want the first and one after a quarter of the retention", n)
+	}
+}
+
+func TestStalePeerNeverReverts(t *testing.T) {
+	s := newSite(t)
+	stale, a := s.run(true), s.run(true)
+	accept(t, stale, edit("a", "/t", 0, 1))
+	s.agree(1)
+	stale.stop()
+	old, _, err := stale.exportState()
+	if err != nil {
+		t.Fatal(err)
+	}
+	accept(t, a, edit("b", "/t", 1, 2))
+	digest := a.Digest()
+	a.takeReply(PeerRef{Name: "stale"}, &PullReply{Ready: true, Offset: 1, Snapshot: old})
+	a.takeReply(PeerRef{Name: "stale"}, &PullReply{Ready: true, Snapshot: []byte("garbage")})
+	records, _ := a.recent.from(1)
+	a.apply([]Record{records[1], records[0], records[0], records[1]})
+	if a.Offset() != 2 || a.Digest() != digest || a.Current().RoutingAt("/t").IdleMs != 2 {
+		t.Errorf("reverted to offset %d", a.Offset())
+	}
+	if gap := a.apply([]Record{{Offset: 9}}); !gap || a.Offset() != 2 {
+		t.Error("a record after a gap was applied")
+	}
+}
+
+func TestGarbageRecordsAreCountedAndPassedOver(t *testing.T) {
+	s := newSite(t)
+	for i := range 3 {
+		s.run(i == 0)
+	}
+	garbage := [][]byte{nil, []byte("x"), []byte(`{"format":1}`), bytes.Repeat([]byte("["), 1<<16)}
+	if _, err := s.log.Append(context.Background(), Stream, garbage); err != nil {
+		t.Fatal(err)
+	}
+	accept(t, s.hosts[2], edit("a", "/t", 0, 3))
+	s.agree(5)
+	if s.hosts[1].state.Undecodable() != 4 || s.hosts[1].Current().RoutingAt("/t").IdleMs != 3 {
+		t.Error("garbage was not passed over")
+	}
+}
+
+func FuzzUnpack(f *testing.F) {
+	state, err := settings.NewState().Export()
+	if err != nil {
+		f.Fatal(err)
+	}
+	packed, err := pack(state)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(packed)
+	f.Add([]byte("\x1f\x8b"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if s, err := unpack(data); (s == nil) == (err == nil) {
+			t.Fatalf("state %v with error %v", s, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/follow/options.go
@@ -0,0 +1,87 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/platform"
+)
+
+// Streams of the log.
+const (
+	Stream         = "settings"
+	SnapshotStream = "settings-snapshots"
+)
+
+// PeerRef is another daemon.
+type PeerRef struct {
+	Name    string
+	Address string // IP:port of its peer listener
+}
+
+// Peers is what the follower needs of the other daemons.
+type Peers interface {
+	// Tailer reports whether this host is one of the few of its failure domain
+	// that read the log.
+	Tailer() bool
+	// Sample returns up to n live peers at random, those of other domains among
+	// them, never this host.
+	Sample(n int) []PeerRef
+	// Call calls a method of a peer's net/rpc service.
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Options configure a Follower. Log and Peers are required; zero values of the
+// others take the defaults.
+type Options struct {
+	Log   platform.Log
+	Peers Peers
+
+	PollWait       time.Duration // longest wait of one read of the log; default 20 s
+	CallTimeout    time.Duration // of a peer call, and of a read beyond its wait; default 3 s
+	PullEvery      time.Duration // between two comparisons with a random peer; default 5 s
+	TailAfter      time.Duration // lag from which a host reads the log itself; default 12 s
+	RetryMin       time.Duration // wait after a first failure of the log; default 200 ms
+	RetryMax       time.Duration // longest wait between tries of the log; default 5 s
+	Fanout         int           // peers that a new record is pushed to; default 4
+	RecentBytes    int           // records kept for peers that lag a little; default 1 MiB
+	SnapshotEvery  int64         // records after which a snapshot is written; default 500
+	SnapshotCheck  time.Duration // between two looks at the snapshot stream; default 1 min
+	Retention      time.Duration // shortest time that the log keeps a record; default 1 h
+	AppendAttempts int           // appends of one change, all with the same id; default 5
+
+	Now    func() time.Time // default time.Now
+	Logger *logrus.Entry    // default the standard logger
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.PollWait, 20*time.Second)
+	setDefault(&o.CallTimeout, 3*time.Second)
+	setDefault(&o.PullEvery, 5*time.Second)
+	setDefault(&o.TailAfter, 12*time.Second)
+	setDefault(&o.RetryMin, 200*time.Millisecond)
+	setDefault(&o.RetryMax, 5*time.Second)
+	setDefault(&o.Fanout, 4)
+	setDefault(&o.RecentBytes, 1<<20)
+	setDefault(&o.SnapshotEvery, 500)
+	setDefault(&o.SnapshotCheck, time.Minute)
+	setDefault(&o.Retention, time.Hour)
+	setDefault(&o.AppendAttempts, 5)
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Logger == nil {
+		o.Logger = logrus.NewEntry(logrus.StandardLogger())
+	}
+}
+
+func setDefault[T int | int64 | time.Duration](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+// readLimit bounds the records of one read of the log.
+const readLimit = 1000
--- /dev/null
+++ b/internal/follow/site_test.go
@@ -0,0 +1,231 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/platform"
+)
+
+var errAway = errors.New("out of reach")
+
+// memoryLog is an append-only log in memory.
+type memoryLog struct {
+	mu      sync.Mutex
+	streams map[string]*memoryStream
+	lose    int // appends whose answer is lost after the effect
+	drop    int // appends that are lost before it
+	grown   chan struct{}
+}
+
+type memoryStream struct {
+	first   int64
+	records []platform.Record
+}
+
+func newMemoryLog() *memoryLog {
+	return &memoryLog{streams: map[string]*memoryStream{}, grown: make(chan struct{})}
+}
+
+func (l *memoryLog) stream(name string) *memoryStream {
+	if l.streams[name] == nil {
+		l.streams[name] = &memoryStream{first: 1}
+	}
+	return l.streams[name]
+}
+
+func (s *memoryStream) next() int64 { return s.first + int64(len(s.records)) }
+
+func (l *memoryLog) Append(_ context.Context, name string, records [][]byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.drop > 0 {
+		l.drop--
+		return 0, errAway
+	}
+	s := l.stream(name)
+	first := s.next()
+	for _, data := range records {
+		s.records = append(s.records, platform.Record{Offset: s.next(), At: time.Now(), Data: data})
+	}
+	close(l.grown)
+	l.grown = make(chan struct{})
+	if l.lose > 0 {
+		l.lose--
+		return 0, errAway
+	}
+	return first, nil
+}
+
+func (l *memoryLog) Read(ctx context.Context, name string, from int64, limit int, wait time.Duration) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		l.mu.Lock()
+		s := l.stream(name)
+		page := platform.Page{FirstKept: s.first, Next: s.next()}
+		for _, r := range s.records {
+			if r.Offset >= from && len(page.Records) < limit {
+				page.Records = append(page.Records, r)
+			}
+		}
+		grown := l.grown
+		l.mu.Unlock()
+		if len(page.Records) > 0 || ctx.Err() != nil {
+			return page, nil
+		}
+		select {
+		case <-grown:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// trim drops the records below an offset.
+func (l *memoryLog) trim(name string, below int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	s.records = s.records[below-s.first:]
+	s.first = below
+}
+
+// site is a set of followers with a network that can be cut.
+type site struct {
+	t     *testing.T
+	log   *memoryLog
+	mu    sync.Mutex
+	hosts []*host
+	rng   *rand.Rand
+}
+
+// host is one follower's view of the platform and of its peers.
+type host struct {
+	*Follower
+	site   *site
+	name   string
+	tailer bool
+	noLog  atomic.Bool
+	cut    atomic.Bool // from all peers
+	stop   func()
+}
+
+func newSite(t *testing.T) *site {
+	return &site{t: t, log: newMemoryLog(), rng: rand.New(rand.NewPCG(1, 2))}
+}
+
+// add makes a host and does not run it.
+func (s *site) add(tailer bool) *host {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	h := &host{site: s, tailer: tailer, stop: func() {}}
+	h.Follower = New(Options{
+		Log: h, Peers: h, Logger: logrus.NewEntry(logger),
+		PollWait: 50 * time.Millisecond, PullEvery: 20 * time.Millisecond, TailAfter: time.Hour,
+		RetryMin: time.Millisecond, RetryMax: 5 * time.Millisecond, CallTimeout: time.Second,
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.name = fmt.Sprint(len(s.hosts))
+	s.hosts = append(s.hosts, h)
+	return h
+}
+
+// run adds a host and runs it until the test ends.
+func (s *site) run(tailer bool) *host {
+	h := s.add(tailer)
+	h.start()
+	return h
+}
+
+func (h *host) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = h.Run(ctx)
+	}()
+	h.stop = func() { cancel(); <-done }
+	h.site.t.Cleanup(h.stop)
+}
+
+func (h *host) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	if h.noLog.Load() {
+		return 0, errAway
+	}
+	return h.site.log.Append(ctx, stream, records)
+}
+
+func (h *host) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (platform.Page, error) {
+	if h.noLog.Load() {
+		return platform.Page{}, errAway
+	}
+	page, err := h.site.log.Read(ctx, stream, from, limit, wait)
+	if h.noLog.Load() { // also a read that was waiting when the log went away
+		return platform.Page{}, errAway
+	}
+	return page, err
+}
+
+func (h *host) Tailer() bool { return h.tailer }
+
+func (h *host) Sample(n int) []PeerRef {
+	h.site.mu.Lock()
+	defer h.site.mu.Unlock()
+	var peers []PeerRef
+	for _, i := range h.site.rng.Perm(len(h.site.hosts)) {
+		if p := h.site.hosts[i]; p != h && len(peers) < n {
+			peers = append(peers, PeerRef{Name: p.name, Address: p.name})
+		}
+	}
+	return peers
+}
+
+func (h *host) Call(_ context.Context, address, method string, args, reply any) error {
+	h.site.mu.Lock()
+	var target *host
+	for _, p := range h.site.hosts {
+		if p.name == address {
+			target = p
+		}
+	}
+	h.site.mu.Unlock()
+	if h.cut.Load() || target.cut.Load() {
+		return errAway
+	}
+	if method == methodPush {
+		return target.RPC().Push(args.(*PushArgs), reply.(*PushReply))
+	}
+	return target.RPC().Pull(args.(*PullArgs), reply.(*PullReply))
+}
+
+// eventually waits for a condition, generously.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// agree waits until all hosts are at an offset, and compares their digests.
+func (s *site) agree(offset int64) {
+	s.t.Helper()
+	for _, h := range s.hosts {
+		eventually(s.t, fmt.Sprintf("host %s at offset %d", h.name, offset), func() bool { return h.Offset() == offset })
+		if h.Digest() != s.hosts[0].Digest() {
+			s.t.Errorf("host %s has another digest", h.name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/follow/spread.go
@@ -0,0 +1,165 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// pushLoop passes new records on to a few random peers. Each host that learns of
+// a record does so once, so a change reaches nearly all in a few hops; pullLoop
+// takes care of the rest.
+func (f *Follower) pushLoop(ctx context.Context) {
+	next := f.Offset() + 1
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.pushDue:
+		}
+		args, ok := f.pushArgs(next)
+		if !ok { // an adopted snapshot stepped over the records
+			next = f.Offset() + 1
+			continue
+		}
+		next = args.Records[len(args.Records)-1].Offset + 1
+		var calls sync.WaitGroup
+		for _, peer := range f.o.Peers.Sample(f.o.Fanout) {
+			calls.Go(func() { f.push(ctx, peer, args) })
+		}
+		calls.Wait()
+	}
+}
+
+// pushArgs returns what is new from an offset on; ok is false when there is
+// nothing, or when it is no longer kept.
+func (f *Follower) pushArgs(from int64) (args *PushArgs, ok bool) {
+	age := f.Lag(f.o.Now())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	records, ok := f.recent.from(from)
+	if !ok || len(records) == 0 {
+		return nil, false
+	}
+	return &PushArgs{Records: records, AgeMs: age.Milliseconds()}, true
+}
+
+func (f *Follower) push(ctx context.Context, peer PeerRef, args *PushArgs) {
+	ctx, cancel := context.WithTimeout(ctx, f.o.CallTimeout)
+	defer cancel()
+	pushes.Inc()
+	for _, r := range args.Records {
+		spreadBytes.Add(len(r.Data))
+	}
+	var reply PushReply
+	if err := f.o.Peers.Call(ctx, peer.Address, methodPush, args, &reply); err != nil {
+		f.o.Logger.WithField("event", "settings_push_failed").WithField("peer", peer.Name).WithError(err).Debug("push failed")
+	}
+}
+
+// pullLoop compares with one random peer at a time, at once after a gap.
+func (f *Follower) pullLoop(ctx context.Context) {
+	for {
+		timer := time.NewTimer(jitter(f.o.PullEvery))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-f.pullDue:
+		case <-timer.C:
+		}
+		timer.Stop()
+		for _, peer := range f.o.Peers.Sample(1) {
+			f.pull(ctx, peer)
+		}
+	}
+}
+
+// jitter returns a time between three and five quarters of d, so that hosts that
+// started together do not stay in step.
+func jitter(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/2+1)
+}
+
+// bootstrapPeers is the number of peers that a fresh host asks at once.
+const bootstrapPeers = 3
+
+// pullAny pulls from a few peers and reports whether one that is ready answered.
+func (f *Follower) pullAny(ctx context.Context) bool {
+	peers := f.o.Peers.Sample(bootstrapPeers)
+	answered := make([]bool, len(peers))
+	var calls sync.WaitGroup
+	for i, peer := range peers {
+		calls.Go(func() { answered[i] = f.pull(ctx, peer) })
+	}
+	calls.Wait()
+	for _, ok := range answered {
+		if ok {
+			return true
+		}
+	}
+	return false
+}
+
+// pull gets what a peer has more, and gives it what it has less. It reports
+// whether the peer answered and is ready.
+func (f *Follower) pull(ctx context.Context, peer PeerRef) bool {
+	ctx, cancel := context.WithTimeout(ctx, f.o.CallTimeout)
+	defer cancel()
+	pulls.Inc()
+	start := f.o.Now()
+	args := &PullArgs{From: f.Offset() + 1}
+	var reply PullReply
+	if err := f.o.Peers.Call(ctx, peer.Address, methodPull, args, &reply); err != nil {
+		f.o.Logger.WithField("event", "settings_pull_failed").WithField("peer", peer.Name).WithError(err).Debug("pull failed")
+		return false
+	}
+	if !reply.Ready {
+		return false
+	}
+	if !f.takeReply(peer, &reply) {
+		return false
+	}
+	f.compareDigest(peer, reply.Offset, reply.Digest)
+	if age, known := ageOf(reply.AgeMs); known {
+		f.markCurrent(reply.Offset, start.Add(-age))
+	}
+	if f.Ready() && reply.Offset < f.Offset() {
+		if missing, ok := f.pushArgs(reply.Offset + 1); ok {
+			f.push(ctx, peer, missing)
+		}
+	}
+	return true
+}
+
+// takeReply applies what came; it reports false for a broken snapshot.
+func (f *Follower) takeReply(peer PeerRef, reply *PullReply) bool {
+	if len(reply.Snapshot) > 0 {
+		state, err := unpack(reply.Snapshot)
+		if err != nil {
+			f.o.Logger.WithField("event", "settings_snapshot_broken").WithField("peer", peer.Name).WithError(err).Warn("peer sent a broken snapshot")
+			return false
+		}
+		f.adopt(state, peer.Name)
+	}
+	f.apply(reply.Records)
+	return true
+}
+
+func ageOf(ms int64) (age time.Duration, known bool) {
+	return time.Duration(ms) * time.Millisecond, ms >= 0
+}
+
+// exportState returns the packed state for a peer or for the snapshot stream.
+func (f *Follower) exportState() (packed []byte, offset int64, err error) {
+	f.mu.Lock()
+	data, err := f.state.Export()
+	offset = f.state.Offset()
+	f.mu.Unlock()
+	if err != nil {
+		return nil, 0, err
+	}
+	packed, err = pack(data)
+	return packed, offset, err
+}
