core/admission: limits with shares, fair queue, spread Retry-After

Cause: limits hold over the whole site while each host decides alone; a full queue must serve urgent calls first and customers fairly by what they cost; a fleet that woke together must not return together. Ruled out: an even split of limits (a host with half the demand would refuse while others idle); live demand as own figure (hosts would divide by different figures and the sum could pass the limit); refreshing the division among domains during a cut (each side would count its own growth against the other's old demand); floats for the division (the result must be the same on each host); promoting aged entries into the class above (an aged archive would delay its customer's urgent calls); throwing out queued entries for new ones; asking about each of 2000 entries when nothing fits. Change: Limiter (requests and prompt tokens in flight, tokens a second by a bucket that may go into debt), Usage digests, Queue (strict classes, start-time fair queueing by cost over weight, one pop in eight for aged entries, lanes so that a long prompt does not block its customer's short ones, expiry), RetryAfter, Drain. Conclusion: with fewer units in a limit than hosts some hosts refuse although the limit is not reached; that is the price of a sum that is never passed.

--- /dev/null
+++ b/internal/core/admission/backoff.go
@@ -0,0 +1,63 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Bounds of what RetryAfter returns.
+const (
+	minRetryWindow = 5 * time.Second
+	maxRetryWindow = 2 * time.Minute
+	maxRetryStart  = time.Minute
+)
+
+// RetryAfter returns when a refused caller may come back: after the backlog is
+// worked off, spread evenly over a window twice as long, so that callers that were
+// refused together do not return together. The window is five seconds to two
+// minutes.
+func RetryAfter(backlog time.Duration, rng *rand.Rand) time.Duration {
+	backlog = max(backlog, 0)
+	window := min(max(2*backlog, minRetryWindow), maxRetryWindow)
+	return min(backlog, maxRetryStart) + time.Duration(rng.Int64N(int64(window)))
+}
+
+// drainTime is the time constant of Drain.
+const drainTime = 20 * time.Second
+
+// Drain measures how fast a pool takes work from its queue. Only time with a
+// backlog counts: without one the rate would be that of the arrivals.
+type Drain struct {
+	busy   bool
+	since  time.Time
+	tokens rate
+	time   rate // seconds with a backlog
+}
+
+// Backlog tells whether the queue holds anything from now on.
+func (d *Drain) Backlog(busy bool, now time.Time) {
+	if d.busy {
+		d.time.add(max(now.Sub(d.since), 0).Seconds(), now, drainTime)
+	}
+	d.busy = busy
+	d.since = now
+}
+
+// Served counts the cost of an entry that left the queue to be served.
+func (d *Drain) Served(cost int, now time.Time) {
+	d.tokens.add(float64(cost), now, drainTime)
+}
+
+// minMeasured is the least busy time, in seconds, that gives a rate.
+const minMeasured = 0.05
+
+// Time returns how long a backlog takes; ok is false while nothing was measured.
+func (d *Drain) Time(cost int, now time.Time) (t time.Duration, ok bool) {
+	d.Backlog(d.busy, now)
+	d.tokens.decay(now, drainTime)
+	d.time.decay(now, drainTime)
+	if d.time.sum < minMeasured || d.tokens.sum < 1 {
+		return 0, false
+	}
+	return seconds(float64(cost) * d.time.sum / d.tokens.sum), true
+}
--- /dev/null
+++ b/internal/core/admission/limiter.go
@@ -0,0 +1,248 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+)
+
+// Defaults of a Limiter.
+const (
+	DefaultFloorShare = 0.2
+	DefaultStaleAfter = 15 * time.Second
+	DefaultHoldFor    = 10 * time.Minute
+	DefaultDemandTime = 10 * time.Second
+	DefaultBurst      = time.Second
+	DefaultMaxNodes   = 64
+)
+
+// LimiterOptions configures a Limiter.
+type LimiterOptions struct {
+	Host, Domain  string
+	ExpectedHosts int           // hosts of the site; until half of them are heard the limits are divided evenly by it
+	FloorShare    float64       // part of each limit that is spread evenly; DefaultFloorShare when zero
+	StaleAfter    time.Duration // a host not heard for longer is silent; DefaultStaleAfter when zero
+	HoldFor       time.Duration // a silent domain keeps its part for so long; DefaultHoldFor when zero
+	DemandTime    time.Duration // time constant of recent demand; DefaultDemandTime when zero
+	Burst         time.Duration // tokens a second that may come at once, as time; DefaultBurst when zero
+	MaxNodes      int           // nodes in a digest, those with the most demand; DefaultMaxNodes when zero
+}
+
+// Node is one place whose limits a request must fit: a settings path, or the
+// customer. Names are unique; paths begin with a slash.
+type Node struct {
+	Name   string
+	Limits settings.Limits
+}
+
+// Cost is what a request takes from the limits.
+type Cost struct {
+	PromptTokens int
+	TotalTokens  int // prompt and answer, estimated
+}
+
+// Verdict is the answer to Admit.
+type Verdict struct {
+	OK         bool
+	Node       string        // whose limit was met
+	Limit      LimitKind     // which one
+	RetryAfter time.Duration // estimate; zero when the request alone is over the limit and never fits
+}
+
+// LimitKind names one of a node's limits.
+type LimitKind uint8
+
+// Kinds of limit.
+const (
+	RequestsInFlight LimitKind = iota
+	PromptTokensInFlight
+	TokensPerSecond
+)
+
+var limitNames = [...]string{"requests_in_flight", "prompt_tokens_in_flight", "tokens_per_second"}
+
+// String returns the limit's key in the settings.
+func (k LimitKind) String() string {
+	if int(k) >= len(limitNames) {
+		return "unknown"
+	}
+	return limitNames[k]
+}
+
+// Limiter holds this host's use of the limits. It is not safe for concurrent use.
+type Limiter struct {
+	opts    LimiterOptions
+	nodes   map[string]*node
+	scratch []*node
+	own     *digest
+	view    view
+}
+
+// NewLimiter returns a Limiter that knows of no peer yet.
+func NewLimiter(o LimiterOptions) *Limiter {
+	o.ExpectedHosts = max(o.ExpectedHosts, 1)
+	o.FloorShare = cmp.Or(o.FloorShare, DefaultFloorShare)
+	o.StaleAfter = cmp.Or(o.StaleAfter, DefaultStaleAfter)
+	o.HoldFor = cmp.Or(o.HoldFor, DefaultHoldFor)
+	o.DemandTime = cmp.Or(o.DemandTime, DefaultDemandTime)
+	o.Burst = cmp.Or(o.Burst, DefaultBurst)
+	o.MaxNodes = cmp.Or(o.MaxNodes, DefaultMaxNodes)
+	l := &Limiter{opts: o, nodes: make(map[string]*node)}
+	l.own = &digest{Usage: Usage{Host: o.Host, Domain: o.Domain, Hosts: 1}, hash: hashName(o.Host)}
+	l.view = view{host: o.Host, domain: o.Domain, peers: make(map[digestKey]*digest)}
+	l.view.refresh(l.own, o.StaleAfter, o.HoldFor, time.Time{})
+	return l
+}
+
+// Admit takes the cost from each node of the chain, or from none. A refused
+// request counts as demand all the same, so that the host's share can grow.
+func (l *Limiter) Admit(chain []Node, c Cost, now time.Time) Verdict {
+	l.scratch = l.scratch[:0]
+	for i := range chain {
+		n := l.node(&chain[i])
+		n.recent.decay(now, l.opts.DemandTime)
+		n.recent.requests++
+		n.recent.tokens += float64(c.TotalTokens)
+		l.scratch = append(l.scratch, n)
+	}
+	for i, n := range l.scratch {
+		if kind, wait, ok := l.check(n, c, now); !ok {
+			return Verdict{Node: chain[i].Name, Limit: kind, RetryAfter: wait}
+		}
+	}
+	for _, n := range l.scratch {
+		n.inFlight++
+		n.promptTokens += c.PromptTokens
+		if n.limits.TokensPerSecond > 0 {
+			n.bucket.level -= float64(c.TotalTokens)
+		}
+	}
+	return Verdict{OK: true}
+}
+
+// Done gives back what an admitted request held. The estimate taken from tokens a
+// second is put right with what the request used, prompt and answer; zero when it
+// never ran.
+func (l *Limiter) Done(chain []Node, c Cost, usedTokens int, now time.Time) {
+	for i := range chain {
+		n := l.nodes[chain[i].Name]
+		if n == nil {
+			continue
+		}
+		n.inFlight--
+		n.promptTokens -= c.PromptTokens
+		if n.limits.TokensPerSecond > 0 {
+			n.bucket.level += float64(c.TotalTokens - usedTokens)
+		}
+		n.recent.decay(now, l.opts.DemandTime)
+		n.recent.done++
+		n.recent.freed += float64(c.PromptTokens)
+	}
+}
+
+// Usage returns this host's digest. The shares follow the digest last returned,
+// not newer demand: only so do all hosts divide by the same figures.
+func (l *Limiter) Usage(now time.Time) Usage {
+	u := Usage{Host: l.opts.Host, Domain: l.opts.Domain, Hosts: 1}
+	for name, n := range l.nodes {
+		n.recent.decay(now, l.opts.DemandTime)
+		l.fill(n, now)
+		if n.idle() {
+			delete(l.nodes, name)
+			continue
+		}
+		requests := saturate(uint64(n.recent.requests * requestUnit))
+		if requests == 0 || n.limits == (settings.Limits{}) {
+			continue
+		}
+		u.Nodes = append(u.Nodes, NodeUsage{Node: n.id, Requests: requests, Tokens: saturate(uint64(n.recent.tokens))})
+	}
+	if len(u.Nodes) > l.opts.MaxNodes {
+		slices.SortFunc(u.Nodes, func(a, b NodeUsage) int { return cmp.Compare(b.Requests, a.Requests) })
+		u.Nodes = u.Nodes[:l.opts.MaxNodes]
+	}
+	slices.SortFunc(u.Nodes, compareNodes)
+	l.own = &digest{Usage: u, hash: hashName(u.Host), at: now}
+	return u
+}
+
+// ApplyPeers takes digests of other hosts, or of whole domains, heard at now. They
+// count from the next Refresh on.
+func (l *Limiter) ApplyPeers(us []Usage, now time.Time) { l.view.apply(us, now) }
+
+// DomainUsage returns the sum over the own domain, for gateways to other domains.
+func (l *Limiter) DomainUsage() Usage { return l.view.sum() }
+
+// SetExpectedHosts tells how many hosts the site has, as the membership sees it.
+// It counts from the next Refresh on.
+func (l *Limiter) SetExpectedHosts(n int) { l.opts.ExpectedHosts = max(n, 1) }
+
+// Forget drops a host that has left for good, from the next Refresh on.
+func (l *Limiter) Forget(domain, host string) { delete(l.view.peers, digestKey{domain, host}) }
+
+// Share returns this host's part of a node's limits. Zero in a field whose limit
+// is set means that nothing may enter here.
+func (l *Limiter) Share(n Node) settings.Limits { return l.node(&n).share }
+
+// Refresh divides the limits anew by the digests heard so far. To be called once
+// an interval, after Usage and ApplyPeers.
+func (l *Limiter) Refresh(now time.Time) {
+	l.view.refresh(l.own, l.opts.StaleAfter, l.opts.HoldFor, now)
+	for _, n := range l.nodes {
+		l.divide(n)
+	}
+}
+
+func (l *Limiter) divide(n *node) {
+	n.share = l.view.divide(n.limits, n.id, l.opts.FloorShare, l.opts.ExpectedHosts)
+}
+
+// node returns the state of a node, with the limits that are in force now.
+func (l *Limiter) node(of *Node) *node {
+	n := l.nodes[of.Name]
+	if n != nil && n.limits == of.Limits {
+		return n
+	}
+	if n == nil {
+		n = &node{id: NodeID(of.Name)}
+		l.nodes[of.Name] = n
+	}
+	n.limits = of.Limits
+	if n.limits.TokensPerSecond == 0 {
+		n.bucket = bucket{}
+	}
+	l.divide(n)
+	return n
+}
+
+// check reports whether the cost fits the host's share of the node's limits.
+func (l *Limiter) check(n *node, c Cost, now time.Time) (LimitKind, time.Duration, bool) {
+	if n.limits.RequestsInFlight > 0 && n.inFlight >= n.share.RequestsInFlight {
+		return RequestsInFlight, n.waitFor(1, n.recent.done, l.opts.DemandTime), false
+	}
+	if limit := n.limits.PromptTokensInFlight; limit > 0 {
+		if c.PromptTokens > limit {
+			return PromptTokensInFlight, 0, false
+		}
+		// A prompt longer than the host's share enters when it is alone: else
+		// the longest that the limit allows could enter nowhere.
+		over := n.promptTokens + c.PromptTokens - n.share.PromptTokensInFlight
+		if over > 0 && n.promptTokens > 0 {
+			return PromptTokensInFlight, n.waitFor(float64(over), n.recent.freed, l.opts.DemandTime), false
+		}
+	}
+	if n.limits.TokensPerSecond > 0 {
+		l.fill(n, now)
+		if n.bucket.level <= 0 {
+			return TokensPerSecond, clampWait(n.bucket.wait(float64(n.share.TokensPerSecond))), false
+		}
+	}
+	return 0, 0, true
+}
+
+func (l *Limiter) fill(n *node, now time.Time) {
+	perSecond := float64(n.share.TokensPerSecond)
+	n.bucket.fill(perSecond, perSecond*l.opts.Burst.Seconds(), now)
+}
--- /dev/null
+++ b/internal/core/admission/queue.go
@@ -0,0 +1,311 @@
+package admission
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+)
+
+// Defaults of a Queue.
+const (
+	DefaultMaxRequests = 4096
+	DefaultMaxTokens   = 16_000_000
+	DefaultAgeAfter    = 5 * time.Second
+	DefaultAgedEvery   = 8
+)
+
+// customerShare bounds a customer's backlog by what its class has left: with a
+// share of 2 one customer alone fills two thirds, and room for others remains.
+const customerShare = 2
+
+// classFill is the part of the bounds that a class and those below it may fill,
+// in tenths: bulk work never keeps an urgent call out.
+var classFill = [request.NumPriorities]int{10, 9, 8}
+
+// QueueOptions configures a Queue.
+type QueueOptions struct {
+	MaxRequests int           // DefaultMaxRequests when zero
+	MaxTokens   int           // prompt tokens; DefaultMaxTokens when zero
+	AgeAfter    time.Duration // an entry that waited longer is aged; DefaultAgeAfter when zero
+	AgedEvery   int           // while aged entries wait, every so many pops serve the oldest; DefaultAgedEvery when zero
+}
+
+// Entry is one waiting request. The queue owns it from Push until it is popped,
+// removed or handed back as expired.
+type Entry struct {
+	ID          string
+	Customer    string
+	Weight      int // of the customer, 1 when less
+	Priority    request.Priority
+	Lane        uint64    // entries of one lane need the same kind of capacity
+	Tokens      int       // of the prompt
+	Cost        int       // what fairness counts, in tokens; Tokens when zero
+	LatestStart time.Time // after it the deadline cannot be met
+	Value       any       // the caller's
+
+	pushed time.Time
+	lane   *lane
+	links  [numLists]links
+	expiry int // index in the expiry heap, -1 when not queued
+}
+
+// Queue holds the requests that wait for a pool. Order: urgent before normal
+// before bulk; within a class start-time fair queueing among customers by cost
+// over weight; within a customer and lane first in, first out. It is not safe for
+// concurrent use.
+//
+// Invariant: an entry is in the queue exactly as long as it is in byID, in one
+// lane, in its class's list by age, and in the expiry heap.
+type Queue struct {
+	opts      QueueOptions
+	byID      map[string]*Entry
+	classes   [request.NumPriorities]class
+	customers map[string]*backlog
+	expiry    expiryHeap
+	tokens    int
+	skipped   int // pops that passed over an aged entry since one was served
+	blocked   []laneLimit
+}
+
+// backlog is what one customer has queued, by class.
+type backlog [request.NumPriorities]struct{ requests, tokens int }
+
+// upTo adds up the class and those above it.
+func (b *backlog) upTo(p request.Priority) (requests, tokens int) {
+	for _, c := range b[:p+1] {
+		requests += c.requests
+		tokens += c.tokens
+	}
+	return requests, tokens
+}
+
+// laneLimit says that an entry found no place, nor would one of its lane that is
+// as long and as urgent at most.
+type laneLimit struct {
+	lane     uint64
+	tokens   int
+	priority request.Priority
+}
+
+// NewQueue returns an empty Queue.
+func NewQueue(o QueueOptions) *Queue {
+	q := &Queue{byID: make(map[string]*Entry), customers: make(map[string]*backlog)}
+	for i := range q.classes {
+		q.classes[i].flows = make(map[string]*flow)
+	}
+	q.SetOptions(o)
+	return q
+}
+
+// SetOptions changes the bounds. Entries that are queued stay.
+func (q *Queue) SetOptions(o QueueOptions) {
+	o.MaxRequests = cmp.Or(max(o.MaxRequests, 0), DefaultMaxRequests)
+	o.MaxTokens = cmp.Or(max(o.MaxTokens, 0), DefaultMaxTokens)
+	o.AgeAfter = cmp.Or(o.AgeAfter, DefaultAgeAfter)
+	o.AgedEvery = cmp.Or(o.AgedEvery, DefaultAgedEvery)
+	q.opts = o
+}
+
+// Len returns how many entries wait.
+func (q *Queue) Len() int { return len(q.byID) }
+
+// Tokens returns the prompt tokens of the waiting entries.
+func (q *Queue) Tokens() int { return q.tokens }
+
+// Push adds an entry. It returns a *FullError when there is no room, an
+// ExpiredError when it is too late already, and a *DuplicateError when the ID is
+// queued.
+func (q *Queue) Push(e *Entry, now time.Time) error {
+	e.Priority = min(e.Priority, request.Bulk)
+	if !now.Before(e.LatestStart) {
+		return ExpiredError{}
+	}
+	if _, ok := q.byID[e.ID]; ok {
+		return &DuplicateError{ID: e.ID}
+	}
+	if err := q.room(e); err != nil {
+		return err
+	}
+	e.Weight = max(e.Weight, 1)
+	e.Cost = max(cmp.Or(e.Cost, e.Tokens), 1)
+	e.pushed = now
+	q.byID[e.ID] = e
+	q.tokens += e.Tokens
+	b := q.customers[e.Customer]
+	if b == nil {
+		b = &backlog{}
+		q.customers[e.Customer] = b
+	}
+	b[e.Priority].requests++
+	b[e.Priority].tokens += e.Tokens
+	q.class(e).push(e)
+	q.expiry.push(e)
+	return nil
+}
+
+// Pop removes and returns the first entry, in order, for which can is true, nil
+// when there is none. After can returned true it is not called again. It must be
+// monotone: when an entry finds no place, no entry of its lane that has as many
+// tokens and is no more urgent would; those are not asked about in the same Pop.
+// An entry whose time is over is not offered.
+func (q *Queue) Pop(can func(*Entry) bool, now time.Time) *Entry {
+	q.blocked = q.blocked[:0]
+	if e := q.findAged(can, now); e != nil {
+		q.skipped = 0
+		return q.take(e)
+	}
+	if e := q.findFair(can, now); e != nil {
+		q.countSkipped(e.Priority, now)
+		return q.take(e)
+	}
+	return nil
+}
+
+// Remove takes an entry out, as when its caller has gone; nil when it is not
+// queued.
+func (q *Queue) Remove(id string) *Entry {
+	e := q.byID[id]
+	if e != nil {
+		q.remove(e)
+	}
+	return e
+}
+
+// Tick removes and returns the entries that can no longer meet their deadline.
+func (q *Queue) Tick(now time.Time) []*Entry {
+	var expired []*Entry
+	for len(q.expiry) > 0 && !now.Before(q.expiry[0].LatestStart) {
+		e := q.expiry[0]
+		q.remove(e)
+		expired = append(expired, e)
+	}
+	return expired
+}
+
+// NextExpiry returns when Tick is due; ok is false when the queue is empty.
+func (q *Queue) NextExpiry() (t time.Time, ok bool) {
+	if len(q.expiry) == 0 {
+		return time.Time{}, false
+	}
+	return q.expiry[0].LatestStart, true
+}
+
+// Ahead estimates the cost that is served before an entry like e: all of the
+// classes above, the customer's own backlog in the class, and of each other
+// customer as much as fair queueing lets pass meanwhile.
+func (q *Queue) Ahead(e *Entry) int {
+	priority := min(e.Priority, request.Bulk)
+	ahead := q.classes[priority].ahead(e)
+	for i := range q.classes[:priority] {
+		ahead += q.classes[i].cost
+	}
+	return ahead
+}
+
+func (q *Queue) class(e *Entry) *class { return &q.classes[e.Priority] }
+
+// room returns a *FullError when the entry does not fit. An entry that finds the
+// queue empty fits always, however long its prompt.
+func (q *Queue) room(e *Entry) error {
+	if len(q.byID) == 0 {
+		return nil
+	}
+	fill := classFill[e.Priority]
+	freeRequests := q.opts.MaxRequests*fill/10 - len(q.byID)
+	freeTokens := q.opts.MaxTokens*fill/10 - q.tokens
+	if freeRequests < 1 || freeTokens < e.Tokens {
+		return &FullError{Requests: len(q.byID), Tokens: q.tokens}
+	}
+	own := q.customers[e.Customer]
+	if own == nil {
+		return nil
+	}
+	requests, tokens := own.upTo(e.Priority)
+	if requests >= customerShare*freeRequests || tokens+e.Tokens > customerShare*freeTokens {
+		return &FullError{Requests: len(q.byID), Tokens: q.tokens, Customer: true}
+	}
+	return nil
+}
+
+// findAged finds the oldest aged entry that fits, of the classes that strict
+// priority could starve, when it is their turn.
+func (q *Queue) findAged(can func(*Entry) bool, now time.Time) *Entry {
+	if q.skipped < q.opts.AgedEvery-1 {
+		return nil
+	}
+	normal, bulk := q.classes[request.Normal].byAge.first, q.classes[request.Bulk].byAge.first
+	for {
+		next := &normal
+		if normal == nil || bulk != nil && bulk.pushed.Before(normal.pushed) {
+			next = &bulk
+		}
+		e := *next
+		if e == nil || !q.aged(e, now) {
+			return nil
+		}
+		if q.fits(e, can, now) {
+			return e
+		}
+		*next = e.links[listByAge].next
+	}
+}
+
+func (q *Queue) findFair(can func(*Entry) bool, now time.Time) *Entry {
+	for i := range q.classes {
+		if e := q.classes[i].find(func(e *Entry) bool { return q.fits(e, can, now) }); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+// countSkipped notes that an entry of a class was served while a lower one holds
+// an aged entry.
+func (q *Queue) countSkipped(served request.Priority, now time.Time) {
+	for _, c := range q.classes[served+1:] {
+		if e := c.byAge.first; e != nil && q.aged(e, now) {
+			q.skipped++
+			return
+		}
+	}
+}
+
+func (q *Queue) aged(e *Entry, now time.Time) bool { return now.Sub(e.pushed) >= q.opts.AgeAfter }
+
+// fits asks about an entry, unless a like one was refused in this Pop.
+func (q *Queue) fits(e *Entry, can func(*Entry) bool, now time.Time) bool {
+	if !now.Before(e.LatestStart) {
+		return false
+	}
+	for _, b := range q.blocked {
+		if e.Lane == b.lane && e.Tokens >= b.tokens && e.Priority >= b.priority {
+			return false
+		}
+	}
+	if can(e) {
+		return true
+	}
+	q.blocked = append(q.blocked, laneLimit{e.Lane, e.Tokens, e.Priority})
+	return false
+}
+
+// take removes an entry that is served and charges its customer.
+func (q *Queue) take(e *Entry) *Entry {
+	q.class(e).charge(e)
+	q.remove(e)
+	return e
+}
+
+func (q *Queue) remove(e *Entry) {
+	delete(q.byID, e.ID)
+	q.tokens -= e.Tokens
+	b := q.customers[e.Customer]
+	b[e.Priority].requests--
+	b[e.Priority].tokens -= e.Tokens
+	if *b == (backlog{}) {
+		delete(q.customers, e.Customer)
+	}
+	q.class(e).remove(e)
+	q.expiry.remove(e)
+}
--- /dev/null
+++ b/internal/core/admission/usage.go
@@ -0,0 +1,192 @@
+package admission
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Usage is a host's recent demand for limits, as spread to its peers. A gateway
+// may send the sum of its domain instead.
+type Usage struct {
+	Host   string // empty in the sum of a domain
+	Domain string
+	Hosts  int         // hosts summed up; 1 for a host's own
+	Nodes  []NodeUsage // by Node, upwards
+}
+
+// NodeUsage is the demand for the limits of one node of the settings.
+type NodeUsage struct {
+	Node     uint32 // NodeID of its name
+	Requests uint32 // hundredths of a request, decayed sum
+	Tokens   uint32 // decayed sum
+}
+
+// requestUnit is the resolution of NodeUsage.Requests.
+const requestUnit = 100
+
+// NodeID returns the number that stands for a node's name in digests.
+func NodeID(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// find returns the demand for a node, zero when the digest does not name it.
+func (u *Usage) find(id uint32) NodeUsage {
+	i, ok := slices.BinarySearchFunc(u.Nodes, id, func(n NodeUsage, id uint32) int { return cmp.Compare(n.Node, id) })
+	if !ok {
+		return NodeUsage{}
+	}
+	return u.Nodes[i]
+}
+
+// digest is a Usage with the time it was heard.
+type digest struct {
+	Usage
+	hash uint64 // of the host's name
+	at   time.Time
+}
+
+type digestKey struct{ domain, host string }
+
+// view is what a limiter knows of the hosts that share the limits.
+type view struct {
+	host, domain string
+	peers        map[digestKey]*digest
+	hosts        []*digest // of the own domain, itself included, by name
+	alone        bool      // all others of the own domain are silent
+	domains      []domainView
+}
+
+// domainView is one failure domain in the division of a limit. While a domain is
+// silent the list is not rebuilt: see refresh.
+type domainView struct {
+	name  string
+	hash  uint64
+	hosts int
+	parts []*digest
+}
+
+// apply stores digests of others; the own one is ignored.
+func (v *view) apply(us []Usage, now time.Time) {
+	for _, u := range us {
+		if u.Domain == "" || u.Host == v.host && u.Domain == v.domain {
+			continue
+		}
+		u.Hosts = max(u.Hosts, 1)
+		if !slices.IsSortedFunc(u.Nodes, compareNodes) {
+			u.Nodes = slices.SortedFunc(slices.Values(u.Nodes), compareNodes)
+		}
+		v.peers[digestKey{u.Domain, u.Host}] = &digest{Usage: u, hash: hashName(u.Host), at: now}
+	}
+}
+
+func compareNodes(a, b NodeUsage) int { return cmp.Compare(a.Node, b.Node) }
+
+// refresh rebuilds the view. Within the own domain a silent host is dropped, for
+// the balancer sends its callers to the others; when all others are silent they
+// are kept, for then it is this host that is cut off. As long as another domain
+// is silent the division among domains stays as it was when all were last heard:
+// the other side of a cut does the same, so the parts still add up to the limit.
+func (v *view) refresh(own *digest, stale, hold time.Duration, now time.Time) {
+	for k, d := range v.peers {
+		if now.Sub(d.at) > hold {
+			delete(v.peers, k)
+		}
+	}
+	v.refreshHosts(own, stale, now)
+	if len(v.domains) > 0 && !v.allHeard(stale, now) {
+		return
+	}
+	v.refreshDomains(stale, now)
+}
+
+func (v *view) refreshHosts(own *digest, stale time.Duration, now time.Time) {
+	var fresh, silent []*digest
+	for k, d := range v.peers {
+		switch {
+		case k.domain != v.domain || k.host == "":
+		case now.Sub(d.at) <= stale:
+			fresh = append(fresh, d)
+		default:
+			silent = append(silent, d)
+		}
+	}
+	v.alone = len(fresh) == 0 && len(silent) > 0
+	if v.alone {
+		fresh = silent
+	}
+	v.hosts = append(fresh, own)
+	slices.SortFunc(v.hosts, func(a, b *digest) int { return cmp.Compare(a.Host, b.Host) })
+}
+
+// allHeard reports whether each known domain but the own was heard lately, and
+// the own too unless this host is the only one of it.
+func (v *view) allHeard(stale time.Duration, now time.Time) bool {
+	heard := make(map[string]bool)
+	for k, d := range v.peers {
+		heard[k.domain] = heard[k.domain] || now.Sub(d.at) <= stale
+	}
+	for domain, ok := range heard {
+		if !ok && (domain != v.domain || v.alone) {
+			return false
+		}
+	}
+	return true
+}
+
+func (v *view) refreshDomains(stale time.Duration, now time.Time) {
+	byName := map[string]*domainView{v.domain: {name: v.domain, hash: hashName(v.domain), hosts: len(v.hosts), parts: v.hosts}}
+	for k, d := range v.peers {
+		if k.domain == v.domain || now.Sub(d.at) > stale {
+			continue
+		}
+		if sum, ok := v.peers[digestKey{k.domain, ""}]; ok && now.Sub(sum.at) <= stale && sum != d {
+			continue // the sum stands for the domain's hosts
+		}
+		dv := byName[k.domain]
+		if dv == nil {
+			dv = &domainView{name: k.domain, hash: hashName(k.domain)}
+			byName[k.domain] = dv
+		}
+		dv.hosts += d.Hosts
+		dv.parts = append(dv.parts, d)
+	}
+	v.domains = v.domains[:0]
+	for _, dv := range byName {
+		v.domains = append(v.domains, *dv)
+	}
+	slices.SortFunc(v.domains, func(a, b domainView) int { return cmp.Compare(a.name, b.name) })
+}
+
+// known returns how many hosts the division counts.
+func (v *view) known() int {
+	n := 0
+	for _, d := range v.domains {
+		n += d.hosts
+	}
+	return n
+}
+
+// sum adds up the digests of the own domain, for a gateway to send.
+func (v *view) sum() Usage {
+	total := Usage{Domain: v.domain, Hosts: len(v.hosts)}
+	at := make(map[uint32]int)
+	for _, d := range v.hosts {
+		for _, n := range d.Nodes {
+			i, ok := at[n.Node]
+			if !ok {
+				i = len(total.Nodes)
+				at[n.Node] = i
+				total.Nodes = append(total.Nodes, NodeUsage{Node: n.Node})
+			}
+			t := &total.Nodes[i]
+			t.Requests = saturate(uint64(t.Requests) + uint64(n.Requests))
+			t.Tokens = saturate(uint64(t.Tokens) + uint64(n.Tokens))
+		}
+	}
+	slices.SortFunc(total.Nodes, compareNodes)
+	return total
+}
+
+func saturate(x uint64) uint32 { return uint32(min(x, math.MaxUint32)) }
