Daemon: peers, settings follower, engine owners and their digests wired in

Cause: the thin daemon read the settings log by itself, polled every engine from every front and forgot cancels at its end. Ruled out: keeping the direct polls beside the owners' digests: at 60 hosts and 126 engines a domain they cost 30 k requests a second and grow with fronts times engines. Direct looks stay for upstreams that fail or of which no fresh report is heard (older than 2.5 s), so that a front without owners still sees its engines. Change: internal/daemon builds node, follower, owner, holder and front in order; the holder tracks each attempt from before it is sent until its end is confirmed; test fault switches behind test_faults.

--- /dev/null
+++ b/internal/daemon/build.go
@@ -0,0 +1,193 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/config"
+	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+	"github.com/buckthorndock/buckthorndock/internal/follow"
+	"github.com/buckthorndock/buckthorndock/internal/front"
+	"github.com/buckthorndock/buckthorndock/internal/owner"
+	"github.com/buckthorndock/buckthorndock/internal/peer"
+	"github.com/buckthorndock/buckthorndock/internal/platform"
+	"github.com/buckthorndock/buckthorndock/internal/router"
+	"github.com/buckthorndock/buckthorndock/internal/upstream"
+)
+
+// Bounds of the HTTP server.
+const (
+	headerTimeout  = 5 * time.Second
+	maxHeaderBytes = 32 << 10
+	idleTimeout    = 2 * time.Minute
+	journalSize    = 2000
+)
+
+// publishEvery is the time between two digests of the engines that this host
+// owns.
+const publishEvery = 500 * time.Millisecond
+
+// process holds the parts of a running daemon.
+type process struct {
+	cfg         *config.Daemon
+	log         *logrus.Entry
+	incarnation uint64
+	work        context.Context // of the background work
+
+	logService platform.Log
+	hosts      platform.Hosts
+	weights    platform.Weights
+
+	node     *peer.Node
+	peers    *peers
+	follower *follow.Follower
+
+	client  *upstream.Client
+	watcher *upstream.Watcher
+	router  *router.Router
+	engines *owner.HTTPEngines
+	owner   *owner.Service
+	holder  *owner.Holder
+
+	front  *front.Server
+	server *http.Server
+}
+
+// newProcess builds a daemon that does nothing yet but listen to peers.
+func newProcess(work context.Context, cfg *config.Daemon, log *logrus.Entry) (*process, error) {
+	p := &process{cfg: cfg, log: log, work: work, incarnation: uint64(time.Now().UnixMilli())}
+	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildUpstreams, p.buildOwner, p.buildFront}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func (p *process) holderName() ledger.Holder {
+	return ledger.Holder{Host: p.cfg.Host, Incarnation: strconv.FormatUint(p.incarnation, 10)}
+}
+
+func (p *process) buildPlatform() error {
+	logService, err := platform.NewHTTP(p.cfg.Platform.Log, &http.Client{})
+	if err != nil {
+		return err
+	}
+	hosts, err := platform.NewHTTP(p.cfg.Platform.Hosts, &http.Client{})
+	if err != nil {
+		return err
+	}
+	weights, err := platform.NewHTTP(p.cfg.Platform.Weights, &http.Client{})
+	if err != nil {
+		return err
+	}
+	p.logService, p.hosts, p.weights = logService, hosts, weights
+	return nil
+}
+
+func (p *process) buildPeers() error {
+	node, err := peer.New(peer.Options{
+		Host:        p.cfg.Host,
+		Domain:      p.cfg.Domain,
+		Region:      p.cfg.Region,
+		Incarnation: p.incarnation,
+		Listen:      p.cfg.PeerListen,
+		Key:         p.cfg.PeerKey,
+		Seeds:       p.cfg.Seeds,
+		HostList:    p.hosts.List,
+		TestFaults:  p.cfg.TestFaults,
+		Logger:      p.log,
+	})
+	if err != nil {
+		return err
+	}
+	p.node = node
+	p.peers = &peers{Node: node, host: p.cfg.Host, domain: p.cfg.Domain}
+	return nil
+}
+
+func (p *process) buildFollower() error {
+	p.follower = follow.New(follow.Options{Log: p.logService, Peers: p.peers, Logger: p.log})
+	return p.node.Register(follow.Service, p.follower.RPC())
+}
+
+func (p *process) buildUpstreams() error {
+	p.client = upstream.NewClient(upstream.Options{})
+	p.router = router.New(router.Options{
+		Domain:       p.cfg.Domain,
+		SpillDomains: p.peers.reachableDomains,
+		Seed:         p.incarnation,
+	})
+	p.watcher = upstream.NewWatcher(p.client, p.router, upstream.WatchOptions{})
+	p.engines = owner.NewHTTPEngines(&http.Client{}, time.Now)
+	return nil
+}
+
+func (p *process) buildOwner() error {
+	p.owner = owner.New(owner.Options{
+		Engines:      p.engines,
+		Ownership:    p.peers,
+		Publisher:    &publisher{node: p.node, log: p.log},
+		Catalog:      p.catalog,
+		Log:          p.log,
+		PublishEvery: publishEvery,
+	})
+	rpc := p.owner.RPC(p.work)
+	p.holder = owner.NewHolder(owner.HolderOptions{
+		Me:        p.holderName(),
+		Engines:   p.engines,
+		Peers:     p.peers,
+		Ownership: p.peers,
+		Local:     rpc,
+		Log:       p.log,
+	})
+	return p.node.Register(owner.ServiceName, rpc)
+}
+
+// catalog returns the engines of this failure domain.
+func (p *process) catalog() []owner.Engine {
+	var engines []owner.Engine
+	for _, u := range p.follower.Current().Upstreams() {
+		if u.Domain == p.cfg.Domain && u.Pool.Kind == settings.PoolEngine {
+			engines = append(engines, owner.Engine{Name: u.Name, Address: u.Address, Pool: u.Pool.Name})
+		}
+	}
+	return engines
+}
+
+func (p *process) buildFront() error {
+	var err error
+	p.front, err = front.NewServer(front.Options{
+		Host:                p.cfg.Host,
+		Domain:              p.cfg.Domain,
+		Incarnation:         p.holderName().Incarnation,
+		Settings:            p.follower,
+		Router:              p.router,
+		Journal:             router.NewJournal(journalSize),
+		Client:              p.client,
+		Holder:              p.holder,
+		Operator:            &operator{follower: p.follower, peers: p.peers},
+		OperatorTokenSHA256: p.cfg.OperatorTokenSHA256,
+		Log:                 p.log,
+	})
+	if err != nil {
+		return err
+	}
+	handler := p.front.Handler()
+	if p.cfg.TestFaults {
+		handler = withFaults(handler, p.node)
+	}
+	p.server = &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/feed.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+	"github.com/buckthorndock/buckthorndock/internal/core/placement"
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+	"github.com/buckthorndock/buckthorndock/internal/owner"
+	"github.com/buckthorndock/buckthorndock/internal/upstream"
+)
+
+// Times of the loops that feed the router.
+const (
+	digestEvery = 100 * time.Millisecond // between two looks at the owners' digests
+	watchEvery  = 200 * time.Millisecond // between two choices of what to watch
+	staleReport = 2500 * time.Millisecond
+)
+
+// applySettings passes new settings on.
+func (p *process) applySettings(ctx context.Context) error {
+	changed, cancel := p.follower.Subscribe()
+	defer cancel()
+	for {
+		p.router.ApplySettings(p.follower.Current())
+		if err := p.follower.Findings().Err(); err != nil {
+			p.log.WithError(err).Warn("settings_findings")
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// digestKey names one host's life.
+type digestKey struct {
+	host        string
+	incarnation uint64
+}
+
+// readDigests passes the load reports and cache events that engine owners spread
+// on to the router.
+func (p *process) readDigests(ctx context.Context) error {
+	seen := map[digestKey]uint64{} // version last read
+	ticker := time.NewTicker(digestEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+		for _, section := range p.node.Sections(owner.Section) {
+			key := digestKey{section.Host, section.Incarnation}
+			if section.Domain != p.cfg.Domain || seen[key] == section.Version {
+				continue
+			}
+			seen[key] = section.Version
+			p.takeDigest(section)
+		}
+	}
+}
+
+func (p *process) takeDigest(section membership.SectionView) {
+	digest, err := owner.DecodeDigest(section.Data)
+	if err != nil {
+		p.log.WithError(err).WithField("from", section.Host).Warn("digest_undecodable")
+		return
+	}
+	for i := range digest.Engines {
+		e := &digest.Engines[i]
+		incarnation := strconv.FormatUint(uint64(e.Inc), 16)
+		p.router.Report(e.Name, reportOf(e.Load(), incarnation, section.At))
+		p.router.CacheEvents(e.Name, incarnation, cacheEventsOf(e.Events()))
+	}
+}
+
+func reportOf(l owner.Load, incarnation string, at time.Time) placement.Report {
+	return placement.Report{
+		Incarnation:   incarnation,
+		Seq:           l.Seq,
+		Taken:         at.Add(-l.Age),
+		Step:          l.Step,
+		PrefillRate:   l.PrefillRate,
+		DecodeRate:    l.DecodeRate,
+		Queued:        l.Queued,
+		QueuedPrefill: l.QueuedPrefill,
+		Running:       l.Running,
+		MemoryTotal:   l.MemoryTotal,
+		MemoryUsed:    l.MemoryUsed,
+		BlockTokens:   l.BlockTokens,
+		Models:        l.Models,
+		Leaving:       l.Leaving,
+	}
+}
+
+func cacheEventsOf(events []owner.CacheEvent) []placement.CacheEvent {
+	out := make([]placement.CacheEvent, len(events))
+	for i, e := range events {
+		out[i] = placement.CacheEvent{Seq: e.Seq, Kind: placement.EventKind(e.Kind), Block: e.Block}
+	}
+	return out
+}
+
+// watch has those upstreams of the own domain looked at directly that are not
+// known to be well: failing ones, and engines whose owner tells nothing fresh.
+func (p *process) watch(ctx context.Context) error {
+	defer p.watcher.Wait()
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	for {
+		p.watcher.Watch(ctx, p.unsure())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (p *process) unsure() []upstream.Target {
+	var targets []upstream.Target
+	for _, pool := range p.follower.Current().Pools() {
+		isEngine := pool.Kind == settings.PoolEngine
+		for _, u := range p.router.Upstreams(pool.Name) {
+			stale := isEngine && (!u.Reported || u.ReportAge > staleReport)
+			failing := u.State == placement.Dead || u.State == placement.Suspect
+			if u.Domain == p.cfg.Domain && (stale || failing) {
+				targets = append(targets, upstream.Target{Name: u.Name, Address: u.Address, Engine: isEngine})
+			}
+		}
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+	"github.com/buckthorndock/buckthorndock/internal/follow"
+	"github.com/buckthorndock/buckthorndock/internal/peer"
+)
+
+// numTailers is the number of hosts of a failure domain that read the settings
+// from the log; the others get them from peers.
+const numTailers = 2
+
+// tailerKey is the key whose first owners are the tailers.
+const tailerKey = "settings-tailer"
+
+// peers shows the node to the packages that need a part of it.
+type peers struct {
+	*peer.Node
+	host   string
+	domain string
+}
+
+// Tailer implements follow.Peers.
+func (p *peers) Tailer() bool {
+	for _, m := range p.LocalRank(tailerKey, numTailers) {
+		if m.Host == p.host {
+			return true
+		}
+	}
+	return false
+}
+
+// Sample implements follow.Peers.
+func (p *peers) Sample(n int) []follow.PeerRef {
+	live := p.others()
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	refs := make([]follow.PeerRef, 0, n)
+	for _, m := range live[:min(n, len(live))] {
+		refs = append(refs, follow.PeerRef{Name: m.Host, Address: m.Address})
+	}
+	return refs
+}
+
+// others returns the hosts that can be expected to answer, without this one.
+func (p *peers) others() []membership.Member {
+	return slices.DeleteFunc(slices.Clone(p.Members()), func(m membership.Member) bool {
+		return m.Host == p.host || m.State == membership.Dead
+	})
+}
+
+// Owner implements owner.Ownership: the live host of this failure domain that
+// comes first for a key.
+func (p *peers) Owner(key string) (host, address string, self bool) {
+	m, ok := p.LocalOwner(key)
+	if !ok {
+		return "", "", false
+	}
+	return m.Host, m.Address, m.Host == p.host
+}
+
+// reachableDomains returns the other failure domains with a live host.
+func (p *peers) reachableDomains() []string {
+	var domains []string
+	for _, m := range p.Members() {
+		if m.Domain != p.domain && m.State == membership.Live && !slices.Contains(domains, m.Domain) {
+			domains = append(domains, m.Domain)
+		}
+	}
+	slices.Sort(domains)
+	return domains
+}
+
+// publisher implements owner.Publisher.
+type publisher struct {
+	node *peer.Node
+	log  *logrus.Entry
+}
+
+// Publish implements owner.Publisher.
+func (p *publisher) Publish(section string, data []byte) {
+	if err := p.node.Publish(section, data); err != nil {
+		p.log.WithError(err).WithField("section", section).Error("section_not_published")
+	}
+}
+
--- a/internal/front/auth.go
+++ b/internal/front/auth.go
@@ -69,9 +69,6 @@
 		return id
 	}
 	snap := s.opts.Settings.Current()
-	if snap == nil {
-		return id
-	}
 	if c, ok := snap.CustomerByToken(token); ok {
 		id.customer = c
 	}
@@ -126,7 +123,7 @@
 	var body *ogenerrors.DecodeRequestError
 	switch {
 	case errors.As(err, &security):
-		if s.opts.Settings.Current() == nil {
+		if !s.opts.Settings.Ready() {
 			return request.Refuse(request.CodeNotReady, retryElsewhere, "this daemon has no settings yet")
 		}
 		return request.Refuse(request.CodeUnauthorized, 0, "%s", errNotAuthorized.Error())
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
 	"github.com/buckthorndock/buckthorndock/internal/core/placement"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
@@ -54,12 +55,14 @@
 func (g *generation) onTarget(ctx context.Context, t *target) (refusal *request.Refusal, again bool) {
 	id := placement.ID{Request: g.job.req.ID, Attempt: g.attempt}
 	g.s.opts.Router.Placed(t.placement)
+	g.s.opts.Holder.Track(t.engine(g.job), g.running())
 	end := placement.End{}
 	defer func() { g.s.opts.Router.Finished(id, end) }()
 	for {
 		res := g.stream(ctx, t)
 		if res.complete {
 			end = placement.End{Complete: true, AnswerTokens: g.asm.NextIndex()}
+			g.s.opts.Holder.Done(t.name(), g.running())
 			g.s.retries.success(g.job.routing, time.Now())
 			return g.finish(), false
 		}
@@ -125,9 +128,15 @@
 func (g *generation) abandon(t *target, res streamEnd) {
 	notStarted := res.end == retry.NotWritten || res.end == retry.Refused
 	if notStarted && !res.callerGone {
+		g.s.opts.Holder.Done(t.name(), g.running())
 		return
 	}
-	g.s.opts.Canceller.Cancel(t.address(), g.job.req.ID, g.attempt)
+	g.s.opts.Holder.End(t.engine(g.job), g.running())
+}
+
+// running names the running attempt as a holding of its engine.
+func (g *generation) running() ledger.ID {
+	return ledger.ID{Kind: ledger.Running, Name: g.job.req.ID, Attempt: g.attempt}
 }
 
 // place waits until the request can be placed, or says why it cannot.
--- a/internal/front/operator.go
+++ b/internal/front/operator.go
@@ -56,11 +56,9 @@
 			State: m.State.String(), HeartbeatAgeS: now.Sub(m.LastHeard).Seconds(),
 		})
 	}
-	if snap := s.opts.Settings.Current(); snap != nil {
-		for _, p := range snap.Pools() {
-			for _, u := range s.opts.Router.Upstreams(p.Name) {
-				st.Upstreams = append(st.Upstreams, s.upstreamStatus(p.Kind, u))
-			}
+	for _, p := range s.opts.Settings.Current().Pools() {
+		for _, u := range s.opts.Router.Upstreams(p.Name) {
+			st.Upstreams = append(st.Upstreams, s.upstreamStatus(p.Kind, u))
 		}
 	}
 	return st, nil
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -14,14 +14,17 @@
 	"github.com/buckthorndock/buckthorndock/internal/api/callerapi"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/router"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
 // Settings is what the front needs of the settings' follower.
 type Settings interface {
-	// Current returns what is in force, nil before the first settings.
+	// Current returns what is in force, never nil.
 	Current() *settings.Snapshot
+	// Ready reports whether there are settings to work with.
+	Ready() bool
 }
 
 // Options configure a Server.
@@ -33,7 +36,7 @@
 	Router      *router.Router
 	Journal     *router.Journal
 	Client      *upstream.Client
-	Canceller   *upstream.Canceller
+	Holder      *owner.Holder
 	Operator    Operator // status and settings
 	// OperatorTokenSHA256 is the hex hash of the site's first operator token.
 	OperatorTokenSHA256 string
@@ -131,7 +134,7 @@
 	switch {
 	case s.leaving.Load():
 		return stateLeaving
-	case s.opts.Settings.Current() == nil:
+	case !s.opts.Settings.Ready():
 		return stateStarting
 	}
 	return stateReady
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -5,6 +5,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
 	"github.com/buckthorndock/buckthorndock/internal/core/placement"
+	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
@@ -38,6 +39,11 @@
 func (t *target) name() string    { return t.decision.Chosen.Name }
 func (t *target) address() string { return t.decision.Chosen.Address }
 
+// engine names the engine for the holder.
+func (t *target) engine(j *job) owner.Engine {
+	return owner.Engine{Name: t.name(), Address: t.address(), Pool: j.pool.Name}
+}
+
 // engineRequest returns what is sent to the engine.
 func (g *generation) engineRequest(t *target) *upstream.GenerateRequest {
 	req := g.job.req
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -9,6 +9,12 @@
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	// The programs under test are built from these; importing them keeps go test
+	// from reporting an old result after a change to one.
+	_ "github.com/buckthorndock/buckthorndock/internal/cli"
+	_ "github.com/buckthorndock/buckthorndock/internal/daemon"
+	_ "github.com/buckthorndock/buckthorndock/internal/standin/command"
 )
 
 // binDir holds the programs under test.
