Long prompts: reservations through the owner, gangs for prompts over one engine

Ruled out: sending it to one engine with a larger reservation (no engine holds it), and gathering without owners (two fronts would each hold half). Without an owner a prompt that fits one engine goes unreserved: the engine refuses what it cannot hold.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -87,4 +87,3 @@
 		p.log.WithError(err).WithField("section", section).Error("section_not_published")
 	}
 }
-
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -54,6 +54,9 @@
 // worth while. again asks for another upstream.
 func (g *generation) onTarget(ctx context.Context, t *target) (refusal *request.Refusal, again bool) {
 	id := placement.ID{Request: g.job.req.ID, Attempt: g.attempt}
+	defer g.release(t)
+	g.s.noteGang(t, true)
+	defer g.s.noteGang(t, false)
 	g.s.opts.Router.Placed(t.placement)
 	g.s.opts.Holder.Track(t.engine(g.job), g.running())
 	end := placement.End{}
@@ -145,7 +148,11 @@
 		changed := g.s.opts.Router.Changed()
 		t, verdict := g.decide()
 		if verdict == nil {
-			return t, nil
+			ok, refusal := g.secure(ctx, t)
+			if ok || refusal != nil {
+				return t, g.refused(refusal)
+			}
+			verdict = &noPlace{wait: true}
 		}
 		if !verdict.wait {
 			return nil, g.refused(verdict.refusal)
@@ -174,7 +181,7 @@
 // refused corrects a refusal's outcome: what an earlier attempt wrote may have
 // run.
 func (g *generation) refused(r *request.Refusal) *request.Refusal {
-	if !g.earlierWrote {
+	if r == nil || !g.earlierWrote {
 		return r
 	}
 	changed := *r
@@ -185,33 +192,35 @@
 	return &changed
 }
 
-// verdict says why a request was not placed.
-type verdict struct {
+// noPlace says why a request was not placed.
+type noPlace struct {
 	wait    bool // it may be placed later
 	refusal *request.Refusal
 }
 
 // decide asks the router once.
-func (g *generation) decide() (*target, *verdict) {
+func (g *generation) decide() (*target, *noPlace) {
 	ask := router.Ask(g.job.req, g.job.pool.Name, g.job.routing)
 	ask.Exclude = g.exclude
 	d, err := g.s.opts.Router.Place(ask)
 	if err != nil {
-		return nil, &verdict{refusal: request.Refuse(request.CodeInternal, retryElsewhere, "placement failed")}
+		return nil, &noPlace{refusal: request.Refuse(request.CodeInternal, retryElsewhere, "placement failed")}
 	}
 	switch d.Verdict {
 	case placement.Placed:
 		g.s.noteDecision(g.job, g.attempt, d, []string{d.Chosen.Name})
 		return newTarget(g.job, g.attempt, d), nil
-	case placement.WaitMemory, placement.NeedsGang:
-		return nil, &verdict{wait: true}
+	case placement.WaitMemory:
+		return nil, &noPlace{wait: true}
+	case placement.NeedsGang:
+		return g.decideGang(ask, d)
 	case placement.NeverPossible:
 		g.s.noteDecision(g.job, g.attempt, d, nil)
-		return nil, &verdict{refusal: request.Refuse(request.CodeNeverPossible, 0,
+		return nil, &noPlace{refusal: request.Refuse(request.CodeNeverPossible, 0,
 			"needs %d tokens of memory, at most %d can be gathered", ask.Need(), d.MemoryLimit)}
 	case placement.TooLate:
 		g.s.noteDecision(g.job, g.attempt, d, nil)
-		return nil, &verdict{refusal: request.Refuse(request.CodeDeadline, max(d.Backlog.Drain(), retryElsewhere),
+		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, max(d.Backlog.Drain(), retryElsewhere),
 			"the deadline cannot be met at the present load")}
 	}
 	if len(g.exclude) > 0 {
@@ -220,6 +229,26 @@
 		return g.decide()
 	}
 	g.s.noteDecision(g.job, g.attempt, d, nil)
-	return nil, &verdict{refusal: request.Refuse(request.CodeNoUpstream, max(d.Backlog.Drain(), retryElsewhere),
+	return nil, &noPlace{refusal: request.Refuse(request.CodeNoUpstream, max(d.Backlog.Drain(), retryElsewhere),
 		"no upstream of pool %s can take it now", g.job.pool.Name)}
 }
+
+// decideGang chooses the members of a gang. The first in the order of names
+// receives the request.
+func (g *generation) decideGang(ask placement.Ask, d placement.Decision) (*target, *noPlace) {
+	members := g.s.opts.Router.GangMembers(ask)
+	if len(members) == 0 {
+		return nil, &noPlace{wait: true}
+	}
+	d.Chosen = placement.Candidate{Name: members[0].Name, Address: members[0].Address, Domain: d.GangDomain}
+	names := make([]string, len(members))
+	for i, m := range members {
+		names[i] = m.Name
+	}
+	g.s.noteDecision(g.job, g.attempt, d, names)
+	t := newTarget(g.job, g.attempt, d)
+	t.gang = members
+	t.placement.Tokens = members[0].Prefill
+	t.placement.MaxTokens = 0
+	return t, nil
+}
--- a/internal/front/notes.go
+++ b/internal/front/notes.go
@@ -61,6 +61,24 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`buckthorndock_placements_total{class=%q,verdict=%q}`, d.Class, d.Verdict)).Inc()
 }
 
+// noteGang notes the work of the gang's members besides the receiver, or its end.
+func (s *Server) noteGang(t *target, begin bool) {
+	if len(t.gang) == 0 {
+		return
+	}
+	for _, m := range t.gang[1:] {
+		p := t.placement
+		p.ID.Request += "/" + m.Name
+		p.Upstream = m.Name
+		p.Tokens = m.Prefill
+		if begin {
+			s.opts.Router.Placed(p)
+		} else {
+			s.opts.Router.Finished(p.ID, placement.End{})
+		}
+	}
+}
+
 // noteFirstToken measures the time to first token.
 func (s *Server) noteFirstToken(j *job, t *target, cached int, now time.Time) {
 	s.opts.Router.FirstToken(t.placement.ID, cached)
--- /dev/null
+++ b/internal/front/reserve.go
@@ -0,0 +1,99 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
+	"github.com/buckthorndock/buckthorndock/internal/core/placement"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/owner"
+)
+
+// secure has the memory of a long prompt reserved before it is sent. It returns
+// false when the engine has no room now, after a wait that its owner asked for.
+// Without an owner a prompt that fits one engine goes without a reservation; the
+// engine itself refuses what it cannot hold.
+func (g *generation) secure(ctx context.Context, t *target) (bool, *request.Refusal) {
+	if len(t.gang) > 0 {
+		return g.gather(ctx, t)
+	}
+	if t.decision.Class != placement.Long {
+		return true, nil
+	}
+	engine := t.engine(g.job)
+	ask := ledger.Ask{
+		Engine:  engine.Name,
+		ID:      g.reservationName(),
+		Request: g.job.req.ID,
+		Tokens:  int64(g.job.req.TotalTokens()),
+		Until:   time.Now().Add(t.decision.Chosen.Estimate.Finish),
+	}
+	reply, err := g.s.opts.Holder.Reserve(ctx, engine, ask)
+	switch {
+	case err != nil:
+		g.s.log.WithFields(jobFields(g.job)).WithError(err).Warn("owner_unreachable")
+		return true, nil
+	case reply.Granted:
+		t.reservation = ask.ID
+		return true, nil
+	case reply.RetryAfter == 0:
+		g.exclude = append(g.exclude, engine.Name)
+		return false, nil
+	}
+	g.pause(ctx, reply.RetryAfter)
+	return false, nil
+}
+
+// reservationName names the reservations of the running attempt.
+func (g *generation) reservationName() string {
+	return fmt.Sprintf("%s#%d", g.job.req.ID, g.attempt)
+}
+
+func (g *generation) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// gather has memory reserved on all members of a gang, or on none.
+func (g *generation) gather(ctx context.Context, t *target) (bool, *request.Refusal) {
+	gang := ledger.Gang{
+		Request:  g.reservationName(),
+		Pool:     g.job.pool.Name,
+		Deadline: g.job.req.Deadline,
+	}
+	var engines []owner.Engine
+	for _, m := range t.gang {
+		gang.Members = append(gang.Members, ledger.Member{Engine: m.Name, Tokens: m.Tokens})
+		engines = append(engines, owner.Engine{Name: m.Name, Address: m.Address, Pool: g.job.pool.Name})
+	}
+	id, err := g.s.opts.Holder.Gather(ctx, ledger.GatherOptions{}, gang, engines)
+	if err == nil {
+		t.reservation = id
+		return true, nil
+	}
+	g.s.log.WithFields(jobFields(g.job)).WithError(err).Info("gang_not_gathered")
+	if ctx.Err() != nil {
+		return false, g.ended(ctx)
+	}
+	g.pause(ctx, placeRetry)
+	return false, nil
+}
+
+// release gives back what secure has reserved.
+func (g *generation) release(t *target) {
+	if t.reservation == "" {
+		return
+	}
+	id := ledger.ID{Kind: ledger.Reservation, Name: t.reservation}
+	if len(t.gang) == 0 {
+		g.s.opts.Holder.End(t.engine(g.job), id)
+		return
+	}
+	for _, m := range t.gang {
+		g.s.opts.Holder.End(owner.Engine{Name: m.Name, Address: m.Address, Pool: g.job.pool.Name}, id)
+	}
+}
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -14,8 +14,8 @@
 	decision  placement.Decision
 	placement placement.Placement
 
-	reservation string   // id of the memory held for it, empty without
-	gang        []string // addresses of the members, the receiver first
+	reservation string                 // id of the memory held for it, empty without
+	gang        []placement.GangMember // the receiver first; nil for one engine
 }
 
 func newTarget(j *job, attempt int, d placement.Decision) *target {
@@ -59,7 +59,9 @@
 		ResumeFrom:   g.asm.NextIndex(),
 		DeadlineMs:   engineapi.NewOptInt64(time.Until(req.Deadline).Milliseconds()),
 		Holder:       engineapi.Holder{Host: g.s.opts.Host, Incarnation: g.s.opts.Incarnation},
-		Gang:         t.gang,
+	}
+	for _, m := range t.gang {
+		er.Gang = append(er.Gang, m.Address)
 	}
 	if t.reservation != "" {
 		er.ReservationID = engineapi.NewOptString(t.reservation)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -97,6 +97,14 @@
 	return placement.Place(r.view, ask, r.opts.Now(), r.rng)
 }
 
+// GangMembers chooses the engines of a gang; see placement.GangMembers.
+func (r *Router) GangMembers(ask placement.Ask) []placement.GangMember {
+	ask.Domain = r.opts.Domain
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return placement.GangMembers(r.view, ask, r.opts.Now())
+}
+
 // PlaceService decides which server of a plain service gets a call.
 func (r *Router) PlaceService(ask placement.ServiceAsk) (placement.Decision, error) {
 	ask.Domain = r.opts.Domain
