Settings: tests for what mutants survived

Cause: trial mutants on a scratch copy. 16 were tried, 4 survived: a window longer by one, a second append after a good one, no push, a peer that answers before it is ready. One more was killed only by a build failure and was tried again. Ruled out: leaving the window's bound to the property test, whose logs are short. Change: a change that comes at the end of the window after its rival; reads that fail after a good append; five hosts with push alone; two fresh hosts that can only reach each other. Conclusion: no change of the code was needed.

--- a/internal/core/settings/replay_test.go
+++ b/internal/core/settings/replay_test.go
@@ -225,6 +225,20 @@
 	}
 }
 
+// A change checked before a rival near it must lose, however late it comes.
+func TestOvertakenAtTheEndOfTheWindow(t *testing.T) {
+	for _, late := range []int{0, HistoryWindow - 2, HistoryWindow - 1, HistoryWindow} {
+		s := NewState()
+		applyChange(t, s, setChange("rival", 0, "/t", 0))
+		for i := range late {
+			s.Apply(s.Offset()+1, time.UnixMilli(1), fmt.Append(nil, "garbage", i))
+		}
+		if v := applyChange(t, s, setChange("child", 0, "/t/x", 0)); v.Accepted() {
+			t.Errorf("accepted %d records after its rival", late)
+		}
+	}
+}
+
 func TestImportRefusesBrokenStates(t *testing.T) {
 	for _, text := range []string{
 		``, `{}`, `{"format":2}`, `{"format":1,"offset":-1}`,
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -53,6 +53,19 @@
 	}
 }
 
+func TestPushAloneReachesAllHosts(t *testing.T) {
+	s := newSite(t)
+	s.pull = time.Hour
+	for i := range 5 { // as many as the fan-out and one
+		s.run(i == 0)
+	}
+	for _, h := range s.hosts {
+		eventually(t, "ready", h.Ready)
+	}
+	accept(t, s.hosts[2], edit("a", "/t", 0, 77))
+	s.agree(1)
+}
+
 func TestRaceHasOneWinner(t *testing.T) {
 	for name, paths := range map[string][]string{
 		"one path":         {"/t"},
@@ -108,11 +121,12 @@
 	for name, fault := range map[string]func(*memoryLog){
 		"after the effect":  func(l *memoryLog) { l.lose = 1 },
 		"before the effect": func(l *memoryLog) { l.drop = 2 },
+		"reads lost":        func(l *memoryLog) { l.deaf = 3 },
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t)
-			h := s.run(true)
-			eventually(t, "ready", h.Ready)
+			h := s.add(true)
+			h.bootstrap(context.Background())
 			fault(s.log)
 			first := accept(t, h, edit("a", "/t", 0, 5))
 			again := accept(t, h, edit("a", "/t", 0, 5))
@@ -182,8 +196,11 @@
 	fresh := s.add(true)
 	fresh.noLog.Store(true)
 	fresh.start()
+	other := s.add(true) // as fresh: the two must not take each other's nothing for settings
+	other.noLog.Store(true)
+	other.start()
 	time.Sleep(20 * time.Millisecond)
-	if fresh.Ready() {
+	if fresh.Ready() || other.Ready() {
 		t.Error("ready without any settings")
 	}
 	a.cut.Store(false)
--- a/internal/follow/site_test.go
+++ b/internal/follow/site_test.go
@@ -24,6 +24,8 @@
 	streams map[string]*memoryStream
 	lose    int // appends whose answer is lost after the effect
 	drop    int // appends that are lost before it
+	deaf    int // reads that fail after the next append
+	failing int // reads that fail from now on
 	grown   chan struct{}
 }
 
@@ -53,6 +55,7 @@
 		return 0, errAway
 	}
 	s := l.stream(name)
+	l.failing, l.deaf = l.deaf, 0
 	first := s.next()
 	for _, data := range records {
 		s.records = append(s.records, platform.Record{Offset: s.next(), At: time.Now(), Data: data})
@@ -71,6 +74,11 @@
 	defer cancel()
 	for {
 		l.mu.Lock()
+		if l.failing > 0 {
+			l.failing--
+			l.mu.Unlock()
+			return platform.Page{}, errAway
+		}
 		s := l.stream(name)
 		page := platform.Page{FirstKept: s.first, Next: s.next()}
 		for _, r := range s.records {
@@ -106,6 +114,7 @@
 	mu    sync.Mutex
 	hosts []*host
 	rng   *rand.Rand
+	pull  time.Duration // Options.PullEvery of the hosts
 }
 
 // host is one follower's view of the platform and of its peers.
@@ -120,7 +129,7 @@
 }
 
 func newSite(t *testing.T) *site {
-	return &site{t: t, log: newMemoryLog(), rng: rand.New(rand.NewPCG(1, 2))}
+	return &site{t: t, log: newMemoryLog(), rng: rand.New(rand.NewPCG(1, 2)), pull: 20 * time.Millisecond}
 }
 
 // add makes a host and does not run it.
@@ -130,7 +139,7 @@
 	h := &host{site: s, tailer: tailer, stop: func() {}}
 	h.Follower = New(Options{
 		Log: h, Peers: h, Logger: logrus.NewEntry(logger),
-		PollWait: 50 * time.Millisecond, PullEvery: 20 * time.Millisecond, TailAfter: time.Hour,
+		PollWait: 50 * time.Millisecond, PullEvery: s.pull, TailAfter: time.Hour,
 		RetryMin: time.Millisecond, RetryMax: 5 * time.Millisecond, CallTimeout: time.Second,
 	})
 	s.mu.Lock()
