Placement: limits of prompt length rise along the engines

Change: each engine has a limit from the distribution of offered work by length; the engines of the shortest prompts carry less than their even share; candidates are drawn from the engines on which nothing more than four times longer is met, and one from the rest. Fronts can tell each other their offered work, 13 numbers.

--- a/internal/core/placement/boundary.go
+++ b/internal/core/placement/boundary.go
@@ -7,27 +7,27 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 )
 
-// Work is the offered work of a pool in a failure domain, in prompt tokens that
-// no cache held, faded by the half-life of the options.
-type Work struct {
-	Short float64
-	Long  float64
-}
-
-// boundary says how many engines of a group may take long prompts: those with the
-// lowest ranks. The others are kept for short ones, which may go anywhere.
-// Invariant: with two or more live engines each class has at least one.
+// anyLength is the limit of an engine that takes long prompts.
+const anyLength = math.MaxInt
+
+// boundary sets for each live engine of a group the longest prompt that it takes.
+// The limits rise along the ranks such that the work of the prompts below the
+// limit of the i-th engine is what the first i engines can carry, with headroom.
+// So the shortest prompts have engines that nothing much longer ever holds up,
+// while they may go anywhere.
+//
+// Invariant: with two or more live engines the first takes no long prompt and the
+// last takes any; an engine alone takes any.
 type boundary struct {
 	work       Work
 	byPriority [request.NumPriorities]float64
 	at         time.Time // of the fading
+	peers      []peerWork
 
-	peers []peerWork
-
-	long    int // engines for long prompts at the last move
-	of      int // live engines at the last move
-	changed time.Time
-	settled bool // a first value has been set
+	limits   []int // by rank
+	basis    Work  // the work that gave the limits
+	longFrom int   // that gave the limits
+	moved    time.Time
 }
 
 type peerWork struct {
@@ -44,22 +44,17 @@
 		return
 	}
 	factor := fade(now.Sub(b.at), halfLife)
-	b.work.Short *= factor
-	b.work.Long *= factor
+	b.work.scale(factor)
 	for i := range b.byPriority {
 		b.byPriority[i] *= factor
 	}
 	b.at = now
 }
 
-func (b *boundary) offer(c Class, tokens int64, p request.Priority, now time.Time, halfLife time.Duration) {
+func (b *boundary) offer(length int, tokens int64, p request.Priority, now time.Time, halfLife time.Duration) {
 	b.fade(now, halfLife)
 	b.byPriority[p] += float64(tokens)
-	if c == Long {
-		b.work.Long += float64(tokens)
-		return
-	}
-	b.work.Short += float64(tokens)
+	b.work[band(length)] += float64(tokens)
 }
 
 // shareUpTo returns the part of the offered work that is at least as urgent as p,
@@ -89,10 +84,11 @@
 	return g.boundary.work
 }
 
-// ApplyPeerWork takes in the offered work that another front has told.
+// ApplyPeerWork takes in the offered work that another front has told. Negative
+// and infinite work is ignored.
 func (v *View) ApplyPeerWork(poolName, domain, host string, w Work, now time.Time) {
 	g := v.group(poolName, domain)
-	if g == nil {
+	if g == nil || !w.sane() {
 		return
 	}
 	b := &g.boundary
@@ -105,6 +101,15 @@
 	b.peers = append(b.peers, peerWork{host: host, work: w, at: now})
 }
 
+func (w *Work) sane() bool {
+	for _, tokens := range w {
+		if !(tokens >= 0) || math.IsInf(tokens, 1) {
+			return false
+		}
+	}
+	return true
+}
+
 func (v *View) group(poolName, domain string) *group {
 	p := v.pools[poolName]
 	if p == nil {
@@ -113,16 +118,6 @@
 	return p.groups[domain]
 }
 
-// Boundary returns how many of the live engines may take long prompts.
-func (v *View) Boundary(poolName, domain string, now time.Time) (long, live int) {
-	g := v.group(poolName, domain)
-	if g == nil {
-		return 0, 0
-	}
-	g.refresh(&v.opts, now)
-	return g.longEngines(), g.live
-}
-
 // total adds the peers' work to the own and drops what is too old.
 func (b *boundary) total(now time.Time) Work {
 	sum := b.work
@@ -132,47 +127,90 @@
 			continue
 		}
 		kept = append(kept, p)
-		sum.Short += p.work.Short
-		sum.Long += p.work.Long
+		sum.add(&p.work)
 	}
 	b.peers = kept
 	return sum
 }
 
-// longEngines returns the engines for long prompts; an engine alone serves both.
-func (g *group) longEngines() int {
-	if g.live <= 1 {
-		return g.live
+// Boundary returns how many live engines a domain has, and how many of them take
+// long prompts.
+func (v *View) Boundary(poolName, domain string) (long, live int) {
+	g := v.group(poolName, domain)
+	if g == nil {
+		return 0, 0
 	}
-	if !g.boundary.settled {
-		return g.live / 2
+	g.rank()
+	for _, e := range g.live {
+		if e.limit() == anyLength {
+			long++
+		}
 	}
-	return min(max(g.boundary.long, 1), g.live-1)
+	return long, len(g.live)
 }
 
-// refresh brings the ranks and the boundary up to date.
-func (g *group) refresh(o *Options, now time.Time) {
-	g.rank()
-	if g.live <= 1 {
-		return
+// limit returns the longest prompt that the engine takes, in tokens.
+func (e *Engine) limit() int {
+	limits := e.group.boundary.limits
+	if e.rank < 0 || e.rank >= len(limits) {
+		return anyLength
 	}
+	return limits[e.rank]
+}
+
+// refresh brings the ranks and the boundary up to date. The boundary moves at most
+// once in a dwell time, and only when the work has shifted by a good part of an
+// engine, unless engines have come or gone.
+func (g *group) refresh(o *Options, longFrom int, now time.Time) {
+	g.rank()
 	b := &g.boundary
-	b.fade(now, o.WorkHalfLife)
-	resized := b.of != g.live
-	if b.settled && !resized && now.Sub(b.changed) < o.BoundaryDwell {
+	resized := len(b.limits) != len(g.live)
+	if !resized && now.Sub(b.moved) < o.BoundaryDwell {
 		return
 	}
+	b.fade(now, o.WorkHalfLife)
 	work := b.total(now)
-	all := work.Short + work.Long
-	if !(all > 0) {
-		return
+	if !resized && longFrom == b.longFrom {
+		shift := work.distance(&b.basis) * float64(len(g.live))
+		if shift < o.BoundaryMargin {
+			return
+		}
 	}
-	target := float64(g.live) * (1 - o.ShortHeadroom*work.Short/all)
-	if b.settled && !resized && math.Abs(target-float64(b.long)) < o.BoundaryMargin {
-		return
+	b.limits = limits(&work, len(g.live), longFrom, o)
+	b.basis = work
+	b.longFrom = longFrom
+	b.moved = now
+}
+
+// limits divides n engines by length. Without any work seen half of them take
+// long prompts.
+func limits(w *Work, n, longFrom int, o *Options) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = anyLength
+	}
+	if longFrom <= 0 || n < 2 {
+		return list
+	}
+	known := w.Total() > 0
+	for i := range n - 1 {
+		limit := float64(longFrom - 1)
+		if known {
+			limit = w.quantile(lowerShare(float64(i+1)/float64(n), o))
+		}
+		kept := limit < float64(longFrom) && (known || i < n/2)
+		if kept || i == 0 {
+			list[i] = int(min(limit, float64(longFrom-1)))
+		}
 	}
-	b.long = min(max(int(math.Floor(target)), 1), g.live-1)
-	b.of = g.live
-	b.changed = now
-	b.settled = true
+	return list
+}
+
+// lowerShare returns the share of the work for a share of the engines, those with
+// the lowest limits. They get less than their even part, because the same wait is
+// worse for a shorter prompt; but no more than UpperLoad times its even part is
+// left to the others.
+func lowerShare(engines float64, o *Options) float64 {
+	skewed := math.Pow(engines, o.ShortSkew)
+	return max(skewed, 1-o.UpperLoad*(1-engines))
 }
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -78,15 +78,11 @@
 // all take the same one, and those that have most of the prompt cached.
 func (t *task) earliest(top *topThree, s *estimator, g *group, c *candidates) {
 	samples := t.view.opts.Samples
-	kept, others := t.divide(s.class, c.room)
-	for _, e := range t.sample(kept, samples) {
+	near, far := t.divide(s, c.room)
+	for _, e := range t.sample(near, samples) {
 		t.offer(top, s, e)
 	}
-	extra := samples
-	if len(kept) > 0 {
-		extra = 1
-	}
-	for _, e := range t.sample(others, extra) {
+	for _, e := range t.sample(far, 1) {
 		t.offer(top, s, e)
 	}
 	t.offerCached(top, s, g, c)
@@ -100,18 +96,16 @@
 	top.add(e, est, int64(est.FirstToken))
 }
 
-// divide puts the engines without long prompts first. A long prompt has passed
-// the boundary already.
-func (t *task) divide(c Class, room []*Engine) (kept, others []*Engine) {
-	if c == Long {
+// divide splits the engines into those on which nothing much longer than the
+// prompt is met, and the rest. The order is that of the limits.
+func (t *task) divide(s *estimator, room []*Engine) (near, far []*Engine) {
+	if s.class == Long || !t.separates() {
 		return room, nil
 	}
-	n := 0
-	for i, e := range room {
-		if !e.takesLong() {
-			room[i], room[n] = room[n], e
-			n++
-		}
+	longest := t.view.opts.NearRatio * float64(t.ask.Tokens)
+	n := min(t.view.opts.Samples, len(room))
+	for n < len(room) && float64(room[n].limit()) <= longest {
+		n++
 	}
 	return room[:n], room[n:]
 }
@@ -148,7 +142,7 @@
 	if !t.able(e, c.state) || !t.holds(e, need) || !e.hasRoom(need) {
 		return false
 	}
-	return !t.separates() || c.relaxed || e.takesLong()
+	return !t.separates() || c.relaxed || t.admits(e)
 }
 
 // sample draws n engines without repetition by moving them to the front.
--- a/internal/core/placement/engine.go
+++ b/internal/core/placement/engine.go
@@ -15,7 +15,7 @@
 	spec  Spec
 	group *group
 	score uint64 // rendezvous hash
-	rank  int    // among the live ones of the group, from 0; else unranked
+	rank  int    // among the live ones of the group, from 0; else unranked. Limits rise with it
 	state State
 
 	report   Report
@@ -84,14 +84,11 @@
 	return e.own.requests, prefill, e.own.memory
 }
 
-// TakesLong reports whether the boundary lets long prompts on this engine.
+// TakesLong reports whether the boundary lets long prompts on this engine. It is
+// as of the last placement.
 func (e *Engine) TakesLong() bool {
 	e.group.rank()
-	return e.takesLong()
-}
-
-func (e *Engine) takesLong() bool {
-	return e.rank != unranked && e.rank < e.group.longEngines()
+	return e.limit() == anyLength
 }
 
 func (e *Engine) accepts() bool {
--- a/internal/core/placement/estimate.go
+++ b/internal/core/placement/estimate.go
@@ -111,10 +111,10 @@
 	if !usesPriority(s.ask.Policy) {
 		return all
 	}
-	if s.class == Short && e.group.live > 1 && e.takesLong() {
+	if s.class == Short && len(e.group.live) > 1 && e.limit() == anyLength {
 		return all
 	}
-	return min(s.ask.Priority, all)
+	return min(enginePriority(s.ask), all)
 }
 
 // memoryWait estimates how long it takes until enough memory is free: what is
--- /dev/null
+++ b/internal/core/placement/experiment_test.go
@@ -0,0 +1,260 @@
+package placement
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+)
+
+// The experiment is a queueing model in virtual time: fronts with a view each,
+// and engines that compute one chunk of one prompt at a time, most urgent first,
+// hold memory until the answer ends, and report their load late.
+const (
+	expEngines   = 24
+	expFronts    = 8
+	expRate      = 8000.0 // prompt tokens a second of an engine
+	expChunk     = 1024
+	expMemory    = 600_000
+	expSeconds   = 1000
+	expMost      = 12_000                 // requests
+	expReports   = 500 * time.Millisecond // between two reports
+	expLag       = 300 * time.Millisecond // of a report
+	expGossip    = time.Second
+	expLongFrom  = 32_000
+	expLongShare = 0.02 // of the requests, above 100k tokens
+)
+
+type expJob struct {
+	id       ID
+	at       time.Time
+	tokens   int
+	answer   int
+	urgency  request.Priority // of the caller
+	priority request.Priority // as sent
+	left     int
+	first    time.Duration
+	done     bool
+	view     *View // of the front
+}
+
+// expCase is one way to run the same arrivals.
+type expCase struct {
+	name   string
+	policy string
+	opts   Options
+	noLag  bool // without the correction for lagging reports
+	whole  bool // without length separation
+	wake   bool // the arrivals are many small prompts
+	keeps  bool // engines finish a prompt that they have begun
+}
+
+type expEvent struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type expHeap []expEvent
+
+func (h expHeap) Len() int { return len(h) }
+func (h expHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].seq < h[j].seq
+}
+func (h expHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *expHeap) Push(x any)   { *h = append(*h, x.(expEvent)) }
+func (h *expHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+type expSim struct {
+	expCase
+	now     time.Time
+	events  expHeap
+	seq     int
+	rng     *rand.Rand
+	views   []*View
+	engines map[string]*expEngine
+	end     time.Time
+}
+
+type expEngine struct {
+	sim     *expSim
+	name    string
+	queue   []*expJob // neither begun nor given memory
+	running []*expJob // prompts begun
+	current *expJob
+	busy    bool
+	used    int64
+	answers int
+	seq     int64
+}
+
+func (s *expSim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.events, expEvent{at: s.now.Add(d), seq: s.seq, run: run})
+}
+
+func newExpSim(c expCase) *expSim {
+	s := &expSim{expCase: c, now: t0, rng: newRand(5), engines: map[string]*expEngine{}, end: t0.Add(expSeconds * time.Second)}
+	list := specs("a", expEngines)
+	for range expFronts {
+		v := NewView(c.opts)
+		v.SetPool("p", list)
+		s.views = append(s.views, v)
+	}
+	for i, spec := range list {
+		e := &expEngine{sim: s, name: spec.Name}
+		s.engines[spec.Name] = e
+		s.after(expReports*time.Duration(i)/expEngines, e.report)
+	}
+	s.after(0, s.gossip)
+	return s
+}
+
+// gossip lets each front know the work offered to the others.
+func (s *expSim) gossip() {
+	for i, from := range s.views {
+		w := from.OfferedWork("p", "a", s.now)
+		for k, to := range s.views {
+			if i != k {
+				to.ApplyPeerWork("p", "a", fmt.Sprint(i), w, s.now)
+			}
+		}
+	}
+	if s.now.Before(s.end) {
+		s.after(expGossip, s.gossip)
+	}
+}
+
+func (s *expSim) run(jobs []*expJob) {
+	for i, j := range jobs {
+		view := s.views[i%expFronts]
+		j.view = view
+		s.after(j.at.Sub(t0), func() { s.place(j) })
+	}
+	for len(s.events) > 0 {
+		ev := heap.Pop(&s.events).(expEvent)
+		s.now = ev.at
+		ev.run()
+	}
+}
+
+func (s *expSim) place(j *expJob) {
+	v := j.view
+	a := Ask{Pool: "p", Domain: "a", Tokens: j.tokens, MaxTokens: j.answer, Priority: j.urgency, Policy: s.policy, LongFrom: expLongFrom}
+	if s.whole {
+		a.LongFrom = 0
+	}
+	d, err := Place(v, a, s.now, s.rng)
+	if err != nil || (d.Verdict != Placed && d.Verdict != WaitMemory && d.Reason != ReasonNoReport) {
+		panic(fmt.Sprint(d.Verdict, d.Reason, err))
+	}
+	if d.Verdict != Placed {
+		s.after(50*time.Millisecond, func() { s.place(j) })
+		return
+	}
+	j.priority = d.EnginePriority
+	v.NotePlaced(Placement{ID: j.id, Upstream: d.Chosen.Name, Class: d.Class, Priority: j.priority, Tokens: j.tokens, MaxTokens: j.answer}, s.now)
+	e := s.engines[d.Chosen.Name]
+	if s.noLag {
+		v.Engine(e.name).settle(s.now)
+		v.Engine(e.name).held = 0
+	}
+	j.left = j.tokens
+	e.queue = append(e.queue, j)
+	e.step()
+}
+
+// next picks the prompt of the next chunk and gives it memory when it begins.
+func (e *expEngine) next() *expJob {
+	if e.sim.keeps && e.current != nil {
+		return e.current
+	}
+	var best *expJob
+	for _, j := range e.running {
+		if best == nil || j.priority < best.priority {
+			best = j
+		}
+	}
+	for _, j := range e.queue {
+		if best != nil && j.priority >= best.priority {
+			continue
+		}
+		if e.used+int64(j.tokens+j.answer) <= expMemory {
+			best = j
+		}
+	}
+	if best != nil && best.left == best.tokens {
+		e.used += int64(best.tokens + best.answer)
+		e.running = append(e.running, best)
+		e.queue = slices.DeleteFunc(e.queue, func(j *expJob) bool { return j == best })
+	}
+	return best
+}
+
+func (e *expEngine) step() {
+	if e.busy {
+		return
+	}
+	e.current = e.next()
+	if e.current == nil {
+		return
+	}
+	e.busy = true
+	j := e.current
+	n := min(j.left, expChunk)
+	e.sim.after(time.Duration(float64(n)/expRate*float64(time.Second)), func() {
+		e.busy = false
+		j.left -= n
+		if j.left == 0 {
+			e.finish(j)
+		}
+		e.step()
+	})
+}
+
+func (e *expEngine) finish(j *expJob) {
+	s := e.sim
+	e.current = nil
+	e.running = slices.DeleteFunc(e.running, func(x *expJob) bool { return x == j })
+	j.first = s.now.Sub(j.at)
+	j.done = true
+	e.answers++
+	j.view.NoteFirstToken(j.id, 0, s.now)
+	s.after(time.Duration(j.answer)*30*time.Millisecond, func() {
+		e.used -= int64(j.tokens + j.answer)
+		e.answers--
+		j.view.NoteFinished(j.id, End{Complete: true, AnswerTokens: j.answer}, s.now)
+		e.step()
+	})
+}
+
+func (e *expEngine) report() {
+	s := e.sim
+	e.seq++
+	r := Report{Incarnation: "a", Seq: e.seq, Taken: s.now, Step: 128 * time.Millisecond, PrefillRate: expRate, DecodeRate: 33,
+		Queued: len(e.queue), Running: len(e.running) + e.answers, MemoryTotal: expMemory, MemoryUsed: e.used}
+	for _, j := range e.running {
+		r.QueuedPrefill += int64(j.left)
+	}
+	for _, j := range e.queue {
+		r.QueuedPrefill += int64(j.left)
+	}
+	s.after(expLag, func() {
+		for _, v := range s.views {
+			v.ApplyReport(e.name, r)
+		}
+	})
+	if s.now.Before(s.end) {
+		s.after(expReports, e.report)
+	}
+}
--- a/internal/core/placement/flight.go
+++ b/internal/core/placement/flight.go
@@ -50,7 +50,7 @@
 	e.own.requests++
 	e.held += f.counted
 	e.inFlight++
-	e.group.boundary.offer(p.Class, f.prefill, f.priority, now, v.opts.WorkHalfLife)
+	e.group.boundary.offer(p.Tokens, f.prefill, f.priority, now, v.opts.WorkHalfLife)
 	return true
 }
 
--- a/internal/core/placement/options.go
+++ b/internal/core/placement/options.go
@@ -22,7 +22,10 @@
 	PrefixBlocks int // cached blocks kept for one engine, 2048
 
 	WorkHalfLife   time.Duration // of the offered work that moves the boundary, 20 s
-	ShortHeadroom  float64       // engines kept for short work, as a multiple of its share, 1.25
+	ShortSkew      float64       // from 1 on: how much less the engines of the shortest work carry, 1.5
+	UpperLoad      float64       // from 1 on: most load of the engines of the longest work, against the mean, 1.15
+	LimitSlack     float64       // multiple of an engine's limit up to which short prompts are taken, 2
+	NearRatio      float64       // engines whose limit is at most this multiple of the prompt are drawn first, 4
 	BoundaryMargin float64       // engines by which the target must differ before it moves, 0.75
 	BoundaryDwell  time.Duration // least time between two moves, 2 s
 }
@@ -42,7 +45,10 @@
 	setDefault(&o.RateHalfLife, 30*time.Second)
 	setDefault(&o.PrefixBlocks, 2048)
 	setDefault(&o.WorkHalfLife, 20*time.Second)
-	setDefault(&o.ShortHeadroom, 1.25)
+	setDefault(&o.ShortSkew, 1.5)
+	setDefault(&o.UpperLoad, 1.15)
+	setDefault(&o.LimitSlack, 2)
+	setDefault(&o.NearRatio, 4)
 	setDefault(&o.BoundaryMargin, 0.75)
 	setDefault(&o.BoundaryDwell, 2*time.Second)
 	return o
--- a/internal/core/placement/place.go
+++ b/internal/core/placement/place.go
@@ -142,7 +142,7 @@
 		return d
 	}
 	v := t.view
-	g.refresh(&v.opts, t.now)
+	g.refresh(&v.opts, t.ask.LongFrom, t.now)
 	s := v.estimator(g, t.ask, t.now)
 	c := t.candidates(g, state)
 	switch {
@@ -173,7 +173,7 @@
 	c := candidates{state: state}
 	c.able = v.able[:0]
 	c.fit = v.fit[:0]
-	for _, e := range g.engines {
+	for _, e := range g.inState(state) {
 		if !t.able(e, state) {
 			continue
 		}
@@ -213,15 +213,15 @@
 	return ClassOf(t.ask.Tokens, t.ask.LongFrom) == Short
 }
 
-// bounded leaves a long prompt only the engines for long ones, as long as one of
-// them is able.
+// bounded leaves a prompt only the engines whose limit admits it, as long as one
+// of them is able.
 func (t *task) bounded(fit []*Engine) (kept []*Engine, relaxed bool) {
 	if !t.separates() || len(fit) == 0 {
 		return fit, false
 	}
 	n := 0
 	for i, e := range fit {
-		if e.takesLong() {
+		if t.admits(e) {
 			fit[i], fit[n] = fit[n], e
 			n++
 		}
@@ -233,8 +233,21 @@
 }
 
 func (t *task) separates() bool {
-	long := ClassOf(t.ask.Tokens, t.ask.LongFrom) == Long
-	return long && t.ask.Policy == settings.PolicyLengthAware
+	return t.ask.Policy == settings.PolicyLengthAware && t.ask.LongFrom > 0
+}
+
+// admits compares the prompt with the limit of the engine. A short prompt may be
+// somewhat over it: among prompts of nearly one length a strict limit would only
+// divide the engines.
+func (t *task) admits(e *Engine) bool {
+	limit := e.limit()
+	if limit == anyLength {
+		return true
+	}
+	if ClassOf(t.ask.Tokens, t.ask.LongFrom) == Long {
+		return false
+	}
+	return float64(t.ask.Tokens) <= float64(limit)*t.view.opts.LimitSlack
 }
 
 // wait names the engine that is expected to have the memory first.
--- a/internal/core/placement/view.go
+++ b/internal/core/placement/view.go
@@ -37,9 +37,9 @@
 	prefixes prefixIndex
 	boundary boundary
 
-	ranked    bool // ranks are up to date
-	live      int  // engines that are live
-	residence mean // seconds for which a request holds memory
+	ranked    bool      // ranks are up to date
+	live      []*Engine // by rank
+	residence mean      // seconds for which a request holds memory
 }
 
 // NewView returns an empty view.
@@ -238,10 +238,18 @@
 	for i, e := range live {
 		e.rank = i
 	}
-	g.live = len(live)
+	g.live = live
 	g.ranked = true
 }
 
+// inState returns the engines to look at for a state, the live ones by rank.
+func (g *group) inState(s State) []*Engine {
+	if s == Live {
+		return g.live
+	}
+	return g.engines
+}
+
 func rendezvousScore(pool, engine string) uint64 {
 	return xxhash.Sum64String(pool + "\x00" + engine)
 }
--- /dev/null
+++ b/internal/core/placement/work.go
@@ -0,0 +1,84 @@
+package placement
+
+import (
+	"math"
+	"math/bits"
+)
+
+// NumBands is the number of length bands: one for each power of two from
+// firstBand tokens up. The last has no upper end.
+const NumBands = 13
+
+// firstBand is the upper end of the first band, in tokens.
+const firstBand = 512
+
+// Work is the offered work of a pool in a failure domain: prompt tokens that no
+// cache held, by length of the prompt, faded by the half-life of the options.
+type Work [NumBands]float64
+
+// band returns the band of a prompt length.
+func band(tokens int) int {
+	return min(bits.Len64(uint64(max(tokens, 0)/firstBand)), NumBands-1)
+}
+
+// bandEnds returns the lengths between which a band lies.
+func bandEnds(i int) (low, high float64) {
+	high = float64(uint64(firstBand) << i)
+	if i == 0 {
+		return 0, high
+	}
+	return high / 2, high
+}
+
+func (w *Work) scale(factor float64) {
+	for i := range w {
+		w[i] *= factor
+	}
+}
+
+func (w *Work) add(other *Work) {
+	for i := range w {
+		w[i] += other[i]
+	}
+}
+
+// Total returns the sum over all bands.
+func (w *Work) Total() float64 {
+	sum := 0.0
+	for _, tokens := range w {
+		sum += tokens
+	}
+	return sum
+}
+
+// quantile returns the length up to which prompts make up the share of the work,
+// straight between the ends of a band. Without work it is infinite.
+func (w *Work) quantile(share float64) float64 {
+	left := share * w.Total()
+	if !(left > 0) {
+		return math.Inf(1)
+	}
+	for i, tokens := range w {
+		if tokens >= left {
+			low, high := bandEnds(i)
+			return low + (high-low)*left/tokens
+		}
+		left -= tokens
+	}
+	return math.Inf(1)
+}
+
+// distance returns the largest difference of the two distributions over length,
+// from 0 to 1.
+func (w *Work) distance(other *Work) float64 {
+	a, b := w.Total(), other.Total()
+	if a == 0 || b == 0 {
+		return 1
+	}
+	var sum, most float64
+	for i := range w {
+		sum += w[i]/a - other[i]/b
+		most = max(most, math.Abs(sum))
+	}
+	return most
+}
