Tests of the owner under faults, with stand-in engines

Cause: the shell was not proved.

Ruled out: a fake engine of these tests alone; the stand-ins keep memory until they are told to free it and can drop answers.

Change: tests only, and benchmarks.

--- /dev/null
+++ b/internal/owner/bench_test.go
@@ -0,0 +1,141 @@
+package owner
+
+import (
+	"bytes"
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
+)
+
+// renewalItems is what a front holds with one owner in this measurement.
+const renewalItems = 50
+
+func benchClaims() (ledger.Holder, []ledger.Claim, ledger.Books) {
+	h := ledger.Holder{Host: "hal-a-entry-07", Incarnation: "1796237520000000000"}
+	b := ledger.Books{Engine: "hal-a-gpu-011", Total: 1 << 20}
+	var claims []ledger.Claim
+	for range renewalItems {
+		id := ledger.ID{Kind: ledger.Running, Name: uuid.NewString(), Attempt: 1}
+		claims = append(claims, ledger.Claim{Engine: b.Engine, ID: id})
+		b.Items = append(b.Items, ledger.Item{ID: id, Holder: h, Tokens: 100})
+	}
+	return h, claims, b
+}
+
+// benchRenew renews through a gob stream, as net/rpc does, with some claims a
+// message, and reports the bytes and time for all claims once.
+func benchRenew(b *testing.B, size int) {
+	h, claims, books := benchClaims()
+	l := ledger.New(ledger.Options{})
+	l.Own(books.Engine)
+	l.ApplyBooks(books, time.Now())
+	var pipe bytes.Buffer
+	enc, dec := gob.NewEncoder(&pipe), gob.NewDecoder(&pipe)
+	total, seq := 0, uint64(0)
+	for b.Loop() {
+		for from := 0; from < len(claims); from += size {
+			seq++
+			r := ledger.Renewal{Holder: h, Seq: seq, Held: claims[from : from+size]}
+			if err := enc.Encode(r); err != nil {
+				b.Fatal(err)
+			}
+			total += pipe.Len()
+			var got ledger.Renewal
+			if err := dec.Decode(&got); err != nil {
+				b.Fatal(err)
+			}
+			l.Renew(got, time.Now())
+		}
+	}
+	b.ReportMetric(float64(total)/float64(b.N), "bytes/op")
+	b.ReportMetric(float64(len(claims)/size), "messages/op")
+}
+
+func BenchmarkRenewBatched(b *testing.B) { benchRenew(b, renewalItems) }
+func BenchmarkRenewPerItem(b *testing.B) { benchRenew(b, 1) }
+
+func benchDigest(engines, events int) Digest {
+	var d Digest
+	for i := range engines {
+		e := EngineDigest{
+			Name: fmt.Sprintf("hal-a-gpu-%03d", i), Inc: 0x9e3779b9, Seq: 123456, AgeMs: 321, StepUs: 21500,
+			Prefill: 19876, Decode: 4211, Queued: 7, QueuedT: 45678, Running: 31, Total: 400000, Used: 312345,
+			Block: 512, Models: "assistant@2026-11 lists@7", Role: "mixed", HeldMs: 800, HeldT: 250000,
+		}
+		var list []CacheEvent
+		for j := range events {
+			list = append(list, CacheEvent{Seq: int64(100000 + j), Block: 0x9e3779b97f4a7c15 * uint64(j+1)})
+		}
+		e.setEvents(list)
+		d.Engines = append(d.Engines, e)
+	}
+	return d
+}
+
+func BenchmarkDigest(b *testing.B) {
+	for _, engines := range []int{2, 16} {
+		for _, events := range []int{0, 32} {
+			d := benchDigest(engines, events)
+			b.Run(fmt.Sprintf("engines=%d/events=%d", engines, events), func(b *testing.B) {
+				var data []byte
+				for b.Loop() {
+					var err error
+					if data, err = d.Encode(); err != nil {
+						b.Fatal(err)
+					}
+				}
+				text, err := json.Marshal(d)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(data)), "gob-bytes")
+				b.ReportMetric(float64(len(text)), "json-bytes")
+				b.ReportMetric(float64(len(data))/float64(engines), "gob-bytes/engine")
+			})
+		}
+	}
+}
+
+func FuzzDecodeDigest(f *testing.F) {
+	for _, d := range []Digest{{}, benchDigest(2, 4)} {
+		data, err := d.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := DecodeDigest(data)
+		if err != nil {
+			return
+		}
+		for _, e := range d.Engines {
+			if got := len(e.Events()); got != len(e.Cache)/2 {
+				t.Errorf("%d events of %d numbers", got, len(e.Cache))
+			}
+		}
+	})
+}
+
+func TestDigestKeepsEvents(t *testing.T) {
+	want := []CacheEvent{{Seq: 7, Kind: BlockStored, Block: 1}, {Seq: 9, Kind: BlockEvicted, Block: 1 << 63}, {Seq: 10, Kind: CacheCleared}}
+	var e EngineDigest
+	e.setEvents(want)
+	data, err := Digest{Engines: []EngineDigest{e}}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := DecodeDigest(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := fmt.Sprint(d.Engines[0].Events()); got != fmt.Sprint(want) {
+		t.Errorf("got %s, want %v", got, want)
+	}
+}
--- /dev/null
+++ b/internal/owner/orders_test.go
@@ -0,0 +1,148 @@
+package owner
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/order"
+	"github.com/buckthorndock/buckthorndock/internal/platform"
+	"github.com/buckthorndock/buckthorndock/internal/standin"
+)
+
+// orderSite is a site whose hosts keep order leases in a stand-in log.
+type orderSite struct {
+	*site
+	log     *standin.Log
+	address string
+	weights string
+	orders  []*Orders
+}
+
+func newOrderSite(t *testing.T, lease time.Duration) *orderSite {
+	s := &orderSite{site: newSite(t, 2, 2), log: standin.NewLog(standin.LogOptions{})}
+	l, err := standin.Start(s.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	w, err := standin.Start(standin.NewWeights(standin.WeightsOptions{PermitRate: 20, Burst: 1}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	s.address, s.weights = l.Address, w.Address
+	for _, h := range s.hosts {
+		s.addOrders(h, lease)
+	}
+	return s
+}
+
+func (s *orderSite) addOrders(h *testHost, lease time.Duration) {
+	log, err := platform.NewHTTP(s.address, &http.Client{})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	weights, err := platform.NewHTTP(s.weights, &http.Client{})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	desired := order.Desired{Models: []order.Model{{Name: model, Version: "2", Urgent: true}, {Name: "other"}}}
+	o := NewOrders(OrderOptions{
+		Domain:    "d",
+		Me:        order.Holder{Host: h.name, Incarnation: "1"},
+		Log:       log,
+		Weights:   weights,
+		Engines:   s.http,
+		Ownership: h,
+		Pools: func() []OrderPool {
+			return []OrderPool{{Name: "p", ChecksFencing: true, Desired: desired, Engines: s.engines}}
+		},
+		Logger: s.quiet,
+		Lease:  order.Options{Lease: lease, Renew: 200 * time.Millisecond, Margin: 100 * time.Millisecond, Answer: 300 * time.Millisecond},
+		Plan:   order.PlanOptions{RetryEvery: 200 * time.Millisecond},
+		Every:  20 * time.Millisecond,
+	})
+	s.orders = append(s.orders, o)
+	h.done.Go(func() { _ = o.Run(h.ctx) })
+}
+
+// desired tells whether both engines serve exactly what is wanted, and the lowest
+// fencing number that they have seen.
+func (s *orderSite) desired() (ok bool, fence int64) {
+	for i, e := range s.engines {
+		st, err := s.http.OrderState(context.Background(), e.Address)
+		if err != nil {
+			return false, 0
+		}
+		slices.Sort(st.Models)
+		if !slices.Equal(st.Models, []string{model + "@2", "other"}) {
+			return false, 0
+		}
+		if i == 0 || st.Fence < fence {
+			fence = st.Fence
+		}
+	}
+	return true, fence
+}
+
+func TestOrdersBringAboutAndRepairTheDesiredState(t *testing.T) {
+	s := newOrderSite(t, time.Second)
+	s.eventually("the desired state", func() bool { ok, _ := s.desired(); return ok })
+	_, first := s.desired()
+	_, _, self := s.hosts[0].Owner(orderKey("p"))
+	leader := s.hosts[1]
+	if self {
+		leader = s.hosts[0]
+	}
+	leader.kill()
+	s.disturb()
+	s.eventually("the next holder's repair", func() bool { ok, fence := s.desired(); return ok && fence > first })
+}
+
+// disturb loads a model that nobody wants, with the highest fence seen.
+func (s *orderSite) disturb() {
+	s.t.Helper()
+	for _, e := range s.engines {
+		st, err := s.http.OrderState(context.Background(), e.Address)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		stray := order.Order{Engine: e.Name, Kind: order.LoadModel, Model: "stray"}
+		if err := s.http.Order(context.Background(), e.Address, st.Fence, stray); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+func TestNoOrdersGoOutWhileTheLogIsAway(t *testing.T) {
+	s := newOrderSite(t, time.Minute) // longer than the test: only the log stops orders
+	s.eventually("the desired state", func() bool { ok, _ := s.desired(); return ok })
+	if err := s.log.SetFault(standin.Fault{Kind: standin.FaultOutage, On: true}); err != nil {
+		t.Fatal(err)
+	}
+	// A step that read the log before the outage may repair the first time.
+	if s.repairs() && s.repairs() {
+		t.Error("the state was repaired while the log was away")
+	}
+	if err := s.log.SetFault(standin.Fault{Kind: standin.FaultOutage, On: false}); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually("repair after the outage", func() bool { ok, _ := s.desired(); return ok })
+}
+
+// repairs disturbs the engines and tells whether they are put right within many
+// steps of the leader.
+func (s *orderSite) repairs() bool {
+	s.t.Helper()
+	s.disturb()
+	for range 50 {
+		time.Sleep(20 * time.Millisecond)
+		if ok, _ := s.desired(); ok {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,231 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
+	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
+	"github.com/buckthorndock/buckthorndock/internal/standin"
+)
+
+// Each case leaves memory held in one of the ways the brief names; nobody but the
+// owners may bring it back.
+func TestMemoryComesBack(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(s *site, front *testHost)
+	}{
+		{"front killed with streams open", func(s *site, front *testHost) {
+			s.generate(front, s.engines[0], "open")
+			s.generate(front, s.engines[1], "cut")()
+			front.kill()
+		}},
+		{"front replaced by a new incarnation", func(s *site, front *testHost) {
+			s.reserve(front, s.engines[0], "r", 500)
+			front.kill()
+			again := s.addHost(front.name, "2")
+			s.reserve(again, s.engines[0], "s", 500)
+			again.holder.End(s.engines[0], ledger.ID{Kind: ledger.Reservation, Name: "s"})
+		}},
+		{"gang half gathered, front killed", func(s *site, front *testHost) {
+			blocker := s.hosts[1]
+			s.reserve(blocker, s.engines[2], "blocker", memory)
+			ctx, cancel := context.WithCancel(context.Background())
+			var gathering sync.WaitGroup
+			gathering.Go(func() { _, _ = front.holder.Gather(ctx, ledger.GatherOptions{}, s.gang("g", 6000), s.engines) })
+			s.eventually("half a gang", func() bool { return s.listed(ledger.Reservation) == 3 })
+			front.kill()
+			cancel()
+			gathering.Wait()
+			blocker.holder.End(s.engines[2], ledger.ID{Kind: ledger.Reservation, Name: "blocker"})
+		}},
+		{"owner killed", func(s *site, front *testHost) {
+			s.reserve(front, s.engines[1], "r", 500)
+			if !isOwnedBy(s.hosts[1], s.engines[1].Name) {
+				s.t.Fatal("the site does not give engine 1 to host 1")
+			}
+			s.hosts[1].kill()
+			s.reserve(front, s.engines[1], "after", 500)
+			if n := s.listed(ledger.Reservation); n != 2 {
+				s.t.Errorf("%d reservations after the change of owner, want 2", n)
+			}
+			front.holder.End(s.engines[1], ledger.ID{Kind: ledger.Reservation, Name: "r"})
+			front.holder.End(s.engines[1], ledger.ID{Kind: ledger.Reservation, Name: "after"})
+		}},
+		{"owner and front killed", func(s *site, front *testHost) {
+			s.reserve(front, s.engines[1], "r", 500)
+			s.generate(front, s.engines[1], "q")
+			s.hosts[1].kill()
+			front.kill()
+		}},
+		{"answers to the release lost", func(s *site, front *testHost) {
+			s.reserve(front, s.engines[0], "r", 500)
+			s.fault(0, "/v1/release", standin.FaultDropAnswer, 4)
+			front.holder.End(s.engines[0], ledger.ID{Kind: ledger.Reservation, Name: "r"})
+		}},
+		{"answer to the reserve call lost", func(s *site, front *testHost) {
+			s.eventually("ready", func() bool { r, ok := s.owner(0).service.Room("e0"); return ok && r.Known })
+			s.fault(0, "/v1/reservations", standin.FaultDropAnswer, 1)
+			ask := ledger.Ask{Engine: "e0", ID: "r", Tokens: 500}
+			reply, err := front.holder.Reserve(context.Background(), s.engines[0], ask)
+			if err != nil || reply.Granted || reply.Reason != ledger.AnswerLost {
+				s.t.Errorf("a lost answer gave %+v, %v", reply, err)
+			}
+		}},
+		{"KV export never imported", func(s *site, front *testHost) { s.export(front) }},
+		{"caller gone before its request ends", func(s *site, front *testHost) {
+			s.generate(front, s.engines[0], "q")
+			s.fault(0, "/v1/cancel", standin.FaultRefuse, 3)
+			front.holder.End(s.engines[0], ledger.ID{Kind: ledger.Running, Name: "q", Attempt: 1})
+			s.eventually("confirmed", func() bool { all, _ := front.holder.Held(); return all == 0 })
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 3, 4)
+			c.run(s, s.hosts[0])
+			s.booksReturnToZero()
+		})
+	}
+}
+
+func (s *site) owner(engine int) *testHost {
+	for _, h := range s.hosts {
+		if h.alive && isOwnedBy(h, s.engines[engine].Name) {
+			return h
+		}
+	}
+	return nil
+}
+
+// export leaves a KV export behind whose front goes on renewing without it.
+func (s *site) export(front *testHost) {
+	e := s.engines[0]
+	c, err := s.http.client(e.Address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	blocks := []string{"00000000000000a1", "00000000000000a2"}
+	req := &engineapi.GenerateRequest{
+		RequestID: "q", Attempt: 1, Model: model, Prompt: strings.Repeat("word ", 64), PromptTokens: 64, PrefixBlocks: blocks, MaxTokens: 1,
+		Holder: engineapi.Holder(front.holder.opts.Me),
+	}
+	stream := s.post(e, req)
+	if _, err := io.Copy(io.Discard, stream); err != nil {
+		s.t.Fatal(err)
+	}
+	_ = stream.Close()
+	s.eventually("export", func() bool {
+		x := &engineapi.KVExport{ID: "x", Holder: engineapi.Holder(front.holder.opts.Me), PrefixBlocks: blocks}
+		res, err := c.ExportKV(context.Background(), x)
+		_, ok := res.(*engineapi.KVExport)
+		return err == nil && ok
+	})
+	s.reserve(front, e, "other", 100)
+	s.eventually("export ended, the claimed reservation kept", func() bool {
+		return s.listed(ledger.Export) == 0 && s.listed(ledger.Reservation) == 1
+	})
+	front.holder.End(e, ledger.ID{Kind: ledger.Reservation, Name: "other"})
+}
+
+func TestClaimedWorkOutlivesTheLimits(t *testing.T) {
+	s := newSite(t, 1, 2)
+	s.reserve(s.hosts[0], s.engines[0], "r", 500)
+	// The hard limit has passed when an unclaimed holding of a stranger ends.
+	stranger := ledger.Ask{Engine: "e0", ID: "s", Holder: ledger.Holder{Host: "stranger", Incarnation: "1"}, Tokens: 10}
+	if err := s.http.Reserve(context.Background(), s.engines[0].Address, stranger); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually("the stranger's reservation ends", func() bool { return s.listed(ledger.Reservation) == 1 })
+	if name := s.books()[0].Items[0].Name; name != "r" {
+		t.Errorf("kept %s, want r", name)
+	}
+}
+
+func TestTwoOwnersAtOnceStayWithinMemory(t *testing.T) {
+	s := newSite(t, 2, 3)
+	s.mu.Lock()
+	s.split = true
+	s.mu.Unlock()
+	var asking sync.WaitGroup
+	granted := make([]int, len(s.hosts))
+	for i, h := range s.hosts {
+		asking.Go(func() {
+			for n := range 40 {
+				e := s.engines[n%2]
+				id := ledger.ID{Kind: ledger.Reservation, Name: fmt.Sprintf("%s-%d", h.name, n)}
+				ask := ledger.Ask{Engine: e.Name, ID: id.Name, Tokens: 1000 + rand.Int64N(6000)}
+				reply, err := h.holder.Reserve(context.Background(), e, ask)
+				if err == nil && reply.Granted {
+					granted[i]++
+					if n%3 > 0 {
+						h.holder.End(e, id)
+					}
+				}
+			}
+		})
+	}
+	asking.Wait()
+	for i, b := range s.books() {
+		var sum int64
+		for _, it := range b.Items {
+			sum += it.Tokens
+		}
+		if sum > memory {
+			t.Errorf("engine %d holds %d of %d", i, sum, memory)
+		}
+	}
+	if granted[0]+granted[1]+granted[2] == 0 {
+		t.Error("nothing was granted")
+	}
+	for _, h := range s.hosts {
+		h.kill()
+	}
+	s.mu.Lock()
+	s.split = false
+	s.mu.Unlock()
+	s.addHost("next", "1")
+	s.booksReturnToZero()
+}
+
+func TestOverlappingGangsAllFinish(t *testing.T) {
+	s := newSite(t, 3, 4)
+	var all sync.WaitGroup
+	for i, h := range s.hosts {
+		all.Go(func() {
+			id, err := h.holder.Gather(h.ctx, ledger.GatherOptions{}, s.gang(fmt.Sprintf("g%d", i), 6000), s.engines)
+			if err != nil {
+				t.Errorf("gang %d: %v", i, err)
+				return
+			}
+			for j, b := range s.books() {
+				if len(b.Items) != 1 || b.Items[0].Name != id {
+					t.Errorf("gang %d: engine %d lists %+v", i, j, b.Items)
+				}
+			}
+			for _, e := range s.engines {
+				h.holder.End(e, ledger.ID{Kind: ledger.Reservation, Name: id})
+			}
+		})
+	}
+	all.Wait()
+	s.booksReturnToZero()
+}
+
+func TestGangThatCannotFitEndsWithoutMembers(t *testing.T) {
+	s := newSite(t, 2, 2)
+	_, err := s.hosts[0].holder.Gather(s.hosts[0].ctx, ledger.GatherOptions{}, s.gang("g", memory+1), s.engines)
+	var failed *GangFailed
+	if !errors.As(err, &failed) || failed.Reason != ledger.TooLarge {
+		t.Errorf("got %v, want %s", err, ledger.TooLarge)
+	}
+	s.booksReturnToZero()
+}
--- /dev/null
+++ b/internal/owner/site_test.go
@@ -0,0 +1,289 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
+	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
+	"github.com/buckthorndock/buckthorndock/internal/standin"
+)
+
+const (
+	patience  = 30 * time.Second
+	pollEvery = 5 * time.Millisecond
+	memory    = 10_000 // tokens of an engine
+	model     = "m"
+)
+
+// site is some stand-in engines and hosts that call each other in memory.
+type site struct {
+	t       *testing.T
+	engines []Engine
+	fakes   []*standin.Engine
+	http    *HTTPEngines
+	quiet   *logrus.Logger
+
+	mu    sync.Mutex
+	hosts []*testHost
+	split bool // each host believes that it owns every engine
+}
+
+// testHost is one daemon: an owner and a front.
+type testHost struct {
+	site    *site
+	name    string
+	service *Service
+	holder  *Holder
+	rpc     *RPC
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	alive   bool
+	ctx     context.Context
+}
+
+func newSite(t *testing.T, engines, hosts int) *site {
+	s := &site{t: t, quiet: logrus.New()}
+	s.quiet.SetOutput(io.Discard)
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	s.http = NewHTTPEngines(&http.Client{Transport: transport}, time.Now)
+	for i := range engines {
+		s.addEngine(fmt.Sprintf("e%d", i))
+	}
+	for i := range hosts {
+		s.addHost(fmt.Sprintf("h%d", i), "1")
+	}
+	return s
+}
+
+func (s *site) addEngine(name string) {
+	e := standin.NewEngine(standin.EngineOptions{
+		Name: name, Models: []string{model}, MemoryTokens: memory, PrefillTPS: 1e6,
+		DecodeStep: 50 * time.Millisecond, BlockTokens: 16, LoadTime: 10 * time.Millisecond, ChecksFencing: true,
+	})
+	server, err := standin.Start(e)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(server.Close)
+	s.engines = append(s.engines, Engine{Name: name, Address: server.Address, Pool: "p"})
+	s.fakes = append(s.fakes, e)
+}
+
+func (s *site) addHost(name, incarnation string) *testHost {
+	h := &testHost{site: s, name: name, alive: true}
+	h.service = New(Options{
+		Engines:    s.http,
+		Ownership:  h,
+		Catalog:    func() []Engine { return s.engines },
+		Log:        s.quiet,
+		Ledger:     ledger.Options{Soft: 1500 * time.Millisecond, Hard: 3 * time.Second, RetryEvery: 50 * time.Millisecond},
+		LoadEvery:  50 * time.Millisecond,
+		BooksEvery: 50 * time.Millisecond,
+		TickEvery:  20 * time.Millisecond,
+	})
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.rpc = h.service.RPC(h.ctx)
+	h.holder = NewHolder(HolderOptions{
+		Me: ledger.Holder{Host: name, Incarnation: incarnation}, Engines: s.http, Peers: h, Ownership: h,
+		Local: h.rpc, Log: s.quiet, RenewEvery: 100 * time.Millisecond, RetryMin: 20 * time.Millisecond,
+	})
+	h.done.Go(func() { _ = h.service.Run(h.ctx) })
+	h.done.Go(func() { _ = h.holder.Run(h.ctx) })
+	s.t.Cleanup(h.kill)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts = append(s.hosts, h)
+	return h
+}
+
+// kill ends a host at once; what it holds stays behind.
+func (h *testHost) kill() {
+	h.site.mu.Lock()
+	h.alive = false
+	h.site.mu.Unlock()
+	h.cancel()
+	h.done.Wait()
+}
+
+// Owner implements Ownership: live hosts take the keys in turn.
+func (h *testHost) Owner(key string) (host, address string, self bool) {
+	s := h.site
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.split {
+		return h.name, h.name, true
+	}
+	var live []string
+	for _, o := range s.hosts {
+		if o.alive {
+			live = append(live, o.name)
+		}
+	}
+	if len(live) == 0 {
+		return "", "", false
+	}
+	owner := live[int(key[len(key)-1])%len(live)]
+	return owner, owner, owner == h.name
+}
+
+// Call implements Peers. Arguments and answers go through gob as in net/rpc.
+func (h *testHost) Call(_ context.Context, address, method string, args, reply any) error {
+	s := h.site
+	s.mu.Lock()
+	i := slices.IndexFunc(s.hosts, func(o *testHost) bool { return o.name == address && o.alive })
+	s.mu.Unlock()
+	if i < 0 {
+		return merry.Errorf("%s does not answer", address)
+	}
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(args); err != nil {
+		return err
+	}
+	return s.hosts[i].rpc.dispatchGob(method, &b, reply)
+}
+
+func (r *RPC) dispatchGob(method string, b *bytes.Buffer, reply any) error {
+	decode := gob.NewDecoder(b).Decode
+	var err error
+	switch method {
+	case methodReserve:
+		var a ledger.Ask
+		if err = decode(&a); err == nil {
+			err = r.dispatch(method, a, reply)
+		}
+	case methodRelease:
+		var a ReleaseArgs
+		if err = decode(&a); err == nil {
+			err = r.dispatch(method, a, reply)
+		}
+	case methodRenew:
+		var a ledger.Renewal
+		if err = decode(&a); err == nil {
+			err = r.dispatch(method, a, reply)
+		}
+	case methodTurn:
+		var a TurnArgs
+		if err = decode(&a); err == nil {
+			err = r.dispatch(method, a, reply)
+		}
+	}
+	return err
+}
+
+func (s *site) eventually(what string, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(pollEvery) {
+		if time.Now().After(end) {
+			s.t.Fatalf("not in time: %s; books: %+v", what, s.books())
+		}
+	}
+}
+
+func (s *site) books() []ledger.Books {
+	var all []ledger.Books
+	for _, e := range s.engines {
+		b, err := s.http.Books(context.Background(), e.Address)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		all = append(all, b)
+	}
+	return all
+}
+
+// listed returns the number of holdings of a kind on all engines; 0 is any kind.
+func (s *site) listed(kind ledger.Kind) int {
+	n := 0
+	for _, b := range s.books() {
+		for _, it := range b.Items {
+			if kind == 0 || it.Kind == kind {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (s *site) booksReturnToZero() {
+	defer func(at time.Time) { s.t.Logf("zero after %v", time.Since(at)) }(time.Now())
+	s.t.Helper()
+	s.eventually("books return to zero", func() bool { return s.listed(0) == 0 })
+}
+
+// reserve asks until the reservation is granted.
+func (s *site) reserve(h *testHost, e Engine, id string, tokens int64) {
+	s.t.Helper()
+	ask := ledger.Ask{Engine: e.Name, ID: id, Request: id, Tokens: tokens}
+	s.eventually("grant of "+id, func() bool {
+		reply, err := h.holder.Reserve(context.Background(), e, ask)
+		return err == nil && reply.Granted
+	})
+}
+
+// generate starts a long stream and leaves it open; the returned function cuts
+// its connection.
+func (s *site) generate(h *testHost, e Engine, id string) (cut func()) {
+	s.t.Helper()
+	h.holder.Track(e, ledger.ID{Kind: ledger.Running, Name: id, Attempt: 1})
+	req := &engineapi.GenerateRequest{
+		RequestID: id, Attempt: 1, Model: model, Prompt: "x", PromptTokens: 100, MaxTokens: 9000,
+		Holder: engineapi.Holder(h.holder.opts.Me),
+	}
+	stream := s.post(e, req)
+	closeBody := sync.OnceFunc(func() { _ = stream.Close() })
+	s.t.Cleanup(closeBody)
+	s.eventually(id+" runs", func() bool {
+		return slices.ContainsFunc(s.books(), func(b ledger.Books) bool {
+			return slices.ContainsFunc(b.Items, func(i ledger.Item) bool { return i.Name == id })
+		})
+	})
+	return closeBody
+}
+
+func (s *site) post(e Engine, req *engineapi.GenerateRequest) io.ReadCloser {
+	s.t.Helper()
+	body, err := req.MarshalJSON()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	res, err := http.Post("http://"+e.Address+"/v1/generate", "application/json", bytes.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return res.Body
+}
+
+func (s *site) fault(engine int, path string, kind standin.FaultKind, count int) {
+	s.t.Helper()
+	f := standin.Fault{Kind: kind, On: true, Count: count, Path: path}
+	if err := s.fakes[engine].SetFault(f); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *site) gang(id string, tokens int64) ledger.Gang {
+	g := ledger.Gang{Request: id, Pool: "p", Deadline: time.Now().Add(patience)}
+	for _, e := range s.engines {
+		g.Members = append(g.Members, ledger.Member{Engine: e.Name, Tokens: tokens})
+	}
+	return g
+}
+
+func isOwnedBy(h *testHost, engine string) bool {
+	owner, _, _ := h.Owner(engine)
+	return strings.EqualFold(owner, h.name)
+}
