--- /dev/null
+++ b/internal/core/membership/sim_test.go
@@ -0,0 +1,175 @@
+package membership
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const tickEvery = 500 * time.Millisecond
+
+// site steps several state machines in one goroutine.
+type site struct {
+	t     testing.TB
+	now   time.Time
+	rng   *rand.Rand
+	hosts []*Members
+	at    map[string]*Members        // by address; absent: nobody listens
+	cut   func(from, to string) bool // by domain
+	gob   bool                       // messages go through gob, as between daemons
+	wire  *wire                      // counts bytes when it is not nil
+}
+
+// wire counts the gob bytes that each host sends, type descriptions left out:
+// a connection carries them once.
+type wire struct {
+	buffer bytes.Buffer
+	enc    *gob.Encoder
+	sent   map[string]int // by host
+}
+
+func newWire() *wire {
+	w := &wire{sent: make(map[string]int)}
+	w.enc = gob.NewEncoder(&w.buffer)
+	for _, v := range []any{&Request{}, &Response{}, &Push{}} {
+		_ = w.enc.Encode(v)
+	}
+	return w
+}
+
+func (w *wire) count(host string, v any) {
+	w.buffer.Reset()
+	_ = w.enc.Encode(v)
+	w.sent[host] += w.buffer.Len()
+}
+
+func newSite(t testing.TB, seed uint64) *site {
+	return &site{
+		t:   t,
+		now: epoch,
+		rng: rand.New(rand.NewPCG(seed, 1)),
+		at:  make(map[string]*Members),
+		cut: func(string, string) bool { return false },
+	}
+}
+
+func testIdentity(host, domain string, incarnation uint64) Identity {
+	return Identity{Host: host, Domain: domain, Region: "r", Address: host + ":1", Incarnation: incarnation}
+}
+
+// add starts a host that knows the first one as its seed.
+func (s *site) add(host, domain string, incarnation uint64) *Members {
+	m := New(Config{Self: testIdentity(host, domain, incarnation)}, s.now)
+	if len(s.hosts) > 0 {
+		m.AddSeeds([]string{s.hosts[0].Self().Address})
+	}
+	s.hosts = append(s.hosts, m)
+	s.at[m.Self().Address] = m
+	return m
+}
+
+func (s *site) addDomain(domain string, n int) {
+	for i := range n {
+		s.add(fmt.Sprintf("%s-%02d", domain, i), domain, 1)
+	}
+}
+
+// kill ends a host without a word.
+func (s *site) kill(m *Members) {
+	delete(s.at, m.Self().Address)
+}
+
+func (s *site) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(tickEvery)
+		for _, m := range s.hosts {
+			if s.at[m.Self().Address] == m {
+				s.send(m, m.Tick(s.now, s.rng))
+			}
+		}
+	}
+}
+
+func (s *site) send(from *Members, out []Outgoing) {
+	for _, o := range out {
+		to := s.at[o.Address]
+		if to == nil || s.cut(from.Self().Domain, to.Self().Domain) {
+			from.Failed(s.now, o.Address)
+			continue
+		}
+		if o.Request == nil {
+			s.push(from, to, o.Push)
+			continue
+		}
+		resp, err := to.HandleRequest(s.now, carry(s, from, o.Request))
+		s.must(err)
+		push, err := from.HandleResponse(s.now, carry(s, to, resp))
+		s.must(err)
+		if push != nil {
+			s.push(from, to, push)
+		}
+		s.send(from, from.Forwards(s.rng))
+		s.send(to, to.Forwards(s.rng))
+	}
+}
+
+func (s *site) push(from, to *Members, push *Push) {
+	s.must(to.HandlePush(s.now, carry(s, from, push)))
+	s.send(to, to.Forwards(s.rng))
+}
+
+// carry returns a message as it arrives.
+func carry[T any](s *site, from *Members, sent *T) *T {
+	if s.wire != nil {
+		s.wire.count(from.Self().Host, sent)
+	}
+	if !s.gob {
+		return sent
+	}
+	var b bytes.Buffer
+	s.must(gob.NewEncoder(&b).Encode(sent))
+	arrived := new(T)
+	s.must(gob.NewDecoder(&b).Decode(arrived))
+	return arrived
+}
+
+func (s *site) must(err error) {
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// stateAt returns how a host is seen by another one; ok is false when it is
+// unknown there.
+func (s *site) stateAt(m *Members, host string) (state State, ok bool) {
+	for _, v := range m.View(s.now) {
+		if v.Host == host {
+			return v.State, true
+		}
+	}
+	return 0, false
+}
+
+// wrong returns the first disagreement with an expected state of all hosts of a
+// domain, as seen by the running hosts of another.
+func (s *site) wrong(viewers, domain string, want State) string {
+	for _, m := range s.hosts {
+		if m.Self().Domain != viewers || s.at[m.Self().Address] != m {
+			continue
+		}
+		for _, o := range s.hosts {
+			if o.Self().Domain != domain || s.at[o.Self().Address] != o {
+				continue
+			}
+			if got, ok := s.stateAt(m, o.Self().Host); !ok || got != want {
+				return fmt.Sprintf("%s sees %s %s (known %t), want %s", m.Self().Host, o.Self().Host, got, ok, want)
+			}
+		}
+	}
+	return ""
+}
