Orders: each pool's leader brings its engines to what the settings want

Cause: models listed in the settings were not loaded on engines that lacked them. Ruled out: orders from whichever front notices: without a lease two hosts could order against each other, and engines that do not check fences would obey both. Conclusion: holds for engines that check. An engine that does not check gets its first order only after the lease and the longest order time; over 30 s here, so the scenario does not cover it.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -53,6 +53,7 @@
 	engines *owner.HTTPEngines
 	owner   *owner.Service
 	holder  *owner.Holder
+	orders  *owner.Orders
 
 	front  *front.Server
 	server *http.Server
@@ -61,7 +62,7 @@
 // newProcess builds a daemon that does nothing yet but listen to peers.
 func newProcess(work context.Context, cfg *config.Daemon, log *logrus.Entry) (*process, error) {
 	p := &process{cfg: cfg, log: log, work: work, incarnation: uint64(time.Now().UnixMilli())}
-	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildUpstreams, p.buildOwner, p.buildFront}
+	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildUpstreams, p.buildOwner, p.buildOrders, p.buildFront}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,6 +69,7 @@
 	run("watch", p.watch)
 	run("owner", p.owner.Run)
 	run("holder", p.holder.Run)
+	run("orders", p.orders.Run)
 	return &wg
 }
 
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -492,3 +492,37 @@
 	body := map[string][][]byte{"records": {[]byte("\x00garbage")}}
 	ts.Check(post(siteOf(ts).process(ts, args[0]).address, "/v1/streams/"+args[1]+"/records", body))
 }
+
+// cmdFetch waits until what a stand-in answers to a GET matches: [!] fetch NAME
+// PATH REGEXP.
+func cmdFetch(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, false, args, 3, "[!] fetch NAME PATH REGEXP")
+	re, err := regexp.Compile(args[2])
+	ts.Check(err)
+	p := siteOf(ts).process(ts, args[0])
+	until(ts, "fetch "+strings.Join(args, " "), func() error {
+		text, err := getText(p.address, args[1], "")
+		if err != nil {
+			return err
+		}
+		if re.MatchString(text) == neg {
+			return fmt.Errorf("got %s", text)
+		}
+		return nil
+	})
+}
+
+// cmdCut cuts a daemon off from the peers in the named hosts and domains; without
+// names it heals: cut DAEMON [NAME...].
+func cmdCut(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "cut DAEMON [NAME...]")
+	p := siteOf(ts).process(ts, args[0])
+	ts.Check(post(p.address, "/test-faults/cut?from="+strings.Join(args[1:], ","), struct{}{}))
+}
+
+// cmdSilence makes a daemon's open peer connections silent for good: silence
+// DAEMON.
+func cmdSilence(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "silence DAEMON")
+	ts.Check(post(siteOf(ts).process(ts, args[0]).address, "/test-faults/silence", struct{}{}))
+}
