claims: combiner, front side, releases and kept answers

Cause: core/claim decides; something has to append, read back, give up and relay. Ruled out: each front following each claim stream (at full size more than its control budget); asking the combiner to own the verdict (a paused one could then act as if it still did); answering from an append's success (its answer can be lost or doubled). Change: Service.Acquire/Release/Await, combiner (batches, long-poll reads, look for the claim id after a failed append before appending it again, stop when unused, window start by search), releaser, Answers bounded in bytes, age and count, net/rpc receiver. In core: a permit also dies by the wall clock, since the monotonic one stands still while a machine is suspended; text that is not UTF-8 is refused, since JSON would turn two keys into one. Conclusion: every host can be combiner; the front needs only Peers.

--- /dev/null
+++ b/internal/claims/answers.go
@@ -0,0 +1,287 @@
+package claims
+
+import (
+	"container/list"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+)
+
+// Defaults of AnswerOptions.
+const (
+	DefaultAnswerBytes    = 32 << 20
+	DefaultOneAnswerBytes = 4 << 20
+	DefaultAnswerRecords  = 50_000
+)
+
+const (
+	chunkBytes = 256 << 10
+	// unreachableRetry is when a caller may ask again for an outcome whose
+	// holder is away.
+	unreachableRetry = 10 * time.Second
+)
+
+// AnswerOptions bound what a holder keeps for repeats of its keys.
+type AnswerOptions struct {
+	Bytes    int           // of all answers together. Default 32 MiB
+	OneBytes int           // of one answer. Default 4 MiB
+	Age      time.Duration // of an ended answer's bytes. Default the replay's window
+	Records  int           // of keys whose outcome is known. Default 50,000
+}
+
+// AnswerState says how the run of a key stands.
+type AnswerState uint8
+
+// States of an answer. All but AnswerRunning are final.
+const (
+	AnswerMissing     AnswerState = iota // the holder does not know of the run
+	AnswerRunning                        // claimed or dispatched
+	AnswerComplete                       // the whole answer is here
+	AnswerFailed                         // it may have run and gave no whole answer
+	AnswerUnknown                        // dispatched, and its end was lost
+	AnswerReleased                       // never dispatched: ask again
+	AnswerDropped                        // completed, answer no longer kept
+	AnswerUnreachable                    // the holder's host cannot be asked
+)
+
+var answerStateNames = [...]string{
+	"missing", "running", "complete", "failed", "unknown", "released", "dropped", "unreachable",
+}
+
+// String returns the state's name for logs.
+func (s AnswerState) String() string {
+	if int(s) >= len(answerStateNames) {
+		return "invalid"
+	}
+	return answerStateNames[s]
+}
+
+// Ending is how a run ended.
+type Ending struct {
+	State   AnswerState
+	Code    request.Code // with AnswerFailed and AnswerUnknown
+	Message string
+	Status  int // HTTP status of the upstream's answer, 0 if there is none
+	Size    int // bytes of the whole answer; set by Finish
+}
+
+// Refusal returns what to tell a caller whose repeat met this ending, nil for a
+// whole answer.
+func (e Ending) Refusal() *request.Refusal {
+	r := &request.Refusal{Outcome: request.Unknown, Code: request.CodeOutcomeLost, Message: e.Message}
+	switch e.State {
+	case AnswerComplete:
+		return nil
+	case AnswerFailed:
+		r.Outcome, r.Code = request.Failed, e.Code
+	case AnswerUnknown:
+		r.Code = e.Code
+	case AnswerDropped:
+		r.Outcome, r.Code = request.Complete, request.CodeAnswerDropped
+		r.Message = "completed, answer no longer kept"
+	case AnswerReleased:
+		return request.Refuse(request.CodeKeyUnavailable, awayRetry, "not run; the key is free again")
+	default:
+		r.RetryAfter = unreachableRetry
+		r.Message = "the host that may have run the request cannot be asked"
+	}
+	if r.Code == "" {
+		r.Code = request.CodeOutcomeLost
+	}
+	return r
+}
+
+// Chunk is a piece of an answer.
+type Chunk struct {
+	State  AnswerState // AnswerRunning: more may come
+	Data   []byte
+	Ending Ending // when State is final
+}
+
+type answerKey struct {
+	customer, key string
+	offset        int64
+}
+
+// kept is one run's answer. A dropped one has lost its bytes but not its end.
+type kept struct {
+	key     answerKey
+	data    []byte
+	size    int
+	dropped bool
+	ending  Ending
+	ended   time.Time
+	changed chan struct{} // closed and replaced at each change
+}
+
+// Answers keeps the answers of this host's runs, bounded in bytes and age.
+type Answers struct {
+	o   AnswerOptions
+	now func() time.Time
+
+	mu    sync.Mutex
+	bytes int
+	runs  map[answerKey]*kept
+	ended *list.List // of *kept, oldest end first
+}
+
+func newAnswers(o AnswerOptions, window time.Duration, now func() time.Time) *Answers {
+	if o.Bytes <= 0 {
+		o.Bytes = DefaultAnswerBytes
+	}
+	if o.OneBytes <= 0 {
+		o.OneBytes = DefaultOneAnswerBytes
+	}
+	if o.Records <= 0 {
+		o.Records = DefaultAnswerRecords
+	}
+	setDuration(&o.Age, window)
+	return &Answers{o: o, now: now, runs: map[answerKey]*kept{}, ended: list.New()}
+}
+
+// Recording takes the answer of one run as it comes.
+type Recording struct {
+	a *Answers
+	k *kept
+}
+
+func (a *Answers) begin(key answerKey) *Recording {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	k := &kept{key: key, ending: Ending{State: AnswerRunning}, changed: make(chan struct{})}
+	a.runs[key] = k
+	return &Recording{a: a, k: k}
+}
+
+// Write adds bytes to the answer. It never fails: what does not fit the bounds
+// is not kept, and repeats of the key are told so.
+func (r *Recording) Write(p []byte) (int, error) {
+	a, k := r.a, r.k
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if k.ending.State != AnswerRunning {
+		return len(p), nil
+	}
+	k.size += len(p)
+	if k.size > a.o.OneBytes {
+		a.drop(k)
+	}
+	if !k.dropped {
+		k.data = append(k.data, p...)
+		a.bytes += len(p)
+		a.shrink(k)
+	}
+	k.signal()
+	return len(p), nil
+}
+
+// Finish ends the answer. Only the first call counts.
+func (r *Recording) Finish(e Ending) {
+	a, k := r.a, r.k
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if k.ending.State != AnswerRunning {
+		return
+	}
+	e.Size = k.size
+	k.ending = e
+	k.ended = a.now()
+	a.ended.PushBack(k)
+	k.signal()
+	a.expire()
+}
+
+func (k *kept) signal() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// shrink drops the bytes of the oldest ended answers, and those of the growing
+// one last.
+func (a *Answers) shrink(growing *kept) {
+	for e := a.ended.Front(); e != nil && a.bytes > a.o.Bytes; e = e.Next() {
+		a.drop(e.Value.(*kept))
+	}
+	if a.bytes > a.o.Bytes {
+		a.drop(growing)
+	}
+}
+
+func (a *Answers) drop(k *kept) {
+	if k.dropped {
+		return
+	}
+	a.bytes -= len(k.data)
+	k.data = nil
+	k.dropped = true
+	answersDropped.Inc()
+}
+
+// sweep drops what has grown too old.
+func (a *Answers) sweep() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire()
+}
+
+// expire drops bytes older than Age, and outcomes older than twice that or
+// beyond Records.
+func (a *Answers) expire() {
+	now := a.now()
+	for e := a.ended.Front(); e != nil; {
+		k, next := e.Value.(*kept), e.Next()
+		age := now.Sub(k.ended)
+		if age <= a.o.Age && a.ended.Len() <= a.o.Records {
+			return
+		}
+		a.drop(k)
+		if age > 2*a.o.Age || a.ended.Len() > a.o.Records {
+			a.ended.Remove(e)
+			delete(a.runs, k.key)
+		}
+		e = next
+	}
+}
+
+// read returns what is there beyond from bytes, waiting for more of a run that
+// goes on.
+func (a *Answers) read(ctx context.Context, key answerKey, from int) Chunk {
+	for {
+		chunk, changed := a.look(key, from)
+		if changed == nil {
+			return chunk
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return chunk
+		}
+	}
+}
+
+// look returns a chunk, and a channel to wait on when there is nothing new.
+func (a *Answers) look(key answerKey, from int) (Chunk, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	k := a.runs[key]
+	if k == nil || from < 0 {
+		return Chunk{State: AnswerMissing}, nil
+	}
+	state := k.ending.State
+	switch {
+	case k.dropped && state == AnswerComplete:
+		end := k.ending
+		end.State = AnswerDropped
+		return Chunk{State: AnswerDropped, Ending: end}, nil
+	case k.dropped && state == AnswerRunning:
+		return Chunk{State: AnswerRunning}, k.changed
+	case from < len(k.data):
+		data := k.data[from:min(from+chunkBytes, len(k.data))]
+		return Chunk{State: AnswerRunning, Data: data}, nil
+	case state == AnswerRunning:
+		return Chunk{State: AnswerRunning}, k.changed
+	}
+	return Chunk{State: state, Ending: k.ending}, nil
+}
--- /dev/null
+++ b/internal/claims/await.go
@@ -0,0 +1,80 @@
+package claims
+
+import (
+	"context"
+	"io"
+	"time"
+)
+
+const (
+	awaitPoll  = 5 * time.Second // longest wait of one call for more
+	awaitTries = 3               // failed calls in a row before the holder is given up
+)
+
+// Await relays the answer of a run that Result.Holder holds, here or at another
+// host, and returns how it ended. The answer is whole only with AnswerComplete;
+// with any other state the bytes written so far are no answer. The error is that
+// of w, or of the context.
+func (s *Service) Await(ctx context.Context, r Result, w io.Writer) (Ending, error) {
+	from := 0
+	for {
+		chunk := s.nextChunk(ctx, r, from)
+		if err := ctx.Err(); err != nil {
+			return Ending{State: AnswerUnknown}, err
+		}
+		n, err := w.Write(chunk.Data)
+		if err != nil {
+			return Ending{State: AnswerUnknown}, err
+		}
+		from += n
+		if chunk.State == AnswerRunning {
+			continue
+		}
+		end := chunk.Ending
+		end.State = chunk.State
+		if end.State == AnswerComplete && from != end.Size {
+			end.State = AnswerUnknown
+		}
+		return end, nil
+	}
+}
+
+// nextChunk asks the holder, trying again a few times when it cannot be reached.
+func (s *Service) nextChunk(ctx context.Context, r Result, from int) Chunk {
+	if r.Holder.Host == s.o.Host {
+		if r.Holder.Incarnation != s.o.Incarnation {
+			return Chunk{State: AnswerMissing}
+		}
+		return s.answers.read(ctx, answerKey{r.record.Customer, r.record.Key, r.Offset}, from)
+	}
+	for range awaitTries {
+		chunk, err := s.callAwait(ctx, r, from)
+		if err == nil {
+			return chunk
+		}
+		if !sleep(ctx, s.o.RetryEvery) {
+			break
+		}
+	}
+	return Chunk{State: AnswerUnreachable}
+}
+
+func (s *Service) callAwait(ctx context.Context, r Result, from int) (Chunk, error) {
+	address, ok := s.peers.Address(r.Holder.Host)
+	if !ok {
+		return Chunk{State: AnswerUnreachable}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, awaitPoll+s.o.CallTimeout)
+	defer cancel()
+	args := AwaitArgs{
+		Customer:    r.record.Customer,
+		Key:         r.record.Key,
+		Offset:      r.Offset,
+		Incarnation: r.Holder.Incarnation,
+		From:        from,
+		Wait:        awaitPoll,
+	}
+	var chunk Chunk
+	err := s.peers.Call(ctx, address, ServiceName+".Await", args, &chunk)
+	return chunk, err
+}
--- /dev/null
+++ b/internal/claims/combiner.go
@@ -0,0 +1,263 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/claim"
+	"github.com/buckthorndock/buckthorndock/internal/platform"
+)
+
+// pending is a record on its way into the log and back.
+type pending struct {
+	record  claim.Record
+	data    []byte
+	done    chan claim.Event // buffered; gets the event that settles it
+	settled bool             // by its event, or given up by its caller
+	errorAt int64            // number of the last read that began before the append failed
+}
+
+// combiner serves one partition. Two goroutines run while it is used: follow
+// reads the stream, appendBatches writes it. Verdicts come from follow only.
+type combiner struct {
+	o      Options
+	log    platform.Log
+	base   context.Context
+	wg     *sync.WaitGroup
+	stream string
+
+	mu        sync.Mutex
+	running   bool
+	used      time.Time
+	replay    *claim.Replay // nil until the window was replayed
+	appliedAt time.Time     // local time of the last applied record
+	changed   chan struct{} // closed and replaced when replay or away change
+	away      bool          // the last read failed
+	blocked   time.Time     // no append before it, as the last one failed
+	claims    map[claim.ID]*pending
+	releases  map[int64]*pending
+	queue     []*pending
+	unsure    []*pending // append failed; looked for before they are queued again
+	reads     int64
+	wake      chan struct{}
+	stopPoll  context.CancelFunc
+}
+
+func newCombiner(o Options, log platform.Log, base context.Context, wg *sync.WaitGroup, partition int) *combiner {
+	return &combiner{
+		o: o, log: log, base: base, wg: wg,
+		stream:   StreamName(partition),
+		changed:  make(chan struct{}),
+		claims:   map[claim.ID]*pending{},
+		releases: map[int64]*pending{},
+	}
+}
+
+// StreamName returns the log stream of a partition.
+func StreamName(partition int) string {
+	return fmt.Sprintf("claims-%d", partition)
+}
+
+// acquire returns the verdict on a claim, appending it if need be.
+func (c *combiner) acquire(ctx context.Context, cl claim.Claim) AcquireReply {
+	if !c.open(ctx) {
+		return AcquireReply{State: StateAway}
+	}
+	p, reply := c.submit(cl)
+	if p == nil {
+		return reply
+	}
+	defer c.forget(p)
+	select {
+	case ev := <-p.done:
+		return AcquireReply{State: verdictStates[ev.Verdict], Offset: ev.Offset, Holder: ev.Holder}
+	case <-ctx.Done():
+		return AcquireReply{State: StateUndecided}
+	}
+}
+
+// submit queues a claim, or answers at once when the log already decides.
+func (c *combiner) submit(cl claim.Claim) (*pending, AcquireReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.replay == nil {
+		return nil, AcquireReply{State: StateAway}
+	}
+	if d, ok := c.replay.Decided(cl.Customer, cl.Key, cl.ID); ok {
+		return nil, AcquireReply{State: verdictStates[d.Verdict], Offset: d.Offset, Holder: d.Holder}
+	}
+	st := c.replay.Lookup(cl.Customer, cl.Key, c.logNow())
+	switch st.State {
+	case claim.KeyHeld:
+		if st.Holder.Fingerprint != cl.Fingerprint {
+			return nil, AcquireReply{State: StateConflict, Holder: st.Holder}
+		}
+		return nil, AcquireReply{State: StateHeld, Holder: st.Holder}
+	case claim.KeyExpired:
+		return nil, AcquireReply{State: StateExpired}
+	case claim.KeyUncertain:
+		return nil, AcquireReply{State: StateUncertain, RetryAfter: st.Wait}
+	case claim.KeyReleased:
+		cl.Supersedes = st.Holder.Offset
+	}
+	if c.away || c.o.Now().Before(c.blocked) {
+		return nil, AcquireReply{State: StateAway}
+	}
+	if c.replay.Len()+len(c.claims) >= c.o.MaxKeys {
+		return nil, AcquireReply{State: StateBusy}
+	}
+	p, err := newPending(claim.Record{Claim: &cl})
+	if err != nil {
+		c.o.Log.WithError(err).Warn("event=claim_refused")
+		return nil, AcquireReply{State: StateInvalid}
+	}
+	c.claims[cl.ID] = p
+	c.enqueue(p)
+	return p, AcquireReply{}
+}
+
+// release writes the release of a claim that holds its key.
+func (c *combiner) release(ctx context.Context, a ReleaseArgs) ReleaseReply {
+	if !c.open(ctx) {
+		return ReleaseReply{State: StateAway}
+	}
+	p, state := c.submitRelease(a)
+	if p == nil {
+		return ReleaseReply{State: state}
+	}
+	defer c.forget(p)
+	select {
+	case <-p.done:
+		return ReleaseReply{State: StateReleased}
+	case <-ctx.Done():
+		return ReleaseReply{State: StateUndecided}
+	}
+}
+
+func (c *combiner) submitRelease(a ReleaseArgs) (*pending, State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.replay == nil || c.away {
+		return nil, StateAway
+	}
+	d, ok := c.replay.Decided(a.Customer, a.Key, a.ID)
+	if !ok {
+		return nil, StateNotFound
+	}
+	st := c.replay.Lookup(a.Customer, a.Key, c.replay.Clock())
+	if d.Verdict != claim.Holds || st.State != claim.KeyHeld || st.Holder.Offset != d.Offset {
+		return nil, StateReleased
+	}
+	p, err := newPending(claim.Record{Release: &claim.Release{Offset: d.Offset, Host: a.Host, Incarnation: a.Incarnation}})
+	if err != nil {
+		return nil, StateInvalid
+	}
+	c.releases[d.Offset] = p
+	c.enqueue(p)
+	return p, StateUndecided
+}
+
+func newPending(r claim.Record) (*pending, error) {
+	data, err := claim.Encode(r)
+	if err != nil {
+		return nil, err
+	}
+	return &pending{record: r, data: data, done: make(chan claim.Event, 1)}, nil
+}
+
+// logNow is a lower bound of the log's clock: the last record's time, and what
+// has passed here since it was applied.
+func (c *combiner) logNow() time.Time {
+	if c.replay.Clock().IsZero() {
+		return time.Time{}
+	}
+	return c.replay.Clock().Add(c.o.Now().Sub(c.appliedAt))
+}
+
+func (c *combiner) enqueue(p *pending) {
+	c.queue = append(c.queue, p)
+	c.wakeUp()
+}
+
+func (c *combiner) wakeUp() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// forget ends the wait for a record. One that was not appended yet never is.
+func (c *combiner) forget(p *pending) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.settled = true
+	if cl := p.record.Claim; cl != nil && c.claims[cl.ID] == p {
+		delete(c.claims, cl.ID)
+	}
+	if rel := p.record.Release; rel != nil && c.releases[rel.Offset] == p {
+		delete(c.releases, rel.Offset)
+	}
+}
+
+// open starts the combiner if need be and waits until the window is replayed.
+// It reports false at once when the log does not answer.
+func (c *combiner) open(ctx context.Context) bool {
+	for {
+		c.mu.Lock()
+		c.start()
+		ready, away, changed := c.replay != nil, c.away, c.changed
+		c.mu.Unlock()
+		if ready || away {
+			return ready
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (c *combiner) start() {
+	c.used = c.o.Now()
+	if c.running || c.base.Err() != nil {
+		return
+	}
+	c.running = true
+	// A new channel, so that an ending run cannot take this run's wake-ups.
+	wake := make(chan struct{}, 1)
+	c.wake = wake
+	ctx, cancel := context.WithCancel(c.base)
+	c.wg.Add(2)
+	go func() {
+		defer c.wg.Done()
+		defer cancel()
+		c.follow(ctx)
+	}()
+	go func() {
+		defer c.wg.Done()
+		c.appendBatches(ctx, wake)
+	}()
+}
+
+// stopIfIdle ends the run of a partition that nobody uses; the next use replays
+// the window again.
+func (c *combiner) stopIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.claims)+len(c.releases) > 0 || c.o.Now().Sub(c.used) < c.o.IdleStop {
+		return false
+	}
+	c.running = false
+	c.replay = nil
+	c.away = false
+	c.queue, c.unsure = nil, nil
+	return true
+}
+
+func (c *combiner) signal() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/claims/follow.go
@@ -0,0 +1,238 @@
+package claims
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/claim"
+	"github.com/buckthorndock/buckthorndock/internal/platform"
+)
+
+const (
+	pageRecords = 2000
+	// searchFrom is the number of kept records from which on the window's start
+	// is searched for instead of reading them all.
+	searchFrom = 5000
+)
+
+// follow reads the stream until the partition is idle or the context ends.
+func (c *combiner) follow(ctx context.Context) {
+	for ctx.Err() == nil && !c.stopIfIdle() {
+		err := c.readOn(ctx)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		c.setAway(err)
+		sleep(ctx, c.o.RetryEvery)
+	}
+}
+
+func (c *combiner) setAway(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.away {
+		c.o.Log.WithError(err).WithField("stream", c.stream).Warn("event=claim_log_away")
+	}
+	c.away = true
+	logErrors.Inc()
+	c.signal()
+}
+
+// readOn replays the window first, and then reads one page.
+func (c *combiner) readOn(ctx context.Context) error {
+	c.mu.Lock()
+	replay := c.replay
+	c.mu.Unlock()
+	if replay != nil {
+		return c.poll(ctx, replay)
+	}
+	replay, err := c.replayWindow(ctx)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replay = replay
+	c.appliedAt = c.o.Now()
+	c.away = false
+	c.signal()
+	return nil
+}
+
+// poll waits for the next records and settles what they decide.
+func (c *combiner) poll(ctx context.Context, replay *claim.Replay) error {
+	ctx, cancel := context.WithTimeout(ctx, c.o.Poll+c.o.LogTimeout)
+	defer cancel()
+	c.mu.Lock()
+	c.reads++
+	number, wait := c.reads, c.o.Poll
+	if len(c.unsure) > 0 || c.away {
+		wait = 0
+	}
+	if wait > 0 {
+		c.stopPoll = cancel // called by fail
+	}
+	c.mu.Unlock()
+	page, err := c.log.Read(ctx, c.stream, replay.Next(), pageRecords, wait)
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopPoll = nil
+	if err != nil {
+		if wait > 0 && ctx.Err() == context.Canceled {
+			return nil // cut short by fail
+		}
+		return err
+	}
+	if c.away {
+		c.o.Log.WithField("stream", c.stream).Info("event=claim_log_back")
+		c.away = false
+		c.signal()
+	}
+	for _, r := range page.Records {
+		c.settle(replay.Apply(input(r)))
+		c.appliedAt = c.o.Now()
+	}
+	if replay.Next() >= page.Next {
+		c.requeue(number)
+	}
+	return nil
+}
+
+func input(r platform.Record) claim.Input {
+	return claim.Input{Offset: r.Offset, At: r.At, Data: r.Data}
+}
+
+// settle hands an event to the one who waits for it.
+func (c *combiner) settle(ev claim.Event) {
+	var p *pending
+	switch ev.Kind {
+	case claim.EventDecided:
+		p = c.claims[ev.Claim.ID]
+	case claim.EventReleased:
+		p = c.releases[ev.Offset]
+	}
+	if p == nil || p.settled {
+		return
+	}
+	p.settled = true
+	p.done <- ev
+}
+
+// requeue appends again what a whole read, begun after the failed append, did
+// not show. Should the first append still take effect, its ID is a repeat.
+func (c *combiner) requeue(read int64) {
+	rest := c.unsure[:0]
+	for _, p := range c.unsure {
+		switch {
+		case p.settled:
+		case p.errorAt < read:
+			c.enqueue(p)
+		default:
+			rest = append(rest, p)
+		}
+	}
+	c.unsure = rest
+}
+
+// replayWindow reads what counts for new claims. If part of it was trimmed, a
+// mark is appended so that the end of the uncertain time can be told.
+func (c *combiner) replayWindow(ctx context.Context) (*claim.Replay, error) {
+	head, err := c.readNow(ctx, 1, 1)
+	if err != nil {
+		return nil, err
+	}
+	from, err := c.windowStart(ctx, head)
+	if err != nil {
+		return nil, err
+	}
+	replay := claim.NewReplay(c.o.Replay)
+	next, err := c.catchUp(ctx, replay, from)
+	if err != nil {
+		return nil, err
+	}
+	unseen := replay.Clock().IsZero() && next > 1
+	if !unseen && (replay.CertainFrom().IsZero() || replay.Clock().After(replay.CertainFrom())) {
+		return replay, nil
+	}
+	if err := c.mark(ctx); err != nil {
+		return nil, err
+	}
+	_, err = c.catchUp(ctx, replay, next)
+	if err == nil && replay.Clock().IsZero() {
+		err = merry.New("own mark is not in the log yet")
+	}
+	return replay, err
+}
+
+// catchUp applies all records from an offset on and returns the stream's next.
+func (c *combiner) catchUp(ctx context.Context, replay *claim.Replay, from int64) (int64, error) {
+	for {
+		page, err := c.readNow(ctx, from, pageRecords)
+		if err != nil {
+			return 0, err
+		}
+		for _, r := range page.Records {
+			replay.Apply(input(r))
+			from = r.Offset + 1
+		}
+		if len(page.Records) == 0 || from >= page.Next {
+			return page.Next, nil
+		}
+	}
+}
+
+// windowStart returns the last offset that is old enough for all later claims
+// to be certain, or the first kept one.
+func (c *combiner) windowStart(ctx context.Context, head platform.Page) (int64, error) {
+	first, count := head.FirstKept, head.Next-head.FirstKept
+	if count < searchFrom {
+		return max(first, 1), nil
+	}
+	last, err := c.timeAt(ctx, head.Next-1)
+	if err != nil {
+		return 0, err
+	}
+	oldest := last.Add(-c.o.Replay.Window() - time.Second)
+	var failed error
+	young := sort.Search(int(count), func(i int) bool {
+		at, err := c.timeAt(ctx, first+int64(i))
+		if err != nil {
+			failed = err
+		}
+		return failed != nil || at.After(oldest)
+	})
+	return first + int64(max(young-1, 0)), failed
+}
+
+func (c *combiner) timeAt(ctx context.Context, offset int64) (time.Time, error) {
+	page, err := c.readNow(ctx, offset, 1)
+	if err != nil {
+		return time.Time{}, err
+	}
+	if len(page.Records) == 0 {
+		return time.Time{}, merry.Errorf("stream %s has no record at %d", c.stream, offset)
+	}
+	return page.Records[0].At, nil
+}
+
+func (c *combiner) readNow(ctx context.Context, from int64, limit int) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.o.LogTimeout)
+	defer cancel()
+	return c.log.Read(ctx, c.stream, from, limit, 0)
+}
+
+// mark appends a record that shows the log's time.
+func (c *combiner) mark(ctx context.Context) error {
+	data, err := claim.Encode(claim.Record{Mark: &claim.Mark{Host: c.o.Host}})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.o.LogTimeout)
+	defer cancel()
+	_, err = c.log.Append(ctx, c.stream, [][]byte{data})
+	return err
+}
--- /dev/null
+++ b/internal/claims/types.go
@@ -0,0 +1,151 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/claim"
+)
+
+// Ask is a front's wish to run the request of a key.
+type Ask struct {
+	Customer    string
+	Key         string    // idempotency key, scoped to the customer
+	Fingerprint uint64    // of the request's body
+	NotAfter    time.Time // the request's deadline: no dispatch after it
+}
+
+// Result of Acquire: either this host holds the key, or another claim does.
+type Result struct {
+	Offset int64 // of the holder's claim
+
+	// Permit and Answer are set when this host holds the key. Permit.Dispatch
+	// must report true before the first byte is sent. Every held Result ends in
+	// Service.Release or in Answer.Finish.
+	Permit *claim.Permit
+	Answer *Recording
+
+	// Holder is the other claim when Permit is nil. It may be of this host; use
+	// Service.Await for its answer.
+	Holder claim.Holder
+
+	record claim.Claim
+}
+
+// Mine reports whether this host holds the key.
+func (r Result) Mine() bool { return r.Permit != nil }
+
+// PeerRef is a daemon that can be called.
+type PeerRef struct {
+	Host    string
+	Address string // IP:port of its peer listener
+}
+
+// Peers is what this package needs of the other daemons.
+type Peers interface {
+	// Combiners lists the live hosts for a partition in rendezvous order, this
+	// host included.
+	Combiners(partition int) []PeerRef
+	// Address returns the peer address of a live host.
+	Address(host string) (address string, ok bool)
+	// Call calls a net/rpc method, as ServiceName + ".Acquire".
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// ServiceName is the name under which RPC is to be registered.
+const ServiceName = "Claims"
+
+// Defaults of Options.
+const (
+	DefaultBatchEvery  = 40 * time.Millisecond
+	DefaultIdleWait    = 2 * time.Millisecond
+	DefaultMaxBatch    = 500
+	DefaultPoll        = 5 * time.Second
+	DefaultLogTimeout  = 2 * time.Second
+	DefaultRetryEvery  = 250 * time.Millisecond
+	DefaultIdleStop    = time.Minute
+	DefaultCallTimeout = 1500 * time.Millisecond
+	DefaultDecideIn    = 5 * time.Second
+	DefaultMaxKeys     = 200_000
+)
+
+// Options of a Service. Host, Incarnation and Replay must be set alike to what
+// the peers see; the rest has defaults.
+type Options struct {
+	Host        string
+	Incarnation uint64        // of this process; another one after each start
+	Replay      claim.Options // the same on all hosts of the site
+
+	BatchEvery  time.Duration // least time between appends to a partition
+	IdleWait    time.Duration // wait for company before the first append
+	MaxBatch    int           // records in an append
+	Poll        time.Duration // longest wait of a read
+	LogTimeout  time.Duration // of an append, and of a read beyond its wait
+	RetryEvery  time.Duration // after an error of the log
+	IdleStop    time.Duration // an unused partition is followed no longer
+	CallTimeout time.Duration // of a call to a combiner
+	DecideIn    time.Duration // longest wait for a verdict
+	MarkEvery   time.Duration // between marks; half the key life by default
+	MaxKeys     int           // remembered keys of a partition before it refuses
+
+	Answers AnswerOptions
+	Now     func() time.Time // time.Now by default
+	Log     logrus.FieldLogger
+}
+
+func (o Options) withDefaults() Options {
+	if o.Replay.KeyLife <= 0 {
+		o.Replay.KeyLife = claim.DefaultKeyLife
+	}
+	if o.Replay.MaxSkew <= 0 {
+		o.Replay.MaxSkew = claim.DefaultMaxSkew
+	}
+	setDuration(&o.BatchEvery, DefaultBatchEvery)
+	setDuration(&o.IdleWait, DefaultIdleWait)
+	setDuration(&o.Poll, DefaultPoll)
+	setDuration(&o.LogTimeout, DefaultLogTimeout)
+	setDuration(&o.RetryEvery, DefaultRetryEvery)
+	setDuration(&o.IdleStop, DefaultIdleStop)
+	setDuration(&o.CallTimeout, DefaultCallTimeout)
+	setDuration(&o.DecideIn, DefaultDecideIn)
+	setDuration(&o.MarkEvery, o.Replay.KeyLife/2)
+	if o.MaxBatch <= 0 {
+		o.MaxBatch = DefaultMaxBatch
+	}
+	if o.MaxKeys <= 0 {
+		o.MaxKeys = DefaultMaxKeys
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Log == nil {
+		o.Log = logrus.StandardLogger()
+	}
+	return o
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+// MinRetention is the least time for which the log must keep claim records.
+func (o Options) MinRetention() time.Duration {
+	o = o.withDefaults()
+	return o.Replay.Window() + 2*o.MarkEvery
+}
+
+// sleep waits and reports false when the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -134,6 +134,16 @@
 	}
 }
 
+func TestPermitDiesByTheWallClock(t *testing.T) {
+	now := time.Now()
+	p := NewPermit(now.Add(time.Minute))
+	p.Grant(1)
+	// A suspended machine: an hour by the wall clock, nothing by the monotonic.
+	if p.Dispatch(now.Round(0).Add(time.Hour)) || p.State() != Dead {
+		t.Error("dispatched after a suspension")
+	}
+}
+
 func TestCustomersDoNotShareKeys(t *testing.T) {
 	r := NewReplay(Options{})
 	for i, customer := range []string{"frigolijst", "kuopio"} {
--- a/internal/core/claim/permit.go
+++ b/internal/core/claim/permit.go
@@ -69,9 +69,10 @@
 
 // Dispatch must be called before the first byte is written; only when it
 // reports true may anything be sent. It reports true at most once. Past
-// NotAfter the permit dies instead.
+// NotAfter the permit dies instead, by the monotonic clock or by the wall clock:
+// the former stands still while a machine is suspended.
 func (p *Permit) Dispatch(now time.Time) bool {
-	if now.After(p.notAfter) {
+	if now.After(p.notAfter) || now.Round(0).After(p.notAfter.Round(0)) {
 		p.step(Claimed, Dead)
 		return false
 	}
--- a/internal/core/claim/record.go
+++ b/internal/core/claim/record.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"time"
+	"unicode/utf8"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
@@ -139,6 +140,8 @@
 		return merry.Errorf("claim: key has %d bytes, want 1 to %d", len(c.Key), MaxKeyBytes)
 	case c.Host == "" || len(c.Host) > MaxNameBytes:
 		return merry.Errorf("claim: host has %d bytes, want 1 to %d", len(c.Host), MaxNameBytes)
+	case !utf8.ValidString(c.Customer + c.Key + c.Host):
+		return merry.New("claim: customer, key or host is not UTF-8") // JSON would change it
 	case c.ID == ID{}:
 		return merry.New("claim: no id")
 	case c.LifeMs <= 0:
