Settings follower: age travels both ways of a comparison, benchmarks at site size

Cause: a long poll that ends without a record tells only that nothing was new when it began, so a wait of 20 s made every host look 20 s and more behind; a host that no push had reached then read the log itself. Ruled out: taking the end of the poll as the time, which trusts that the log waited as asked; heartbeats for the age alone. Change: polls of 4 s, comparisons every 3 s that carry the age both ways, any host reads the log itself from a lag of 30 s on and then no more often than that while the log is away.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -19,7 +19,7 @@
 }
 
 // accept makes a change that must be accepted.
-func accept(t *testing.T, h *host, c settings.Change) settings.Verdict {
+func accept(t testing.TB, h *host, c settings.Change) settings.Verdict {
 	t.Helper()
 	eventually(t, "host "+h.name+" ready", h.Ready)
 	v, err := h.Change(context.Background(), c)
--- a/internal/follow/options.go
+++ b/internal/follow/options.go
@@ -39,10 +39,10 @@
 	Log   platform.Log
 	Peers Peers
 
-	PollWait       time.Duration // longest wait of one read of the log; default 20 s
+	PollWait       time.Duration // longest wait of one read of the log; default 4 s
 	CallTimeout    time.Duration // of a peer call, and of a read beyond its wait; default 3 s
-	PullEvery      time.Duration // between two comparisons with a random peer; default 5 s
-	TailAfter      time.Duration // lag from which a host reads the log itself; default 12 s
+	PullEvery      time.Duration // between two comparisons with a random peer; default 3 s
+	TailAfter      time.Duration // lag from which any host reads the log itself; default 30 s
 	RetryMin       time.Duration // wait after a first failure of the log; default 200 ms
 	RetryMax       time.Duration // longest wait between tries of the log; default 5 s
 	Fanout         int           // peers that a new record is pushed to; default 4
@@ -57,10 +57,10 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.PollWait, 20*time.Second)
+	setDefault(&o.PollWait, 4*time.Second)
 	setDefault(&o.CallTimeout, 3*time.Second)
-	setDefault(&o.PullEvery, 5*time.Second)
-	setDefault(&o.TailAfter, 12*time.Second)
+	setDefault(&o.PullEvery, 3*time.Second)
+	setDefault(&o.TailAfter, 30*time.Second)
 	setDefault(&o.RetryMin, 200*time.Millisecond)
 	setDefault(&o.RetryMax, 5*time.Second)
 	setDefault(&o.Fanout, 4)
--- a/internal/follow/rpc.go
+++ b/internal/follow/rpc.go
@@ -1,5 +1,7 @@
 package follow
 
+import "time"
+
 // Service is the net/rpc name under which RPC is registered.
 const Service = "Settings"
 
@@ -21,7 +23,8 @@
 
 // PullArgs asks a peer for what is new.
 type PullArgs struct {
-	From int64 // first offset wanted
+	From  int64 // first offset wanted
+	AgeMs int64 // as in PushArgs, for the offset before From
 }
 
 // PullReply is the answer to a pull: records when the peer still has all from the
@@ -51,19 +54,26 @@
 	}
 	reply.Offset = r.f.Offset()
 	if n := len(args.Records); n > 0 {
-		if age, known := ageOf(args.AgeMs); known {
-			r.f.markCurrent(args.Records[n-1].Offset, start.Add(-age))
-		}
+		r.markCurrent(args.Records[n-1].Offset, args.AgeMs, start)
 	}
 	return nil
 }
 
+// markCurrent takes over what the caller knows of its age. The time that the call
+// took on its way is not known here, so the age is understated by it.
+func (r *RPC) markCurrent(offset, ageMs int64, received time.Time) {
+	if age, known := ageOf(ageMs); known {
+		r.f.markCurrent(offset, received.Add(-age))
+	}
+}
+
 // Pull answers with what the caller lacks.
 func (r *RPC) Pull(args *PullArgs, reply *PullReply) error {
 	f := r.f
 	if !f.Ready() {
 		return nil
 	}
+	r.markCurrent(args.From-1, args.AgeMs, f.o.Now())
 	reply.Ready = true
 	reply.AgeMs = f.Lag(f.o.Now()).Milliseconds()
 	f.mu.Lock()
--- a/internal/follow/site_test.go
+++ b/internal/follow/site_test.go
@@ -109,12 +109,13 @@
 
 // site is a set of followers with a network that can be cut.
 type site struct {
-	t     *testing.T
+	t     testing.TB
 	log   *memoryLog
 	mu    sync.Mutex
 	hosts []*host
 	rng   *rand.Rand
 	pull  time.Duration // Options.PullEvery of the hosts
+	poll  time.Duration // Options.PollWait of the hosts
 }
 
 // host is one follower's view of the platform and of its peers.
@@ -128,8 +129,8 @@
 	stop   func()
 }
 
-func newSite(t *testing.T) *site {
-	return &site{t: t, log: newMemoryLog(), rng: rand.New(rand.NewPCG(1, 2)), pull: 20 * time.Millisecond}
+func newSite(t testing.TB) *site {
+	return &site{t: t, log: newMemoryLog(), rng: rand.New(rand.NewPCG(1, 2)), pull: 20 * time.Millisecond, poll: 50 * time.Millisecond}
 }
 
 // add makes a host and does not run it.
@@ -139,7 +140,7 @@
 	h := &host{site: s, tailer: tailer, stop: func() {}}
 	h.Follower = New(Options{
 		Log: h, Peers: h, Logger: logrus.NewEntry(logger),
-		PollWait: 50 * time.Millisecond, PullEvery: s.pull, TailAfter: time.Hour,
+		PollWait: s.poll, PullEvery: s.pull, TailAfter: time.Hour,
 		RetryMin: time.Millisecond, RetryMax: 5 * time.Millisecond, CallTimeout: time.Second,
 	})
 	s.mu.Lock()
@@ -218,7 +219,7 @@
 }
 
 // eventually waits for a condition, generously.
-func eventually(t *testing.T, what string, holds func() bool) {
+func eventually(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 		if holds() {
--- a/internal/follow/spread.go
+++ b/internal/follow/spread.go
@@ -109,7 +109,7 @@
 	defer cancel()
 	pulls.Inc()
 	start := f.o.Now()
-	args := &PullArgs{From: f.Offset() + 1}
+	args := &PullArgs{AgeMs: f.Lag(start).Milliseconds(), From: f.Offset() + 1}
 	var reply PullReply
 	if err := f.o.Peers.Call(ctx, peer.Address, methodPull, args, &reply); err != nil {
 		f.o.Logger.WithField("event", "settings_pull_failed").WithField("peer", peer.Name).WithError(err).Debug("pull failed")
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -60,27 +60,32 @@
 func (f *Follower) tail(ctx context.Context) {
 	retry := f.retry()
 	for ctx.Err() == nil {
-		tailer := f.o.Peers.Tailer()
-		if !tailer && !f.lagging() {
-			pause(ctx, tailCheck)
-			continue
-		}
-		wait := time.Duration(0)
-		if tailer {
-			wait = f.o.PollWait
-		}
-		before, start := f.Offset(), time.Now()
-		if err := f.readOnce(ctx, wait); err != nil {
-			if ctx.Err() == nil {
+		switch {
+		case f.o.Peers.Tailer():
+			f.poll(ctx, retry)
+		case f.lagging():
+			if err := f.readOnce(ctx, 0); err != nil {
 				f.logFailure(err)
 			}
-			pause(ctx, retry.NextBackOff())
-			continue
+			pause(ctx, jitter(f.o.TailAfter)) // all hosts come here while the log is away
+		default:
+			pause(ctx, tailCheck)
 		}
+	}
+}
+
+// poll does one long poll, and waits when that failed or came back at once.
+func (f *Follower) poll(ctx context.Context, retry *backoff.ExponentialBackOff) {
+	before, start := f.Offset(), time.Now()
+	err := f.readOnce(ctx, f.o.PollWait)
+	switch {
+	case err == nil && f.Offset() == before && time.Since(start) < emptyReadPause:
+		pause(ctx, emptyReadPause)
+	case err == nil:
 		retry.Reset()
-		if f.Offset() == before && time.Since(start) < emptyReadPause {
-			pause(ctx, emptyReadPause)
-		}
+	case ctx.Err() == nil:
+		f.logFailure(err)
+		pause(ctx, retry.NextBackOff())
 	}
 }
 
