--- a/internal/core/settings/bench_test.go
+++ b/internal/core/settings/bench_test.go
@@ -13,6 +13,19 @@
 	add := func(path, text string) {
 		sources = append(sources, Source{Path: path, Version: int64(len(sources) + 1), Document: mustParse(b, path, text)})
 	}
+	add("/", rootText())
+	for team := range 21 {
+		text := "limits: {requests_in_flight: 100}\ncustomers:\n"
+		for c := range 10 {
+			text += fmt.Sprintf("  - {name: c%d-%d, token_sha256: [%064x]}\n", team, c, team*10+c)
+		}
+		add(fmt.Sprintf("/team%d", team), text)
+	}
+	return sources
+}
+
+// rootText lists all upstreams and models of the site.
+func rootText() string {
 	root := "pools:\n"
 	for p := range 8 {
 		kind := PoolEngine
@@ -28,15 +41,18 @@
 	for m := range 7 {
 		root += fmt.Sprintf("  - {name: model%d, pool: pool%d}\n", m, m)
 	}
-	add("/", root)
-	for team := range 21 {
-		text := "limits: {requests_in_flight: 100}\ncustomers:\n"
-		for c := range 10 {
-			text += fmt.Sprintf("  - {name: c%d-%d, token_sha256: [%064x]}\n", team, c, team*10+c)
+	return root
+}
+
+func BenchmarkParseDocument880(b *testing.B) {
+	text := []byte(rootText())
+	b.SetBytes(int64(len(text)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if doc, findings := ParseDocument("/", text); len(findings) > 0 || len(doc.Pools) != 8 {
+			b.Fatal(findings)
 		}
-		add(fmt.Sprintf("/team%d", team), text)
 	}
-	return sources
 }
 
 func BenchmarkCompile(b *testing.B) {
