Placement: the shortest prompts go before others

Change: length-aware sends normal prompts below an eighth of the long length as urgent while they are at most a quarter of the work, and normal long ones as bulk. The choice, not the estimate, also weighs less urgent work. The limit of the first engine may rise to twice the long length when the others could not carry the long work otherwise.

--- a/internal/core/placement/boundary.go
+++ b/internal/core/placement/boundary.go
@@ -16,8 +16,10 @@
 // So the shortest prompts have engines that nothing much longer ever holds up,
 // while they may go anywhere.
 //
-// Invariant: with two or more live engines the first takes no long prompt and the
-// last takes any; an engine alone takes any.
+// Invariant: with two or more live engines the last takes any prompt and the first
+// none of LongSlack times the length from which prompts are long; it takes a long
+// one at all only while the others could not carry the long work. An engine alone
+// takes any.
 type boundary struct {
 	work       Work
 	byPriority [request.NumPriorities]float64
@@ -27,7 +29,8 @@
 	limits   []int // by rank
 	basis    Work  // the work that gave the limits
 	longFrom int   // that gave the limits
-	moved    time.Time
+	checked  time.Time
+	promotes bool // the shortest prompts are few enough to go before others
 }
 
 type peerWork struct {
@@ -165,11 +168,14 @@
 	g.rank()
 	b := &g.boundary
 	resized := len(b.limits) != len(g.live)
-	if !resized && now.Sub(b.moved) < o.BoundaryDwell {
+	if !resized && now.Sub(b.checked) < o.BoundaryDwell {
 		return
 	}
+	b.checked = now
 	b.fade(now, o.WorkHalfLife)
 	work := b.total(now)
+	small := work.shareBelow(o.promoteBelow(longFrom))
+	b.promotes = small <= o.PromoteShare
 	if !resized && longFrom == b.longFrom {
 		shift := work.distance(&b.basis) * float64(len(g.live))
 		if shift < o.BoundaryMargin {
@@ -179,7 +185,6 @@
 	b.limits = limits(&work, len(g.live), longFrom, o)
 	b.basis = work
 	b.longFrom = longFrom
-	b.moved = now
 }
 
 // limits divides n engines by length. Without any work seen half of them take
@@ -200,7 +205,7 @@
 		}
 		kept := limit < float64(longFrom) && (known || i < n/2)
 		if kept || i == 0 {
-			list[i] = int(min(limit, float64(longFrom-1)))
+			list[i] = int(min(limit, float64(longFrom)*o.LongSlack-1))
 		}
 	}
 	return list
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -93,7 +93,7 @@
 		return
 	}
 	est := s.of(e)
-	top.add(e, est, int64(est.FirstToken))
+	top.add(e, est, est.cost())
 }
 
 // divide splits the engines into those on which nothing much longer than the
--- a/internal/core/placement/estimate.go
+++ b/internal/core/placement/estimate.go
@@ -6,6 +6,9 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 )
 
+// leastUrgent is the priority behind which all work counts.
+const leastUrgent = request.NumPriorities - 1
+
 // queueAhead returns the prompt tokens that will be computed before a new request
 // of the priority: those of the report, less what has been worked off since, and
 // own placements that the report does not show.
@@ -42,26 +45,31 @@
 
 // estimator works out the estimates of one ask in one group.
 type estimator struct {
-	opts   *Options
-	ask    *Ask
-	class  Class
-	now    time.Time
-	prefix prefixUse
-	share  float64 // expected answer as a share of its bound
+	opts     *Options
+	ask      *Ask
+	priority request.Priority // as sent; all work counts when the policy sends none
+	class    Class
+	now      time.Time
+	prefix   prefixUse
+	share    float64 // expected answer as a share of its bound
 }
 
-func (v *View) estimator(g *group, a *Ask, now time.Time) estimator {
+func (v *View) estimator(g *group, a *Ask, p request.Priority, now time.Time) estimator {
 	share := v.opts.AnswerShare
 	if m := v.models[a.Model]; m != nil {
 		share = m.answerShare.value(share, now, v.opts.RateHalfLife)
 	}
+	if !usesPriority(a.Policy) {
+		p = leastUrgent
+	}
 	return estimator{
-		opts:   &v.opts,
-		ask:    a,
-		class:  ClassOf(a.Tokens, a.LongFrom),
-		now:    now,
-		prefix: prefixUse{blocks: a.Prefix, depth: g.prefixes.depth(a.Prefix)},
-		share:  share,
+		opts:     &v.opts,
+		ask:      a,
+		priority: p,
+		class:    ClassOf(a.Tokens, a.LongFrom),
+		now:      now,
+		prefix:   prefixUse{blocks: a.Prefix, depth: g.prefixes.depth(a.Prefix)},
+		share:    share,
 	}
 }
 
@@ -85,9 +93,12 @@
 func (s *estimator) of(e *Engine) Estimate {
 	rate := e.prefill(s.opts, s.now)
 	cached := s.cachedTokens(e)
+	ahead := e.queueAhead(s.opts, s.priority, s.now)
+	all := e.queueAhead(s.opts, leastUrgent, s.now)
 	est := Estimate{
 		Cached:     cached,
-		Queue:      tokensTime(float64(e.queueAhead(s.opts, s.priority(e), s.now)), rate),
+		Queue:      tokensTime(float64(ahead), rate),
+		LessUrgent: tokensTime(float64(all-ahead), rate),
 		Prefill:    tokensTime(float64(s.ask.Tokens-cached), rate),
 		MemoryWait: s.memoryWait(e),
 	}
@@ -103,18 +114,11 @@
 	return est
 }
 
-// priority returns the least urgent priority whose work counts as ahead. On an
-// engine that takes long prompts a short one may find a long prefill running,
-// which not every engine interrupts: there all work counts.
-func (s *estimator) priority(e *Engine) request.Priority {
-	const all = request.NumPriorities - 1
-	if !usesPriority(s.ask.Policy) {
-		return all
-	}
-	if s.class == Short && len(e.group.live) > 1 && e.limit() == anyLength {
-		return all
-	}
-	return min(enginePriority(s.ask), all)
+// cost is what the choice goes by. An engine may finish a prompt that it has begun
+// before a more urgent one, so that less urgent work is better avoided; but it
+// refuses no deadline.
+func (x *Estimate) cost() int64 {
+	return int64(x.FirstToken + x.LessUrgent)
 }
 
 // memoryWait estimates how long it takes until enough memory is free: what is
@@ -143,7 +147,7 @@
 		if !e.accepts() || !e.serves(s.ask.Model) {
 			continue
 		}
-		b.Tokens += e.queueAhead(s.opts, min(s.ask.Priority, request.NumPriorities-1), s.now)
+		b.Tokens += e.queueAhead(s.opts, s.priority, s.now)
 		b.Rate += e.prefill(s.opts, s.now)
 	}
 	return b
--- a/internal/core/placement/experiment_cases_test.go
+++ b/internal/core/placement/experiment_cases_test.go
@@ -14,19 +14,20 @@
 // expJobs draws arrivals for the load, log-uniform in length: of all lengths, or
 // with wake only of small prompts. A third of those below 4k tokens are urgent,
 // those above 100k are bulk.
-func expJobs(load float64, wake bool) []*expJob {
+func expJobs(c expCase) []*expJob {
+	c.setDefaults()
 	rng := newRand(11)
 	logUniform := func(lo, hi float64) float64 { return lo * math.Pow(hi/lo, rng.Float64()) }
 	mean := (1-expLongShare)*99_000/4.605 + expLongShare*400_000/1.609
-	if wake {
+	if c.wake {
 		mean = 3_000 / 1.386
 	}
-	gap := mean / (load * expEngines * expRate)
+	gap := mean / (expLoad * float64(c.engines) * expRate)
 	var jobs []*expJob
 	for at := 0.0; at < expSeconds && len(jobs) < expMost; at += rng.ExpFloat64() * gap {
 		j := &expJob{at: t0.Add(time.Duration(at * float64(time.Second))), answer: 20 + rng.IntN(200), urgency: request.Normal}
 		j.tokens = int(logUniform(1_000, 100_000))
-		if wake {
+		if c.wake {
 			j.tokens = int(logUniform(1_000, 4_000))
 		} else if rng.Float64() < expLongShare {
 			j.tokens = int(logUniform(100_000, 500_000))
@@ -69,7 +70,7 @@
 // expRun returns the jobs of a case, all with a first token.
 func expRun(t *testing.T, c expCase, keep func(j *expJob) bool) []*expJob {
 	t.Helper()
-	jobs := slices.DeleteFunc(expJobs(expLoad, c.wake), func(j *expJob) bool { return !keep(j) })
+	jobs := slices.DeleteFunc(expJobs(c), func(j *expJob) bool { return !keep(j) })
 	newExpSim(c).run(jobs)
 	return jobs
 }
@@ -114,6 +115,7 @@
 		base := expRow(t, expCase{name: "as shipped", keeps: keeps})
 		expRow(t, expCase{name: "drawn from all", opts: Options{NearRatio: math.Inf(1)}, keeps: keeps})
 		expRow(t, expCase{name: "even limits", opts: Options{ShortSkew: 1}, keeps: keeps})
+		expRow(t, expCase{name: "nothing promoted", opts: Options{PromotePart: 1e-9}, keeps: keeps})
 		whole := expRow(t, expCase{name: "no boundary", whole: true, keeps: keeps})
 		if whole <= base {
 			t.Errorf("as shipped %.2f, no boundary %.2f", base, whole)
@@ -121,10 +123,27 @@
 	}
 }
 
+// TestExperimentSmallSites has a few engines in a domain, as sites of today have.
+func TestExperimentSmallSites(t *testing.T) {
+	for _, keeps := range []bool{false, true} {
+		t.Logf(expHead, keeps)
+		for _, n := range []int{2, 7} {
+			got := map[string]float64{}
+			for _, policy := range []string{settings.PolicyLeastLoaded, settings.PolicyLeastLoadedPriority, settings.PolicyLengthAware} {
+				c := expCase{name: fmt.Sprintf("%d, %s", n, policy), policy: policy, keeps: keeps, engines: n, fronts: 3}
+				got[policy] = expRow(t, c)
+			}
+			if got[settings.PolicyLengthAware] > got[settings.PolicyLeastLoaded]/2 {
+				t.Errorf("%d engines: length-aware %.2f, least-loaded %.2f", n, got[settings.PolicyLengthAware], got[settings.PolicyLeastLoaded])
+			}
+		}
+	}
+}
+
 // TestExperimentHerding sends the wake of many small prompts through fronts whose
 // view is up to 0.8 s old.
 func TestExperimentHerding(t *testing.T) {
-	all := Options{Samples: expEngines}
+	all := Options{Samples: 24}
 	cases := []expCase{
 		{name: "as shipped", wake: true},
 		{name: "no sampling", wake: true, opts: all},
--- a/internal/core/placement/experiment_test.go
+++ b/internal/core/placement/experiment_test.go
@@ -14,8 +14,6 @@
 // and engines that compute one chunk of one prompt at a time, most urgent first,
 // hold memory until the answer ends, and report their load late.
 const (
-	expEngines   = 24
-	expFronts    = 8
 	expRate      = 8000.0 // prompt tokens a second of an engine
 	expChunk     = 1024
 	expMemory    = 600_000
@@ -43,13 +41,15 @@
 
 // expCase is one way to run the same arrivals.
 type expCase struct {
-	name   string
-	policy string
-	opts   Options
-	noLag  bool // without the correction for lagging reports
-	whole  bool // without length separation
-	wake   bool // the arrivals are many small prompts
-	keeps  bool // engines finish a prompt that they have begun
+	name    string
+	policy  string
+	opts    Options
+	noLag   bool // without the correction for lagging reports
+	whole   bool // without length separation
+	wake    bool // the arrivals are many small prompts
+	engines int  // 24 when zero
+	fronts  int  // 8 when zero
+	keeps   bool // engines finish a prompt that they have begun
 }
 
 type expEvent struct {
@@ -82,7 +82,7 @@
 	seq     int
 	rng     *rand.Rand
 	views   []*View
-	engines map[string]*expEngine
+	servers map[string]*expEngine
 	end     time.Time
 }
 
@@ -103,18 +103,24 @@
 	heap.Push(&s.events, expEvent{at: s.now.Add(d), seq: s.seq, run: run})
 }
 
+func (c *expCase) setDefaults() {
+	setDefault(&c.engines, 24)
+	setDefault(&c.fronts, 8)
+}
+
 func newExpSim(c expCase) *expSim {
-	s := &expSim{expCase: c, now: t0, rng: newRand(5), engines: map[string]*expEngine{}, end: t0.Add(expSeconds * time.Second)}
-	list := specs("a", expEngines)
-	for range expFronts {
+	c.setDefaults()
+	s := &expSim{expCase: c, now: t0, rng: newRand(5), servers: map[string]*expEngine{}, end: t0.Add(expSeconds * time.Second)}
+	list := specs("a", c.engines)
+	for range c.fronts {
 		v := NewView(c.opts)
 		v.SetPool("p", list)
 		s.views = append(s.views, v)
 	}
 	for i, spec := range list {
 		e := &expEngine{sim: s, name: spec.Name}
-		s.engines[spec.Name] = e
-		s.after(expReports*time.Duration(i)/expEngines, e.report)
+		s.servers[spec.Name] = e
+		s.after(expReports*time.Duration(i)/time.Duration(c.engines), e.report)
 	}
 	s.after(0, s.gossip)
 	return s
@@ -137,7 +143,7 @@
 
 func (s *expSim) run(jobs []*expJob) {
 	for i, j := range jobs {
-		view := s.views[i%expFronts]
+		view := s.views[i%s.fronts]
 		j.view = view
 		s.after(j.at.Sub(t0), func() { s.place(j) })
 	}
@@ -164,7 +170,7 @@
 	}
 	j.priority = d.EnginePriority
 	v.NotePlaced(Placement{ID: j.id, Upstream: d.Chosen.Name, Class: d.Class, Priority: j.priority, Tokens: j.tokens, MaxTokens: j.answer}, s.now)
-	e := s.engines[d.Chosen.Name]
+	e := s.servers[d.Chosen.Name]
 	if s.noLag {
 		v.Engine(e.name).settle(s.now)
 		v.Engine(e.name).held = 0
--- a/internal/core/placement/flight.go
+++ b/internal/core/placement/flight.go
@@ -38,10 +38,10 @@
 		return false
 	}
 	f := &flight{Placement: p, engine: e, placed: now, pending: true}
-	f.priority = min(p.Priority, request.NumPriorities-1)
+	f.priority = min(p.Priority, leastUrgent)
 	f.prefill = int64(max(p.Tokens-p.Cached, 0))
 	f.counted = int64(p.Tokens) + int64(p.MaxTokens)
-	f.ahead = e.queueAhead(&v.opts, request.NumPriorities-1, now)
+	f.ahead = e.queueAhead(&v.opts, leastUrgent, now)
 	v.flights[p.ID] = f
 
 	e.pending = append(e.pending, f)
--- a/internal/core/placement/gang.go
+++ b/internal/core/placement/gang.go
@@ -27,7 +27,7 @@
 		d.MemoryLimit = limit
 	}
 	if d.Verdict == NoEngine {
-		s := t.view.estimator(g, t.ask, t.now)
+		s := t.view.estimator(g, t.ask, d.EnginePriority, t.now)
 		d.Backlog = s.backlog(g)
 	}
 }
--- a/internal/core/placement/options.go
+++ b/internal/core/placement/options.go
@@ -26,6 +26,9 @@
 	UpperLoad      float64       // from 1 on: most load of the engines of the longest work, against the mean, 1.15
 	LimitSlack     float64       // multiple of an engine's limit up to which short prompts are taken, 2
 	NearRatio      float64       // engines whose limit is at most this multiple of the prompt are drawn first, 4
+	LongSlack      float64       // multiple of the long length below which the first engine's limit always stays, 2
+	PromotePart    float64       // prompts below this part of the long length go before others, 0.125
+	PromoteShare   float64       // as long as they are at most this share of the work, 0.25
 	BoundaryMargin float64       // engines by which the target must differ before it moves, 0.75
 	BoundaryDwell  time.Duration // least time between two moves, 2 s
 }
@@ -49,6 +52,9 @@
 	setDefault(&o.UpperLoad, 1.15)
 	setDefault(&o.LimitSlack, 2)
 	setDefault(&o.NearRatio, 4)
+	setDefault(&o.LongSlack, 2)
+	setDefault(&o.PromotePart, 0.125)
+	setDefault(&o.PromoteShare, 0.25)
 	setDefault(&o.BoundaryMargin, 0.75)
 	setDefault(&o.BoundaryDwell, 2*time.Second)
 	return o
@@ -59,3 +65,8 @@
 		*p = value
 	}
 }
+
+// promoteBelow returns the length below which prompts go before others.
+func (o *Options) promoteBelow(longFrom int) float64 {
+	return o.PromotePart * float64(longFrom)
+}
--- a/internal/core/placement/place.go
+++ b/internal/core/placement/place.go
@@ -52,11 +52,26 @@
 	return policy == settings.PolicyLeastLoadedPriority || policy == settings.PolicyLengthAware
 }
 
-func enginePriority(a *Ask) request.Priority {
-	if usesPriority(a.Policy) {
-		return a.Priority
+// enginePriority returns the priority to send. Engines know three, which the
+// length-aware policy also uses to let the shortest prompts pass longer ones:
+// normal ones count as urgent while they are a small part of the work, and long
+// ones as bulk.
+func (t *task) enginePriority(g *group) request.Priority {
+	a := t.ask
+	if !usesPriority(a.Policy) {
+		return request.Normal
 	}
-	return request.Normal
+	asked := min(a.Priority, leastUrgent)
+	if asked != request.Normal || !t.separates() {
+		return asked
+	}
+	if ClassOf(a.Tokens, a.LongFrom) == Long {
+		return request.Bulk
+	}
+	if g.boundary.promotes && float64(a.Tokens) < t.view.opts.promoteBelow(a.LongFrom) {
+		return request.Urgent
+	}
+	return asked
 }
 
 // task is one placement under way.
@@ -136,14 +151,15 @@
 		Verdict:        NoEngine,
 		Reason:         ReasonNoneLive,
 		Class:          ClassOf(t.ask.Tokens, t.ask.LongFrom),
-		EnginePriority: enginePriority(t.ask),
+		EnginePriority: request.Normal,
 	}
 	if g == nil {
 		return d
 	}
 	v := t.view
 	g.refresh(&v.opts, t.ask.LongFrom, t.now)
-	s := v.estimator(g, t.ask, t.now)
+	d.EnginePriority = t.enginePriority(g)
+	s := v.estimator(g, t.ask, d.EnginePriority, t.now)
 	c := t.candidates(g, state)
 	switch {
 	case len(c.able) == 0:
@@ -245,7 +261,7 @@
 		return true
 	}
 	if ClassOf(t.ask.Tokens, t.ask.LongFrom) == Long {
-		return false
+		return t.ask.Tokens <= limit
 	}
 	return float64(t.ask.Tokens) <= float64(limit)*t.view.opts.LimitSlack
 }
@@ -255,7 +271,7 @@
 	top := newTop(t.rng)
 	for _, e := range fit {
 		est := s.of(e)
-		top.add(e, est, int64(est.FirstToken))
+		top.add(e, est, est.cost())
 	}
 	best := top.at(0)
 	d.Verdict = WaitMemory
--- a/internal/core/placement/types.go
+++ b/internal/core/placement/types.go
@@ -222,13 +222,15 @@
 
 // Estimate is the expected course of a request on one engine.
 type Estimate struct {
-	FirstToken time.Duration // the sum of the parts below
+	FirstToken time.Duration // the sum of the next five
 	Queue      time.Duration // work ahead
 	Prefill    time.Duration // of the uncached part of the prompt
 	Residual   time.Duration // the batch in progress
 	MemoryWait time.Duration // until enough memory is free
 	Stale      time.Duration // penalty of an old report
 
+	LessUrgent time.Duration // work that only an engine which interrupts nothing does first; not in the sum
+
 	Finish time.Duration // until the expected end of the answer
 	Cached int           // prompt tokens in the cache
 }
--- a/internal/core/placement/work.go
+++ b/internal/core/placement/work.go
@@ -82,3 +82,19 @@
 	}
 	return most
 }
+
+// shareBelow returns the share of the work of prompts below a length, 0 without
+// any work.
+func (w *Work) shareBelow(length float64) float64 {
+	total := w.Total()
+	if !(total > 0) {
+		return 0
+	}
+	sum := 0.0
+	for i, tokens := range w {
+		low, high := bandEnds(i)
+		part := (length - low) / (high - low)
+		sum += tokens * min(max(part, 0), 1)
+	}
+	return sum / total
+}
