Ledger: silence alone ends work late

Cause: two hosts that are cut off from each other may both own an engine; the one that no front renews with would end the live work of the other's fronts after the soft limit (reservations) or 60 s (open streams).

Ruled out: no limit at all for open streams (a host that lost power leaves them open for good); asking the holder (it is out of reach in just that case).

Change: the soft limit holds for what a renewing holder leaves out and for hosts that the daemon says have gone (HostGone). Silence ends orphans, reservations and exports after 60 s, and open streams with their reservations after 5 min.

--- a/internal/core/ledger/actions.go
+++ b/internal/core/ledger/actions.go
@@ -79,6 +79,7 @@
 	CauseUnclaimed Cause = "unclaimed" // its holder renews without it
 	CauseSilent    Cause = "silent"    // its holder renews no longer
 	CauseUnknown   Cause = "unknown"   // its holder was never heard of
+	CauseGone      Cause = "gone"      // its holder's host has gone
 	CauseReplaced  Cause = "replaced"  // its holder's host has started anew
 	CauseLost      Cause = "lost"      // the engine's answer to the ask was lost
 	CauseLate      Cause = "late"      // it came up after it had been ended
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -33,6 +33,7 @@
 	seq         uint64
 	first       time.Time // first renewal; zero: never heard of
 	renewed     time.Time // last renewal
+	gone        time.Time // when the host was said to have gone; zero: it is not
 }
 
 type state uint8
--- a/internal/core/ledger/reconcile.go
+++ b/internal/core/ledger/reconcile.go
@@ -93,6 +93,7 @@
 	}
 	h.seq = r.Seq
 	h.renewed = now
+	h.gone = time.Time{}
 	var reply RenewalReply
 	for _, c := range r.Held {
 		gone, doubt := l.claim(c, r.Holder, now)
@@ -221,24 +222,39 @@
 	}
 }
 
-// abandoned returns why a holding is to be ended, or nothing.
+// HostGone says that a host has left the site. It is for a caller that knows from
+// more than its own silence; a renewal takes it back.
+func (l *Ledger) HostGone(host string, now time.Time) {
+	if h := l.holders[host]; h != nil && h.gone.IsZero() {
+		h.gone = now
+	}
+}
+
+// abandoned returns why a holding is to be ended, or nothing. Silence alone ends
+// work late: the holder may be cut off from this owner only, or renew with
+// another host that owns the engine as well.
 func (l *Ledger) abandoned(e *engine, en *entry, now time.Time) Cause {
 	h := l.holders[en.Holder.Host]
-	since := latest(en.claimed, l.resumed)
-	if h == nil || h.first.IsZero() {
-		return causeAfter(CauseUnknown, now.Sub(since), l.opts.Hard)
-	}
-	// A renewal that was on its way when this owner took over may have left
-	// things out: the limit starts at the first renewal.
-	idle := now.Sub(latest(since, h.first))
-	if now.Sub(h.renewed) <= l.opts.Soft {
-		return causeAfter(CauseUnclaimed, idle, l.opts.Soft)
+	if h == nil {
+		h = &holder{}
 	}
+	since := latest(en.claimed, l.resumed)
+	switch {
+	case !h.gone.IsZero():
+		return causeAfter(CauseGone, now.Sub(latest(since, h.gone)), l.opts.Soft)
+	case !h.first.IsZero() && now.Sub(h.renewed) <= l.opts.Soft:
+		// A renewal that was on its way when this owner took over may have left
+		// things out: the limit starts at the first renewal.
+		return causeAfter(CauseUnclaimed, now.Sub(latest(since, h.first)), l.opts.Soft)
+	}
+	limit := l.opts.Hard
 	if e.streams(en) {
-		// Its stream is open: the holder may be cut off from this owner only.
-		return causeAfter(CauseSilent, idle, l.opts.Hard)
+		limit = l.opts.Stream
+	}
+	if h.first.IsZero() {
+		return causeAfter(CauseUnknown, now.Sub(since), limit)
 	}
-	return causeAfter(CauseSilent, idle, l.opts.Soft)
+	return causeAfter(CauseSilent, now.Sub(since), limit)
 }
 
 // streams tells whether an entry is, or serves, a request with an open stream.
--- a/internal/core/ledger/types.go
+++ b/internal/core/ledger/types.go
@@ -100,8 +100,9 @@
 
 // Options are the limits of a Ledger. Zero fields take the defaults.
 type Options struct {
-	Soft       time.Duration // unclaimed work of a holder that renews is ended after it; 15 s
-	Hard       time.Duration // work of a holder never heard of is ended after it; 60 s
+	Soft       time.Duration // work is ended so long after its holder left it out of its renewals, or after its host has gone; 15 s
+	Hard       time.Duration // work of a holder that is silent or was never heard of is ended after it; 60 s
+	Stream     time.Duration // the same for a request whose stream is open; 5 min
 	RetryEvery time.Duration // time between two asks for the same end; 1 s
 	Retry      time.Duration // retry time of a denial without a better estimate; 250 ms
 	HoldLimit  time.Duration // longest time that room is kept free for a gang; 10 s
@@ -111,6 +112,7 @@
 const (
 	DefaultSoft       = 15 * time.Second
 	DefaultHard       = 60 * time.Second
+	DefaultStream     = 5 * time.Minute
 	DefaultRetryEvery = time.Second
 	DefaultRetry      = 250 * time.Millisecond
 	DefaultHoldLimit  = 10 * time.Second
@@ -119,6 +121,7 @@
 func (o Options) withDefaults() Options {
 	setDefault(&o.Soft, DefaultSoft)
 	setDefault(&o.Hard, DefaultHard)
+	setDefault(&o.Stream, DefaultStream)
 	setDefault(&o.RetryEvery, DefaultRetryEvery)
 	setDefault(&o.Retry, DefaultRetry)
 	setDefault(&o.HoldLimit, DefaultHoldLimit)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -131,3 +131,12 @@
 	defer s.mu.Unlock()
 	return s.ledger.Room(engine, s.opts.Clock())
 }
+
+// HostGone says that a host has left the site for good: what it holds is ended
+// soon. It is for a caller that knows from more than a lack of heartbeats, such
+// as the platform's list; a renewal of the host takes it back.
+func (s *Service) HostGone(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.HostGone(host, s.opts.Clock())
+}
