Owner: engines and order pools from settings, cost of reading books

Cause: the daemon has settings in hand, not order pools; and the cost of reading books decides its cadence.

Change: EnginesOf, OrderPoolsOf, a benchmark of books.

Run: go test -run Settings ./internal/owner, ok.

--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
 )
 
@@ -159,3 +160,34 @@
 		t.Errorf("got %s, want %v", got, want)
 	}
 }
+
+// BenchmarkBooks reads the books of an engine with 57 running requests, the mean
+// at the size to design for when a request takes 8 s.
+func BenchmarkBooks(b *testing.B) {
+	const running = 57
+	books := engineapi.Books{Incarnation: uuid.NewString(), MemoryTotalTokens: 400_000}
+	for range running {
+		books.Running = append(books.Running, engineapi.Running{
+			RequestID: uuid.NewString(), Attempt: 1, Tokens: 12345, Phase: engineapi.RunningPhaseDecode, Priority: 1,
+			Holder: engineapi.Holder{Host: "hal-a-entry-07", Incarnation: "1796237520000000000"},
+		})
+	}
+	data, err := books.MarshalJSON()
+	if err != nil {
+		b.Fatal(err)
+	}
+	l := ledger.New(ledger.Options{})
+	l.Own("e")
+	for b.Loop() {
+		var got engineapi.Books
+		if err := got.UnmarshalJSON(data); err != nil {
+			b.Fatal(err)
+		}
+		now := time.Now()
+		in := booksOf(&got, now)
+		in.Engine = "e"
+		l.ApplyBooks(in, now)
+	}
+	b.ReportMetric(float64(len(data)), "bytes/op")
+	b.ReportMetric(float64(len(data))/running, "bytes/running")
+}
--- a/internal/owner/engine.go
+++ b/internal/owner/engine.go
@@ -73,10 +73,10 @@
 	if err != nil {
 		return ledger.Books{}, err
 	}
-	return books(b, asked), nil
+	return booksOf(b, asked), nil
 }
 
-func books(b *engineapi.Books, asked time.Time) ledger.Books {
+func booksOf(b *engineapi.Books, asked time.Time) ledger.Books {
 	out := ledger.Books{Incarnation: b.Incarnation, Total: b.MemoryTotalTokens, Asked: asked}
 	for _, r := range b.Running {
 		out.Items = append(out.Items, ledger.Item{
--- a/internal/owner/orders_test.go
+++ b/internal/owner/orders_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/order"
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 	"github.com/buckthorndock/buckthorndock/internal/standin"
 )
@@ -153,3 +155,23 @@
 	}
 	return false
 }
+
+func TestOrderPoolsOfSettings(t *testing.T) {
+	pools := []settings.Pool{
+		{Name: "p", Kind: settings.PoolEngine, OrderMs: 3000, Upstreams: []settings.Upstream{
+			{Name: "here", Address: "127.0.0.1:1", Domain: "d"}, {Name: "there", Domain: "x"},
+		}},
+		{Name: "empty", Kind: settings.PoolEngine, Upstreams: []settings.Upstream{{Name: "idle", Domain: "d"}}},
+		{Name: "s", Kind: settings.PoolService, Upstreams: []settings.Upstream{{Name: "app", Domain: "d"}}},
+	}
+	models := []settings.Model{{Name: "m", Pool: "p", Version: "2", Adapters: []string{"a"}, Urgent: true}}
+	got := OrderPoolsOf(pools, models, "d")
+	want := []OrderPool{{
+		Name: "p", LongestOrder: 3 * time.Second,
+		Desired: order.Desired{Models: []order.Model{{Name: "m", Version: "2", Adapters: []string{"a"}, Urgent: true}}},
+		Engines: []Engine{{Name: "here", Address: "127.0.0.1:1", Pool: "p"}},
+	}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- /dev/null
+++ b/internal/owner/pools.go
@@ -0,0 +1,62 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/order"
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+)
+
+// DefaultLongestOrder is the longest time of an order of pools whose settings do
+// not say.
+const DefaultLongestOrder = 5 * time.Minute
+
+// EnginesOf returns the engines of a failure domain, for a Catalog.
+func EnginesOf(pools []settings.Pool, domain string) []Engine {
+	var engines []Engine
+	for _, p := range pools {
+		if p.Kind != settings.PoolEngine {
+			continue
+		}
+		for _, u := range p.Upstreams {
+			if u.Domain == domain {
+				engines = append(engines, Engine{Name: u.Name, Address: u.Address, Pool: p.Name})
+			}
+		}
+	}
+	return engines
+}
+
+// OrderPoolsOf returns what the settings want of the engine pools of a failure
+// domain. A pool without engines there or without models is left out.
+func OrderPoolsOf(pools []settings.Pool, models []settings.Model, domain string) []OrderPool {
+	var out []OrderPool
+	for _, p := range pools {
+		engines := EnginesOf([]settings.Pool{p}, domain)
+		desired := desiredOf(p.Name, models)
+		if len(engines) == 0 || len(desired.Models) == 0 {
+			continue
+		}
+		longest := time.Duration(p.OrderMs) * time.Millisecond
+		setDefault(&longest, DefaultLongestOrder)
+		out = append(out, OrderPool{
+			Name:          p.Name,
+			ChecksFencing: p.ChecksFencing,
+			LongestOrder:  longest,
+			Desired:       desired,
+			Engines:       engines,
+		})
+	}
+	return out
+}
+
+func desiredOf(pool string, models []settings.Model) order.Desired {
+	var d order.Desired
+	for _, m := range models {
+		if m.Pool != pool {
+			continue
+		}
+		d.Models = append(d.Models, order.Model{Name: m.Name, Version: m.Version, Adapters: m.Adapters, Urgent: m.Urgent})
+	}
+	return d
+}
