--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -1,15 +1,18 @@
 package owner
 
 import (
-	"bytes"
-	"encoding/gob"
+	"context"
 	"encoding/json"
 	"fmt"
+	"net"
+	"net/rpc"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/uuid"
 
+	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
 )
 
@@ -28,32 +31,50 @@
 	return h, claims, b
 }
 
-// benchRenew renews through a gob stream, as net/rpc does, with some claims a
-// message, and reports the bytes and time for all claims once.
+// countingConn counts the bytes of both ways.
+type countingConn struct {
+	net.Conn
+	bytes atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// benchRenew renews all claims once over net/rpc, some in each message.
 func benchRenew(b *testing.B, size int) {
 	h, claims, books := benchClaims()
-	l := ledger.New(ledger.Options{})
-	l.Own(books.Engine)
-	l.ApplyBooks(books, time.Now())
-	var pipe bytes.Buffer
-	enc, dec := gob.NewEncoder(&pipe), gob.NewDecoder(&pipe)
-	total, seq := 0, uint64(0)
+	s := New(Options{})
+	s.ledger.Own(books.Engine)
+	s.ledger.ApplyBooks(books, time.Now())
+	server := rpc.NewServer()
+	if err := server.RegisterName(ServiceName, s.RPC(context.Background())); err != nil {
+		b.Fatal(err)
+	}
+	near, far := net.Pipe()
+	go server.ServeConn(far)
+	conn := &countingConn{Conn: near}
+	client := rpc.NewClient(conn)
+	defer client.Close()
+	seq := uint64(0)
 	for b.Loop() {
 		for from := 0; from < len(claims); from += size {
 			seq++
 			r := ledger.Renewal{Holder: h, Seq: seq, Held: claims[from : from+size]}
-			if err := enc.Encode(r); err != nil {
-				b.Fatal(err)
-			}
-			total += pipe.Len()
-			var got ledger.Renewal
-			if err := dec.Decode(&got); err != nil {
+			if err := client.Call(methodRenew, r, &ledger.RenewalReply{}); err != nil {
 				b.Fatal(err)
 			}
-			l.Renew(got, time.Now())
 		}
 	}
-	b.ReportMetric(float64(total)/float64(b.N), "bytes/op")
+	b.ReportMetric(float64(conn.bytes.Load())/float64(b.N), "bytes/op")
 	b.ReportMetric(float64(len(claims)/size), "messages/op")
 }
 
@@ -80,7 +101,7 @@
 
 func BenchmarkDigest(b *testing.B) {
 	for _, engines := range []int{2, 16} {
-		for _, events := range []int{0, 32} {
+		for _, events := range []int{0, DefaultCacheWindow} {
 			d := benchDigest(engines, events)
 			b.Run(fmt.Sprintf("engines=%d/events=%d", engines, events), func(b *testing.B) {
 				var data []byte
@@ -139,3 +160,34 @@
 		t.Errorf("got %s, want %v", got, want)
 	}
 }
+
+// BenchmarkBooks reads the books of an engine with 57 running requests, the mean
+// at the size to design for when a request takes 8 s.
+func BenchmarkBooks(b *testing.B) {
+	const running = 57
+	books := engineapi.Books{Incarnation: uuid.NewString(), MemoryTotalTokens: 400_000}
+	for range running {
+		books.Running = append(books.Running, engineapi.Running{
+			RequestID: uuid.NewString(), Attempt: 1, Tokens: 12345, Phase: engineapi.RunningPhaseDecode, Priority: 1,
+			Holder: engineapi.Holder{Host: "hal-a-entry-07", Incarnation: "1796237520000000000"},
+		})
+	}
+	data, err := books.MarshalJSON()
+	if err != nil {
+		b.Fatal(err)
+	}
+	l := ledger.New(ledger.Options{})
+	l.Own("e")
+	for b.Loop() {
+		var got engineapi.Books
+		if err := got.UnmarshalJSON(data); err != nil {
+			b.Fatal(err)
+		}
+		now := time.Now()
+		in := booksOf(&got, now)
+		in.Engine = "e"
+		l.ApplyBooks(in, now)
+	}
+	b.ReportMetric(float64(len(data)), "bytes/op")
+	b.ReportMetric(float64(len(data))/running, "bytes/running")
+}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -43,7 +43,7 @@
 func (s *Service) Run(ctx context.Context) error {
 	tick := time.NewTicker(s.opts.TickEvery)
 	defer tick.Stop()
-	publish := time.NewTicker(s.opts.PublishEvery)
+	publish := time.NewTimer(s.opts.PublishEvery)
 	defer publish.Stop()
 	defer s.stop()
 	for {
@@ -53,7 +53,7 @@
 			return nil
 		case <-tick.C:
 		case <-publish.C:
-			s.publish()
+			publish.Reset(s.publish())
 		}
 	}
 }
@@ -131,3 +131,12 @@
 	defer s.mu.Unlock()
 	return s.ledger.Room(engine, s.opts.Clock())
 }
+
+// HostGone says that a host has left the site for good: what it holds is ended
+// soon. It is for a caller that knows from more than a lack of heartbeats, such
+// as the platform's list; a renewal of the host takes it back.
+func (s *Service) HostGone(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.HostGone(host, s.opts.Clock())
+}
