core/admission: divide a limit when it is next used; count refused work

Cause: dividing 240 nodes' limits in one call took 7-30 ms, during which nothing could be admitted; and Retry-After looked at the queue alone, though those who were refused come back as well. Ruled out: dividing in a goroutine (two views of one limiter); a smaller digest (the time is spent in dividing, not in reading). Change: Refresh rebuilds the view and counts a round; a node is divided when it is next used. Drain.Refused and ComeBack add recently refused work to the backlog. Run: go test -race -count=3 passes; Admit and Done 419 ns, 0 B; an exchange with all 240 nodes divided 7 ms in sum, 29 us a node. Conclusion: no admission waits for more than its own chain's division.

--- a/internal/core/admission/backoff.go
+++ b/internal/core/admission/backoff.go
@@ -32,6 +32,7 @@
 	since  time.Time
 	tokens rate
 	time   rate // seconds with a backlog
+	wave   rate // cost of those refused lately, who will come back
 }
 
 // Backlog tells whether the queue holds anything from now on.
@@ -48,6 +49,20 @@
 	d.tokens.add(float64(cost), now, drainTime)
 }
 
+// Refused counts the cost of a request that was told to come back.
+func (d *Drain) Refused(cost int, now time.Time) { d.wave.add(float64(cost), now, drainTime) }
+
+// ComeBack returns the backlog to spread refused callers by: the queued cost and
+// that of all who were refused lately, one second while no rate is known.
+func (d *Drain) ComeBack(queued int, now time.Time) time.Duration {
+	d.wave.decay(now, drainTime)
+	t, ok := d.Time(queued+int(d.wave.sum), now)
+	if !ok {
+		return time.Second
+	}
+	return t
+}
+
 // minMeasured is the least busy time, in seconds, that gives a rate.
 const minMeasured = 0.05
 
--- a/internal/core/admission/limiter.go
+++ b/internal/core/admission/limiter.go
@@ -77,6 +77,7 @@
 	nodes   map[string]*node
 	scratch []*node
 	own     *digest
+	round   uint64 // refreshes so far
 	view    view
 }
 
@@ -187,22 +188,22 @@
 func (l *Limiter) Share(n Node) settings.Limits { return l.node(&n).share }
 
 // Refresh divides the limits anew by the digests heard so far. To be called once
-// an interval, after Usage and ApplyPeers.
+// an interval, after Usage and ApplyPeers. A node's limits are divided when it is
+// next used, so that no call takes long.
 func (l *Limiter) Refresh(now time.Time) {
 	l.view.refresh(l.own, l.opts.StaleAfter, l.opts.HoldFor, now)
-	for _, n := range l.nodes {
-		l.divide(n)
-	}
+	l.round++
 }
 
 func (l *Limiter) divide(n *node) {
+	n.round = l.round
 	n.share = l.view.divide(n.limits, n.id, l.opts.FloorShare, l.opts.ExpectedHosts)
 }
 
 // node returns the state of a node, with the limits that are in force now.
 func (l *Limiter) node(of *Node) *node {
 	n := l.nodes[of.Name]
-	if n != nil && n.limits == of.Limits {
+	if n != nil && n.round == l.round && n.limits == of.Limits {
 		return n
 	}
 	if n == nil {
--- a/internal/core/admission/limiter_test.go
+++ b/internal/core/admission/limiter_test.go
@@ -241,14 +241,15 @@
 	}
 }
 
-// BenchmarkExchange is one round of digests at the size to design for: 60 hosts in
+// BenchmarkExchange is one round of digests, with all limits divided, at the size to design for: 60 hosts in
 // the own domain, the sums of 6 others, 210 customers and 30 paths.
 func BenchmarkExchange(b *testing.B) {
 	l := NewLimiter(LimiterOptions{Host: "host-0", Domain: "hal-0", MaxNodes: 64})
 	var us []Usage
+	var nodes []Node
 	for i := range 240 {
-		name := fmt.Sprintf("customer-%d", i)
-		l.Admit([]Node{{name, settings.Limits{RequestsInFlight: 1000, PromptTokensInFlight: 1e7, TokensPerSecond: 1e6}}}, Cost{TotalTokens: 10}, start)
+		nodes = append(nodes, Node{fmt.Sprintf("customer-%d", i), settings.Limits{RequestsInFlight: 1000, PromptTokensInFlight: 1e7, TokensPerSecond: 1e6}})
+		l.Admit(nodes[i:], Cost{TotalTokens: 10}, start)
 	}
 	own := l.Usage(start)
 	for i := 1; i < 60; i++ {
@@ -261,5 +262,8 @@
 	for b.Loop() {
 		l.ApplyPeers(us, start)
 		l.Refresh(start)
+		for _, n := range nodes {
+			l.Share(n)
+		}
 	}
 }
--- a/internal/core/admission/node.go
+++ b/internal/core/admission/node.go
@@ -18,6 +18,7 @@
 	id           uint32
 	limits       settings.Limits
 	share        settings.Limits
+	round        uint64 // refresh that the share is of
 	inFlight     int
 	promptTokens int
 	bucket       bucket
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -203,6 +203,15 @@
 	return ahead
 }
 
+// Cost returns the cost of the waiting entries.
+func (q *Queue) Cost() int {
+	cost := 0
+	for i := range q.classes {
+		cost += q.classes[i].cost
+	}
+	return cost
+}
+
 func (q *Queue) class(e *Entry) *class { return &q.classes[e.Priority] }
 
 // room returns a *FullError when the entry does not fit. An entry that finds the
--- a/internal/core/admission/queue_test.go
+++ b/internal/core/admission/queue_test.go
@@ -194,6 +194,10 @@
 			total[c] += cost
 		}
 	}
+	served(q, 1000, always)
+	if got := len(q.classes[request.Urgent].flows); got > maxIdleFlows {
+		t.Errorf("%d customers are kept of an empty queue", got)
+	}
 	if total["returns"] > total["busy"]+200 {
 		t.Errorf("a customer that comes back after each answer: %v", total)
 	}
@@ -306,6 +310,10 @@
 	if !ok || got < 1900*time.Millisecond || got > 2100*time.Millisecond {
 		t.Errorf("10000 tokens at 5000 a second take %v, %v", got, ok)
 	}
+	d.Refused(10_000, now)
+	if back := d.ComeBack(10_000, now); back < 2*got-time.Millisecond || back > 2*got+time.Millisecond {
+		t.Errorf("with as much refused come back after %v, want twice %v", back, got)
+	}
 }
 
 func BenchmarkPushPop2000(b *testing.B) {
