gate: where requests wait

Cause: the front needs limits and queue as one blocking call that is safe for many callers, ends in exactly one way, and refuses quickly. Ruled out: a goroutine a pool with a channel of requests (each refusal would wait for it); a timer a waiter (2000 timers that all poll); letting a newcomer take a free place past the queue. A place is taken under the pool's lock in the moment the request is let in, so a caller who leaves meanwhile still gets the ticket and no place is lost. One timer a pool, set only while something waits. Conclusion: TryPlace may do the placement itself; the front gets a ticket only for a request that has its place.

--- /dev/null
+++ b/internal/gate/pool.go
@@ -0,0 +1,221 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/admission"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+)
+
+// pool is the queue of one pool. Lock order: pool.mu before Gate.mu.
+type pool struct {
+	gate *Gate
+
+	mu     sync.Mutex
+	opts   PoolOptions
+	queue  *admission.Queue
+	drain  admission.Drain
+	timer  *time.Timer // runs kick; armed exactly while something waits
+	closed bool
+}
+
+// farFuture is after any deadline.
+var farFuture = time.Unix(1<<40, 0)
+
+// waiter is a request in the queue. Its result is set under the pool's lock, once,
+// before ready is closed.
+type waiter struct {
+	entry   admission.Entry
+	request *request.Request
+	since   time.Time
+	ready   chan struct{}
+	refusal *request.Refusal // nil when it was let in
+}
+
+func newPool(g *Gate, o PoolOptions) *pool {
+	return &pool{gate: g, opts: o, queue: admission.NewQueue(o.Queue)}
+}
+
+func (p *pool) setOptions(o PoolOptions) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opts = o
+	p.queue.SetOptions(o.Queue)
+	p.run(p.gate.opts.Now())
+}
+
+// close refuses all that wait and all that still come.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	now := p.gate.opts.Now()
+	for _, e := range p.queue.Tick(farFuture) {
+		w := e.Value.(*waiter)
+		p.finish(w, p.refuse(w.request, request.CodeNoUpstream, now, "the pool was removed"))
+	}
+	p.run(now)
+}
+
+// enter lets the request in or returns why not.
+func (p *pool) enter(ctx context.Context, r *request.Request, weight int, t *Ticket) *request.Refusal {
+	w, refusal := p.arrive(ctx, r, weight)
+	if w == nil {
+		return refusal
+	}
+	select {
+	case <-w.ready:
+	case <-ctx.Done():
+		p.abandon(ctx, w)
+	}
+	if w.refusal != nil {
+		return w.refusal
+	}
+	t.Waited = p.gate.opts.Now().Sub(w.since)
+	queueTime.Update(t.Waited.Seconds())
+	return nil
+}
+
+// arrive decides at once, or queues the request and returns its waiter.
+func (p *pool) arrive(ctx context.Context, r *request.Request, weight int) (*waiter, *request.Refusal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.gate.opts.Now()
+	latest := r.Deadline.Add(-p.opts.MinService(r))
+	switch {
+	case p.closed:
+		return nil, p.refuse(r, request.CodeNoUpstream, now, "the pool was removed")
+	case ctx.Err() != nil:
+		return nil, gone(ctx)
+	case !now.Before(latest):
+		return nil, p.refuse(r, request.CodeDeadline, now, "less time left than it takes")
+	case p.queue.Len() == 0 && p.opts.TryPlace(r):
+		return nil, nil
+	}
+	w := p.newWaiter(r, weight, latest)
+	w.since = now
+	if wait, ok := p.drain.Time(p.queue.Ahead(&w.entry), now); ok && now.Add(wait).After(latest) {
+		return nil, p.refuse(r, request.CodeDeadline, now, "the queue ahead takes about %s", wait.Round(time.Millisecond))
+	}
+	if err := p.queue.Push(&w.entry, now); err != nil {
+		return nil, p.refuse(r, pushCode(err), now, "%v", err)
+	}
+	p.drain.Backlog(true, now)
+	p.run(now)
+	return w, nil
+}
+
+func pushCode(err error) request.Code {
+	if errors.As(err, new(*admission.FullError)) {
+		return request.CodeQueueFull
+	}
+	return request.CodeInternal
+}
+
+func (p *pool) newWaiter(r *request.Request, weight int, latest time.Time) *waiter {
+	w := &waiter{request: r, ready: make(chan struct{})}
+	w.entry = admission.Entry{
+		ID:          r.ID,
+		Customer:    r.Customer,
+		Weight:      weight,
+		Priority:    r.Priority,
+		Lane:        p.opts.Lane(r),
+		Tokens:      r.PromptTokens,
+		Cost:        max(r.TotalTokens(), 1),
+		LatestStart: latest,
+		Value:       w,
+	}
+	return w
+}
+
+// abandon takes a waiter out whose caller has gone, unless it has its result.
+func (p *pool) abandon(ctx context.Context, w *waiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-w.ready:
+		return
+	default:
+	}
+	p.queue.Remove(w.entry.ID)
+	w.refusal = gone(ctx)
+	close(w.ready)
+	p.run(p.gate.opts.Now())
+}
+
+func gone(ctx context.Context) *request.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return request.Refuse(request.CodeDeadline, 0, "the deadline passed in the queue")
+	}
+	return request.Refuse(request.CodeCallerGone, 0, "the caller has gone")
+}
+
+// kick runs the queue. It costs little when nothing waits.
+func (p *pool) kick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.queue.Len() > 0 {
+		p.run(p.gate.opts.Now())
+	}
+}
+
+// run refuses what has become too late, lets in what finds a place, and sets the
+// timer for the rest.
+func (p *pool) run(now time.Time) {
+	for _, e := range p.queue.Tick(now) {
+		w := e.Value.(*waiter)
+		p.finish(w, p.refuse(w.request, request.CodeDeadline, now, "no place was free in time"))
+	}
+	for {
+		e := p.queue.Pop(p.canPlace, now)
+		if e == nil {
+			break
+		}
+		p.drain.Served(e.Cost, now)
+		p.finish(e.Value.(*waiter), nil)
+	}
+	p.drain.Backlog(p.queue.Len() > 0, now)
+	p.setTimer(now)
+}
+
+func (p *pool) canPlace(e *admission.Entry) bool {
+	return p.opts.TryPlace(e.Value.(*waiter).request)
+}
+
+func (p *pool) finish(w *waiter, refusal *request.Refusal) {
+	w.refusal = refusal
+	close(w.ready)
+}
+
+func (p *pool) setTimer(now time.Time) {
+	next, ok := p.queue.NextExpiry()
+	if !ok {
+		if p.timer != nil {
+			p.timer.Stop()
+		}
+		return
+	}
+	wait := min(max(next.Sub(now), time.Millisecond), p.gate.opts.Poll)
+	if p.timer == nil {
+		p.timer = time.AfterFunc(wait, p.kick)
+		return
+	}
+	p.timer.Reset(wait)
+}
+
+// refuse returns a Refusal spread by the pool's backlog and by all who were
+// refused lately.
+func (p *pool) refuse(r *request.Request, code request.Code, now time.Time, format string, args ...any) *request.Refusal {
+	p.drain.Refused(r.TotalTokens(), now)
+	return p.gate.refuse(code, p.drain.ComeBack(p.queue.Cost(), now), format, args...)
+}
+
+func (p *pool) stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	backlog, _ := p.drain.Time(p.queue.Cost(), p.gate.opts.Now())
+	return Stats{Requests: p.queue.Len(), Tokens: p.queue.Tokens(), Backlog: backlog}
+}
