Front: admission through the gate, at most once through the claims

Cause: requests went to the engines as they came (no limits, no fair turns), and a request that may not be repeated had no protection when its caller sent it again. Ruled out: dispatching when the claim is read back and before a connection is open: a pool of services that is down for a moment would use the key up though no byte was sent. The permit is now asked between connect and first byte, in the dialer of the dispatch transport, which opens a connection for each dispatch. Ruled out too: the gate before the claim: a repeat could be told not_run because the queue is full while the first submission runs elsewhere.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -8,11 +8,14 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/claims"
 	"github.com/buckthorndock/buckthorndock/internal/config"
+	"github.com/buckthorndock/buckthorndock/internal/core/admission"
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 	"github.com/buckthorndock/buckthorndock/internal/follow"
 	"github.com/buckthorndock/buckthorndock/internal/front"
+	"github.com/buckthorndock/buckthorndock/internal/gate"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
@@ -54,6 +57,8 @@
 	owner   *owner.Service
 	holder  *owner.Holder
 	orders  *owner.Orders
+	claims  *claims.Service
+	gate    *gate.Gate
 
 	front  *front.Server
 	server *http.Server
@@ -62,7 +67,7 @@
 // newProcess builds a daemon that does nothing yet but listen to peers.
 func newProcess(work context.Context, cfg *config.Daemon, log *logrus.Entry) (*process, error) {
 	p := &process{cfg: cfg, log: log, work: work, incarnation: uint64(time.Now().UnixMilli())}
-	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildUpstreams, p.buildOwner, p.buildOrders, p.buildFront}
+	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildUpstreams, p.buildOwner, p.buildOrders, p.buildClaims, p.buildFront}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -162,6 +167,20 @@
 	return engines
 }
 
+func (p *process) buildClaims() error {
+	p.claims = claims.New(claims.Options{
+		Host:        p.cfg.Host,
+		Incarnation: p.incarnation,
+		Log:         p.log,
+	}, p.logService, p.peers)
+	p.gate = gate.New(gate.Options{Limits: admission.LimiterOptions{
+		Host:          p.cfg.Host,
+		Domain:        p.cfg.Domain,
+		ExpectedHosts: 1,
+	}})
+	return p.node.Register(claims.ServiceName, p.claims.RPC())
+}
+
 func (p *process) buildFront() error {
 	var err error
 	p.front, err = front.NewServer(front.Options{
@@ -173,6 +192,8 @@
 		Journal:             router.NewJournal(journalSize),
 		Client:              p.client,
 		Holder:              p.holder,
+		Gate:                p.gate,
+		Claims:              p.claims,
 		Operator:            &operator{follower: p.follower, peers: p.peers},
 		OperatorTokenSHA256: p.cfg.OperatorTokenSHA256,
 		Log:                 p.log,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,6 +70,9 @@
 	run("owner", p.owner.Run)
 	run("holder", p.holder.Run)
 	run("orders", p.orders.Run)
+	run("claims", p.claims.Run)
+	run("limits", p.shareLimits)
+	run("front", p.front.Run)
 	return &wg
 }
 
--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -24,7 +24,9 @@
 	changed, cancel := p.follower.Subscribe()
 	defer cancel()
 	for {
-		p.router.ApplySettings(p.follower.Current())
+		snap := p.follower.Current()
+		p.router.ApplySettings(snap)
+		p.front.ApplySettings(snap)
 		if err := p.follower.Findings().Err(); err != nil {
 			p.log.WithError(err).Warn("settings_findings")
 		}
--- /dev/null
+++ b/internal/daemon/limits.go
@@ -0,0 +1,105 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/admission"
+	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+)
+
+// Sections that carry the demand for shared limits: a host's own within its
+// failure domain, and its domain's sum to the others.
+const (
+	usageSection       = "limits"
+	domainUsageSection = "limits-domain"
+)
+
+// limitsEvery is the time between two divisions of the shared limits.
+const limitsEvery = 2 * time.Second
+
+// gatewayKey is the key whose owner tells the other domains the sum of its own.
+const gatewayKey = "limits-gateway"
+
+// shareLimits exchanges demand with the peers and divides the limits by it.
+func (p *process) shareLimits(ctx context.Context) error {
+	ticker := time.NewTicker(limitsEvery)
+	defer ticker.Stop()
+	seen := map[sectionKey]uint64{} // version last taken
+	for {
+		p.gate.SetExpectedHosts(p.hostCount())
+		own, domain := p.gate.Exchange(p.heardUsage(seen))
+		p.publishUsage(usageSection, own, p.node.Publish)
+		if _, _, self := p.peers.Owner(gatewayKey); self {
+			p.publishUsage(domainUsageSection, domain, p.node.PublishWide)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// hostCount returns the number of hosts that are part of the site now.
+func (p *process) hostCount() int {
+	n := 0
+	for _, m := range p.node.Members() {
+		if m.State != membership.Dead {
+			n++
+		}
+	}
+	return n
+}
+
+type sectionKey struct {
+	section     string
+	host        string
+	incarnation uint64
+}
+
+// heardUsage returns the digests that came since the last call.
+func (p *process) heardUsage(seen map[sectionKey]uint64) []admission.Usage {
+	var heard []admission.Usage
+	for _, section := range []string{usageSection, domainUsageSection} {
+		for _, v := range p.node.Sections(section) {
+			ownDomain := v.Domain == p.cfg.Domain
+			if ownDomain != (section == usageSection) || v.Host == p.cfg.Host {
+				continue
+			}
+			key := sectionKey{section, v.Host, v.Incarnation}
+			if seen[key] == v.Version {
+				continue
+			}
+			seen[key] = v.Version
+			usage, err := decodeUsage(v.Data)
+			if err != nil {
+				p.log.WithError(err).WithField("from", v.Host).Warn("usage_undecodable")
+				continue
+			}
+			heard = append(heard, usage)
+		}
+	}
+	return heard
+}
+
+func (p *process) publishUsage(section string, u admission.Usage, publish func(string, []byte) error) {
+	var b bytes.Buffer
+	err := gob.NewEncoder(&b).Encode(u)
+	if err == nil {
+		err = publish(section, b.Bytes())
+	}
+	if err != nil {
+		p.log.WithError(err).WithField("section", section).Error("section_not_published")
+	}
+}
+
+func decodeUsage(data []byte) (admission.Usage, error) {
+	var u admission.Usage
+	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&u)
+	return u, merry.Prepend(err, "decode usage")
+}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -3,9 +3,11 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/claims"
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
 	"github.com/buckthorndock/buckthorndock/internal/follow"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
@@ -75,6 +77,29 @@
 	return domains
 }
 
+// numCombiners is how many hosts are offered as combiners of a partition.
+const numCombiners = 3
+
+// Combiners implements claims.Peers: the first live hosts of the whole site, so
+// that a partition has one combiner as long as all hosts see each other.
+func (p *peers) Combiners(partition int) []claims.PeerRef {
+	var refs []claims.PeerRef
+	for _, m := range p.Rank("claims-"+strconv.Itoa(partition), numCombiners) {
+		refs = append(refs, claims.PeerRef{Host: m.Host, Address: m.Address})
+	}
+	return refs
+}
+
+// Address implements claims.Peers.
+func (p *peers) Address(host string) (address string, ok bool) {
+	for _, m := range p.Members() {
+		if m.Host == host && m.State != membership.Dead {
+			return m.Address, true
+		}
+	}
+	return "", false
+}
+
 // publisher implements owner.Publisher.
 type publisher struct {
 	node *peer.Node
--- a/internal/front/build.go
+++ b/internal/front/build.go
@@ -7,6 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/buckthorndock/buckthorndock/internal/api/callerapi"
+	"github.com/buckthorndock/buckthorndock/internal/claims"
+	"github.com/buckthorndock/buckthorndock/internal/core/claim"
 	"github.com/buckthorndock/buckthorndock/internal/core/placement"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
@@ -40,6 +42,11 @@
 	prompt string // of a generation
 	body   []byte // of a service's call
 	sink   sink   // of a generation
+
+	first    *placement.Decision // place taken by the gate, noted with the router
+	answered int                 // tokens delivered
+	permit   *claim.Permit       // of the idempotency key, nil without
+	record   *claims.Recording   // keeps the answer for repeats of the key
 }
 
 // defaults of one call, from the settings or the operation.
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -26,8 +26,7 @@
 // callService runs a call until its one end and returns the service's answer.
 func (s *Server) callService(ctx context.Context, j *job) ([]byte, *request.Refusal) {
 	c := &serviceCall{s: s, job: j, attempt: 1}
-	ctx, cancel := context.WithDeadline(ctx, j.req.Deadline)
-	defer cancel()
+	ctx = upstream.WithPermit(ctx, j.permitted)
 	for {
 		d, refusal := c.place()
 		if refusal != nil {
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -36,8 +36,6 @@
 		asm:     stream.New(stream.Options{RequestID: j.req.ID, MaxTokens: j.req.MaxTokens}),
 		attempt: 1,
 	}
-	ctx, cancel := context.WithDeadline(ctx, j.req.Deadline)
-	defer cancel()
 	for {
 		target, refusal := g.place(ctx)
 		if refusal != nil {
@@ -144,6 +142,11 @@
 
 // place waits until the request can be placed, or says why it cannot.
 func (g *generation) place(ctx context.Context) (*target, *request.Refusal) {
+	if d := g.job.first; d != nil {
+		g.job.first = nil
+		g.s.noteDecision(g.job, g.attempt, *d, []string{d.Chosen.Name})
+		return newTarget(g.job, g.attempt, *d), nil
+	}
 	for {
 		changed := g.s.opts.Router.Changed()
 		t, verdict := g.decide()
--- a/internal/front/handlers.go
+++ b/internal/front/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -74,7 +75,8 @@
 	} else {
 		j.sink = &wholeSink{w: w, meta: meta}
 	}
-	refusal = s.generate(ctx, j)
+	do := func(ctx context.Context) *request.Refusal { return s.generate(ctx, j) }
+	refusal = s.serve(ctx, j, do, relayTokens(j.sink))
 	if refusal != nil {
 		j.sink.refuse(refusal)
 	}
@@ -96,7 +98,24 @@
 		writeRefusal(w, id, refusal)
 		return nil
 	}
-	result, refusal := s.callService(ctx, j)
+	var result []byte
+	do := func(ctx context.Context) *request.Refusal {
+		var refusal *request.Refusal
+		result, refusal = s.callService(ctx, j)
+		if refusal == nil && j.record != nil {
+			_, _ = j.record.Write(result)
+		}
+		return refusal
+	}
+	pass := func(r io.Reader) (err error) {
+		result, err = io.ReadAll(r)
+		return err
+	}
+	if !j.req.Repeatable {
+		// Once it is sent, its outcome matters more than whether the caller waits.
+		ctx = context.WithoutCancel(ctx)
+	}
+	refusal = s.serve(ctx, j, do, pass)
 	s.noteEnd(j, refusal)
 	setWriteDeadline(w)
 	if refusal != nil {
--- /dev/null
+++ b/internal/front/keyed.go
@@ -0,0 +1,181 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/buckthorndock/buckthorndock/internal/claims"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+)
+
+// maxSupersedes bounds how often a key that its holder released is asked for
+// again within one request.
+const maxSupersedes = 3
+
+// work runs an admitted job until its end.
+type work func(ctx context.Context) *request.Refusal
+
+// relay passes on what the holder of a key has recorded.
+type relay func(io.Reader) error
+
+// serve runs a job from admission to its one end. A job that runs at most once
+// and has a key runs only at the holder of the key; elsewhere the holder's answer
+// is relayed.
+func (s *Server) serve(ctx context.Context, j *job, do work, pass relay) *request.Refusal {
+	if j.req.Key == "" || j.req.Repeatable {
+		return s.admitted(ctx, j, do)
+	}
+	for range maxSupersedes {
+		res, err := s.opts.Claims.Acquire(ctx, claims.Ask{
+			Customer:    j.req.Customer,
+			Key:         j.req.Key,
+			Fingerprint: j.req.Fingerprint,
+			NotAfter:    j.req.Deadline,
+		})
+		if err != nil {
+			return asRefusal(err)
+		}
+		if res.Mine() {
+			return s.asHolder(ctx, j, res, do)
+		}
+		end, err := s.await(ctx, j, res, pass)
+		if err != nil {
+			return awaitRefusal(ctx)
+		}
+		if end.State != claims.AnswerReleased {
+			return end.Refusal()
+		}
+	}
+	return request.Refuse(request.CodeKeyUnavailable, retryElsewhere, "the idempotency key changes hands too often")
+}
+
+// admitted runs a job that the gate lets in.
+func (s *Server) admitted(ctx context.Context, j *job, do work) *request.Refusal {
+	ctx, cancel := context.WithDeadline(ctx, j.req.Deadline)
+	defer cancel()
+	ticket, refusal := s.admit(ctx, j)
+	if refusal != nil {
+		return refusal
+	}
+	refusal = do(ctx)
+	outcome, tokens := request.Complete, j.req.PromptTokens+j.answered
+	if refusal != nil {
+		outcome = refusal.Outcome
+	}
+	ticket.Done(outcome, tokens)
+	return refusal
+}
+
+// asHolder runs a job whose key this host holds. It goes on when the caller has
+// gone, for the caller may ask for the answer again.
+func (s *Server) asHolder(ctx context.Context, j *job, res claims.Result, do work) *request.Refusal {
+	j.permit = res.Permit
+	j.record = res.Answer
+	refusal := s.admitted(context.WithoutCancel(ctx), j, do)
+	switch {
+	case refusal == nil:
+		res.Answer.Finish(claims.Ending{State: claims.AnswerComplete})
+	case refusal.Outcome == request.NotRun && s.opts.Claims.Release(res):
+		// Nothing was sent: the key is free again.
+	case refusal.Outcome == request.Failed:
+		res.Answer.Finish(claims.Ending{State: claims.AnswerFailed, Code: refusal.Code, Message: refusal.Message})
+	default:
+		res.Answer.Finish(claims.Ending{State: claims.AnswerUnknown, Code: refusal.Code, Message: refusal.Message})
+	}
+	return refusal
+}
+
+// await relays the holder's answer within the job's time.
+func (s *Server) await(ctx context.Context, j *job, res claims.Result, pass relay) (claims.Ending, error) {
+	ctx, cancel := context.WithDeadline(ctx, j.req.Deadline)
+	defer cancel()
+	r, w := io.Pipe()
+	passed := make(chan error, 1)
+	go func() {
+		err := pass(r)
+		r.CloseWithError(err)
+		passed <- err
+	}()
+	end, err := s.opts.Claims.Await(ctx, res, w)
+	if err == nil && end.State != claims.AnswerComplete {
+		err = errNotWhole
+	}
+	w.CloseWithError(err)
+	passErr := <-passed
+	if end.State != claims.AnswerComplete && ctx.Err() == nil {
+		return end, nil
+	}
+	if err == nil {
+		err = passErr
+	}
+	return end, err
+}
+
+// errNotWhole ends the relay of an answer that did not become whole.
+var errNotWhole = merry.Sentinel("the holder's answer is not whole")
+
+// awaitRefusal is the end of a repeat whose wait for the holder ended.
+func awaitRefusal(ctx context.Context) *request.Refusal {
+	code := request.CodeDeadline
+	if ctx.Err() != nil {
+		code = request.CodeCallerGone
+	}
+	return &request.Refusal{
+		Outcome: request.Unknown, Code: code, RetryAfter: retryElsewhere,
+		Message: "the request under this key is running or has run; ask again with the same key",
+	}
+}
+
+// recorded is one line of a recorded generation.
+type recorded struct {
+	Text string `json:"t"`
+}
+
+// recordToken keeps a token for repeats of the key.
+func (j *job) recordToken(text string) {
+	if j.record == nil {
+		return
+	}
+	line, err := json.Marshal(recorded{Text: text})
+	if err != nil {
+		return
+	}
+	_, _ = j.record.Write(append(line, '\n'))
+}
+
+// relayTokens passes a recorded generation on to a sink.
+func relayTokens(to sink) relay {
+	return func(r io.Reader) error {
+		tokens := 0
+		lines := bufio.NewReader(r)
+		for {
+			line, err := lines.ReadBytes('\n')
+			if err == io.EOF {
+				return to.finish(tokens)
+			}
+			if err != nil {
+				return err
+			}
+			var rec recorded
+			if err := json.Unmarshal(line, &rec); err != nil {
+				return merry.Prepend(err, "recorded answer")
+			}
+			if err := to.token(rec.Text); err != nil {
+				return err
+			}
+			tokens++
+		}
+	}
+}
+
+// permitted reports whether a job may be dispatched now. It is asked when a
+// connection is open and nothing has been written, so that an upstream which
+// cannot be reached does not use the permit up.
+func (j *job) permitted() bool {
+	return j.permit == nil || j.permit.Dispatch(time.Now())
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,8 +13,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/api/callerapi"
+	"github.com/buckthorndock/buckthorndock/internal/claims"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+	"github.com/buckthorndock/buckthorndock/internal/gate"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/router"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
@@ -37,6 +40,8 @@
 	Journal     *router.Journal
 	Client      *upstream.Client
 	Holder      *owner.Holder
+	Gate        *gate.Gate
+	Claims      *claims.Service
 	Operator    Operator // status and settings
 	// OperatorTokenSHA256 is the hex hash of the site's first operator token.
 	OperatorTokenSHA256 string
@@ -48,16 +53,20 @@
 	opts    Options
 	log     *logrus.Entry
 	retries *retries
+	waiting *waiting
 	handler http.Handler
 
 	leaving  atomic.Bool // not ready for the balancer
 	refusing atomic.Bool // takes nothing new
 	inFlight atomic.Int64
+
+	poolsMu sync.Mutex
+	pools   map[string]bool // known to the gate
 }
 
 // NewServer returns a Server; Handler serves it.
 func NewServer(opts Options) (*Server, error) {
-	s := &Server{opts: opts, log: opts.Log, retries: newRetries()}
+	s := &Server{opts: opts, log: opts.Log, retries: newRetries(), waiting: newWaiting()}
 	api, err := callerapi.NewServer(s, s, s,
 		callerapi.WithErrorHandler(s.handleAPIError),
 		callerapi.WithNotFound(s.handleNotFound),
@@ -94,9 +103,6 @@
 	return nil
 }
 
-// Queued returns the number of requests that wait for a place.
-func (s *Server) Queued() int { return 0 }
-
 func (s *Server) exit() { s.inFlight.Add(-1) }
 
 // retryElsewhere is the time to come back in when another daemon behind the
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -34,7 +34,7 @@
 // stream opens a stream of the running attempt, the first or a resumed one, and
 // hands its tokens to the caller until it ends.
 func (g *generation) stream(ctx context.Context, t *target) streamEnd {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(upstream.WithPermit(ctx, g.job.permitted))
 	defer cancel()
 	g.asm.StartAttempt(g.attempt)
 	arrivals := make(chan arrival)
@@ -126,7 +126,13 @@
 		g.first = time.Now()
 		g.s.noteFirstToken(g.job, t, cached, g.first)
 	}
-	return g.job.sink.token(step.Text)
+	g.job.answered = g.asm.NextIndex()
+	g.job.recordToken(step.Text)
+	err := g.job.sink.token(step.Text)
+	if g.job.record != nil {
+		return nil // the answer is kept for the caller's next try
+	}
+	return err
 }
 
 // broken tells why a stream ended with an error or too early.
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -19,20 +19,22 @@
 }
 
 func newTarget(j *job, attempt int, d placement.Decision) *target {
-	return &target{
-		decision: d,
-		placement: placement.Placement{
-			ID:        placement.ID{Request: j.req.ID, Attempt: attempt},
-			Upstream:  d.Chosen.Name,
-			Model:     j.req.Target,
-			Class:     d.Class,
-			Priority:  d.EnginePriority,
-			Tokens:    j.req.PromptTokens,
-			MaxTokens: j.req.MaxTokens,
-			Cached:    d.Chosen.Estimate.Cached,
-			Prefix:    j.req.Prefix,
-			Deadline:  j.req.Deadline,
-		},
+	return &target{decision: d, placement: newPlacement(j, attempt, d)}
+}
+
+// newPlacement is what the router notes of an attempt.
+func newPlacement(j *job, attempt int, d placement.Decision) placement.Placement {
+	return placement.Placement{
+		ID:        placement.ID{Request: j.req.ID, Attempt: attempt},
+		Upstream:  d.Chosen.Name,
+		Model:     j.req.Target,
+		Class:     d.Class,
+		Priority:  d.EnginePriority,
+		Tokens:    j.req.PromptTokens,
+		MaxTokens: j.req.MaxTokens,
+		Cached:    d.Chosen.Estimate.Cached,
+		Prefix:    j.req.Prefix,
+		Deadline:  j.req.Deadline,
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -97,6 +97,41 @@
 	return placement.Place(r.view, ask, r.opts.Now(), r.rng)
 }
 
+// Fit says whether a request may start now.
+type Fit uint8
+
+// Fits.
+const (
+	MustWait Fit = iota // no engine has room for it within the wait
+	Taken               // its place is noted
+	MayStart            // nothing is noted: a long prompt, or one to be refused
+)
+
+// PlaceWithin is Place for the gate. A short prompt that would wait no longer than
+// wait on its engine takes its place, noted as build describes it. A long prompt
+// takes none, for its memory has to be reserved first.
+func (r *Router) PlaceWithin(ask placement.Ask, wait time.Duration, build func(placement.Decision) placement.Placement) (placement.Decision, Fit, error) {
+	ask.Domain = r.opts.Domain
+	ask.SpillDomains = r.opts.SpillDomains()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.opts.Now()
+	d, err := placement.Place(r.view, ask, now, r.rng)
+	switch {
+	case err != nil:
+		return d, MayStart, err
+	case d.Verdict == placement.WaitMemory:
+		return d, MustWait, nil
+	case d.Verdict != placement.Placed:
+		return d, MayStart, nil
+	case d.Chosen.Estimate.Queue > wait:
+		return d, MustWait, nil
+	case d.Class == placement.Short && r.view.NotePlaced(build(d), now):
+		return d, Taken, nil
+	}
+	return d, MayStart, nil
+}
+
 // GangMembers chooses the engines of a gang; see placement.GangMembers.
 func (r *Router) GangMembers(ask placement.Ask) []placement.GangMember {
 	ask.Domain = r.opts.Domain
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -47,7 +47,7 @@
 		opts.PollTimeout = DefaultPollTimeout
 	}
 	dialer := &net.Dialer{Timeout: opts.DialTimeout}
-	fresh := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	fresh := &http.Transport{DialContext: dialPermitted(dialer), DisableKeepAlives: true}
 	shared := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
 	return &Client{
 		opts:     opts,
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 
 	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
 )
@@ -64,8 +63,7 @@
 	if err == nil {
 		return nil
 	}
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if dialFailed(err) {
 		return &NotSent{Err: err}
 	}
 	return err
