Settings: refuse text that is not UTF-8, gauges, net/rpc in the follower's tests

Cause: JSON replaces bytes that are not UTF-8, so such a change came back from the log as another one and its own publisher took its id for reused. Ruled out: base64 for texts, which makes records a third larger and unreadable. Change: Encode refuses such ids, authors and documents; a property test that a change survives the log as it was or is refused before; gauges of offset, lag and findings; the followers of the tests now talk through net/rpc and gob.

--- a/internal/core/settings/change.go
+++ b/internal/core/settings/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"unicode/utf8"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
@@ -80,6 +81,8 @@
 		return merry.Errorf("change id must have 1 to %d bytes", maxChangeIDBytes)
 	case len(c.Author) > maxAuthorBytes:
 		return merry.Errorf("author has more than %d bytes", maxAuthorBytes)
+	case !utf8.ValidString(c.ID) || !utf8.ValidString(c.Author):
+		return merry.New("change id and author must be UTF-8")
 	case c.Seen < 0:
 		return merry.Errorf("seen offset %d is negative", c.Seen)
 	case len(c.Edits) == 0 || len(c.Edits) > maxEdits:
@@ -92,6 +95,8 @@
 			return merry.Errorf("invalid settings path %q", e.Path)
 		case paths[e.Path]:
 			return merry.Errorf("path %s is edited twice", e.Path)
+		case e.YAML != nil && !utf8.ValidString(*e.YAML): // JSON would change it
+			return merry.Errorf("document %s is not UTF-8", e.Path)
 		case e.Base < 0:
 			return merry.Errorf("base %d of %s is negative", e.Base, e.Path)
 		}
--- a/internal/core/settings/replay_test.go
+++ b/internal/core/settings/replay_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
@@ -75,6 +77,7 @@
 	words := gen.SliceOf(gen.UInt16())
 	p.Property("any delivery of the same records gives the same state", prop.ForAll(sameState, words, words))
 	p.Property("a change is accepted exactly when nothing near it came first", prop.ForAll(oneWinner, words))
+	p.Property("a change survives the log as it was, or is refused before", prop.ForAll(sameChange, gen.AnyString(), gen.SliceOf(gen.UInt8())))
 	p.Property("versions never go backwards", prop.ForAll(neverBackwards, words))
 	p.TestingRun(t)
 }
@@ -144,6 +147,17 @@
 	return true
 }
 
+func sameChange(author string, yaml []uint8) bool {
+	text := string(yaml)
+	c := &Change{ID: "id", Author: author, Edits: []Edit{{Path: "/", YAML: &text}}}
+	data, err := c.Encode()
+	if err != nil {
+		return !utf8.ValidString(text) || !utf8.ValidString(author) || len(author) > maxAuthorBytes
+	}
+	decoded, err := DecodeChange(data)
+	return err == nil && reflect.DeepEqual(decoded, c) && decoded.Content() == c.Content()
+}
+
 func neverBackwards(words []uint16) bool {
 	log, _, _ := racyLog(words)
 	s := NewState()
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -5,10 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/buckthorndock/buckthorndock/internal/core/finding"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 )
@@ -47,6 +50,13 @@
 		eventually(t, "lag is known", func() bool { return h.Lag(time.Now()) >= 0 })
 	}
 	<-changed
+	var page bytes.Buffer
+	set := metrics.NewSet()
+	s.hosts[1].RegisterMetrics(set)
+	set.WritePrometheus(&page)
+	if !strings.Contains(page.String(), "buckthorndock_settings_offset 2\n") {
+		t.Errorf("metrics:\n%s", page.String())
+	}
 	documents, offset := s.hosts[1].Documents("/")
 	if len(documents) != 1 || documents[0].Version != 2 || offset != 2 || len(s.hosts[1].History("/", 9)) != 2 {
 		t.Errorf("documents %v at %d", documents, offset)
--- a/internal/follow/metrics.go
+++ b/internal/follow/metrics.go
@@ -21,6 +21,14 @@
 	spreadBytes      = metrics.NewCounter("buckthorndock_settings_spread_bytes_total")
 )
 
+// RegisterMetrics adds the gauges of this follower to a set. A set takes those of
+// one follower.
+func (f *Follower) RegisterMetrics(set *metrics.Set) {
+	set.NewGauge("buckthorndock_settings_offset", func() float64 { return float64(f.Offset()) })
+	set.NewGauge("buckthorndock_settings_findings", func() float64 { return float64(len(f.Findings())) })
+	set.NewGauge("buckthorndock_settings_lag_seconds", func() float64 { return f.Lag(f.o.Now()).Seconds() })
+}
+
 func countVerdict(outcome settings.Outcome) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`buckthorndock_settings_records_total{outcome=%q}`, outcome)).Inc()
 }
--- a/internal/follow/site_test.go
+++ b/internal/follow/site_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
+	"net/rpc"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -127,6 +129,7 @@
 	noLog  atomic.Bool
 	cut    atomic.Bool // from all peers
 	stop   func()
+	server *rpc.Server
 }
 
 func newSite(t testing.TB) *site {
@@ -143,6 +146,10 @@
 		PollWait: s.poll, PullEvery: s.pull, TailAfter: time.Hour,
 		RetryMin: time.Millisecond, RetryMax: 5 * time.Millisecond, CallTimeout: time.Second,
 	})
+	h.server = rpc.NewServer()
+	if err := h.server.RegisterName(Service, h.RPC()); err != nil {
+		s.t.Fatal(err)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h.name = fmt.Sprint(len(s.hosts))
@@ -212,10 +219,11 @@
 	if h.cut.Load() || target.cut.Load() {
 		return errAway
 	}
-	if method == methodPush {
-		return target.RPC().Push(args.(*PushArgs), reply.(*PushReply))
-	}
-	return target.RPC().Pull(args.(*PullArgs), reply.(*PullReply))
+	near, far := net.Pipe()
+	go target.server.ServeConn(far)
+	client := rpc.NewClient(near)
+	defer func() { _ = client.Close() }()
+	return client.Call(method, args, reply)
 }
 
 // eventually waits for a condition, generously.
