Owner: reads of load and cache events fit the digest's pace

Cause: at full size an engine has some hundred cache events a second; reading all of them for two engines costs more bytes than a daemon has for control.

Ruled out: all events in digests; no events at all (fronts learn only from their own placements).

Change: a bounded read of cache events once a digest, leaving events out when it falls behind; the load is read twice a digest; books every 10 s.

Run: go test -race ./internal/owner, ok; a reader whose engine makes ten times what it reads stays within 100 reads of the end.

Conclusion: fronts get a sample of cache events at full size, gaps are visible by their sequence numbers.

--- a/internal/owner/digest.go
+++ b/internal/owner/digest.go
@@ -72,7 +72,10 @@
 	}
 	all := size * len(s.opts.Catalog()) / engines
 	stretched := time.Duration(all) * time.Second / time.Duration(s.opts.DigestBudget)
-	return max(s.opts.PublishEvery, stretched)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spread = max(s.opts.PublishEvery, stretched)
+	return s.spread
 }
 
 // digest leaves out engines that do not answer: fronts then see no fresh report.
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -19,27 +19,29 @@
 
 	Ledger ledger.Options
 
-	LoadEvery    time.Duration // time between load reports, and cache events; 500 ms
-	BooksEvery   time.Duration // time between reads of the books without doubt; 5 s
+	LoadEvery    time.Duration // shortest time between load reports; 500 ms
+	BooksEvery   time.Duration // time between reads of the books without doubt; 10 s
 	PublishEvery time.Duration // shortest time between digests; 1 s
 	DigestBudget int           // bytes a second of all digests of a failure domain; 6,000
 	TickEvery    time.Duration // time between looks at ownership and limits; 1 s
 	CallTimeout  time.Duration // of a call to an engine; 2 s
 	DownAfter    int           // calls in a row without an answer after which an engine is down; 3
 	CacheWindow  int           // cache events of an engine in a digest; 8
+	CacheRead    int           // cache events of one read; what is beyond is left out; 32
 	TurnLimit    time.Duration // longest time that one gang of a pool may gather alone; 4 s
 }
 
 // Defaults of Options.
 const (
 	DefaultLoadEvery    = 500 * time.Millisecond
-	DefaultBooksEvery   = 5 * time.Second
+	DefaultBooksEvery   = 10 * time.Second
 	DefaultPublishEvery = time.Second
 	DefaultDigestBudget = 6000
 	DefaultTickEvery    = time.Second
 	DefaultCallTimeout  = 2 * time.Second
 	DefaultDownAfter    = 3
 	DefaultCacheWindow  = 8
+	DefaultCacheRead    = 32
 	DefaultTurnLimit    = 4 * time.Second
 )
 
@@ -52,6 +54,7 @@
 	setDefault(&o.CallTimeout, DefaultCallTimeout)
 	setDefault(&o.DownAfter, DefaultDownAfter)
 	setDefault(&o.CacheWindow, DefaultCacheWindow)
+	setDefault(&o.CacheRead, DefaultCacheRead)
 	setDefault(&o.TurnLimit, DefaultTurnLimit)
 	if o.Clock == nil {
 		o.Clock = time.Now
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -229,3 +229,55 @@
 	}
 	s.booksReturnToZero()
 }
+
+func TestDigestFollowsTheEngines(t *testing.T) {
+	s := newSite(t, 2, 1)
+	h := s.hosts[0]
+	s.generate(h, s.engines[1], "q")
+	s.eventually("a digest that shows the load", func() bool {
+		s.mu.Lock()
+		data := h.digest
+		s.mu.Unlock()
+		if data == nil {
+			return false
+		}
+		d, err := DecodeDigest(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(d.Engines) != 2 {
+			return false
+		}
+		idle, busy := d.Engines[0].Load(), d.Engines[1].Load()
+		return idle.Running == 0 && busy.Running == 1 && busy.MemoryTotal == memory
+	})
+	if err := s.fakes[0].SetFault(standin.Fault{Kind: standin.FaultOutage, On: true}); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually("an engine that does not answer is left out", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		d, err := DecodeDigest(h.digest)
+		return err == nil && len(d.Engines) == 1 && d.Engines[0].Name == "e1"
+	})
+}
+
+func TestReadingCacheEventsKeepsUp(t *testing.T) {
+	s := New(Options{})
+	p := newPoller(s, Engine{}, nil)
+	// The engine makes ten times the events that one read takes.
+	end, missed := int64(0), int64(0)
+	for range 1000 {
+		end += 10 * DefaultCacheRead
+		got := CacheEvents{Next: p.next}
+		for got.Next < end && len(got.Events) < DefaultCacheRead {
+			got.Events = append(got.Events, CacheEvent{Seq: got.Next})
+			got.Next++
+		}
+		p.next = p.nextAfter(got)
+		missed = max(missed, end-p.next)
+	}
+	if missed > 100*DefaultCacheRead {
+		t.Errorf("the reader fell %d events behind", missed)
+	}
+}
--- a/internal/owner/poller.go
+++ b/internal/owner/poller.go
@@ -7,8 +7,8 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
 )
 
-// maxCacheEvents bounds one read of cache events.
-const maxCacheEvents = 1000
+// maxCacheSkip bounds how many cache events are left out between two reads.
+const maxCacheSkip = 1 << 16
 
 // poller reads one owned engine. Its fields after doubt belong to the service's
 // lock.
@@ -23,6 +23,7 @@
 	loadAt   time.Time // when the load was received, less its age; zero: none yet
 	cache    []CacheEvent
 	next     int64 // first cache event not yet read
+	skip     int64 // cache events to leave out after the next full read
 }
 
 func newPoller(s *Service, e Engine, cancel context.CancelFunc) *poller {
@@ -31,13 +32,13 @@
 
 // run polls until the engine is no longer owned.
 func (p *poller) run(ctx context.Context) {
-	load := time.NewTicker(p.service.opts.LoadEvery)
+	load := time.NewTimer(p.service.loadEvery())
 	defer load.Stop()
 	books := time.NewTicker(p.service.opts.BooksEvery)
 	defer books.Stop()
 	p.readBooks(ctx)
 	p.readLoad(ctx)
-	for {
+	for reads := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
@@ -47,6 +48,10 @@
 			p.readBooks(ctx)
 		case <-load.C:
 			p.readLoad(ctx)
+			if reads++; reads%loadsPerDigest == 0 {
+				p.readCache(ctx)
+			}
+			load.Reset(p.service.loadEvery())
 		}
 	}
 }
@@ -100,11 +105,9 @@
 	if err != nil {
 		return
 	}
-	restarted := p.takeLoad(l)
-	if restarted {
+	if p.takeLoad(l) {
 		p.readBooks(ctx)
 	}
-	p.readCache(call)
 }
 
 // takeLoad stores a report and tells whether the engine has started anew.
@@ -116,6 +119,7 @@
 	if restarted {
 		p.cache = nil
 		p.next = 0
+		p.skip = 0
 	}
 	p.load = l
 	p.loadAt = s.opts.Clock().Add(-l.Age)
@@ -126,10 +130,12 @@
 // digest poorer.
 func (p *poller) readCache(ctx context.Context) {
 	s := p.service
+	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	defer cancel()
 	s.mu.Lock()
 	from := p.next
 	s.mu.Unlock()
-	events, err := s.opts.Engines.CacheEvents(ctx, p.engine.Address, from, maxCacheEvents)
+	events, err := s.opts.Engines.CacheEvents(ctx, p.engine.Address, from, s.opts.CacheRead)
 	if err != nil {
 		return
 	}
@@ -138,9 +144,22 @@
 	if p.next != from {
 		return
 	}
-	p.next = events.Next
+	p.next = p.nextAfter(events)
 	p.cache = append(p.cache, events.Events...)
 	if extra := len(p.cache) - s.opts.CacheWindow; extra > 0 {
 		p.cache = append([]CacheEvent(nil), p.cache[extra:]...)
 	}
 }
+
+// nextAfter keeps up with an engine that has more events than are read: after a
+// full read it leaves some out, more each time. A read past the engine's last
+// event is empty until the engine gets there.
+func (p *poller) nextAfter(events CacheEvents) int64 {
+	if len(events.Events) < p.service.opts.CacheRead {
+		p.skip /= 2
+		return events.Next
+	}
+	next := events.Next + p.skip
+	p.skip = min(max(2*p.skip, int64(p.service.opts.CacheRead)), maxCacheSkip)
+	return next
+}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -19,6 +19,7 @@
 	ledger *ledger.Ledger
 	turns  *ledger.Turns
 	owned  map[string]*poller // by engine
+	spread time.Duration      // time between digests at present
 	work   sync.WaitGroup     // pollers and calls in the background
 	slots  errgroup.Group     // bounds calls in the background
 }
@@ -34,6 +35,7 @@
 		ledger: ledger.New(opts.Ledger),
 		turns:  ledger.NewTurns(opts.TurnLimit),
 		owned:  map[string]*poller{},
+		spread: opts.PublishEvery,
 	}
 	s.slots.SetLimit(maxBackgroundCalls)
 	return s
@@ -114,6 +116,16 @@
 	s.opts.Log.WithFields(fields{"event": "engine_owned", "engine": e.Name, "address": e.Address}).Info()
 }
 
+// loadsPerDigest is how often an engine's load is read for one digest: a report
+// that no front gets is of little use.
+const loadsPerDigest = 2
+
+func (s *Service) loadEvery() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.opts.LoadEvery, s.spread/loadsPerDigest)
+}
+
 // address returns where an owned engine is; ok is false when it is not owned.
 func (s *Service) address(engine string) (address string, ok bool) {
 	s.mu.Lock()
--- a/internal/owner/site_test.go
+++ b/internal/owner/site_test.go
@@ -51,6 +51,7 @@
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	alive   bool
+	digest  []byte // the last that its service published
 	ctx     context.Context
 }
 
@@ -86,14 +87,16 @@
 func (s *site) addHost(name, incarnation string) *testHost {
 	h := &testHost{site: s, name: name, alive: true}
 	h.service = New(Options{
-		Engines:    s.http,
-		Ownership:  h,
-		Catalog:    func() []Engine { return s.engines },
-		Log:        s.quiet,
-		Ledger:     ledger.Options{Soft: 1500 * time.Millisecond, Hard: 3 * time.Second, Stream: 4 * time.Second, RetryEvery: 50 * time.Millisecond},
-		LoadEvery:  50 * time.Millisecond,
-		BooksEvery: 50 * time.Millisecond,
-		TickEvery:  20 * time.Millisecond,
+		Engines:      s.http,
+		Ownership:    h,
+		Catalog:      func() []Engine { return s.engines },
+		Publisher:    h,
+		Log:          s.quiet,
+		Ledger:       ledger.Options{Soft: 1500 * time.Millisecond, Hard: 3 * time.Second, Stream: 4 * time.Second, RetryEvery: 50 * time.Millisecond},
+		LoadEvery:    50 * time.Millisecond,
+		PublishEvery: 50 * time.Millisecond,
+		BooksEvery:   50 * time.Millisecond,
+		TickEvery:    20 * time.Millisecond,
 	})
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.rpc = h.service.RPC(h.ctx)
@@ -140,6 +143,13 @@
 	return owner, owner, owner == h.name
 }
 
+// Publish implements Publisher.
+func (h *testHost) Publish(_ string, data []byte) {
+	h.site.mu.Lock()
+	defer h.site.mu.Unlock()
+	h.digest = data
+}
+
 // Call implements Peers. Arguments and answers go through gob as in net/rpc.
 func (h *testHost) Call(_ context.Context, address, method string, args, reply any) error {
 	s := h.site
