core/quarantine: find the request that crashes engines, spare the others

Cause: now and then one request crashes each engine that runs it, and its caller sends it again; those that ran beside it must not be refused. Ruled out: counting deaths alone (an innocent beside two culprits in turn would be refused); naming the only suspect on a dead engine the cause (a culprit that has just arrived may run beside it); always retrying suspects on an empty engine (20 innocents would need 20 empty engines); explaining a death away once one culprit is found (a second in the same death would start anew); local times in digests. Change: Tracker keeps a record of what ran at each death. What completes later is cleared from it; what is left alone in a record caused it, and with two deaths in all it is refused for ten minutes. Suspects run one to an engine and one copy at a time; one with two deaths and no proof runs where nothing else does. Records merge as a union, and count once they have had three seconds to arrive everywhere.

--- /dev/null
+++ b/internal/core/quarantine/digest.go
@@ -0,0 +1,114 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Digest is a host's evidence, as spread to its peers. Ages and remaining times
+// stand for times, since clocks differ.
+type Digest struct {
+	Host    string
+	Records []RecordDigest
+	Refused []RefusedDigest
+	Holds   []Hold
+}
+
+// RecordDigest is one death.
+type RecordDigest struct {
+	ID      RecordID
+	Age     time.Duration
+	Open    []uint64 // fingerprints that may have caused it
+	Cleared []uint64 // that ran to their end afterwards
+}
+
+// RefusedDigest is one refused fingerprint.
+type RefusedDigest struct {
+	Fingerprint uint64
+	Left        time.Duration
+}
+
+// Hold says that a suspect runs on an engine.
+type Hold struct {
+	Engine      string
+	Fingerprint uint64
+	Standing    Standing
+}
+
+// Version changes when there is something new to spread.
+func (t *Tracker) Version() uint64 { return t.version }
+
+// Digest returns all evidence that this host has, its own and its peers'.
+func (t *Tracker) Digest(now time.Time) Digest {
+	d := Digest{Host: t.opts.Host}
+	for id, r := range t.records {
+		rd := RecordDigest{ID: id, Age: now.Sub(r.at)}
+		for fingerprint, cleared := range r.cleared {
+			if cleared {
+				rd.Cleared = append(rd.Cleared, fingerprint)
+			} else {
+				rd.Open = append(rd.Open, fingerprint)
+			}
+		}
+		slices.Sort(rd.Open)
+		slices.Sort(rd.Cleared)
+		d.Records = append(d.Records, rd)
+	}
+	for fingerprint, until := range t.refused {
+		if now.Before(until) {
+			d.Refused = append(d.Refused, RefusedDigest{fingerprint, until.Sub(now)})
+		}
+	}
+	for _, r := range t.runs {
+		if s := t.Standing(r.fingerprint, now); s != Clear {
+			d.Holds = append(d.Holds, Hold{r.engine, r.fingerprint, s})
+		}
+	}
+	d.sort()
+	return d
+}
+
+func (d *Digest) sort() {
+	slices.SortFunc(d.Records, func(a, b RecordDigest) int {
+		return cmp.Or(cmp.Compare(a.ID.Engine, b.ID.Engine), cmp.Compare(a.ID.Incarnation, b.ID.Incarnation))
+	})
+	slices.SortFunc(d.Refused, func(a, b RefusedDigest) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortFunc(d.Holds, func(a, b Hold) int {
+		return cmp.Or(cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+}
+
+// Merge takes a peer's digest. Records are united: merging is commutative and may
+// be repeated. A refusal that is known is not prolonged.
+func (t *Tracker) Merge(d Digest, now time.Time) {
+	for _, rd := range d.Records {
+		t.mergeRecord(rd, now)
+	}
+	for _, r := range d.Refused {
+		if !t.isRefused(r.Fingerprint, now) && r.Left > 0 {
+			t.refuse(r.Fingerprint, now.Add(min(r.Left, t.opts.For)))
+		}
+	}
+	if d.Host == "" || d.Host == t.opts.Host {
+		return
+	}
+	t.holds[d.Host] = d.Holds
+	if len(d.Holds) == 0 {
+		delete(t.holds, d.Host)
+	}
+}
+
+func (t *Tracker) mergeRecord(rd RecordDigest, now time.Time) {
+	if rd.Age >= t.opts.For || len(rd.Open)+len(rd.Cleared) == 0 {
+		return
+	}
+	t.addRecord(rd.ID, now.Add(-max(rd.Age, 0)), rd.Open)
+	r := t.records[rd.ID]
+	for _, fingerprint := range rd.Cleared {
+		t.clearIn(r, fingerprint)
+	}
+}
+
+// Forget drops what a peer said to run, as when it has left or is silent.
+func (t *Tracker) Forget(host string) { delete(t.holds, host) }
--- /dev/null
+++ b/internal/core/quarantine/tracker_test.go
@@ -0,0 +1,303 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+const step = time.Second
+
+// job is a request in the simulated pool.
+type job struct {
+	fingerprint uint64
+	culprit     bool
+	host        int
+	engine      int // -1 while waiting
+	run         Run
+	left        int // steps to its end, or to its engine's death
+	crashes     int
+	done        bool
+}
+
+// world is a pool of engines and hosts that place jobs on them.
+type world struct {
+	rng         *rand.Rand
+	now         time.Time
+	hosts       []*Tracker
+	engines     int
+	incarnation []int
+	jobs        []*job
+	wronged     bool // an innocent was refused
+}
+
+func newWorld(seed uint64, hosts, engines int) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), now: start, engines: engines, incarnation: make([]int, engines)}
+	for h := range hosts {
+		w.hosts = append(w.hosts, New(Options{Host: fmt.Sprint(h), SettleAfter: 3 * step, For: time.Hour}))
+	}
+	return w
+}
+
+func (w *world) add(culprit bool) {
+	w.jobs = append(w.jobs, &job{fingerprint: uint64(len(w.jobs) + 1), culprit: culprit, host: w.rng.IntN(len(w.hosts)), engine: -1})
+}
+
+// step places, runs, completes and crashes, then spreads the digests.
+func (w *world) step() {
+	w.now = w.now.Add(step)
+	for _, i := range w.rng.Perm(len(w.jobs)) {
+		if j := w.jobs[i]; !j.done && j.engine < 0 {
+			w.place(j)
+		}
+	}
+	for _, j := range w.jobs {
+		if j.engine < 0 || j.done {
+			continue
+		}
+		j.left--
+		switch {
+		case j.left > 0:
+		case j.culprit:
+			j.crashes++
+			w.crash(j.engine)
+		default:
+			w.hosts[j.host].End(j.run, true)
+			j.done = true
+		}
+	}
+	for i, from := range w.hosts {
+		d := from.Digest(w.now)
+		for k, to := range w.hosts {
+			if i != k {
+				to.Merge(d, w.now)
+			}
+		}
+	}
+}
+
+func (w *world) place(j *job) {
+	t := w.hosts[j.host]
+	if t.Standing(j.fingerprint, w.now) == Refused {
+		w.wronged = w.wronged || !j.culprit
+		j.done = true
+		return
+	}
+	engine := w.rng.IntN(w.engines)
+	if !t.MayPlace(fmt.Sprint(engine), j.fingerprint, w.now) {
+		return
+	}
+	j.engine = engine
+	j.run = t.Started(fmt.Sprint(engine), j.fingerprint)
+	j.left = 1 + w.rng.IntN(5)
+}
+
+func (w *world) crash(engine int) {
+	w.incarnation[engine]++
+	for _, t := range w.hosts {
+		t.Died(fmt.Sprint(engine), fmt.Sprint(w.incarnation[engine]), w.now)
+	}
+	for _, j := range w.jobs {
+		if j.engine == engine && !j.done {
+			j.engine = -1
+			w.hosts[j.host].End(j.run, false) // late, after the death
+		}
+	}
+}
+
+// play adds innocents and culprits over time, more innocents afterwards, and runs
+// until all is over. It returns the most crashes of one culprit.
+func (w *world) play(innocents, culprits int) (worst int, over bool) {
+	kinds := w.rng.Perm(innocents + culprits)
+	for n := 0; n < 2000 && (n < 60 || !w.over()); n++ {
+		for k := 0; k < 3 && len(kinds) > 0; k++ {
+			w.add(kinds[0] < culprits)
+			kinds = kinds[1:]
+		}
+		if n < 60 && n%2 == 0 {
+			w.add(false)
+		}
+		w.step()
+	}
+	for _, j := range w.jobs {
+		worst = max(worst, j.crashes)
+	}
+	return worst, w.over()
+}
+
+func (w *world) over() bool {
+	return !slices.ContainsFunc(w.jobs, func(j *job) bool { return !j.done })
+}
+
+func TestInnocentsAreServedAndCulpritsBounded(t *testing.T) {
+	for _, c := range []struct{ hosts, engines, innocents, culprits int }{
+		{1, 1, 20, 1}, {1, 4, 20, 1}, {1, 6, 20, 2}, {1, 3, 40, 4}, {3, 6, 20, 2}, {8, 6, 20, 1},
+	} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			params := gopter.DefaultTestParametersWithSeed(50)
+			params.MinSuccessfulTests = 40
+			props := gopter.NewProperties(params)
+			worst := 0
+			props.Property("all innocents complete, all culprits are refused in time", prop.ForAll(func(seed uint64) bool {
+				w := newWorld(seed, c.hosts, c.engines)
+				crashes, over := w.play(c.innocents, c.culprits)
+				worst = max(worst, crashes)
+				if c.hosts == 1 && crashes > DefaultCrashes+1 {
+					return false
+				}
+				return over && !w.wronged && crashes >= DefaultCrashes
+			}, gen.UInt64()))
+			props.TestingRun(t)
+			t.Logf("most crashes of one culprit: %d", worst)
+		})
+	}
+}
+
+// crashAll starts fingerprints on an engine and lets it die.
+func crashAll(t *Tracker, engine, incarnation string, now time.Time, fingerprints ...uint64) {
+	for _, f := range fingerprints {
+		t.Started(engine, f)
+	}
+	t.Died(engine, incarnation, now)
+}
+
+func TestStandings(t *testing.T) {
+	tr := New(Options{})
+	crashAll(tr, "e1", "1", start, 1, 2)
+	crashAll(tr, "e1", "1", start, 2) // the same death, told again
+	now := start.Add(DefaultSettleAfter)
+	if got := tr.Standing(1, now); got != Suspect {
+		t.Fatalf("after one death: %s", got)
+	}
+	tr.Started("e2", 1)
+	for _, c := range []struct {
+		engine      string
+		fingerprint uint64
+		want        bool
+	}{{"e2", 2, false}, {"e3", 2, true}, {"e2", 3, true}, {"e3", 1, false}} {
+		if got := tr.MayPlace(c.engine, c.fingerprint, now); got != c.want {
+			t.Errorf("beside suspect 1 on e2: MayPlace(%s, %d) = %v", c.engine, c.fingerprint, got)
+		}
+	}
+	tr.Started("e2", 3)
+	tr.Died("e2", "1", now)
+	if got := tr.Standing(1, now); got != Held || tr.MayPlace("e3", 1, now) {
+		t.Errorf("just after its second death: %s", got)
+	}
+	now = now.Add(DefaultSettleAfter)
+	tr.Started("e3", 4)
+	if got := tr.Standing(1, now); got != Isolate || tr.MayPlace("e3", 1, now) || !tr.MayPlace("e4", 1, now) {
+		t.Errorf("twice beside others: %s", got)
+	}
+	run := tr.Started("e4", 1)
+	if tr.MayPlace("e4", 5, now) {
+		t.Error("a clear request was let in beside an isolated one")
+	}
+	tr.End(run, false)
+	tr.End(tr.Started("e3", 2), true)
+	tr.End(tr.Started("e3", 3), true)
+	if got := tr.Standing(1, now); got != Refused || tr.RefusedFor(1, now) != DefaultFor {
+		t.Errorf("when all beside it have completed: %s", got)
+	}
+	now = now.Add(DefaultFor)
+	if got := tr.Standing(1, now); got != Clear || len(tr.records) != 0 || len(tr.of) != 0 {
+		t.Errorf("when its time is over: %s, %d records", got, len(tr.records))
+	}
+}
+
+func TestMergeIsAUnion(t *testing.T) {
+	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(51))
+	props.Property("any order and repetition gives the same evidence", prop.ForAll(func(seed uint64) bool {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		var digests []Digest
+		for h := range 3 {
+			tr := New(Options{Host: fmt.Sprint(h)})
+			for i := range 4 {
+				crashAll(tr, fmt.Sprint(i), "1", start, rng.Uint64N(5), rng.Uint64N(5))
+			}
+			tr.End(tr.Started("x", rng.Uint64N(5)), true)
+			digests = append(digests, tr.Digest(start))
+		}
+		merge := func(order []int) Digest {
+			tr := New(Options{Host: "me"})
+			for _, i := range order {
+				tr.Merge(digests[i], start)
+			}
+			return tr.Digest(start)
+		}
+		a, b := rng.Perm(3), rng.Perm(3)
+		return reflect.DeepEqual(merge(append(a, b...)), merge(b))
+	}, gen.UInt64()))
+	props.TestingRun(t)
+}
+
+func TestRefusalSpreadsAndEvidenceIsBounded(t *testing.T) {
+	a, b := New(Options{Host: "a", SettleAfter: -1}), New(Options{Host: "b"})
+	crashAll(a, "e1", "1", start, 7)
+	crashAll(a, "e2", "1", start, 7)
+	if got := a.Standing(7, start); got != Refused {
+		t.Fatalf("alone in two deaths: %s", got)
+	}
+	b.Merge(a.Digest(start), start)
+	later := start.Add(time.Minute)
+	a.Merge(b.Digest(later), later.Add(time.Second)) // a slow message
+	if x, y := a.RefusedFor(7, later), b.RefusedFor(7, later); x != y || x != DefaultFor-time.Minute {
+		t.Errorf("refused for %v and %v", x, y)
+	}
+	a.Standing(8, start.Add(DefaultFor-expireEvery/2))
+	if got := a.Standing(7, start.Add(DefaultFor)); got != Clear {
+		t.Errorf("when its time is over: %s", got)
+	}
+	crashAll(a, "e1", "2", start, 1, 2)
+	crashAll(a, "e2", "2", start, 1, 3)
+	b.Merge(a.Digest(start), start)
+	a.End(a.Started("e3", 2), true)
+	b.Merge(a.Digest(start), start)
+	if got := b.Standing(1, start.Add(DefaultSettleAfter)); got != Refused {
+		t.Errorf("when a peer has cleared the other: %s", got)
+	}
+	for i := range 2 * DefaultMaxRecords {
+		crashAll(b, "e", fmt.Sprint(i), start.Add(time.Duration(i)), uint64(100+i))
+	}
+	if len(b.records) != DefaultMaxRecords || len(b.of) > DefaultMaxRecords {
+		t.Errorf("%d records of %d fingerprints are kept", len(b.records), len(b.of))
+	}
+	hold := Digest{Host: "c", Holds: []Hold{{"e9", 500, Isolate}}}
+	b.Merge(hold, start)
+	if b.MayPlace("e9", 9, start) {
+		t.Error("placed beside a peer's isolated request")
+	}
+	b.Forget("c")
+	if !b.MayPlace("e9", 9, start) {
+		t.Error("the hold of a host that left still counts")
+	}
+}
+
+func BenchmarkMayPlace(b *testing.B) {
+	t := New(Options{})
+	for i := range 100 {
+		t.Started("busy", uint64(i))
+	}
+	b.Run("no evidence", func(b *testing.B) { benchmarkMayPlace(b, t) })
+	for i := range 100 {
+		crashAll(t, fmt.Sprint(i), "1", start, uint64(1000+i), uint64(2000+i))
+	}
+	b.Run("100 deaths", func(b *testing.B) { benchmarkMayPlace(b, t) })
+}
+
+// benchmarkMayPlace asks for an engine that runs 100 requests.
+func benchmarkMayPlace(b *testing.B, t *Tracker) {
+	b.ReportAllocs()
+	for b.Loop() {
+		t.MayPlace("busy", 1_000_000, start)
+	}
+}
