Faults: dispatches can be stopped before or after their permit

Cause: a front that is paused between its claim and its first byte cannot be brought about by signals alone, as the two lie a millisecond apart. Ruled out: a sleep set by a flag, as the scenario would hang on wall time; a hold in the stand-ins, as it comes after the first byte. Change: the front tells Options.AtPoint when a connection is open and when the permit was given; with test_faults a daemon's POST /test-faults/hold?at=POINT stops requests there until it is lifted. Scenario commands hold, and together, which sends one request many times at one moment. Conclusion: without test_faults the function is nil and nothing changes.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -182,8 +182,14 @@
 }
 
 func (p *process) buildFront() error {
+	holds := newHolds(p.log)
+	var atPoint func(front.Point)
+	if p.cfg.TestFaults {
+		atPoint = holds.wait
+	}
 	var err error
 	p.front, err = front.NewServer(front.Options{
+		AtPoint:             atPoint,
 		Host:                p.cfg.Host,
 		Domain:              p.cfg.Domain,
 		Incarnation:         p.holderName().Incarnation,
@@ -203,7 +209,7 @@
 	}
 	handler := p.front.Handler()
 	if p.cfg.TestFaults {
-		handler = withFaults(handler, p.node)
+		handler = withFaults(handler, p.node, holds)
 	}
 	p.server = &http.Server{
 		Handler:           handler,
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -26,7 +26,7 @@
 // callService runs a call until its one end and returns the service's answer.
 func (s *Server) callService(ctx context.Context, j *job) ([]byte, *request.Refusal) {
 	c := &serviceCall{s: s, job: j, attempt: 1}
-	ctx = upstream.WithPermit(ctx, j.permitted)
+	ctx = upstream.WithPermit(ctx, s.permit(j))
 	for {
 		d, refusal := c.place()
 		if refusal != nil {
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -172,10 +171,3 @@
 		}
 	}
 }
-
-// permitted reports whether a job may be dispatched now. It is asked when a
-// connection is open and nothing has been written, so that an upstream which
-// cannot be reached does not use the permit up.
-func (j *job) permitted() bool {
-	return j.permit == nil || j.permit.Dispatch(time.Now())
-}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -45,7 +45,9 @@
 	Operator    Operator // status and settings
 	// OperatorTokenSHA256 is the hex hash of the site's first operator token.
 	OperatorTokenSHA256 string
-	Log                 *logrus.Entry
+	// AtPoint is called at each Point and may block; nil outside tests of faults.
+	AtPoint func(Point)
+	Log     *logrus.Entry
 }
 
 // Server serves callers and operators.
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -34,7 +34,7 @@
 // stream opens a stream of the running attempt, the first or a resumed one, and
 // hands its tokens to the caller until it ends.
 func (g *generation) stream(ctx context.Context, t *target) streamEnd {
-	ctx, cancel := context.WithCancel(upstream.WithPermit(ctx, g.job.permitted))
+	ctx, cancel := context.WithCancel(upstream.WithPermit(ctx, g.s.permit(g.job)))
 	defer cancel()
 	g.asm.StartAttempt(g.attempt)
 	arrivals := make(chan arrival)
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -526,3 +526,14 @@
 	need(ts, neg, args, 1, "silence DAEMON")
 	ts.Check(post(siteOf(ts).process(ts, args[0]).address, "/test-faults/silence", struct{}{}))
 }
+
+// cmdHold stops the dispatches of a daemon at a point of their way, with off lets
+// them go on: hold DAEMON connected|permitted|off.
+func cmdHold(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "hold DAEMON connected|permitted|off")
+	at := args[1]
+	if at == "off" {
+		at = ""
+	}
+	ts.Check(post(siteOf(ts).process(ts, args[0]).address, "/test-faults/hold?at="+at, struct{}{}))
+}
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -74,6 +74,8 @@
 			"http":      cmdHTTP,
 			"abandon":   cmdAbandon,
 			"neverread": cmdNeverRead,
+			"together":  cmdTogether,
+			"hold":      cmdHold,
 		},
 	})
 }
