Claims: a holder that has not read its verdict yet is not 'missing'

Cause: the scenario once_key_race failed: of 12 callers of one key at one moment, one was told outcome unknown ('the host that may have run the request cannot be asked') while the order ran at that very host. A second request on the same host, or on a peer, read the claim as held before the holder's own request had begun its answer, and found no run under that offset. Change: Answers knows which keys have a claim whose verdict is on its way; a read of an unknown run of such a key waits for the verdict. Conclusion: repeats at the same moment get the one answer.

--- a/internal/claims/answers.go
+++ b/internal/claims/answers.go
@@ -125,6 +125,18 @@
 	bytes int
 	runs  map[answerKey]*kept
 	ended *list.List // of *kept, oldest end first
+	asked map[scopedKey]*asked
+}
+
+// scopedKey is an idempotency key of a customer.
+type scopedKey struct {
+	customer, key string
+}
+
+// asked counts this host's claims of a key whose verdict is on its way.
+type asked struct {
+	claims int
+	fewer  chan struct{} // closed and replaced when claims falls
 }
 
 func newAnswers(o AnswerOptions, window time.Duration, now func() time.Time) *Answers {
@@ -138,7 +150,33 @@
 		o.Records = DefaultAnswerRecords
 	}
 	setDuration(&o.Age, window)
-	return &Answers{o: o, now: now, runs: map[answerKey]*kept{}, ended: list.New()}
+	return &Answers{o: o, now: now, runs: map[answerKey]*kept{}, ended: list.New(), asked: map[scopedKey]*asked{}}
+}
+
+// expect has reads of a run that is not known wait until done is called: another
+// host may have read a claim as the holder's before the holder itself did.
+func (a *Answers) expect(customer, key string) (done func()) {
+	k := scopedKey{customer, key}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	x := a.asked[k]
+	if x == nil {
+		x = &asked{fewer: make(chan struct{})}
+		a.asked[k] = x
+	}
+	x.claims++
+	return func() { a.verdictCame(k, x) }
+}
+
+func (a *Answers) verdictCame(k scopedKey, x *asked) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	x.claims--
+	if x.claims == 0 {
+		delete(a.asked, k)
+	}
+	close(x.fewer)
+	x.fewer = make(chan struct{})
 }
 
 // Recording takes the answer of one run as it comes.
@@ -266,6 +304,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	k := a.runs[key]
+	if x := a.asked[scopedKey{key.customer, key.key}]; k == nil && x != nil {
+		return Chunk{State: AnswerRunning}, x.fewer
+	}
 	if k == nil || from < 0 {
 		return Chunk{State: AnswerMissing}, nil
 	}
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -495,3 +495,30 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// A peer may read a claim as this host's before this host has read it itself.
+func TestAnswerIsNotMissingBeforeTheHolderHasReadItsVerdict(t *testing.T) {
+	a := newAnswers(AnswerOptions{}, time.Minute, time.Now)
+	key := answerKey{"frigolijst", "basket", 7}
+	verdictCame := a.expect("frigolijst", "basket")
+	alsoAsked := a.expect("frigolijst", "basket")
+	alsoAsked()
+	chunk, changed := a.look(key, 0)
+	if chunk.State != AnswerRunning || changed == nil {
+		t.Fatalf("state %v while the verdict is on its way", chunk.State)
+	}
+	if other, _ := a.look(answerKey{"modder", "basket", 7}, 0); other.State != AnswerMissing {
+		t.Errorf("state %v for another customer's key", other.State)
+	}
+	answer := a.begin(key)
+	verdictCame()
+	<-changed
+	_, _ = answer.Write([]byte("list"))
+	answer.Finish(Ending{State: AnswerComplete})
+	if chunk, _ := a.look(key, 0); string(chunk.Data) != "list" {
+		t.Errorf("got %q", chunk.Data)
+	}
+	if chunk, _ := a.look(answerKey{"frigolijst", "basket", 8}, 0); chunk.State != AnswerMissing {
+		t.Errorf("state %v of a run that never was", chunk.State)
+	}
+}
--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -106,6 +106,8 @@
 		LifeMs:      s.o.Replay.KeyLife.Milliseconds(),
 	}
 	permit := claim.NewPermit(notAfter)
+	verdictCame := s.answers.expect(a.Customer, a.Key)
+	defer verdictCame()
 	ctx, cancel := context.WithTimeout(ctx, min(notAfter.Sub(now), s.o.DecideIn))
 	defer cancel()
 	reply, open := s.ask(ctx, cl)
