Front: what may run once is 'not run' exactly when its permit was never used

Cause: the scenario once_paused_front failed: a front was stopped between its claim and its first byte until its time had passed. Nothing was sent and nothing could be any more, yet it told 'unknown: dispatched once, its end was lost', and the key stayed held. An attempt that ends by its deadline while the connection is still being opened looks like one that was sent. Ruled out: a second run (the witness had none); a release that is not written (it was never asked for). Change: each job that may run once has a permit, also without a key, and the front gives it back at the end. When that succeeds nothing was sent, by the same atomic step that a dispatch takes, and the outcome is not_run; otherwise the outcome stands. A repeat that finds the key released asks again with growing waits, since the release may not be in the log yet. Conclusion: a paused front alone may send, and says truly whether it did.

--- a/internal/front/build.go
+++ b/internal/front/build.go
@@ -45,7 +45,7 @@
 
 	first    *placement.Decision // place taken by the gate, noted with the router
 	answered int                 // tokens delivered
-	permit   *claim.Permit       // of the idempotency key, nil without
+	permit   *claim.Permit       // to dispatch once, nil when it may be repeated
 	record   *claims.Recording   // keeps the answer for repeats of the key
 }
 
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -5,16 +5,21 @@
 	"context"
 	"encoding/json"
 	"io"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/buckthorndock/buckthorndock/internal/claims"
+	"github.com/buckthorndock/buckthorndock/internal/core/claim"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 )
 
-// maxSupersedes bounds how often a key that its holder released is asked for
-// again within one request.
-const maxSupersedes = 3
+// A key that its holder released is asked for again, a few times within one
+// request and with growing waits: the release may not be in the log yet.
+const (
+	maxSupersedes = 8
+	supersedeWait = 20 * time.Millisecond // the first, then doubled each time
+)
 
 // work runs an admitted job until its end.
 type work func(ctx context.Context) *request.Refusal
@@ -26,10 +31,13 @@
 // and has a key runs only at the holder of the key; elsewhere the holder's answer
 // is relayed.
 func (s *Server) serve(ctx context.Context, j *job, do work, pass relay) *request.Refusal {
-	if j.req.Key == "" || j.req.Repeatable {
+	switch {
+	case j.req.Repeatable:
 		return s.admitted(ctx, j, do)
+	case j.req.Key == "":
+		return s.withoutKey(ctx, j, do)
 	}
-	for range maxSupersedes {
+	for try := range maxSupersedes {
 		res, err := s.opts.Claims.Acquire(ctx, claims.Ask{
 			Customer:    j.req.Customer,
 			Key:         j.req.Key,
@@ -49,10 +57,26 @@
 		if end.State != claims.AnswerReleased {
 			return end.Refusal()
 		}
+		if !s.pause(ctx, supersedeWait<<try, j.req.Deadline) {
+			break
+		}
 	}
 	return request.Refuse(request.CodeKeyUnavailable, retryElsewhere, "the idempotency key changes hands too often")
 }
 
+// pause waits, and reports false when the context or the deadline ends first.
+func (s *Server) pause(ctx context.Context, d time.Duration, deadline time.Time) bool {
+	if time.Until(deadline) < d {
+		return false
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // admitted runs a job that the gate lets in.
 func (s *Server) admitted(ctx context.Context, j *job, do work) *request.Refusal {
 	ctx, cancel := context.WithDeadline(ctx, j.req.Deadline)
@@ -70,6 +94,30 @@
 	return refusal
 }
 
+// withoutKey runs a job that may be dispatched once and has no key.
+func (s *Server) withoutKey(ctx context.Context, j *job, do work) *request.Refusal {
+	j.permit = claim.NewPermit(j.req.Deadline)
+	j.permit.Grant(0)
+	refusal := s.admitted(ctx, j, do)
+	if refusal != nil && j.permit.Release() {
+		return neverSent(refusal)
+	}
+	return refusal
+}
+
+// neverSent tells what is certain of a job whose permit was given back unused:
+// nothing was sent, and nothing will be.
+func neverSent(r *request.Refusal) *request.Refusal {
+	if r.Outcome == request.NotRun {
+		return r
+	}
+	code := r.Code
+	if code == request.CodeOutcomeLost {
+		code = request.CodeDeadline
+	}
+	return request.Refuse(code, retryElsewhere, "it ended before it was sent")
+}
+
 // asHolder runs a job whose key this host holds. It goes on when the caller has
 // gone, for the caller may ask for the answer again.
 func (s *Server) asHolder(ctx context.Context, j *job, res claims.Result, do work) *request.Refusal {
@@ -79,8 +127,9 @@
 	switch {
 	case refusal == nil:
 		res.Answer.Finish(claims.Ending{State: claims.AnswerComplete})
-	case refusal.Outcome == request.NotRun && s.opts.Claims.Release(res):
+	case s.opts.Claims.Release(res):
 		// Nothing was sent: the key is free again.
+		refusal = neverSent(refusal)
 	case refusal.Outcome == request.Failed:
 		res.Answer.Finish(claims.Ending{State: claims.AnswerFailed, Code: refusal.Code, Message: refusal.Message})
 	default:
