--- a/internal/core/placement/engine.go
+++ b/internal/core/placement/engine.go
@@ -1,9 +1,12 @@
 package placement
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 )
 
@@ -174,3 +177,12 @@
 	}
 	return e.decodeRate.value(prior, now, o.RateHalfLife)
 }
+
+// ShortIncarnation returns the form of an engine's incarnation in reports. Load
+// reports come from engines and, shortened, from their owners; both must agree.
+func ShortIncarnation(incarnation string) string {
+	if incarnation == "" {
+		return ""
+	}
+	return strconv.FormatUint(uint64(uint32(xxhash.Sum64String(incarnation))), hexBase)
+}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -20,6 +20,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/peer"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 	"github.com/buckthorndock/buckthorndock/internal/router"
+	"github.com/buckthorndock/buckthorndock/internal/suspects"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
@@ -60,6 +61,8 @@
 	claims  *claims.Service
 	gate    *gate.Gate
 
+	suspects *suspects.Tracker
+
 	front  *front.Server
 	server *http.Server
 }
@@ -168,6 +171,7 @@
 }
 
 func (p *process) buildClaims() error {
+	p.suspects = suspects.New(p.cfg.Host, p.log)
 	p.claims = claims.New(claims.Options{
 		Host:        p.cfg.Host,
 		Incarnation: p.incarnation,
@@ -194,6 +198,7 @@
 		Holder:              p.holder,
 		Gate:                p.gate,
 		Claims:              p.claims,
+		Suspects:            p.suspects,
 		Operator:            &operator{follower: p.follower, peers: p.peers},
 		OperatorTokenSHA256: p.cfg.OperatorTokenSHA256,
 		Log:                 p.log,
--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -27,6 +27,7 @@
 		snap := p.follower.Current()
 		p.router.ApplySettings(snap)
 		p.front.ApplySettings(snap)
+		p.suspects.ApplySettings(snap)
 		if err := p.follower.Findings().Err(); err != nil {
 			p.log.WithError(err).Warn("settings_findings")
 		}
@@ -75,7 +76,7 @@
 	}
 	for i := range digest.Engines {
 		e := &digest.Engines[i]
-		incarnation := strconv.FormatUint(uint64(e.Inc), 16)
+		incarnation := strconv.FormatUint(uint64(e.Inc), 16) // placement.ShortIncarnation's form
 		p.router.Report(e.Name, reportOf(e.Load(), incarnation, section.At))
 		p.router.CacheEvents(e.Name, incarnation, cacheEventsOf(e.Events()))
 	}
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -91,6 +91,7 @@
 	}
 	j := wj.job
 	ask := router.Ask(req, j.pool.Name, j.routing)
+	ask.Exclude = s.blocked(j)
 	d, fit, err := s.opts.Router.PlaceWithin(ask, engineWait(j), func(d placement.Decision) placement.Placement {
 		return newPlacement(j, 1, d)
 	})
@@ -100,6 +101,12 @@
 	return err != nil || fit != router.MustWait
 }
 
+// blocked returns the engines on which a job must not start now, because it or
+// what runs there may be what crashes engines.
+func (s *Server) blocked(j *job) []string {
+	return s.opts.Suspects.Blocked(s.opts.Router.Names(j.pool.Name), j.req.Fingerprint, time.Now())
+}
+
 // engineWait returns the longest wait on an engine for a job. The policies that
 // the product is compared with send at once.
 func engineWait(j *job) time.Duration {
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
@@ -52,12 +53,15 @@
 // worth while. again asks for another upstream.
 func (g *generation) onTarget(ctx context.Context, t *target) (refusal *request.Refusal, again bool) {
 	id := placement.ID{Request: g.job.req.ID, Attempt: g.attempt}
+	end := placement.End{}
 	defer g.release(t)
 	g.s.noteGang(t, true)
 	defer g.s.noteGang(t, false)
 	g.s.opts.Router.Placed(t.placement)
+	t.incarnation = g.s.opts.Router.Incarnation(t.name())
+	run := g.s.opts.Suspects.Started(t.name(), g.job.req.Fingerprint)
+	defer func() { g.s.opts.Suspects.End(run, end.Complete) }()
 	g.s.opts.Holder.Track(t.engine(g.job), g.running())
-	end := placement.End{}
 	defer func() { g.s.opts.Router.Finished(id, end) }()
 	for {
 		res := g.stream(ctx, t)
@@ -109,6 +113,9 @@
 		g.earlierWrote = true
 	}
 	g.s.noteUpstream(t.name(), res.end, res.reachable)
+	if res.end == retry.Died {
+		g.s.opts.Suspects.Died(t.name(), t.incarnation, now)
+	}
 	decision := g.s.retries.next(a, g.job, now)
 	fields := jobFields(g.job)
 	fields["attempt"] = g.attempt
@@ -203,8 +210,12 @@
 
 // decide asks the router once.
 func (g *generation) decide() (*target, *noPlace) {
+	if refusal := g.s.opts.Suspects.Refusal(g.job.req.Fingerprint, time.Now()); refusal != nil {
+		return nil, &noPlace{refusal: refusal}
+	}
+	blocked := g.s.blocked(g.job)
 	ask := router.Ask(g.job.req, g.job.pool.Name, g.job.routing)
-	ask.Exclude = g.exclude
+	ask.Exclude = slices.Concat(g.exclude, blocked)
 	d, err := g.s.opts.Router.Place(ask)
 	if err != nil {
 		return nil, &noPlace{refusal: request.Refuse(request.CodeInternal, retryElsewhere, "placement failed")}
@@ -226,6 +237,9 @@
 		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, max(d.Backlog.Drain(), retryElsewhere),
 			"the deadline cannot be met at the present load")}
 	}
+	if len(blocked) > 0 {
+		return nil, &noPlace{wait: true}
+	}
 	if len(g.exclude) > 0 {
 		// All that is left has failed before; one of them may be back.
 		g.exclude = nil
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -19,6 +19,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/gate"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/router"
+	"github.com/buckthorndock/buckthorndock/internal/suspects"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
@@ -42,6 +43,7 @@
 	Holder      *owner.Holder
 	Gate        *gate.Gate
 	Claims      *claims.Service
+	Suspects    *suspects.Tracker
 	Operator    Operator // status and settings
 	// OperatorTokenSHA256 is the hex hash of the site's first operator token.
 	OperatorTokenSHA256 string
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -150,17 +150,17 @@
 	if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &syntax) {
 		return streamEnd{end: retry.Garbage, err: err}
 	}
-	phase, probeErr := g.s.opts.Client.Probe(ctx, t.address(), g.job.req.ID, g.attempt)
-	if probeErr != nil {
+	standing, probeErr := g.s.opts.Client.Probe(ctx, t.address(), g.job.req.ID, g.attempt)
+	if probeErr != nil || t.restarted(standing) {
 		return streamEnd{end: retry.Died, err: err}
 	}
-	return streamEnd{end: retry.Broken, reachable: phase != upstream.PhaseUnknown, err: err}
+	return streamEnd{end: retry.Broken, reachable: standing.Phase != upstream.PhaseUnknown, err: err}
 }
 
 // silent looks, on a new connection, what has become of an attempt whose stream
 // is silent. A request that has not come to its first token yet is left alone.
 func (g *generation) silent(ctx context.Context, t *target) (res streamEnd, ended bool) {
-	phase, err := g.s.opts.Client.Probe(ctx, t.address(), g.job.req.ID, g.attempt)
+	standing, err := g.s.opts.Client.Probe(ctx, t.address(), g.job.req.ID, g.attempt)
 	switch {
 	case ctx.Err() != nil:
 		return g.interrupted(ctx), true
@@ -168,9 +168,11 @@
 		return streamEnd{end: retry.Died, err: err}, true
 	case err != nil:
 		return streamEnd{end: retry.Silent, err: err}, true
-	case phase == upstream.PhaseQueued, phase == upstream.PhasePrefill:
+	case t.restarted(standing):
+		return streamEnd{end: retry.Died}, true
+	case standing.Phase == upstream.PhaseQueued, standing.Phase == upstream.PhasePrefill:
 		return streamEnd{}, false
-	case phase == upstream.PhaseUnknown:
+	case standing.Phase == upstream.PhaseUnknown:
 		return streamEnd{end: retry.Silent}, true
 	}
 	return streamEnd{end: retry.Silent, reachable: true}, true
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -14,6 +14,7 @@
 	decision  placement.Decision
 	placement placement.Placement
 
+	incarnation string                 // of the engine when it was chosen, empty when not known
 	reservation string                 // id of the memory held for it, empty without
 	gang        []placement.GangMember // the receiver first; nil for one engine
 }
@@ -41,6 +42,12 @@
 func (t *target) name() string    { return t.decision.Chosen.Name }
 func (t *target) address() string { return t.decision.Chosen.Address }
 
+// restarted reports whether the engine's process is another one than that which
+// the attempt was sent to.
+func (t *target) restarted(now upstream.Standing) bool {
+	return t.incarnation != "" && now.Incarnation != t.incarnation
+}
+
 // engine names the engine for the holder.
 func (t *target) engine(j *job) owner.Engine {
 	return owner.Engine{Name: t.name(), Address: t.address(), Pool: j.pool.Name}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -214,6 +214,30 @@
 	return e.State(), true
 }
 
+// Incarnation returns that of an engine's last report, empty when none is known.
+func (r *Router) Incarnation(upstream string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.view.Engine(upstream)
+	if e == nil {
+		return ""
+	}
+	report, _ := e.Report()
+	return report.Incarnation
+}
+
+// Names returns the names of a pool's upstreams.
+func (r *Router) Names(pool string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	engines := r.view.Engines(pool)
+	names := make([]string, len(engines))
+	for i, e := range engines {
+		names[i] = e.Name()
+	}
+	return names
+}
+
 // TokensPerByte returns what is known of a model's tokens.
 func (r *Router) TokensPerByte(model string, prior float64) float64 {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/suspects/suspects.go
@@ -0,0 +1,140 @@
+// Package suspects guards the quarantine core by a lock and spreads its evidence
+// among the daemons.
+package suspects
+
+import (
+	"bytes"
+	"encoding/gob"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+)
+
+// Section is the name under which evidence is spread.
+const Section = "suspects"
+
+// maxDigestBytes bounds what Merge reads.
+const maxDigestBytes = 1 << 20
+
+// Tracker is safe for concurrent use.
+type Tracker struct {
+	host string
+	log  *logrus.Entry
+
+	mu   sync.Mutex
+	core *quarantine.Tracker
+}
+
+// New returns a Tracker without evidence.
+func New(host string, log *logrus.Entry) *Tracker {
+	return &Tracker{host: host, log: log, core: quarantine.New(quarantine.Options{Host: host})}
+}
+
+// ApplySettings takes the site's limits of quarantine, those at the root.
+func (t *Tracker) ApplySettings(snap *settings.Snapshot) {
+	routing := snap.RoutingAt(settings.Root)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.SetOptions(quarantine.Options{
+		Host:    t.host,
+		Crashes: routing.QuarantineCrashes,
+		For:     routing.Quarantine(),
+	})
+}
+
+// Refusal returns why a request must not run at all, nil when it may.
+func (t *Tracker) Refusal(fingerprint uint64, now time.Time) *request.Refusal {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	left := t.core.RefusedFor(fingerprint, now)
+	if left == 0 {
+		return nil
+	}
+	return request.Refuse(request.CodeQuarantined, left, "this request has crashed the engines that ran it")
+}
+
+// Blocked returns those engines on which a request must not start now.
+func (t *Tracker) Blocked(engines []string, fingerprint uint64, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var blocked []string
+	for _, e := range engines {
+		if !t.core.MayPlace(e, fingerprint, now) {
+			blocked = append(blocked, e)
+		}
+	}
+	return blocked
+}
+
+// Started notes that a request begins on an engine; End must follow.
+func (t *Tracker) Started(engine string, fingerprint uint64) quarantine.Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.Started(engine, fingerprint)
+}
+
+// End notes that a run is over.
+func (t *Tracker) End(run quarantine.Run, completed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.End(run, completed)
+}
+
+// Died notes that an engine's process ended while it ran requests of this front.
+func (t *Tracker) Died(engine, incarnation string, now time.Time) {
+	t.mu.Lock()
+	ran := t.core.Died(engine, incarnation, now)
+	t.mu.Unlock()
+	if len(ran) == 0 {
+		return
+	}
+	metrics.GetOrCreateCounter("buckthorndock_engine_deaths_total").Inc()
+	t.log.WithFields(logrus.Fields{"upstream": engine, "incarnation": incarnation, "suspects": len(ran)}).Warn("engine_died")
+}
+
+// Digest returns the evidence to be spread and its version.
+func (t *Tracker) Digest(now time.Time) (data []byte, version uint64, err error) {
+	t.mu.Lock()
+	digest := t.core.Digest(now)
+	version = t.core.Version()
+	t.mu.Unlock()
+	var b bytes.Buffer
+	err = gob.NewEncoder(&b).Encode(digest)
+	return b.Bytes(), version, merry.Prepend(err, "encode evidence")
+}
+
+// Version changes when there is something new to spread.
+func (t *Tracker) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.Version()
+}
+
+// Merge takes a peer's evidence.
+func (t *Tracker) Merge(data []byte, now time.Time) error {
+	if len(data) > maxDigestBytes {
+		return merry.Errorf("evidence of %d bytes is too long", len(data))
+	}
+	var d quarantine.Digest
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&d); err != nil {
+		return merry.Prepend(err, "decode evidence")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.Merge(d, now)
+	return nil
+}
+
+// Forget drops what a host said to run, because it is gone.
+func (t *Tracker) Forget(host string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.Forget(host)
+}
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
+	"github.com/buckthorndock/buckthorndock/internal/core/placement"
 )
 
 // Phase is where an attempt stands on its engine.
@@ -18,21 +19,28 @@
 	PhaseOrphaned Phase = Phase(engineapi.RunningPhaseOrphaned)
 )
 
+// Standing is what an engine says of an attempt.
+type Standing struct {
+	Phase       Phase
+	Incarnation string // of the engine, in the form of load reports
+}
+
 // Probe asks an engine, on a new connection, where an attempt stands. An error
 // means that the engine cannot be reached now.
-func (c *Client) Probe(ctx context.Context, address, requestID string, attempt int) (Phase, error) {
+func (c *Client) Probe(ctx context.Context, address, requestID string, attempt int) (Standing, error) {
 	ctx, cancel := c.withTimeout(ctx)
 	defer cancel()
 	books, err := c.Books(ctx, address)
 	if err != nil {
-		return PhaseUnknown, err
+		return Standing{}, err
 	}
+	standing := Standing{Incarnation: placement.ShortIncarnation(books.Incarnation)}
 	for _, r := range books.Running {
 		if r.RequestID == requestID && r.Attempt == attempt {
-			return Phase(r.Phase), nil
+			standing.Phase = Phase(r.Phase)
 		}
 	}
-	return PhaseUnknown, nil
+	return standing, nil
 }
 
 // Books returns, over a new connection, everything that holds memory on an
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -22,7 +22,7 @@
 
 func reportOf(l *engineapi.LoadReport, now time.Time) placement.Report {
 	return placement.Report{
-		Incarnation:   l.Incarnation,
+		Incarnation:   placement.ShortIncarnation(l.Incarnation),
 		Seq:           l.Seq,
 		Taken:         now.Add(-time.Duration(l.AgeMs) * time.Millisecond),
 		Step:          time.Duration(l.StepMs * float64(time.Millisecond)),
