Owner: drain, a gang that outlives an owner, direct tests of three rules

Ruled out: dropping the three rules: each matters when an owner changes or many gangs meet.

Change: a direct test for each of the three; a case with an owner killed while a gang is half gathered; Holder.Drain for a daemon that leaves.

--- a/internal/core/ledger/gather_test.go
+++ b/internal/core/ledger/gather_test.go
@@ -225,3 +225,22 @@
 		t.Fatal("a turn that is not given back lapses after its limit")
 	}
 }
+
+func TestGatherAsksInOrderAndReleasesLateGrants(t *testing.T) {
+	gang := Gang{Request: "g", Pool: "p", Members: []Member{{Engine: "b"}, {Engine: "a"}}, Deadline: epoch.Add(time.Hour)}
+	g := NewGather(GatherOptions{}, gang, rand.New(rand.NewPCG(1, 1)))
+	g.Tick(epoch)
+	ask := g.Turn(true, 0, epoch)[0].(AskMember).Ask
+	if ask.Engine != "a" {
+		t.Fatalf("asked %s first, want a", ask.Engine)
+	}
+	released := g.Tick(epoch.Add(DefaultAnswer)) // the answer is lost
+	if released[0] != (ReleaseMember{Engine: "a", ID: ask.ID}) {
+		t.Fatalf("a lost answer gave %+v", released)
+	}
+	g.Released("a", ask.ID)
+	late := g.Granted(ask, epoch.Add(2*DefaultAnswer))
+	if len(late) != 1 || late[0] != (ReleaseMember{Engine: "a", ID: ask.ID}) {
+		t.Errorf("a late grant gave %+v, want its release", late)
+	}
+}
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -236,6 +236,20 @@
 	}
 }
 
+// A reserve call that takes effect after its release is undone by the next books.
+func TestLateReservationIsEndedAtOnce(t *testing.T) {
+	l := ownedWith()
+	late := item(Reservation, "r", "h", "1")
+	late.Attempt = 0
+	l.Release("e0", late.ID, late.Holder, epoch)
+	l.EndAnswer("e0", late.ID, true, epoch)
+	now := epoch.Add(time.Second)
+	acts := l.ApplyBooks(Books{Engine: "e0", Total: 1000, Asked: now, Items: []Item{late}}, now)
+	if len(acts) != 1 || acts[0] != (ReleaseOn{Engine: "e0", ID: late.ID, Cause: CauseLate}) {
+		t.Errorf("got %+v, want a release of the late reservation", acts)
+	}
+}
+
 // A paused owner must not take its own pause for its holders' silence.
 func TestPauseOfTheOwnerEndsNothing(t *testing.T) {
 	l := ownedWith(item(Reservation, "r", "h", "1"))
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -46,6 +46,22 @@
 			gathering.Wait()
 			blocker.holder.End(s.engines[2], ledger.ID{Kind: ledger.Reservation, Name: "blocker"})
 		}},
+		{"gang half gathered, owner of a member killed", func(s *site, front *testHost) {
+			blocker := s.hosts[2]
+			s.reserve(blocker, s.engines[2], "blocker", memory)
+			gathered := make(chan error, 1)
+			go func() {
+				_, err := front.holder.Gather(front.ctx, ledger.GatherOptions{}, s.gang("g", 6000), s.engines)
+				gathered <- err
+			}()
+			s.eventually("half a gang", func() bool { return s.listed(ledger.Reservation) == 3 })
+			s.hosts[1].kill()
+			blocker.holder.End(s.engines[2], ledger.ID{Kind: ledger.Reservation, Name: "blocker"})
+			if err := <-gathered; err != nil {
+				s.t.Errorf("the gang did not outlive an owner: %v", err)
+			}
+			front.kill()
+		}},
 		{"owner killed", func(s *site, front *testHost) {
 			s.reserve(front, s.engines[1], "r", 500)
 			if !isOwnedBy(s.hosts[1], s.engines[1].Name) {
@@ -58,6 +74,12 @@
 			}
 			front.holder.End(s.engines[1], ledger.ID{Kind: ledger.Reservation, Name: "r"})
 			front.holder.End(s.engines[1], ledger.ID{Kind: ledger.Reservation, Name: "after"})
+			if err := front.holder.Drain(context.Background()); err != nil {
+				s.t.Error(err)
+			}
+			if n := s.listed(0); n != 0 {
+				s.t.Errorf("%d holdings after the front has drained", n)
+			}
 		}},
 		{"owner and front killed", func(s *site, front *testHost) {
 			s.reserve(front, s.engines[1], "r", 500)
--- a/internal/owner/renew.go
+++ b/internal/owner/renew.go
@@ -174,6 +174,23 @@
 	t.wait = min(2*t.wait, h.opts.RetryMax)
 }
 
+// Drain waits until every end is confirmed, for a daemon that leaves. Run has to
+// go on meanwhile.
+func (h *Holder) Drain(ctx context.Context) error {
+	tick := time.NewTicker(h.opts.RetryMin)
+	defer tick.Stop()
+	for {
+		if _, ending := h.Held(); ending == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
 // askEnd goes to the owner for a reservation, so that its ledger is exact at
 // once, and to the engine itself for the rest or when no owner answers.
 func (h *Holder) askEnd(ctx context.Context, key held, address string) bool {
