core/admission: a host is silent after 30 s

Cause: a digest of 64 nodes is 991 bytes in gob after the first message. From 59 peers every 5 s that is 11.7 KB a second received, over half of the 22 KB that a daemon may spend on control. Ruled out: fewer nodes in a digest (a host may serve more than 64 customers). Change: StaleAfter is 30 s by default, so that digests can go every 10 s and two may be lost. At every 10 s it is 5.8 KB a second, worked out from the size. Conclusion: shares follow demand within some 10 s.

--- a/internal/core/admission/limiter.go
+++ b/internal/core/admission/limiter.go
@@ -11,7 +11,7 @@
 // Defaults of a Limiter.
 const (
 	DefaultFloorShare = 0.2
-	DefaultStaleAfter = 15 * time.Second
+	DefaultStaleAfter = 30 * time.Second
 	DefaultHoldFor    = 10 * time.Minute
 	DefaultDemandTime = 10 * time.Second
 	DefaultBurst      = time.Second
