Quarantine wired into the front, with its scenario

Cause: a request that crashes engines took its neighbours along until their retry budget was used up: 12 of 20 innocents failed in the scenario, and the culprit itself failed as upstream_failed instead of being found out. Three causes, one after another: deaths spent the retry budget; two suspects asked for the same free engine at the same time and both started (they died together four times); the other daemon of the domain was not known for up to 30 s, because the platform's list is read every 30 s and the first read had come too early. Ruled out: the tracker (its properties hold in single steps) and the spread of sections (0.2 s once the hosts know each other). Change: a death spends no retry budget (the case 'died, no budget' of core/retry said otherwise; it is replaced by cases for every end that does spend, and for the bound on attempts); asking and starting are one step (suspects.TryStart); the list is read every second while no other host is known. A gang's members besides the receiver are not tracked.

--- a/internal/core/retry/doc.go
+++ b/internal/core/retry/doc.go
@@ -9,5 +9,7 @@
 //   - a repeat of work spends from a Budget, a share of recent successes, so that
 //     a failing pool does not see its load multiplied. An attempt of which no
 //     byte was written cost no upstream anything and spends nothing: a dead
-//     engine must not use up the budget of the live ones.
+//     engine must not use up the budget of the live ones. Neither does an attempt
+//     whose engine died: all that ran there must move at once, each death costs a
+//     request one attempt, and what causes deaths is found by the quarantine.
 package retry
--- a/internal/core/retry/policy.go
+++ b/internal/core/retry/policy.go
@@ -48,6 +48,9 @@
 // mayHaveRun reports whether some upstream may have started the request.
 func (a Attempt) mayHaveRun() bool { return a.EarlierWrote || a.End != NotWritten }
 
+// spends reports whether another attempt is taken from the budget.
+func (a Attempt) spends() bool { return a.End != NotWritten && a.End != Died }
+
 // Action is what to do next.
 type Action uint8
 
@@ -130,7 +133,7 @@
 	if a.Number >= p.opts.MaxAttempts {
 		return p.giveUp(a, r, request.CodeUpstreamFailed, "attempts used up")
 	}
-	if a.End != NotWritten && !p.budget.TryRetry(now) {
+	if a.spends() && !p.budget.TryRetry(now) {
 		return p.giveUp(a, r, request.CodeUpstreamFailed, "retry budget used up")
 	}
 	return Decision{Action: Elsewhere, Attempt: a.Number + 1}
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -59,8 +59,7 @@
 	defer g.s.noteGang(t, false)
 	g.s.opts.Router.Placed(t.placement)
 	t.incarnation = g.s.opts.Router.Incarnation(t.name())
-	run := g.s.opts.Suspects.Started(t.name(), g.job.req.Fingerprint)
-	defer func() { g.s.opts.Suspects.End(run, end.Complete) }()
+	defer func() { g.s.opts.Suspects.End(t.run, end.Complete) }()
 	g.s.opts.Holder.Track(t.engine(g.job), g.running())
 	defer func() { g.s.opts.Router.Finished(id, end) }()
 	for {
@@ -149,16 +148,14 @@
 
 // place waits until the request can be placed, or says why it cannot.
 func (g *generation) place(ctx context.Context) (*target, *request.Refusal) {
-	if d := g.job.first; d != nil {
-		g.job.first = nil
-		g.s.noteDecision(g.job, g.attempt, *d, []string{d.Chosen.Name})
-		return newTarget(g.job, g.attempt, *d), nil
+	if t := g.placeTaken(); t != nil {
+		return t, nil
 	}
 	for {
 		changed := g.s.opts.Router.Changed()
 		t, verdict := g.decide()
 		if verdict == nil {
-			ok, refusal := g.secure(ctx, t)
+			ok, refusal := g.begin(ctx, t)
 			if ok || refusal != nil {
 				return t, g.refused(refusal)
 			}
@@ -176,6 +173,40 @@
 	}
 }
 
+// placeTaken returns the place that the gate has found, if it still holds.
+func (g *generation) placeTaken() *target {
+	d := g.job.first
+	if d == nil {
+		return nil
+	}
+	g.job.first = nil
+	t := newTarget(g.job, g.attempt, *d)
+	if !g.tryStart(t) {
+		g.s.opts.Router.Finished(t.placement.ID, placement.End{})
+		return nil
+	}
+	g.s.noteDecision(g.job, g.attempt, *d, []string{d.Chosen.Name})
+	return t
+}
+
+// begin makes sure that the attempt may start: that it does not meet another
+// suspect of crashes, and that its memory is reserved.
+func (g *generation) begin(ctx context.Context, t *target) (bool, *request.Refusal) {
+	if !g.tryStart(t) {
+		return false, nil
+	}
+	ok, refusal := g.secure(ctx, t)
+	if !ok {
+		g.s.opts.Suspects.End(t.run, false)
+	}
+	return ok, refusal
+}
+
+func (g *generation) tryStart(t *target) (ok bool) {
+	t.run, ok = g.s.opts.Suspects.TryStart(t.name(), g.job.req.Fingerprint, time.Now())
+	return ok
+}
+
 // placeRetry is the longest time between two looks for a place while nothing is
 // heard of the upstreams.
 const placeRetry = 50 * time.Millisecond
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -5,6 +5,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
 	"github.com/buckthorndock/buckthorndock/internal/core/placement"
+	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
@@ -14,6 +15,7 @@
 	decision  placement.Decision
 	placement placement.Placement
 
+	run         quarantine.Run         // as the quarantine knows it
 	incarnation string                 // of the engine when it was chosen, empty when not known
 	reservation string                 // id of the memory held for it, empty without
 	gang        []placement.GangMember // the receiver first; nil for one engine
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -131,15 +131,23 @@
 	return n.Call(ctx, out.Address, pushMethod, push, &Ack{})
 }
 
-// followList reads the platform's list now and then. A failed read changes
-// nothing.
+// followList reads the platform's list now and then, and often as long as no
+// other host is known. A failed read changes nothing.
 func (n *Node) followList(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.readList(ctx)
-		pause(ctx, n.jitter(n.opts.ListEvery))
+		wait := n.opts.ListEvery
+		if len(n.Members()) <= 1 {
+			wait = min(wait, listEveryAlone)
+		}
+		pause(ctx, n.jitter(wait))
 	}
 }
 
+// listEveryAlone is the time between two reads of the list while no other host is
+// known.
+const listEveryAlone = time.Second
+
 func (n *Node) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, n.opts.CallTimeout)
 	defer cancel()
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -73,11 +73,16 @@
 	return blocked
 }
 
-// Started notes that a request begins on an engine; End must follow.
-func (t *Tracker) Started(engine string, fingerprint uint64) quarantine.Run {
+// TryStart notes that a request begins on an engine, unless it must not start
+// there now. After true, End must follow. Asking and noting are one step, so that
+// two suspects never both find the same engine free.
+func (t *Tracker) TryStart(engine string, fingerprint uint64, now time.Time) (quarantine.Run, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.core.Started(engine, fingerprint)
+	if !t.core.MayPlace(engine, fingerprint, now) {
+		return 0, false
+	}
+	return t.core.Started(engine, fingerprint), true
 }
 
 // End notes that a run is over.
@@ -127,8 +132,13 @@
 		return merry.Prepend(err, "decode evidence")
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	before := t.core.Version()
 	t.core.Merge(d, now)
+	news := t.core.Version() != before
+	t.mu.Unlock()
+	if news {
+		t.log.WithFields(logrus.Fields{"from": d.Host, "deaths": len(d.Records), "refused": len(d.Refused)}).Info("evidence_heard")
+	}
 	return nil
 }
 
--- a/test/scenarios/site_test.go
+++ b/test/scenarios/site_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -26,6 +27,8 @@
 	dir       string
 	processes map[string]*process
 	order     []string
+	crowd     crowd
+	deaths    atomic.Int64 // ends of processes that keepalive has seen
 }
 
 type siteKey struct{}
