standin: tests that four mutants had slipped past

Cause: nine deliberate faults were put into a scratch copy; four of them passed the tests: a gang member with another reservation counted, a silent connection that still showed its close, and an old connection's end that orphaned or removed a run taken over by a new one.

Ruled out: provoking the last two over sockets; the old connection is gone too quickly to do it every time, so the test calls the engine below its server.

Change: the gang's missing member holds a reservation of another id; new tests TestCloseOfASilentConnectionIsNotSeen and TestOldConnectionChangesNothing.

Conclusion: no fault of the stand-ins themselves was found by it.

--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -82,6 +82,21 @@
 	}
 }
 
+func TestOldConnectionChangesNothing(t *testing.T) {
+	e, _ := startEngine(t, slow())
+	r, first, _ := e.submit(newRun(generateRequest("r", "question", 500)))
+	_, second, _ := e.submit(newRun(generateRequest("r", "question", 500)))
+	e.orphan(r, first)
+	e.delivered(r, first)
+	if p := e.progress(r, second); p.replaced || p.phase == phaseGone {
+		t.Fatalf("the old connection's end: %+v", p)
+	}
+	e.orphan(r, second)
+	if phase := books(t, e).Running[0].Phase; phase != engineapi.RunningPhaseOrphaned {
+		t.Fatalf("phase %s", phase)
+	}
+}
+
 func TestCancelIsIdempotent(t *testing.T) {
 	e, s := startEngine(t, slow())
 	req := generateRequest("r", "question", 500)
--- a/internal/standin/reserve_test.go
+++ b/internal/standin/reserve_test.go
@@ -110,6 +110,7 @@
 	req := gangRequest(addresses, 25_000)
 	reserve(t, engines[0], "g", 9_000)
 	reserve(t, engines[1], "g", 9_000)
+	reserve(t, engines[2], "other", 900)
 	if code := refused(t, addresses[0], req); code != engineapi.RefusalCodeNoReservation {
 		t.Fatalf("a member without reservation: %s", code)
 	}
@@ -123,6 +124,7 @@
 	if whole(t, req, all) != answer.Whole(req.Prompt, 10) {
 		t.Fatal("wrong answer")
 	}
+	release(t, engines[2], "other")
 	for _, e := range engines {
 		release(t, e, "g")
 		if used := books(t, e).MemoryUsedTokens; used != 0 {
--- a/internal/standin/stream_fault_test.go
+++ b/internal/standin/stream_fault_test.go
@@ -99,6 +99,18 @@
 	<-more
 }
 
+func TestCloseOfASilentConnectionIsNotSeen(t *testing.T) {
+	e, s := startEngine(t, slow())
+	ctx, cut := context.WithCancel(context.Background())
+	open(t, ctx, s.Address, generateRequest("r", "question", 500))
+	setFault(t, s.Address, Fault{Kind: FaultSilent, On: true})
+	cut()
+	time.Sleep(100 * time.Millisecond) // time to see it, if it could be seen
+	if phase := books(t, e).Running[0].Phase; phase == engineapi.RunningPhaseOrphaned {
+		t.Fatal("the engine saw the close")
+	}
+}
+
 func TestFrozenEngineMakesNoTokens(t *testing.T) {
 	e, _ := startEngine(t, quick())
 	if err := e.SetFault(Fault{Kind: FaultFreeze, On: true}); err != nil {
