Count control bytes on platform and engine connections; tool for slopes

Cause: only peer connections were counted, so the budget of 22 KB/s a daemon could not be checked, and there was no way to take the slopes of docs/CAPACITY.md from real daemons. Ruled out: counting at the kernel (per process counters mix in the requests' own bytes). Change: obs.CountBytes round the dialers for the log, host list, weight store and engine polls (not for requests); test/capacity starts sites of growing size as processes and reads processor time, memory and bytes of each daemon.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/follow"
 	"github.com/buckthorndock/buckthorndock/internal/front"
 	"github.com/buckthorndock/buckthorndock/internal/gate"
+	"github.com/buckthorndock/buckthorndock/internal/obs"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
@@ -84,15 +85,15 @@
 }
 
 func (p *process) buildPlatform() error {
-	logService, err := platform.NewHTTP(p.cfg.Platform.Log, &http.Client{})
+	logService, err := platform.NewHTTP(p.cfg.Platform.Log, obs.CountedClient(obs.PurposeLog))
 	if err != nil {
 		return err
 	}
-	hosts, err := platform.NewHTTP(p.cfg.Platform.Hosts, &http.Client{})
+	hosts, err := platform.NewHTTP(p.cfg.Platform.Hosts, obs.CountedClient(obs.PurposeHosts))
 	if err != nil {
 		return err
 	}
-	weights, err := platform.NewHTTP(p.cfg.Platform.Weights, &http.Client{})
+	weights, err := platform.NewHTTP(p.cfg.Platform.Weights, obs.CountedClient(obs.PurposeWeights))
 	if err != nil {
 		return err
 	}
@@ -134,7 +135,7 @@
 		Seed:         p.incarnation,
 	})
 	p.watcher = upstream.NewWatcher(p.client, p.router, upstream.WatchOptions{})
-	p.engines = owner.NewHTTPEngines(&http.Client{}, time.Now)
+	p.engines = owner.NewHTTPEngines(obs.CountedClient(obs.PurposeEngines), time.Now)
 	return nil
 }
 
--- /dev/null
+++ b/internal/obs/bytes.go
@@ -0,0 +1,70 @@
+package obs
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Purposes of the connections whose bytes are counted.
+const (
+	PurposeLog     = "log"     // the platform's log
+	PurposeHosts   = "hosts"   // the platform's list of hosts
+	PurposeWeights = "weights" // the platform's weight store
+	PurposeEngines = "engines" // polls and orders, not requests
+)
+
+// DefaultDialTimeout bounds the opening of a counted connection.
+const DefaultDialTimeout = 2 * time.Second
+
+// CountedClient returns an HTTP client without an overall timeout whose bytes, as
+// they stand on the connection, are counted under a purpose.
+func CountedClient(purpose string) *http.Client {
+	dialer := &net.Dialer{Timeout: DefaultDialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         CountBytes(purpose, dialer.DialContext),
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// CountBytes wraps a Dial so that the bytes of its connections are counted under
+// a purpose.
+func CountBytes(purpose string, dial Dial) Dial {
+	sent := metrics.GetOrCreateCounter(fmt.Sprintf(`buckthorndock_control_sent_bytes_total{purpose=%q}`, purpose))
+	received := metrics.GetOrCreateCounter(fmt.Sprintf(`buckthorndock_control_received_bytes_total{purpose=%q}`, purpose))
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, sent: sent, received: received}, nil
+	}
+}
+
+// countedConn counts what passes over a connection.
+type countedConn struct {
+	net.Conn
+	sent, received *metrics.Counter
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Add(n)
+	return n, err
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
+	"github.com/buckthorndock/buckthorndock/internal/obs"
 )
 
 // Options configure a Client. The zero value uses the defaults.
@@ -48,7 +49,7 @@
 	}
 	dialer := &net.Dialer{Timeout: opts.DialTimeout}
 	fresh := &http.Transport{DialContext: dialPermitted(dialer), DisableKeepAlives: true}
-	shared := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	shared := &http.Transport{DialContext: obs.CountBytes(obs.PurposeEngines, dialer.DialContext), MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
 	return &Client{
 		opts:     opts,
 		dispatch: &http.Client{Transport: fresh},
--- /dev/null
+++ b/test/capacity/site.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// site is a running site.
+type site struct {
+	dir       string
+	processes []*exec.Cmd
+	daemons   []*daemon
+	log       string // IP:port of the log
+	hosts     string
+}
+
+type daemon struct {
+	name    string
+	domain  string
+	address string
+	peer    string
+	pid     int
+}
+
+const (
+	peerKey       = "capacity-key-0123456789abcdef0123"
+	operatorToken = "capacity-operator"
+	customerToken = "capacity-customer"
+	// SHA-256 of the two tokens.
+	operatorHash = "a9bd37e35a923de93ebdb9770d92cbd39d7419889ec11f076991c388a4b7c417"
+	customerHash = "dcbc7517ad22ba8e3e0451d7543158c5678a73982de11bedbca75ff2aa4de44b"
+)
+
+// startSite starts n daemons with their engines and publishes settings.
+func startSite(ctx context.Context, o options, n int) (s *site, err error) {
+	dir, err := os.MkdirTemp("", "buckthorndock-capacity-")
+	if err != nil {
+		return nil, err
+	}
+	s = &site{dir: dir}
+	defer func() {
+		if err != nil {
+			s.stop()
+		}
+	}()
+	if s.log, err = s.standin(o, "log"); err != nil {
+		return s, err
+	}
+	if s.hosts, err = s.standin(o, "hosts"); err != nil {
+		return s, err
+	}
+	weights, err := s.standin(o, "weights")
+	if err != nil {
+		return s, err
+	}
+	var upstreams strings.Builder
+	for i := range n * o.engines {
+		domain := domainName(i % o.domains)
+		address, err := s.standin(o, "engine", "--name", fmt.Sprintf("e%d", i), "--model", "m", "--decode-step", "5ms")
+		if err != nil {
+			return s, err
+		}
+		fmt.Fprintf(&upstreams, "      - {name: e%d, address: %q, domain: %s}\n", i, address, domain)
+	}
+	for i := range n {
+		if err := s.startDaemon(o, fmt.Sprintf("d%d", i), domainName(i%o.domains), weights); err != nil {
+			return s, err
+		}
+	}
+	if err := s.listHosts(); err != nil {
+		return s, err
+	}
+	return s, s.publish(ctx, o, upstreams.String())
+}
+
+func domainName(i int) string { return fmt.Sprintf("domain-%d", i) }
+
+// standin starts a stand-in and returns its address.
+func (s *site) standin(o options, kind string, args ...string) (string, error) {
+	cmd := exec.Command(filepath.Join(o.bin, "standin"), append([]string{kind, "--listen", "127.0.0.1:0"}, args...)...)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return "", err
+	}
+	if err := cmd.Start(); err != nil {
+		return "", err
+	}
+	s.processes = append(s.processes, cmd)
+	line, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		return "", fmt.Errorf("%s printed no address: %w", kind, err)
+	}
+	_, address, ok := strings.Cut(strings.TrimSpace(line), "address=")
+	if !ok {
+		return "", fmt.Errorf("%s printed %q", kind, line)
+	}
+	return address, nil
+}
+
+func (s *site) startDaemon(o options, name, domain, weights string) error {
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	peer, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf(`host: %s
+domain: %s
+region: r
+listen: %s
+peer_listen: %s
+peer_key: %s
+operator_token_sha256: %s
+platform: {log: "%s", hosts: "%s", weights: "%s"}
+`, name, domain, address, peer, peerKey, operatorHash, s.log, s.hosts, weights)
+	file := filepath.Join(s.dir, name+".yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	logFile, err := os.Create(filepath.Join(s.dir, name+".log"))
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(filepath.Join(o.bin, "buckthorndockd"), "--config", file)
+	cmd.Stderr = logFile
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	s.processes = append(s.processes, cmd)
+	s.daemons = append(s.daemons, &daemon{name: name, domain: domain, address: address, peer: peer, pid: cmd.Process.Pid})
+	return nil
+}
+
+// Daemons' ports come from below the range of outgoing connections.
+const (
+	portsFrom = 10000
+	numPorts  = 20000
+)
+
+func freeAddress() (string, error) {
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", portsFrom+rand.IntN(numPorts))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, l.Close()
+		}
+	}
+	return "", fmt.Errorf("no free port")
+}
+
+func (s *site) listHosts() error {
+	type entry struct {
+		Name    string `json:"name"`
+		Kind    string `json:"kind"`
+		Domain  string `json:"domain"`
+		Region  string `json:"region"`
+		Address string `json:"address"`
+		State   string `json:"state"`
+	}
+	var entries []entry
+	for _, d := range s.daemons {
+		entries = append(entries, entry{d.name, "entry", d.domain, "r", d.peer, "live"})
+	}
+	body, err := json.Marshal(entries)
+	if err != nil {
+		return err
+	}
+	resp, err := http.Post("http://"+s.hosts+"/standin/hosts", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// publish puts the settings in force through the first daemon.
+func (s *site) publish(ctx context.Context, o options, upstreams string) error {
+	dir := filepath.Join(s.dir, "settings")
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		return err
+	}
+	text := "pools:\n  - name: p\n    kind: engine\n    upstreams:\n" + upstreams +
+		"models:\n  - {name: m, pool: p}\n" +
+		"customers:\n  - {name: c, token_sha256: [" + customerHash + "]}\n"
+	if err := os.WriteFile(filepath.Join(dir, "_root.yaml"), []byte(text), 0o600); err != nil {
+		return err
+	}
+	var err error
+	for range 50 {
+		cmd := exec.CommandContext(ctx, filepath.Join(o.bin, "buckthorndock"),
+			"--address", s.daemons[0].address, "--token", operatorToken, "settings", "apply", dir)
+		var out []byte
+		if out, err = cmd.CombinedOutput(); err == nil {
+			return nil
+		}
+		err = fmt.Errorf("publish: %w: %s", err, out)
+		time.Sleep(100 * time.Millisecond)
+	}
+	return err
+}
+
+// stop ends all processes of the site.
+func (s *site) stop() {
+	for _, p := range s.processes {
+		_ = p.Process.Signal(syscall.SIGKILL)
+	}
+	for _, p := range s.processes {
+		_ = p.Wait()
+	}
+	_ = os.RemoveAll(s.dir)
+}
