--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test race scenarios demo bench fmt lint generate clean
+.PHONY: all build test race scenarios demo bench capacity fmt lint generate clean
 
 all: build
 
@@ -20,6 +20,9 @@
 bench: build
 	$(BIN)/buckthorndock bench run --dir bench
 
+capacity: build
+	$(GO) run ./test/capacity -bin $(BIN)
+
 fmt:
 	gofmt -l -w cmd internal test
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"os"
 	"strings"
 	"testing"
 )
@@ -86,3 +87,22 @@
 		}
 	})
 }
+
+// TestPageNamesEveryKey keeps docs/CONFIG.md in step with the parser.
+func TestPageNamesEveryKey(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CONFIG.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &parser{file: "f", seen: map[string]field{}}
+	p.daemon()
+	for _, key := range p.known {
+		if !strings.Contains(string(page), "| `"+key+"` |") {
+			t.Errorf("docs/CONFIG.md does not name %s", key)
+		}
+	}
+	rows := strings.Count(string(page), "\n| `")
+	if rows != len(p.known) {
+		t.Errorf("docs/CONFIG.md has %d keys, the parser %d", rows, len(p.known))
+	}
+}
--- a/internal/config/parser.go
+++ b/internal/config/parser.go
@@ -36,6 +36,7 @@
 type parser struct {
 	file     string
 	seen     map[string]field
+	known    []string // keys that the daemon has asked for
 	findings finding.List
 }
 
@@ -100,6 +101,7 @@
 
 // take returns a scalar field and marks the key as known.
 func (p *parser) take(key string) (field, bool) {
+	p.known = append(p.known, key)
 	f, ok := p.seen[key]
 	if !ok {
 		return field{}, false
@@ -115,6 +117,7 @@
 
 func (p *parser) required(key string) (field, bool) {
 	if _, there := p.seen[key]; !there {
+		p.known = append(p.known, key)
 		p.addf(0, key, "missing")
 		return field{}, false
 	}
@@ -150,6 +153,7 @@
 }
 
 func (p *parser) addresses(key string) []string {
+	p.known = append(p.known, key)
 	f, ok := p.seen[key]
 	if !ok {
 		return nil
