Placement: test that a cached prefix is found among many engines

Cause: dropping the candidates with a cached prefix was the one mutant of 23 that no test caught; with two engines the right one was drawn by luck.

Ruled out: more engines in the cache event test, which fills them by hand.

Change: 40 engines, one with the longest prefix, 20 seeds; then it leaves and the next longest is taken.

Run: passes; fails with the candidates dropped.

--- a/internal/core/placement/view_test.go
+++ b/internal/core/placement/view_test.go
@@ -141,6 +141,24 @@
 	}
 }
 
+// TestCachedPrefixIsFound has too many engines to draw the right one by luck.
+func TestCachedPrefixIsFound(t *testing.T) {
+	v := newTestView(40)
+	storeAll(v, "a-017", []uint64{1, 2, 3})
+	storeAll(v, "a-018", []uint64{1})
+	a := testAsk()
+	a.Prefix = []uint64{1, 2, 3, 4}
+	for seed := range uint64(20) {
+		if d, _ := Place(v, a, t0, newRand(seed)); d.Chosen.Name != "a-017" {
+			t.Errorf("seed %d: %s for %v", seed, d.Chosen.Name, d.Reason)
+		}
+	}
+	v.SetState("a-017", Leaving)
+	if d, _ := Place(v, a, t0, newRand(1)); d.Chosen.Name != "a-018" {
+		t.Errorf("%s, want the engine with the next longest prefix", d.Chosen.Name)
+	}
+}
+
 // TestEstimateParts works each part of an estimate out by hand.
 func TestEstimateParts(t *testing.T) {
 	v := newTestView(1)
