--- a/internal/claims/bench_test.go
+++ b/internal/claims/bench_test.go
@@ -21,7 +21,7 @@
 )
 
 // BenchmarkCombiner acquires, as one operation, the distinct keys that one
-// partition gets in 40 ms at a number of claims a second. Waits are cut to a
+// partition gets in 160 ms at a number of claims a second. Waits are cut to a
 // minimum: the processor time is that of the whole way of a claim.
 func BenchmarkCombiner(b *testing.B) {
 	for _, rate := range []int{10, 100, 500} {
--- a/internal/claims/types.go
+++ b/internal/claims/types.go
@@ -59,7 +59,7 @@
 
 // Defaults of Options.
 const (
-	DefaultBatchEvery  = 40 * time.Millisecond
+	DefaultBatchEvery  = 160 * time.Millisecond
 	DefaultIdleWait    = 2 * time.Millisecond
 	DefaultMaxBatch    = 500
 	DefaultPoll        = 5 * time.Second
--- a/internal/core/claim/record.go
+++ b/internal/core/claim/record.go
@@ -12,8 +12,9 @@
 )
 
 // Partitions is the number of claim streams. It is a constant: a change would
-// send a key to another partition and so forget its claims.
-const Partitions = 8
+// send a key to another partition and so forget its claims. The number keeps a
+// combiner's bytes within its budget, see docs/design/005-claims.md.
+const Partitions = 32
 
 // Bounds of a record's fields, in bytes.
 const (
