--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -16,10 +16,12 @@
 	"github.com/buckthorndock/buckthorndock/internal/follow"
 	"github.com/buckthorndock/buckthorndock/internal/front"
 	"github.com/buckthorndock/buckthorndock/internal/gate"
+	"github.com/buckthorndock/buckthorndock/internal/obs"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 	"github.com/buckthorndock/buckthorndock/internal/router"
+	"github.com/buckthorndock/buckthorndock/internal/suspects"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
@@ -60,6 +62,8 @@
 	claims  *claims.Service
 	gate    *gate.Gate
 
+	suspects *suspects.Tracker
+
 	front  *front.Server
 	server *http.Server
 }
@@ -81,15 +85,15 @@
 }
 
 func (p *process) buildPlatform() error {
-	logService, err := platform.NewHTTP(p.cfg.Platform.Log, &http.Client{})
+	logService, err := platform.NewHTTP(p.cfg.Platform.Log, obs.CountedClient(obs.PurposeLog))
 	if err != nil {
 		return err
 	}
-	hosts, err := platform.NewHTTP(p.cfg.Platform.Hosts, &http.Client{})
+	hosts, err := platform.NewHTTP(p.cfg.Platform.Hosts, obs.CountedClient(obs.PurposeHosts))
 	if err != nil {
 		return err
 	}
-	weights, err := platform.NewHTTP(p.cfg.Platform.Weights, &http.Client{})
+	weights, err := platform.NewHTTP(p.cfg.Platform.Weights, obs.CountedClient(obs.PurposeWeights))
 	if err != nil {
 		return err
 	}
@@ -131,7 +135,7 @@
 		Seed:         p.incarnation,
 	})
 	p.watcher = upstream.NewWatcher(p.client, p.router, upstream.WatchOptions{})
-	p.engines = owner.NewHTTPEngines(&http.Client{}, time.Now)
+	p.engines = owner.NewHTTPEngines(obs.CountedClient(obs.PurposeEngines), time.Now)
 	return nil
 }
 
@@ -168,6 +172,7 @@
 }
 
 func (p *process) buildClaims() error {
+	p.suspects = suspects.New(p.cfg.Host, p.log)
 	p.claims = claims.New(claims.Options{
 		Host:        p.cfg.Host,
 		Incarnation: p.incarnation,
@@ -200,6 +205,7 @@
 		Holder:              p.holder,
 		Gate:                p.gate,
 		Claims:              p.claims,
+		Suspects:            p.suspects,
 		Operator:            &operator{follower: p.follower, peers: p.peers},
 		OperatorTokenSHA256: p.cfg.OperatorTokenSHA256,
 		Log:                 p.log,
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
@@ -52,12 +53,14 @@
 // worth while. again asks for another upstream.
 func (g *generation) onTarget(ctx context.Context, t *target) (refusal *request.Refusal, again bool) {
 	id := placement.ID{Request: g.job.req.ID, Attempt: g.attempt}
+	end := placement.End{}
 	defer g.release(t)
 	g.s.noteGang(t, true)
 	defer g.s.noteGang(t, false)
 	g.s.opts.Router.Placed(t.placement)
+	t.incarnation = g.s.opts.Router.Incarnation(t.name())
+	defer func() { g.s.opts.Suspects.End(t.run, end.Complete) }()
 	g.s.opts.Holder.Track(t.engine(g.job), g.running())
-	end := placement.End{}
 	defer func() { g.s.opts.Router.Finished(id, end) }()
 	for {
 		res := g.stream(ctx, t)
@@ -109,6 +112,9 @@
 		g.earlierWrote = true
 	}
 	g.s.noteUpstream(t.name(), res.end, res.reachable)
+	if res.end == retry.Died {
+		g.s.opts.Suspects.Died(t.name(), t.incarnation, now)
+	}
 	decision := g.s.retries.next(a, g.job, now)
 	fields := jobFields(g.job)
 	fields["attempt"] = g.attempt
@@ -142,16 +148,14 @@
 
 // place waits until the request can be placed, or says why it cannot.
 func (g *generation) place(ctx context.Context) (*target, *request.Refusal) {
-	if d := g.job.first; d != nil {
-		g.job.first = nil
-		g.s.noteDecision(g.job, g.attempt, *d, []string{d.Chosen.Name})
-		return newTarget(g.job, g.attempt, *d), nil
+	if t := g.placeTaken(); t != nil {
+		return t, nil
 	}
 	for {
 		changed := g.s.opts.Router.Changed()
 		t, verdict := g.decide()
 		if verdict == nil {
-			ok, refusal := g.secure(ctx, t)
+			ok, refusal := g.begin(ctx, t)
 			if ok || refusal != nil {
 				return t, g.refused(refusal)
 			}
@@ -169,6 +173,40 @@
 	}
 }
 
+// placeTaken returns the place that the gate has found, if it still holds.
+func (g *generation) placeTaken() *target {
+	d := g.job.first
+	if d == nil {
+		return nil
+	}
+	g.job.first = nil
+	t := newTarget(g.job, g.attempt, *d)
+	if !g.tryStart(t) {
+		g.s.opts.Router.Finished(t.placement.ID, placement.End{})
+		return nil
+	}
+	g.s.noteDecision(g.job, g.attempt, *d, []string{d.Chosen.Name})
+	return t
+}
+
+// begin makes sure that the attempt may start: that it does not meet another
+// suspect of crashes, and that its memory is reserved.
+func (g *generation) begin(ctx context.Context, t *target) (bool, *request.Refusal) {
+	if !g.tryStart(t) {
+		return false, nil
+	}
+	ok, refusal := g.secure(ctx, t)
+	if !ok {
+		g.s.opts.Suspects.End(t.run, false)
+	}
+	return ok, refusal
+}
+
+func (g *generation) tryStart(t *target) (ok bool) {
+	t.run, ok = g.s.opts.Suspects.TryStart(t.name(), g.job.req.Fingerprint, time.Now())
+	return ok
+}
+
 // placeRetry is the longest time between two looks for a place while nothing is
 // heard of the upstreams.
 const placeRetry = 50 * time.Millisecond
@@ -203,8 +241,12 @@
 
 // decide asks the router once.
 func (g *generation) decide() (*target, *noPlace) {
+	if refusal := g.s.opts.Suspects.Refusal(g.job.req.Fingerprint, time.Now()); refusal != nil {
+		return nil, &noPlace{refusal: refusal}
+	}
+	blocked := g.s.blocked(g.job)
 	ask := router.Ask(g.job.req, g.job.pool.Name, g.job.routing)
-	ask.Exclude = g.exclude
+	ask.Exclude = slices.Concat(g.exclude, blocked)
 	d, err := g.s.opts.Router.Place(ask)
 	if err != nil {
 		return nil, &noPlace{refusal: request.Refuse(request.CodeInternal, retryElsewhere, "placement failed")}
@@ -226,6 +268,9 @@
 		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, max(d.Backlog.Drain(), retryElsewhere),
 			"the deadline cannot be met at the present load")}
 	}
+	if len(blocked) > 0 {
+		return nil, &noPlace{wait: true}
+	}
 	if len(g.exclude) > 0 {
 		// All that is left has failed before; one of them may be back.
 		g.exclude = nil
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -78,9 +78,9 @@
 	ts.Check(p.launch())
 }
 
-// cmdKill ends processes at once: kill NAME...
-func cmdKill(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, neg, args, 1, "kill NAME...")
+// cmdEnd kills processes at once (kill is a command of testscript itself): end NAME...
+func cmdEnd(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "end NAME...")
 	for _, name := range args {
 		siteOf(ts).process(ts, name).end()
 	}
