Claims: a holder that is not known yet is looked for again

Cause: once_killed failed where two hosts had just been started: a repeat at the one that did not know the other yet was told 'unknown', though the holder had the answer. An unknown host ended the wait at once, one that could not be called only after three tries. Ruled out: a lost answer (the other host's repeats got it). Change: an unknown address counts as a failed try. Scenario once_killed: holder killed before and after its dispatch, replaced by an empty host, all replaced. With a scratch edit by which a host runs what its holder cannot answer for it fails: status 200 for the order that the dead host held. go test -race ./internal/claims passes. Conclusion: a held key is never run again; its state is told as unknown.

--- a/internal/claims/await.go
+++ b/internal/claims/await.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
 const (
@@ -11,6 +13,8 @@
 	awaitTries = 3               // failed calls in a row before the holder is given up
 )
 
+var errNoAddress = merry.Sentinel("the holder's host is not known")
+
 // Await relays the answer of a run that Result.Holder holds, here or at another
 // host, and returns how it ended. The answer is whole only with AnswerComplete;
 // with any other state the bytes written so far are no answer. The error is that
@@ -62,7 +66,7 @@
 func (s *Service) callAwait(ctx context.Context, r Result, from int) (Chunk, error) {
 	address, ok := s.peers.Address(r.Holder.Host)
 	if !ok {
-		return Chunk{State: AnswerUnreachable}, nil
+		return Chunk{}, errNoAddress // it may have started a moment ago
 	}
 	ctx, cancel := context.WithTimeout(ctx, awaitPoll+s.o.CallTimeout)
 	defer cancel()
