Front: a repeatable call may go back to a server that failed before

Cause: the scenario once_no_key failed: a repeatable call whose answer was lost by one server and then by the other was told 'no live server', with two of its four attempts left and both servers well. Ruled out: the servers' state (both answered the next call). Change: when only servers are left that have failed in this request, they are tried again, as generations do already; attempts and retry budget bound it. Conclusion: calls and generations retry alike.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -53,6 +53,11 @@
 		c.s.noteDecision(c.job, c.attempt, d, []string{d.Chosen.Name})
 		return d, nil
 	}
+	if len(c.exclude) > 0 {
+		// All that is left has failed before; one of them may be well again.
+		c.exclude = nil
+		return c.place()
+	}
 	c.s.noteDecision(c.job, c.attempt, d, nil)
 	refusal := request.Refuse(request.CodeNoUpstream, retryElsewhere, "no live server of service %s", c.job.req.Target)
 	if c.wrote {
