Front: looking at a silent attempt needs no permit to dispatch

Cause: the scenario once_no_key failed: a keyed generation that may run once, with a prompt that took longer than the idle limit, was told 'unknown ... attempt 1: died' while its engine computed the prompt; the engine was taken for dead. The probe of the silent attempt opens a connection with the attempt's context and so asked its permit, which the dispatch had used. Ruled out: the engine (its books showed the run); the idle limit itself (a repeatable request with the same prompt went on). Change: only the dispatch carries the permit. Scenario once_no_key: answer lost after the effect, server killed at work, nobody listening, one of two listening, truncated generation with and without key, silent prefill. Conclusion: a permit stands for one dispatch and nothing else.

--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -34,11 +34,13 @@
 // stream opens a stream of the running attempt, the first or a resumed one, and
 // hands its tokens to the caller until it ends.
 func (g *generation) stream(ctx context.Context, t *target) streamEnd {
-	ctx, cancel := context.WithCancel(upstream.WithPermit(ctx, g.s.permit(g.job)))
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// The permit is for the dispatch alone: a look at a silent attempt needs none.
+	dispatch := upstream.WithPermit(ctx, g.s.permit(g.job))
 	g.asm.StartAttempt(g.attempt)
 	arrivals := make(chan arrival)
-	go pump(ctx, g.s.opts.Client, t.address(), g.engineRequest(t), arrivals)
+	go pump(dispatch, g.s.opts.Client, t.address(), g.engineRequest(t), arrivals)
 
 	idle := time.NewTimer(g.job.routing.Idle())
 	defer idle.Stop()
