Scenarios: go test sees changes of the programs under test

Cause: after a scratch edit of core/stream go test said '(cached)' and repeated the old result. The blank imports that were to prevent it do not: the linker drops what is not called, and the test's binary stays the same. Ruled out: a look at the sources before m.Run (tried: still cached, files are noted only from there on). Change: the test walks the directories of the programs' sources, which go test notes with each file's size and time. Run: thin_path before: cached after the edit; after: cached without an edit, run with it. Conclusion: -count=1 is no longer needed to trust a pass.

--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -3,18 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
-
-	// The programs under test are built from these; importing them keeps go test
-	// from reporting an old result after a change to one.
-	_ "github.com/buckthorndock/buckthorndock/internal/cli"
-	_ "github.com/buckthorndock/buckthorndock/internal/daemon"
-	_ "github.com/buckthorndock/buckthorndock/internal/standin/command"
 )
 
 // binDir holds the programs under test.
@@ -24,6 +19,18 @@
 	os.Exit(buildAndRun(m))
 }
 
+// lookAtSources walks the sources of the programs under test. go test notes what
+// a test looks at, and does not report an old result after a change to it.
+func lookAtSources() error {
+	for _, dir := range []string{"../../cmd", "../../internal"} {
+		err := filepath.WalkDir(dir, func(_ string, _ fs.DirEntry, err error) error { return err })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func buildAndRun(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "buckthorndock-bin-")
 	if err != nil {
@@ -41,6 +48,9 @@
 }
 
 func TestScenarios(t *testing.T) {
+	if err := lookAtSources(); err != nil {
+		t.Fatal(err)
+	}
 	testscript.Run(t, testscript.Params{
 		Dir:                 ".",
 		RequireExplicitExec: true,
