Spill: owners of other domains, a bounded watch, spread Retry-After

Cause: a front whose own domain had no live engine spilled short prompts only: it asked a host of its own domain for reservations on the other domain's engine, and knew no memory of any. And refusals for want of an upstream all said the same second to come back, so a fleet that woke together would come back together. Ruled out: spreading the owners' digests to all domains (7 x 126 engines, 50 KB/s a daemon, for the rare case). Change: the owner of an upstream is looked for in the upstream's domain; a front without a live upstream watches up to 8 of the others' directly, chosen by rendezvous hashing so that fronts share the load; gate.Spread sets the time to come back.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -118,10 +118,17 @@
 		return err
 	}
 	p.node = node
-	p.peers = &peers{Node: node, host: p.cfg.Host, domain: p.cfg.Domain}
+	p.peers = &peers{Node: node, host: p.cfg.Host, domain: p.cfg.Domain, upstreamDomain: p.upstreamDomain}
 	return nil
 }
 
+func (p *process) upstreamDomain(name string) string {
+	if u := p.follower.Current().Upstream(name); u != nil {
+		return u.Domain
+	}
+	return ""
+}
+
 func (p *process) buildFollower() error {
 	p.follower = follow.New(follow.Options{Log: p.logService, Peers: p.peers, Logger: p.log})
 	return p.node.Register(follow.Service, p.follower.RPC())
--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -1,14 +1,19 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
 	"github.com/buckthorndock/buckthorndock/internal/core/placement"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
+	"github.com/buckthorndock/buckthorndock/internal/router"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
@@ -129,13 +134,44 @@
 	var targets []upstream.Target
 	for _, pool := range p.follower.Current().Pools() {
 		isEngine := pool.Kind == settings.PoolEngine
-		for _, u := range p.router.Upstreams(pool.Name) {
+		own, others := p.byDomain(p.router.Upstreams(pool.Name))
+		served := false
+		for _, u := range own {
 			stale := isEngine && (!u.Reported || u.ReportAge > staleReport)
 			failing := u.State == placement.Dead || u.State == placement.Suspect
-			if u.Domain == p.cfg.Domain && (stale || failing) {
+			served = served || !failing
+			if stale || failing {
+				targets = append(targets, upstream.Target{Name: u.Name, Address: u.Address, Engine: isEngine})
+			}
+		}
+		if !served && pool.Routing.Spill != settings.SpillNever {
+			for _, u := range p.spillChoice(others) {
 				targets = append(targets, upstream.Target{Name: u.Name, Address: u.Address, Engine: isEngine})
 			}
 		}
 	}
 	return targets
 }
+
+func (p *process) byDomain(all []router.UpstreamStatus) (own, others []router.UpstreamStatus) {
+	for _, u := range all {
+		if u.Domain == p.cfg.Domain {
+			own = append(own, u)
+		} else {
+			others = append(others, u)
+		}
+	}
+	return own, others
+}
+
+// spillWatched bounds the upstreams of other domains that one front watches when
+// its own domain has none. Each front takes others, so that they share the load.
+const spillWatched = 8
+
+// spillChoice returns the upstreams that come first for this host by rendezvous
+// hashing.
+func (p *process) spillChoice(others []router.UpstreamStatus) []router.UpstreamStatus {
+	score := func(u router.UpstreamStatus) uint64 { return xxhash.Sum64String(p.cfg.Host + "\x00" + u.Name) }
+	slices.SortFunc(others, func(a, b router.UpstreamStatus) int { return cmp.Compare(score(a), score(b)) })
+	return others[:min(len(others), spillWatched)]
+}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -25,6 +25,9 @@
 	*peer.Node
 	host   string
 	domain string
+	// upstreamDomain returns the failure domain of an upstream, empty for any
+	// other key.
+	upstreamDomain func(key string) string
 }
 
 // Tailer implements follow.Peers.
@@ -55,14 +58,18 @@
 	})
 }
 
-// Owner implements owner.Ownership: the live host of this failure domain that
-// comes first for a key.
+// Owner implements owner.Ownership: the live host that comes first for a key, of
+// the failure domain of the upstream that the key names, else of this one.
 func (p *peers) Owner(key string) (host, address string, self bool) {
-	m, ok := p.LocalOwner(key)
-	if !ok {
+	domain := p.upstreamDomain(key)
+	if domain == "" {
+		domain = p.domain
+	}
+	ranked := membership.LocalRank(key, domain, p.Members(), 1)
+	if len(ranked) == 0 {
 		return "", "", false
 	}
-	return m.Host, m.Address, m.Host == p.host
+	return ranked[0].Host, ranked[0].Address, ranked[0].Host == p.host
 }
 
 // reachableDomains returns the other failure domains with a live host.
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -107,6 +107,11 @@
 	return s.opts.Suspects.Blocked(s.opts.Router.Names(j.pool.Name), j.req.Fingerprint, time.Now())
 }
 
+// comeBack returns when the caller of a request that was not placed may try again.
+func (s *Server) comeBack(d placement.Decision) time.Duration {
+	return s.opts.Gate.Spread(max(d.Backlog.Drain(), retryElsewhere))
+}
+
 // engineWait returns the longest wait on an engine for a job. The policies that
 // the product is compared with send at once.
 func engineWait(j *job) time.Duration {
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -54,7 +54,7 @@
 		return d, nil
 	}
 	c.s.noteDecision(c.job, c.attempt, d, nil)
-	refusal := request.Refuse(request.CodeNoUpstream, retryElsewhere, "no live server of service %s", c.job.req.Target)
+	refusal := request.Refuse(request.CodeNoUpstream, c.s.comeBack(d), "no live server of service %s", c.job.req.Target)
 	if c.wrote {
 		refusal.Outcome = request.Failed
 	}
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -265,7 +265,7 @@
 			"needs %d tokens of memory, at most %d can be gathered", ask.Need(), d.MemoryLimit)}
 	case placement.TooLate:
 		g.s.noteDecision(g.job, g.attempt, d, nil)
-		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, max(d.Backlog.Drain(), retryElsewhere),
+		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, g.s.comeBack(d),
 			"the deadline cannot be met at the present load")}
 	}
 	if len(blocked) > 0 {
@@ -277,7 +277,7 @@
 		return g.decide()
 	}
 	g.s.noteDecision(g.job, g.attempt, d, nil)
-	return nil, &noPlace{refusal: request.Refuse(request.CodeNoUpstream, max(d.Backlog.Drain(), retryElsewhere),
+	return nil, &noPlace{refusal: request.Refuse(request.CodeNoUpstream, g.s.comeBack(d),
 		"no upstream of pool %s can take it now", g.job.pool.Name)}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -152,10 +152,16 @@
 
 // refuse returns a Refusal whose RetryAfter is spread beyond backlog.
 func (g *Gate) refuse(code request.Code, backlog time.Duration, format string, args ...any) *request.Refusal {
+	return request.Refuse(code, g.Spread(backlog), format, args...)
+}
+
+// Spread returns a time to come back in after a backlog has been worked off,
+// spread at random so that a fleet that was refused together does not come back
+// together.
+func (g *Gate) Spread(backlog time.Duration) time.Duration {
 	g.mu.Lock()
-	after := admission.RetryAfter(backlog, g.rng)
-	g.mu.Unlock()
-	return request.Refuse(code, after, format, args...)
+	defer g.mu.Unlock()
+	return admission.RetryAfter(backlog, g.rng)
 }
 
 func (g *Gate) pool(name string) *pool {
