Settings: remove three keys that did nothing

Cause: keys.life_seconds, keys.kept_answer_bytes and routing.leaving_grace_ms were parsed, inherited and documented, and read by nobody. Ruled out: wiring them. The key life must be the same on all hosts at every moment, or two hosts would judge one claim differently; a setting arrives at different times, so the life is the constant claim.DefaultKeyLife. The bound of kept answers is a daemon's memory and not a team's business. An upstream known as leaving gets no new work at once, so there is no grace to set. Conclusion: a document that sets one of them is now refused as an unknown key.

--- a/internal/core/settings/check.go
+++ b/internal/core/settings/check.go
@@ -31,7 +31,6 @@
 	c.limits("limits", doc.Limits)
 	c.routing(doc.Routing)
 	c.requests(doc.Requests)
-	c.keys(doc.Keys)
 	c.operators(doc.Operators)
 	c.customers(doc.Customers)
 	c.pools(doc.Pools)
@@ -140,7 +139,6 @@
 	c.positive("routing.idle_ms", r.IdleMs, MaxDurationMs)
 	c.positive("routing.quarantine_crashes", r.QuarantineCrashes, MaxCount)
 	c.positive("routing.quarantine_seconds", r.QuarantineS, MaxDurationS)
-	c.positive("routing.leaving_grace_ms", r.LeavingGraceMs, MaxDurationMs)
 	if c.present("routing.retry_budget") && (r.RetryBudget <= 0 || r.RetryBudget > 1) {
 		c.addf("routing.retry_budget", "must be above 0 and at most 1")
 	}
@@ -158,14 +156,6 @@
 	c.priority("requests.highest_priority", r.HighestPriority)
 }
 
-func (c *checker) keys(k *Keys) {
-	if k == nil {
-		return
-	}
-	c.positive("keys.life_seconds", k.LifeS, MaxDurationS)
-	c.positive("keys.kept_answer_bytes", k.KeptAnswerBytes, MaxCount)
-}
-
 func (c *checker) operators(list []Operator) {
 	for i, o := range list {
 		key := fmt.Sprintf("operators[%d]", i)
--- a/internal/core/settings/compile.go
+++ b/internal/core/settings/compile.go
@@ -153,7 +153,6 @@
 		Weight:   cmp.Or(u.Weight, DefaultWeight),
 		Routing:  here.routing,
 		Requests: here.requests,
-		Keys:     here.keys,
 		Limits:   slices.Clone(here.limits),
 	}
 	if u.Limits != nil && *u.Limits != (Limits{}) {
--- a/internal/core/settings/config_page_test.go
+++ b/internal/core/settings/config_page_test.go
@@ -35,7 +35,7 @@
 		"models[].bytes_per_token": fmt.Sprint(DefaultBytesPerToken),
 	}
 	for prefix, inherited := range map[string]any{
-		"routing": defaultRouting(), "requests": defaultRequests(), "keys": defaultKeys(),
+		"routing": defaultRouting(), "requests": defaultRequests(),
 	} {
 		v := reflect.ValueOf(inherited)
 		for word, i := range fieldsByKey(v.Type()) {
--- a/internal/core/settings/defaults.go
+++ b/internal/core/settings/defaults.go
@@ -11,7 +11,6 @@
 	DefaultIdleMs            = 2_000     // milliseconds
 	DefaultQuarantineCrashes = 2         // engine deaths
 	DefaultQuarantineS       = 600       // seconds
-	DefaultLeavingGraceMs    = 2_000     // milliseconds
 
 	DefaultDeadlineMs      = 60_000    // milliseconds
 	DefaultMaxDeadlineMs   = 3_600_000 // milliseconds
@@ -20,9 +19,6 @@
 	DefaultMaxTokens       = 256      // answer tokens
 	DefaultMaxBodyBytes    = 16 << 20 // bytes
 
-	DefaultKeyLifeS        = 600      // seconds
-	DefaultKeptAnswerBytes = 32 << 20 // bytes a daemon
-
 	DefaultWeight         = 1      // share of a full queue
 	DefaultLongestOrderMs = 30_000 // milliseconds
 	DefaultBytesPerToken  = 4.0    // bytes of prompt a token
@@ -50,7 +46,6 @@
 		IdleMs:            DefaultIdleMs,
 		QuarantineCrashes: DefaultQuarantineCrashes,
 		QuarantineS:       DefaultQuarantineS,
-		LeavingGraceMs:    DefaultLeavingGraceMs,
 	}
 }
 
@@ -64,10 +59,3 @@
 		MaxBodyBytes:    DefaultMaxBodyBytes,
 	}
 }
-
-func defaultKeys() Keys {
-	return Keys{
-		LifeS:           DefaultKeyLifeS,
-		KeptAnswerBytes: DefaultKeptAnswerBytes,
-	}
-}
--- a/internal/core/settings/inherit.go
+++ b/internal/core/settings/inherit.go
@@ -10,7 +10,6 @@
 type scope struct {
 	routing  Routing
 	requests Requests
-	keys     Keys
 	limits   []LimitNode
 }
 
@@ -40,7 +39,7 @@
 			return s
 		}
 	}
-	return &scope{routing: defaultRouting(), requests: defaultRequests(), keys: defaultKeys()}
+	return &scope{routing: defaultRouting(), requests: defaultRequests()}
 }
 
 // derive returns the parent's scope overlaid with the document's own scalars.
@@ -49,12 +48,10 @@
 	own := &scope{
 		routing:  parent.routing,
 		requests: parent.requests,
-		keys:     parent.keys,
 		limits:   slices.Clip(parent.limits),
 	}
 	own.routing.overlay(doc.Routing)
 	own.requests.overlay(doc.Requests)
-	own.keys.overlay(doc.Keys)
 	if doc.Limits != nil && *doc.Limits != (Limits{}) {
 		own.limits = append(own.limits, LimitNode{Name: path, Limits: *doc.Limits})
 	}
@@ -82,7 +79,6 @@
 	set(&r.IdleMs, own.IdleMs)
 	set(&r.QuarantineCrashes, own.QuarantineCrashes)
 	set(&r.QuarantineS, own.QuarantineS)
-	set(&r.LeavingGraceMs, own.LeavingGraceMs)
 }
 
 func (r *Requests) overlay(own *Requests) {
@@ -96,11 +92,3 @@
 	set(&r.MaxTokens, own.MaxTokens)
 	set(&r.MaxBodyBytes, own.MaxBodyBytes)
 }
-
-func (k *Keys) overlay(own *Keys) {
-	if own == nil {
-		return
-	}
-	set(&k.LifeS, own.LifeS)
-	set(&k.KeptAnswerBytes, own.KeptAnswerBytes)
-}
--- a/internal/core/settings/schema.go
+++ b/internal/core/settings/schema.go
@@ -8,7 +8,6 @@
 	Limits    *Limits    `yaml:"limits,omitempty"`
 	Routing   *Routing   `yaml:"routing,omitempty"`
 	Requests  *Requests  `yaml:"requests,omitempty"`
-	Keys      *Keys      `yaml:"keys,omitempty"`
 	Operators []Operator `yaml:"operators,omitempty"`
 	Customers []Customer `yaml:"customers,omitempty"`
 	Pools     []Pool     `yaml:"pools,omitempty"`
@@ -37,7 +36,6 @@
 	IdleMs            int     `yaml:"idle_ms,omitempty"`            // silence on a stream that starts a probe
 	QuarantineCrashes int     `yaml:"quarantine_crashes,omitempty"` // engine deaths after which a request is refused
 	QuarantineS       int     `yaml:"quarantine_seconds,omitempty"` // how long it is refused
-	LeavingGraceMs    int     `yaml:"leaving_grace_ms,omitempty"`   // longest time to go on sending to a leaving upstream
 }
 
 // Placement policies.
@@ -65,12 +63,6 @@
 	MaxBodyBytes    int    `yaml:"max_body_bytes,omitempty"`
 }
 
-// Keys governs idempotency keys.
-type Keys struct {
-	LifeS           int `yaml:"life_seconds,omitempty"`      // how long a key is protected
-	KeptAnswerBytes int `yaml:"kept_answer_bytes,omitempty"` // a daemon's bound for answers kept for repeats
-}
-
 // Operator may read and change settings at its path and below.
 type Operator struct {
 	Name        string   `yaml:"name"`
--- a/internal/core/settings/view.go
+++ b/internal/core/settings/view.go
@@ -13,7 +13,6 @@
 	Weight   int         // share of a full queue, at least 1
 	Routing  Routing     // effective, no field empty
 	Requests Requests    // effective, no field empty
-	Keys     Keys        // effective, no field empty
 	Limits   []LimitNode // from the root to the customer itself; only those with a limit
 
 	hashes [][tokenHashBytes]byte
@@ -99,9 +98,6 @@
 // Quarantine returns how long a request that crashed upstreams is refused.
 func (r *Routing) Quarantine() time.Duration { return time.Duration(r.QuarantineS) * time.Second }
 
-// LeavingGrace returns the longest time to go on sending to a leaving upstream.
-func (r *Routing) LeavingGrace() time.Duration { return milliseconds(r.LeavingGraceMs) }
-
 // Deadline returns the time a request gets that asks for none.
 func (r *Requests) Deadline() time.Duration { return milliseconds(r.DeadlineMs) }
 
@@ -118,9 +114,6 @@
 	return priorityOf(r.HighestPriority, request.Urgent)
 }
 
-// Life returns how long a key is protected after its first claim.
-func (k *Keys) Life() time.Duration { return time.Duration(k.LifeS) * time.Second }
-
 // Deadline returns the operation's own default, zero when it has none.
 func (o *Operation) Deadline() time.Duration { return milliseconds(o.DeadlineMs) }
 
