Daemon file: platform.log_retention_seconds, checked against the claims; settings gauges on /metrics

Cause: the settings' follower took the log's retention for an hour whatever it was, claims.Options.MinRetention was checked nowhere, and the follower's gauges (offset, findings, lag) were registered by nobody. Ruled out: reading the retention from the log, which does not tell it. A second check in the daemon: the file's check is what the daemon runs at start, and it gives the line and is also run by the command-line tool. Conclusion: a log that forgets claims too early is refused before anything runs.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,8 +33,13 @@
 	Log     string
 	Hosts   string
 	Weights string
+	// LogRetention is the shortest time that the log keeps a record.
+	LogRetention time.Duration
 }
 
+// DefaultLogRetention holds where the daemon file says nothing.
+const DefaultLogRetention = time.Hour
+
 // MinPeerKeyLen is the shortest peer key accepted, in bytes.
 const MinPeerKeyLen = 32
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 )
@@ -24,7 +26,7 @@
 	if err := findings.Err(); err != nil {
 		t.Fatal(err)
 	}
-	if d.Host != "hal-a-1" || d.Platform.Hosts != "127.0.0.1:7002" || len(d.Seeds) != 2 || d.ShutdownTimeout.Seconds() != 30 {
+	if d.Host != "hal-a-1" || d.Platform.Hosts != "127.0.0.1:7002" || len(d.Seeds) != 2 || d.Platform.LogRetention != DefaultLogRetention || d.ShutdownTimeout.Seconds() != 30 {
 		t.Errorf("got %+v", d)
 	}
 }
@@ -71,6 +73,54 @@
 	}
 }
 
+func TestLogRetention(t *testing.T) {
+	for value, want := range map[string]string{
+		"1260": "",
+		"1259": "daemon.yaml:11: platform.log_retention_seconds: 1259: claims of idempotency keys need a log that keeps records for 1260 seconds at least",
+		"0":    "daemon.yaml:11: platform.log_retention_seconds: 0: claims of idempotency keys need a log that keeps records for 1260 seconds at least",
+		"long": `daemon.yaml:11: platform.log_retention_seconds: "long" is not a number of seconds`,
+	} {
+		text := strings.Replace(valid, "7003\n", "7003\n  log_retention_seconds: "+value+"\n", 1)
+		d, findings := Parse("daemon.yaml", []byte(text))
+		if got := findings.Error(); got != want || want == "" && d.Platform.LogRetention.Seconds() != 1260 {
+			t.Errorf("%s: got %q, retention %v", value, got, d.Platform.LogRetention)
+		}
+	}
+}
+
+// TestPageNamesTheKeys reads a file that has each key of the page, and looks for
+// each key that a valid file has on the page.
+func TestPageNamesTheKeys(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CONFIG-daemon.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	named := map[string]bool{}
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z0-9_.]+)` \\|").FindAllStringSubmatch(string(page), -1) {
+		named[row[1]] = true
+		if !strings.Contains(row[1], ".") {
+			text.WriteString(row[1] + ": x\n")
+		}
+	}
+	text.WriteString("platform: {log: x, hosts: x, weights: x, log_retention_seconds: x}\n")
+	p := &parser{file: "page", seen: map[string]field{}}
+	p.flatten([]byte(text.String()))
+	p.daemon()
+	p.unknownKeys()
+	if strings.Contains(p.findings.Error(), "unknown key") {
+		t.Errorf("the page names keys that are none:\n%s", p.findings.Error())
+	}
+	for key, f := range p.seen {
+		if f.kind != mapping && !named[key] {
+			t.Errorf("the page does not name %s", key)
+		}
+	}
+	if len(named) < len(p.seen)-1 || len(named) < 15 {
+		t.Errorf("the page names %d keys", len(named))
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(valid))
 	f.Add([]byte("platform: [1, 2]\nhost: {a: b}\n"))
--- a/internal/config/parser.go
+++ b/internal/config/parser.go
@@ -12,6 +12,7 @@
 	yamlparser "github.com/goccy/go-yaml/parser"
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/claims"
 	"github.com/buckthorndock/buckthorndock/internal/core/finding"
 )
 
@@ -191,6 +192,22 @@
 	return time.Duration(n) * time.Second
 }
 
+// logRetention refuses a log that forgets claims while they still protect a key.
+// The daemon leaves the times of the claims at their defaults.
+func (p *parser) logRetention(key string) time.Duration {
+	if _, there := p.seen[key]; !there {
+		return DefaultLogRetention
+	}
+	line, known := p.seen[key].line, len(p.findings)
+	d := p.seconds(key)
+	least := claims.Options{}.MinRetention()
+	if d < least && len(p.findings) == known {
+		p.addf(line, key, "%d: claims of idempotency keys need a log that keeps records for %d seconds at least",
+			int(d.Seconds()), int(least.Seconds()))
+	}
+	return d
+}
+
 func (p *parser) logLevel(key string) string {
 	f, ok := p.take(key)
 	if !ok {
@@ -236,6 +253,8 @@
 			Log:     p.address("platform.log"),
 			Hosts:   p.address("platform.hosts"),
 			Weights: p.address("platform.weights"),
+
+			LogRetention: p.logRetention("platform.log_retention_seconds"),
 		},
 		LogLevel:            p.logLevel("log_level"),
 		OperatorTokenSHA256: p.tokenHash("operator_token_sha256"),
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -122,7 +122,12 @@
 }
 
 func (p *process) buildFollower() error {
-	p.follower = follow.New(follow.Options{Log: p.logService, Peers: p.peers, Logger: p.log})
+	p.follower = follow.New(follow.Options{
+		Log:       p.logService,
+		Peers:     p.peers,
+		Retention: p.cfg.Platform.LogRetention,
+		Logger:    p.log,
+	})
 	return p.node.Register(follow.Service, p.follower.RPC())
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
@@ -36,6 +37,10 @@
 		p.node.Close()
 		return merry.Prepend(err, "listen for callers")
 	}
+	gauges := metrics.NewSet()
+	p.follower.RegisterMetrics(gauges)
+	metrics.RegisterSet(gauges)
+	defer metrics.UnregisterSet(gauges, true)
 	background := p.start()
 	failed := make(chan error, 1)
 	go func() { failed <- p.server.Serve(listener) }()
