Settings: who loses a race on parent and child is told a conflict, exit code 4

Cause: the tool told a conflict only when the version of an edited path had moved. A change that lost to one above or below its path was told as refused, exit code 2, as if its documents were at fault. Ruled out: a word for it in the API. A refusal with an offset was appended and lost to another record; faults of documents are found before and have none. Change: such a verdict is a conflict. Conclusion: of each race one operator wins, and the other is told so.

--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -251,13 +251,19 @@
 	switch {
 	case err != nil || v.Accepted:
 		return err
-	case len(lost) > 0:
+	case len(lost) > 0, lostInLog(v):
 		return exitf(ExitConflict, "conflict: nothing was changed; read the present documents and apply again")
 	default:
 		return exitf(ExitUsage, "refused: nothing was changed")
 	}
 }
 
+// lostInLog reports whether a change was appended and lost to another one: faults
+// of documents are found before, and a refusal for them has no offset.
+func lostInLog(v *callerapi.SettingsVerdict) bool {
+	return !v.Accepted && v.Offset > 0
+}
+
 func writeVerdict(w io.Writer, edits []callerapi.SettingsEdit, v *callerapi.SettingsVerdict, lost []string) {
 	if v.Accepted {
 		fmt.Fprintf(w, "accepted: change %s, version %d\n", v.ChangeID, v.Offset)
@@ -269,8 +275,12 @@
 	for _, line := range lost {
 		fmt.Fprintln(w, line)
 	}
+	note := ""
+	if lostInLog(v) {
+		note = "conflict: "
+	}
 	for _, f := range v.Findings {
-		fmt.Fprintf(w, "%s: %s\n", f.Place, f.Message)
+		fmt.Fprintf(w, "%s: %s%s\n", f.Place, note, f.Message)
 	}
 }
 
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -28,7 +28,7 @@
 // cmdStart starts a process and sets $NAME to its address:
 //
 //	start NAME engine|service|log|hosts|weights [FLAG...]
-//	start NAME daemon DOMAIN [KEY=VALUE...]
+//	start NAME daemon DOMAIN [KEY=VALUE...] [log|hosts|weights=NAME]
 func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, neg, args, 2, "start NAME KIND [ARG...]")
 	s := siteOf(ts)
@@ -162,9 +162,9 @@
 	ts.Check(post(s.process(ts, "hosts").address, "/standin/hosts", entries))
 }
 
-// cmdFault switches a fault of a stand-in: fault NAME KIND [on|off] [KEY=NUMBER...].
+// cmdFault switches a fault of a stand-in: fault NAME KIND [on|off] [KEY=VALUE...].
 func cmdFault(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, neg, args, 2, "fault NAME KIND [on|off] [KEY=NUMBER...]")
+	need(ts, neg, args, 2, "fault NAME KIND [on|off] [KEY=VALUE...]")
 	body := map[string]any{"kind": args[1], "on": true}
 	for _, a := range args[2:] {
 		key, value, pair := strings.Cut(a, "=")
@@ -172,9 +172,11 @@
 			body["on"] = a == "on"
 			continue
 		}
-		n, err := strconv.Atoi(value)
-		ts.Check(err)
-		body[key] = n
+		if n, err := strconv.Atoi(value); err == nil {
+			body[key] = n
+		} else {
+			body[key] = value
+		}
 	}
 	err := post(siteOf(ts).process(ts, args[0]).address, "/standin/fault", body)
 	if args[1] != "die" {
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -74,6 +74,11 @@
 			"http":      cmdHTTP,
 			"abandon":   cmdAbandon,
 			"neverread": cmdNeverRead,
+			"agree":     cmdAgree,
+			"codes":     cmdCodes,
+			"link":      cmdLink,
+			"watch":     cmdWatch,
+			"watched":   cmdWatched,
 		},
 	})
 }
--- a/test/scenarios/site_test.go
+++ b/test/scenarios/site_test.go
@@ -26,12 +26,14 @@
 	dir       string
 	processes map[string]*process
 	order     []string
+	links     map[string]*link
+	watch     *watch
 }
 
 type siteKey struct{}
 
 func setupSite(env *testscript.Env) error {
-	s := &site{dir: env.WorkDir, processes: map[string]*process{}}
+	s := &site{dir: env.WorkDir, processes: map[string]*process{}, links: map[string]*link{}}
 	env.Values[siteKey{}] = s
 	env.Setenv("PATH", binDir+string(os.PathListSeparator)+env.Getenv("PATH"))
 	env.Setenv("BUCKTHORNDOCK_TOKEN", "")
@@ -93,7 +95,9 @@
 	fmt.Fprintf(&b, "listen: %s\npeer_listen: %s\npeer_key: %s\n", p.address, p.peer, peerKey)
 	fmt.Fprintf(&b, "operator_token_sha256: %s\ntest_faults: true\nlog_level: debug\nplatform:\n", operatorHash)
 	for _, name := range []string{"log", "hosts", "weights"} {
-		address, err := s.addressOf(name)
+		server, rest := pickService(name, extra)
+		extra = rest
+		address, err := s.addressOf(server)
 		if err != nil {
 			return "", err
 		}
@@ -106,6 +110,20 @@
 	return file, os.WriteFile(file, []byte(b.String()), 0o600)
 }
 
+// pickService returns the process that plays a service of the platform, which
+// SERVICE=NAME tells, and the other lines.
+func pickService(service string, extra []string) (name string, rest []string) {
+	name = service
+	for _, line := range extra {
+		if other, ok := strings.CutPrefix(line, service+"="); ok {
+			name = other
+			continue
+		}
+		rest = append(rest, line)
+	}
+	return name, rest
+}
+
 // until looks at a condition until it holds; the last reason is reported.
 func until(ts *testscript.TestScript, what string, condition func() error) {
 	deadline := time.Now().Add(patience)
