--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -48,10 +48,10 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"start":         cmdStart,
 			"restart":       cmdRestart,
-			"kill":          cmdKill,
+			"end":           cmdEnd,
 			"freeze":        cmdFreeze,
 			"resume":        cmdResume,
-			"stop":          cmdStop,
+			"shutdown":      cmdShutdown,
 			"leave":         cmdLeave,
 			"exited":        cmdExited,
 			"hosts":         cmdHosts,
@@ -78,6 +78,11 @@
 			"http":          cmdHTTP,
 			"abandon":       cmdAbandon,
 			"neverread":     cmdNeverRead,
+			"agree":         cmdAgree,
+			"codes":         cmdCodes,
+			"link":          cmdLink,
+			"watch":         cmdWatch,
+			"watched":       cmdWatched,
 		},
 	})
 }
