Scenarios: end and shutdown in place of kill and stop

Cause: kill and stop are commands of testscript itself, which win over ours. "stop d1" at the end of thin_path ended the script as passed and never asked the daemon to shut down; "kill e1" failed as an unknown background process. Ruled out: a fault of the process handling; cmdStop was never reached. Change: the two commands are named shutdown and end.

--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -78,9 +78,9 @@
 	ts.Check(p.launch())
 }
 
-// cmdKill ends processes at once: kill NAME...
-func cmdKill(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, neg, args, 1, "kill NAME...")
+// cmdEnd kills processes at once (kill is a command of testscript itself): end NAME...
+func cmdEnd(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "end NAME...")
 	for _, name := range args {
 		siteOf(ts).process(ts, name).end()
 	}
@@ -120,8 +120,9 @@
 	}
 }
 
-// cmdStop asks processes to shut down and waits for a clean end: stop NAME...
-func cmdStop(ts *testscript.TestScript, neg bool, args []string) {
+// cmdShutdown asks processes to shut down and waits for a clean end (stop is a
+// command of testscript itself): shutdown NAME...
+func cmdShutdown(ts *testscript.TestScript, neg bool, args []string) {
 	cmdLeave(ts, neg, args)
 	for _, name := range args {
 		cmdExited(ts, neg, []string{name, "0"})
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -48,10 +48,10 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"start":     cmdStart,
 			"restart":   cmdRestart,
-			"kill":      cmdKill,
+			"end":       cmdEnd,
 			"freeze":    cmdFreeze,
 			"resume":    cmdResume,
-			"stop":      cmdStop,
+			"shutdown":  cmdShutdown,
 			"leave":     cmdLeave,
 			"exited":    cmdExited,
 			"hosts":     cmdHosts,
