--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -106,6 +106,8 @@
 		LifeMs:      s.o.Replay.KeyLife.Milliseconds(),
 	}
 	permit := claim.NewPermit(notAfter)
+	verdictCame := s.answers.expect(a.Customer, a.Key)
+	defer verdictCame()
 	ctx, cancel := context.WithTimeout(ctx, min(notAfter.Sub(now), s.o.DecideIn))
 	defer cancel()
 	reply, open := s.ask(ctx, cl)
@@ -200,8 +202,10 @@
 	ctx, cancel := context.WithTimeout(ctx, s.o.CallTimeout)
 	defer cancel()
 	var reply AcquireReply
-	err := s.peers.Call(ctx, ref.Address, ServiceName+".Acquire", AcquireArgs{Claim: cl, Wait: callWait(ctx)}, &reply)
-	return reply, err
+	if err := s.peers.Call(ctx, ref.Address, ServiceName+".Acquire", AcquireArgs{Claim: cl, Wait: callWait(ctx)}, &reply); err != nil {
+		return AcquireReply{}, err
+	}
+	return reply, nil
 }
 
 // callWait leaves the answer of a call time to come back.
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -71,6 +71,7 @@
 	c["fetch"] = cmdFetch
 	c["freeze"] = cmdFreeze
 	c["garbage"] = cmdGarbage
+	c["hold"] = cmdHold
 	c["hosts"] = cmdHosts
 	c["http"] = cmdHTTP
 	c["keepalive"] = cmdKeepAlive
@@ -91,6 +92,7 @@
 	c["silence"] = cmdSilence
 	c["start"] = cmdStart
 	c["status"] = cmdStatus
+	c["together"] = cmdTogether
 	c["watch"] = cmdWatch
 	c["watched"] = cmdWatched
 	return c
