Placement: an ask without length separation keeps the limits

Cause: a path whose settings switch length separation off opened every engine of a shared pool to long prompts, until another path's ask after the dwell time.

Ruled out: limits per path; the engines are shared.

Change: an ask without a long length leaves the one that is in force.

--- a/internal/core/placement/boundary.go
+++ b/internal/core/placement/boundary.go
@@ -167,6 +167,9 @@
 func (g *group) refresh(o *Options, longFrom int, now time.Time) {
 	g.rank()
 	b := &g.boundary
+	if longFrom <= 0 {
+		longFrom = b.longFrom // an ask without separation leaves that of others
+	}
 	resized := len(b.limits) != len(g.live)
 	if !resized && now.Sub(b.checked) < o.BoundaryDwell {
 		return
--- a/internal/core/placement/view_test.go
+++ b/internal/core/placement/view_test.go
@@ -225,6 +225,20 @@
 	}
 }
 
+func TestAskWithoutSeparationKeepsLimits(t *testing.T) {
+	v := newTestView(4)
+	a := testAsk()
+	for i, longFrom := range []int{20_000, 0} {
+		a.LongFrom = longFrom
+		if _, err := Place(v, a, t0.Add(time.Duration(i)*time.Minute), newRand(1)); err != nil {
+			t.Fatal(err)
+		}
+		if long, live := v.Boundary("p", "a"); long != 2 || live != 4 {
+			t.Errorf("%d of %d engines take long prompts, want 2 of 4", long, live)
+		}
+	}
+}
+
 func TestGangTakesTheLargest(t *testing.T) {
 	v := newTestView(4)
 	for i, total := range []int64{100, 900, 300, 800} {
