Placement: gang members have identities of their own

Cause: a gang notes one placement a member, but an attempt's ID allowed only one, so the second member's memory was not counted. Placement.Class was read by nothing since the limits go by length.

Ruled out: keying by upstream as well; NoteFinished would need it too.

Change: ID has Member; Placement has no Class.

Callers that set Class drop the field.

--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -21,7 +21,7 @@
 		v.ApplyReport(e.Name(), r)
 		for j := range 4 {
 			id := ID{Request: fmt.Sprint(i, "/", j)}
-			v.NotePlaced(Placement{ID: id, Upstream: e.Name(), Model: "m", Class: Class(j % 2), Priority: request.Priority(j % 3), Tokens: 2000, MaxTokens: 100}, t0)
+			v.NotePlaced(Placement{ID: id, Upstream: e.Name(), Model: "m", Priority: request.Priority(j % 3), Tokens: 2000, MaxTokens: 100}, t0)
 		}
 		if i%3 == 0 {
 			storeAll(v, e.Name(), prefix)
--- a/internal/core/placement/experiment_test.go
+++ b/internal/core/placement/experiment_test.go
@@ -173,7 +173,7 @@
 		return
 	}
 	j.priority = d.EnginePriority
-	v.NotePlaced(Placement{ID: j.id, Upstream: d.Chosen.Name, Class: d.Class, Priority: j.priority, Tokens: j.tokens, MaxTokens: j.answer}, s.now)
+	v.NotePlaced(Placement{ID: j.id, Upstream: d.Chosen.Name, Priority: j.priority, Tokens: j.tokens, MaxTokens: j.answer}, s.now)
 	e := s.servers[d.Chosen.Name]
 	if s.noLag {
 		v.Engine(e.name).settle(s.now)
--- a/internal/core/placement/types.go
+++ b/internal/core/placement/types.go
@@ -106,20 +106,20 @@
 	Block uint64
 }
 
-// ID names one attempt of a request.
+// ID names one attempt of a request, and one engine of its gang.
 type ID struct {
 	Request string
 	Attempt int
+	Member  int // of a gang, from 0
 }
 
 // Placement is what a front notes when it sends an attempt to an upstream. For a
 // plain service only ID, Upstream and Deadline are needed. A gang has one
-// placement a member, each with its part of the tokens and an Upstream of its own.
+// placement a member, each with its part of the tokens and a Member of its own.
 type Placement struct {
 	ID        ID
 	Upstream  string
 	Model     string
-	Class     Class
 	Priority  request.Priority // as sent to the engine: Decision.EnginePriority
 	Tokens    int              // of the prompt
 	MaxTokens int              // of the answer
--- a/internal/core/placement/view_test.go
+++ b/internal/core/placement/view_test.go
@@ -239,6 +239,19 @@
 	}
 }
 
+func TestGangMembersAreNotedEach(t *testing.T) {
+	v := newTestView(2)
+	for i := range 2 {
+		p := Placement{ID: ID{Request: "r", Member: i}, Upstream: fmt.Sprintf("a-%03d", i), Tokens: 60_000}
+		if !v.NotePlaced(p, t0) || v.NotePlaced(p, t0) {
+			t.Errorf("member %d is not noted exactly once", i)
+		}
+		if free := v.Engine(p.Upstream).free(); free != testMemory-60_000 {
+			t.Errorf("member %d: %d tokens free", i, free)
+		}
+	}
+}
+
 func TestGangTakesTheLargest(t *testing.T) {
 	v := newTestView(4)
 	for i, total := range []int64{100, 900, 300, 800} {
