--- a/internal/core/placement/view_test.go
+++ b/internal/core/placement/view_test.go
@@ -225,6 +225,33 @@
 	}
 }
 
+func TestAskWithoutSeparationKeepsLimits(t *testing.T) {
+	v := newTestView(4)
+	a := testAsk()
+	for i, longFrom := range []int{20_000, 0} {
+		a.LongFrom = longFrom
+		if _, err := Place(v, a, t0.Add(time.Duration(i)*time.Minute), newRand(1)); err != nil {
+			t.Fatal(err)
+		}
+		if long, live := v.Boundary("p", "a"); long != 2 || live != 4 {
+			t.Errorf("%d of %d engines take long prompts, want 2 of 4", long, live)
+		}
+	}
+}
+
+func TestGangMembersAreNotedEach(t *testing.T) {
+	v := newTestView(2)
+	for i := range 2 {
+		p := Placement{ID: ID{Request: "r", Member: i}, Upstream: fmt.Sprintf("a-%03d", i), Tokens: 60_000}
+		if !v.NotePlaced(p, t0) || v.NotePlaced(p, t0) {
+			t.Errorf("member %d is not noted exactly once", i)
+		}
+		if free := v.Engine(p.Upstream).free(); free != testMemory-60_000 {
+			t.Errorf("member %d: %d tokens free", i, free)
+		}
+	}
+}
+
 func TestGangTakesTheLargest(t *testing.T) {
 	v := newTestView(4)
 	for i, total := range []int64{100, 900, 300, 800} {
