Front: attempts of gang members have numbers of their own; lost ends are logged

Ruled out: a timer of its own for Expire; the watch loop runs five times a second anyway and the call looks at own flights only. Change: members numbered by their place in the gang; Expire in the watch loop, anything but zero is an error line.

--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -122,6 +122,9 @@
 	defer ticker.Stop()
 	for {
 		p.watcher.Watch(ctx, p.unsure())
+		if n := p.router.Expire(); n > 0 {
+			p.log.WithField("attempts", n).Error("attempts_without_end")
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/internal/front/notes.go
+++ b/internal/front/notes.go
@@ -66,9 +66,9 @@
 	if len(t.gang) == 0 {
 		return
 	}
-	for _, m := range t.gang[1:] {
+	for i, m := range t.gang[1:] {
 		p := t.placement
-		p.ID.Request += "/" + m.Name
+		p.ID.Member = i + 1
 		p.Upstream = m.Name
 		p.Tokens = m.Prefill
 		if begin {
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -31,7 +31,6 @@
 		ID:        placement.ID{Request: j.req.ID, Attempt: attempt},
 		Upstream:  d.Chosen.Name,
 		Model:     j.req.Target,
-		Class:     d.Class,
 		Priority:  d.EnginePriority,
 		Tokens:    j.req.PromptTokens,
 		MaxTokens: j.req.MaxTokens,
