--- a/test/demo/run.sh
+++ b/test/demo/run.sh
@@ -64,9 +64,11 @@
 
 == the site is left running; its files are in $dir
 curl -N http://$first/v1/completions -H 'Authorization: Bearer demo-fridges-large' \\
+  -H 'Content-Type: application/json' \\
   -d '{"model":"list-writer","prompt":"milk, eggs, rye bread","max_tokens":16,"stream":true}'
 curl http://$first/v1/services/basket/confirm -H 'Authorization: Bearer demo-phones' \\
-  -H 'X-Repeatable: false' -H 'Idempotency-Key: order-77' -d '{"basket":77}'
+  -H 'Content-Type: application/json' -H 'X-Repeatable: false' -H 'Idempotency-Key: order-77' \\
+  -d '{"basket":77}'
 curl http://$first/operator/v1/status -H 'Authorization: Bearer $BUCKTHORNDOCK_TOKEN'
 . $dir/env && bin/buckthorndock status
 kill $SITE_PID   # stops it
