--- a/internal/config/parser.go
+++ b/internal/config/parser.go
@@ -12,6 +12,7 @@
 	yamlparser "github.com/goccy/go-yaml/parser"
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/claims"
 	"github.com/buckthorndock/buckthorndock/internal/core/finding"
 )
 
@@ -36,6 +37,7 @@
 type parser struct {
 	file     string
 	seen     map[string]field
+	known    []string // keys that the daemon has asked for
 	findings finding.List
 }
 
@@ -100,6 +102,7 @@
 
 // take returns a scalar field and marks the key as known.
 func (p *parser) take(key string) (field, bool) {
+	p.known = append(p.known, key)
 	f, ok := p.seen[key]
 	if !ok {
 		return field{}, false
@@ -115,6 +118,7 @@
 
 func (p *parser) required(key string) (field, bool) {
 	if _, there := p.seen[key]; !there {
+		p.known = append(p.known, key)
 		p.addf(0, key, "missing")
 		return field{}, false
 	}
@@ -150,6 +154,7 @@
 }
 
 func (p *parser) addresses(key string) []string {
+	p.known = append(p.known, key)
 	f, ok := p.seen[key]
 	if !ok {
 		return nil
@@ -191,6 +196,23 @@
 	return time.Duration(n) * time.Second
 }
 
+// logRetention refuses a log that forgets claims while they still protect a key.
+// The daemon leaves the times of the claims at their defaults.
+func (p *parser) logRetention(key string) time.Duration {
+	f, there := p.seen[key]
+	before := len(p.findings)
+	d := p.seconds(key)
+	if !there {
+		return DefaultLogRetention
+	}
+	least := claims.Options{}.MinRetention()
+	if d < least && len(p.findings) == before {
+		p.addf(f.line, key, "%d: claims of idempotency keys need a log that keeps records for %d seconds at least",
+			int(d.Seconds()), int(least.Seconds()))
+	}
+	return d
+}
+
 func (p *parser) logLevel(key string) string {
 	f, ok := p.take(key)
 	if !ok {
@@ -236,6 +258,8 @@
 			Log:     p.address("platform.log"),
 			Hosts:   p.address("platform.hosts"),
 			Weights: p.address("platform.weights"),
+
+			LogRetention: p.logRetention("platform.log_retention_seconds"),
 		},
 		LogLevel:            p.logLevel("log_level"),
 		OperatorTokenSHA256: p.tokenHash("operator_token_sha256"),
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/follow"
 	"github.com/buckthorndock/buckthorndock/internal/front"
 	"github.com/buckthorndock/buckthorndock/internal/gate"
+	"github.com/buckthorndock/buckthorndock/internal/obs"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
@@ -84,15 +85,15 @@
 }
 
 func (p *process) buildPlatform() error {
-	logService, err := platform.NewHTTP(p.cfg.Platform.Log, &http.Client{})
+	logService, err := platform.NewHTTP(p.cfg.Platform.Log, obs.CountedClient(obs.PurposeLog))
 	if err != nil {
 		return err
 	}
-	hosts, err := platform.NewHTTP(p.cfg.Platform.Hosts, &http.Client{})
+	hosts, err := platform.NewHTTP(p.cfg.Platform.Hosts, obs.CountedClient(obs.PurposeHosts))
 	if err != nil {
 		return err
 	}
-	weights, err := platform.NewHTTP(p.cfg.Platform.Weights, &http.Client{})
+	weights, err := platform.NewHTTP(p.cfg.Platform.Weights, obs.CountedClient(obs.PurposeWeights))
 	if err != nil {
 		return err
 	}
@@ -117,12 +118,24 @@
 		return err
 	}
 	p.node = node
-	p.peers = &peers{Node: node, host: p.cfg.Host, domain: p.cfg.Domain}
+	p.peers = &peers{Node: node, host: p.cfg.Host, domain: p.cfg.Domain, upstreamDomain: p.upstreamDomain}
 	return nil
 }
 
+func (p *process) upstreamDomain(name string) string {
+	if u := p.follower.Current().Upstream(name); u != nil {
+		return u.Domain
+	}
+	return ""
+}
+
 func (p *process) buildFollower() error {
-	p.follower = follow.New(follow.Options{Log: p.logService, Peers: p.peers, Logger: p.log})
+	p.follower = follow.New(follow.Options{
+		Log:       p.logService,
+		Peers:     p.peers,
+		Retention: p.cfg.Platform.LogRetention,
+		Logger:    p.log,
+	})
 	return p.node.Register(follow.Service, p.follower.RPC())
 }
 
@@ -134,7 +147,7 @@
 		Seed:         p.incarnation,
 	})
 	p.watcher = upstream.NewWatcher(p.client, p.router, upstream.WatchOptions{})
-	p.engines = owner.NewHTTPEngines(&http.Client{}, time.Now)
+	p.engines = owner.NewHTTPEngines(obs.CountedClient(obs.PurposeEngines), time.Now)
 	return nil
 }
 
@@ -186,8 +199,14 @@
 }
 
 func (p *process) buildFront() error {
+	holds := newHolds(p.log)
+	var atPoint func(front.Point)
+	if p.cfg.TestFaults {
+		atPoint = holds.wait
+	}
 	var err error
 	p.front, err = front.NewServer(front.Options{
+		AtPoint:             atPoint,
 		Host:                p.cfg.Host,
 		Domain:              p.cfg.Domain,
 		Incarnation:         p.holderName().Incarnation,
@@ -208,7 +227,7 @@
 	}
 	handler := p.front.Handler()
 	if p.cfg.TestFaults {
-		handler = withFaults(handler, p.node)
+		handler = withFaults(handler, p.node, holds)
 	}
 	p.server = &http.Server{
 		Handler:           handler,
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -26,7 +26,7 @@
 // callService runs a call until its one end and returns the service's answer.
 func (s *Server) callService(ctx context.Context, j *job) ([]byte, *request.Refusal) {
 	c := &serviceCall{s: s, job: j, attempt: 1}
-	ctx = upstream.WithPermit(ctx, j.permitted)
+	ctx = upstream.WithPermit(ctx, s.permit(j))
 	for {
 		d, refusal := c.place()
 		if refusal != nil {
@@ -54,7 +54,7 @@
 		return d, nil
 	}
 	c.s.noteDecision(c.job, c.attempt, d, nil)
-	refusal := request.Refuse(request.CodeNoUpstream, retryElsewhere, "no live server of service %s", c.job.req.Target)
+	refusal := request.Refuse(request.CodeNoUpstream, c.s.comeBack(d), "no live server of service %s", c.job.req.Target)
 	if c.wrote {
 		refusal.Outcome = request.Failed
 	}
