Within its time: engines killed, stopped, silent, gone, late

(1) An engine that is frozen takes the cancel and the dispatch after the freeze in any order. A cancel that comes first is confirmed as unknown, the attempt runs afterwards and nobody ends it. (2) A front told an owner only as long as it held something there, so the owner took an idle front for a silent one and left such an attempt for 60 s instead of 15 s. (3) A deadline that passed made the engine suspect, though it did nothing wrong. Ruled out: an engine's fault; it may handle two connections in any order. Change: (1) a confirmed cancel is asked for once more after 200 ms. (2) Owners of engines used in the last 2 min get a renewal, if only an empty one; the bound of 60 messages a renewal stays. The last message to a host that no longer owns is gone: to an owner cut off from the new one it said that live work was left out. (3) A late attempt says nothing of its engine. (2) and (3) have no scenario of their own here. go test -race ./internal/owner passes. Conclusion: holds for these faults.

--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -112,7 +112,9 @@
 	if res.end != retry.NotWritten {
 		g.earlierWrote = true
 	}
-	g.s.noteUpstream(t.name(), res.end, res.reachable)
+	if !res.late {
+		g.s.noteUpstream(t.name(), res.end, res.reachable)
+	}
 	if res.end == retry.Died {
 		g.s.opts.Suspects.Died(t.name(), t.incarnation, now)
 	}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -19,6 +19,7 @@
 	callerGone bool
 	end        retry.End // unless complete or callerGone
 	reachable  bool      // the engine still knows the attempt
+	late       bool      // the request's time was over: no fault of the engine's
 	err        error
 }
 
@@ -181,7 +182,7 @@
 // interrupted tells a passed deadline from a caller that has gone.
 func (g *generation) interrupted(ctx context.Context) streamEnd {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(g.job.req.Deadline) {
-		return streamEnd{end: retry.Silent, err: context.DeadlineExceeded}
+		return streamEnd{end: retry.Silent, late: true, err: context.DeadlineExceeded}
 	}
 	return streamEnd{callerGone: true, err: ctx.Err()}
 }
--- a/internal/owner/holder.go
+++ b/internal/owner/holder.go
@@ -30,6 +30,8 @@
 	RetryMin    time.Duration // first wait before an end is repeated, doubled each time; 200 ms
 	RetryMax    time.Duration // 5 s
 	EndLimit    time.Duration // an end is left to the engine's owner after it; 10 min
+	Settle      time.Duration // a confirmed cancel is asked for once more after it; 200 ms
+	RenewAfter  time.Duration // owners of engines that were used are told, if only that nothing is held, for it; 2 min
 }
 
 // Defaults of HolderOptions.
@@ -39,6 +41,8 @@
 	DefaultRetryMin      = 200 * time.Millisecond
 	DefaultRetryMax      = 5 * time.Second
 	DefaultEndLimit      = 10 * time.Minute
+	DefaultSettle        = 200 * time.Millisecond
+	DefaultRenewAfter    = 2 * time.Minute
 )
 
 func (o HolderOptions) withDefaults() HolderOptions {
@@ -47,6 +51,8 @@
 	setDefault(&o.RetryMin, DefaultRetryMin)
 	setDefault(&o.RetryMax, DefaultRetryMax)
 	setDefault(&o.EndLimit, DefaultEndLimit)
+	setDefault(&o.Settle, DefaultSettle)
+	setDefault(&o.RenewAfter, DefaultRenewAfter)
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
@@ -66,10 +72,10 @@
 	opts HolderOptions
 	wake chan struct{}
 
-	mu      sync.Mutex
-	held    map[held]*tracked
-	renewed map[string]string // owners told at the last renewal, address by host
-	seq     uint64
+	mu   sync.Mutex
+	held map[held]*tracked
+	used map[string]time.Time // by engine: when something was last held there
+	seq  uint64
 }
 
 // held names one holding.
@@ -83,6 +89,7 @@
 	began   time.Time
 	asked   bool // a reservation whose grant has not come: not yet to be claimed
 	ending  bool
+	settled bool // a cancel was confirmed once
 	busy    bool // an end is being asked for
 	since   time.Time
 	next    time.Time // when the end is asked for again
@@ -92,10 +99,10 @@
 // NewHolder returns a holder of nothing.
 func NewHolder(opts HolderOptions) *Holder {
 	return &Holder{
-		opts:    opts.withDefaults(),
-		wake:    make(chan struct{}, 1),
-		held:    map[held]*tracked{},
-		renewed: map[string]string{},
+		opts: opts.withDefaults(),
+		wake: make(chan struct{}, 1),
+		held: map[held]*tracked{},
+		used: map[string]time.Time{},
 	}
 }
 
@@ -104,6 +111,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	key := held{e.Name, id}
+	h.used[e.Name] = h.opts.Clock()
 	if h.held[key] == nil {
 		h.held[key] = &tracked{address: e.Address, began: h.opts.Clock()}
 	}
@@ -125,6 +133,7 @@
 func (h *Holder) End(e Engine, id ledger.ID) {
 	h.mu.Lock()
 	key := held{e.Name, id}
+	h.used[e.Name] = h.opts.Clock()
 	t := h.held[key]
 	if t == nil {
 		t = &tracked{address: e.Address}
@@ -144,7 +153,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, t := range h.held {
-		if t.ending {
+		if t.ending && !t.settled {
 			ending++
 		}
 	}
--- a/internal/owner/renew.go
+++ b/internal/owner/renew.go
@@ -39,8 +39,9 @@
 	self    bool
 }
 
-// renew sends one message to each owner of an engine that this front holds
-// something on, and a last, empty one to each where it no longer does.
+// renew sends one message to each owner of an engine that this front has used
+// lately, also when it holds nothing there: the owner then knows that what the
+// engine lists for this front is left over.
 func (h *Holder) renew(ctx context.Context) {
 	var calls sync.WaitGroup
 	for owner, r := range h.renewals() {
@@ -55,7 +56,15 @@
 	h.seq++
 	now := h.opts.Clock()
 	out := map[ownerOf]ledger.Renewal{}
-	told := map[string]string{}
+	for engine, at := range h.used {
+		if now.Sub(at) > h.opts.RenewAfter {
+			delete(h.used, engine)
+			continue
+		}
+		if host, address, self := h.opts.Ownership.Owner(engine); host != "" {
+			out[ownerOf{host, address, self}] = ledger.Renewal{}
+		}
+	}
 	for key, t := range h.held {
 		host, address, self := h.opts.Ownership.Owner(key.engine)
 		if host == "" || !t.renewable(now, h.opts.RenewEvery) {
@@ -65,14 +74,8 @@
 		r := out[o]
 		r.Held = append(r.Held, ledger.Claim{Engine: key.engine, ID: key.id})
 		out[o] = r
-		told[host] = address
-	}
-	for host, address := range h.renewed {
-		if _, ok := told[host]; !ok {
-			out[ownerOf{host, address, host == h.opts.Me.Host}] = ledger.Renewal{}
-		}
+		h.used[key.engine] = now
 	}
-	h.renewed = told
 	for o, r := range out {
 		r.Holder = h.opts.Me
 		r.Seq = h.seq
@@ -166,10 +169,17 @@
 		return
 	}
 	t.busy = false
-	if confirmed {
+	if confirmed && (t.settled || key.id.Kind != ledger.Running) {
 		delete(h.held, key)
 		return
 	}
+	if confirmed {
+		// The dispatch may still be under way to an engine that was frozen, and
+		// then comes after its cancel.
+		t.settled = true
+		t.next = h.opts.Clock().Add(h.opts.Settle)
+		return
+	}
 	t.next = h.opts.Clock().Add(t.wait)
 	t.wait = min(2*t.wait, h.opts.RetryMax)
 }
