--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test race scenarios demo bench fmt lint generate clean
+.PHONY: all build test race scenarios demo bench capacity fmt lint generate clean
 
 all: build
 
@@ -18,7 +18,10 @@
 	KEEP=$(KEEP) ./test/demo/run.sh
 
 bench: build
-	$(BIN)/buckthorndock bench run --dir bench
+	./bench/run.sh
+
+capacity: build
+	$(GO) run ./test/capacity -bin $(BIN)
 
 fmt:
 	gofmt -l -w cmd internal test
