--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -25,7 +25,7 @@
 	if err := findings.Err(); err != nil {
 		t.Fatal(err)
 	}
-	if d.Host != "hal-a-1" || d.Platform.Hosts != "127.0.0.1:7002" || len(d.Seeds) != 2 || d.ShutdownTimeout.Seconds() != 30 {
+	if d.Host != "hal-a-1" || d.Platform.Hosts != "127.0.0.1:7002" || len(d.Seeds) != 2 || d.Platform.LogRetention != DefaultLogRetention || d.ShutdownTimeout.Seconds() != 30 {
 		t.Errorf("got %+v", d)
 	}
 }
@@ -72,6 +72,21 @@
 	}
 }
 
+func TestLogRetention(t *testing.T) {
+	for value, want := range map[string]string{
+		"1260": "",
+		"1259": "daemon.yaml:11: platform.log_retention_seconds: 1259: claims of idempotency keys need a log that keeps records for 1260 seconds at least",
+		"0":    "daemon.yaml:11: platform.log_retention_seconds: 0: claims of idempotency keys need a log that keeps records for 1260 seconds at least",
+		"long": `daemon.yaml:11: platform.log_retention_seconds: "long" is not a number of seconds`,
+	} {
+		text := strings.Replace(valid, "7003\n", "7003\n  log_retention_seconds: "+value+"\n", 1)
+		d, findings := Parse("daemon.yaml", []byte(text))
+		if got := findings.Error(); got != want || want == "" && d.Platform.LogRetention.Seconds() != 1260 {
+			t.Errorf("%s: got %q, retention %v", value, got, d.Platform.LogRetention)
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(valid))
 	f.Add([]byte("platform: [1, 2]\nhost: {a: b}\n"))
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -55,41 +55,55 @@
 		Dir:                 ".",
 		RequireExplicitExec: true,
 		Setup:               setupSite,
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"start":         cmdStart,
-			"restart":       cmdRestart,
-			"end":           cmdEnd,
-			"hold":          cmdHold,
-			"together":      cmdTogether,
-			"freeze":        cmdFreeze,
-			"resume":        cmdResume,
-			"stop":          cmdStop,
-			"leave":         cmdLeave,
-			"exited":        cmdExited,
-			"hosts":         cmdHosts,
-			"fault":         cmdFault,
-			"publish":       cmdPublish,
-			"ready":         cmdReady,
-			"runs":          cmdRuns,
-			"books":         cmdBooks,
-			"logged":        cmdLogged,
-			"status":        cmdStatus,
-			"answer":        cmdAnswer,
-			"metric":        cmdMetric,
-			"nap":           cmdNap,
-			"promptof":      cmdPromptOf,
-			"crowd":         cmdCrowd,
-			"crowdcomplete": cmdCrowdComplete,
-			"keepalive":     cmdKeepAlive,
-			"deaths":        cmdDeaths,
-			"fetch":         cmdFetch,
-			"cut":           cmdCut,
-			"silence":       cmdSilence,
-			"garbage":       cmdGarbage,
-			"openai":        cmdOpenAI,
-			"http":          cmdHTTP,
-			"abandon":       cmdAbandon,
-			"neverread":     cmdNeverRead,
-		},
+		Cmds:                commands(),
 	})
 }
+
+// command is one command of the scenarios.
+type command = func(ts *testscript.TestScript, neg bool, args []string)
+
+// commands returns the commands of the scenarios; one a line, so that changes to
+// the list stay apart.
+func commands() map[string]command {
+	c := map[string]command{}
+	c["abandon"] = cmdAbandon
+	c["agree"] = cmdAgree
+	c["answer"] = cmdAnswer
+	c["books"] = cmdBooks
+	c["codes"] = cmdCodes
+	c["crowd"] = cmdCrowd
+	c["crowdcomplete"] = cmdCrowdComplete
+	c["cut"] = cmdCut
+	c["deaths"] = cmdDeaths
+	c["end"] = cmdEnd
+	c["exited"] = cmdExited
+	c["fault"] = cmdFault
+	c["fetch"] = cmdFetch
+	c["freeze"] = cmdFreeze
+	c["garbage"] = cmdGarbage
+	c["hold"] = cmdHold
+	c["hosts"] = cmdHosts
+	c["http"] = cmdHTTP
+	c["keepalive"] = cmdKeepAlive
+	c["leave"] = cmdLeave
+	c["link"] = cmdLink
+	c["logged"] = cmdLogged
+	c["metric"] = cmdMetric
+	c["nap"] = cmdNap
+	c["neverread"] = cmdNeverRead
+	c["openai"] = cmdOpenAI
+	c["promptof"] = cmdPromptOf
+	c["publish"] = cmdPublish
+	c["ready"] = cmdReady
+	c["restart"] = cmdRestart
+	c["resume"] = cmdResume
+	c["runs"] = cmdRuns
+	c["shutdown"] = cmdShutdown
+	c["silence"] = cmdSilence
+	c["start"] = cmdStart
+	c["status"] = cmdStatus
+	c["together"] = cmdTogether
+	c["watch"] = cmdWatch
+	c["watched"] = cmdWatched
+	return c
+}
