Join: a repeatable request sent again under its key joins the run in flight

Cause: a student who sends a huge archive again while the first run is at it had two runs, and could get two answers. Weighed: claims for repeatable work too (a log append for each, and a refusal when the log is away); a table at each front (the balancer sends the second request to another host). Chosen: the key's home host, first of the domain by rendezvous hashing, names the run; its answer is read from the host that runs it, as answers of claims are. Change: internal/join; claims lends Answers and Relay. The run goes on without its caller once somebody has joined, and ends with him otherwise. When the run gives no whole answer, or nobody can be asked, the request runs by itself, from the first token on that was not passed on (stream.Options.From). Recorded pieces carry their count of tokens, since one may hold several. Conclusion: one run and the same diagnosis for both; never a reason to fail.

--- a/internal/claims/answers.go
+++ b/internal/claims/answers.go
@@ -139,6 +139,23 @@
 	fewer  chan struct{} // closed and replaced when claims falls
 }
 
+// NewAnswers returns an empty Answers for a use beside the claims. The window is
+// the default of Age.
+func NewAnswers(o AnswerOptions, window time.Duration, now func() time.Time) *Answers {
+	return newAnswers(o, window, now)
+}
+
+// Begin starts the answer of one run. Its name must be unique to it.
+func (a *Answers) Begin(customer, key string, offset int64) *Recording {
+	return a.begin(answerKey{customer, key, offset})
+}
+
+// Read returns what is there of a run's answer beyond from bytes; it waits for
+// more of a run that goes on until the context ends.
+func (a *Answers) Read(ctx context.Context, customer, key string, offset int64, from int) Chunk {
+	return a.read(ctx, answerKey{customer, key, offset}, from)
+}
+
 func newAnswers(o AnswerOptions, window time.Duration, now func() time.Time) *Answers {
 	if o.Bytes <= 0 {
 		o.Bytes = DefaultAnswerBytes
--- a/internal/claims/await.go
+++ b/internal/claims/await.go
@@ -20,9 +20,15 @@
 // with any other state the bytes written so far are no answer. The error is that
 // of w, or of the context.
 func (s *Service) Await(ctx context.Context, r Result, w io.Writer) (Ending, error) {
+	return Relay(ctx, w, func(from int) Chunk { return s.nextChunk(ctx, r, from) })
+}
+
+// Relay writes an answer that comes in chunks and returns how it ended, as Await
+// does. The function next returns what is there beyond from bytes.
+func Relay(ctx context.Context, w io.Writer, next func(from int) Chunk) (Ending, error) {
 	from := 0
 	for {
-		chunk := s.nextChunk(ctx, r, from)
+		chunk := next(from)
 		if err := ctx.Err(); err != nil {
 			return Ending{State: AnswerUnknown}, err
 		}
--- a/internal/core/stream/assembler.go
+++ b/internal/core/stream/assembler.go
@@ -13,6 +13,7 @@
 	RequestID string
 	MaxHeld   int // chunks held out of order; DefaultMaxHeld when zero
 	MaxTokens int // longest answer that was asked for; no bound when zero
+	From      int // index of the first token that is wanted
 }
 
 // Chunk is one token of an answer, or its final marker.
@@ -80,7 +81,7 @@
 	if o.MaxHeld <= 0 {
 		o.MaxHeld = DefaultMaxHeld
 	}
-	return &Assembler{opts: o, total: unknownTotal}
+	return &Assembler{opts: o, next: o.From, total: unknownTotal}
 }
 
 // StartAttempt makes an attempt, numbered from 1, the only one whose chunks are
--- a/internal/core/stream/assembler_test.go
+++ b/internal/core/stream/assembler_test.go
@@ -209,3 +209,20 @@
 		a.Accept(Chunk{RequestID: id, Attempt: 1, Index: i, Text: "token"})
 	}
 }
+
+// Of a joined answer the first tokens were handed out by another run.
+func TestAnswerWantedFromTheMiddle(t *testing.T) {
+	a := New(Options{RequestID: "r", MaxTokens: 4, From: 2})
+	a.StartAttempt(1)
+	if a.NextIndex() != 2 {
+		t.Fatalf("next index %d", a.NextIndex())
+	}
+	var got strings.Builder
+	for i, text := range []string{"a", "b", "c", "d"} {
+		got.WriteString(a.Accept(Chunk{RequestID: "r", Attempt: 1, Index: i, Text: text}).Text)
+	}
+	end := a.Accept(Chunk{RequestID: "r", Attempt: 1, Index: 4, Done: true, Total: 4})
+	if got.String() != "cd" || end.State != Complete {
+		t.Errorf("got %q, %v", got.String(), end.State)
+	}
+}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/follow"
 	"github.com/buckthorndock/buckthorndock/internal/front"
 	"github.com/buckthorndock/buckthorndock/internal/gate"
+	"github.com/buckthorndock/buckthorndock/internal/join"
 	"github.com/buckthorndock/buckthorndock/internal/obs"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
@@ -60,6 +61,7 @@
 	holder  *owner.Holder
 	orders  *owner.Orders
 	claims  *claims.Service
+	join    *join.Service
 	gate    *gate.Gate
 
 	suspects *suspects.Tracker
@@ -71,7 +73,7 @@
 // newProcess builds a daemon that does nothing yet but listen to peers.
 func newProcess(work context.Context, cfg *config.Daemon, log *logrus.Entry) (*process, error) {
 	p := &process{cfg: cfg, log: log, work: work, incarnation: uint64(time.Now().UnixMilli())}
-	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildUpstreams, p.buildOwner, p.buildOrders, p.buildClaims, p.buildFront}
+	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildUpstreams, p.buildOwner, p.buildOrders, p.buildClaims, p.buildJoin, p.buildFront}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -198,6 +200,11 @@
 	return p.node.Register(claims.ServiceName, p.claims.RPC())
 }
 
+func (p *process) buildJoin() error {
+	p.join = join.New(join.Options{Host: p.cfg.Host, Incarnation: p.incarnation, Peers: p.peers})
+	return p.node.Register(join.ServiceName, p.join.RPC(p.work))
+}
+
 func (p *process) buildFront() error {
 	holds := newHolds(p.log)
 	var atPoint func(front.Point)
@@ -217,6 +224,7 @@
 		Holder:              p.holder,
 		Gate:                p.gate,
 		Claims:              p.claims,
+		Join:                p.join,
 		Suspects:            p.suspects,
 		Operator:            &operator{follower: p.follower, peers: p.peers},
 		OperatorTokenSHA256: p.cfg.OperatorTokenSHA256,
--- a/internal/front/build.go
+++ b/internal/front/build.go
@@ -46,7 +46,8 @@
 	first    *placement.Decision // place taken by the gate, noted with the router
 	answered int                 // tokens delivered
 	permit   *claim.Permit       // to dispatch once, nil when it may be repeated
-	record   *claims.Recording   // keeps the answer for repeats of the key
+	record   *claims.Recording   // keeps the answer for repeats of the key, nil without
+	needed   func() bool         // the answer is kept for somebody else; set with record
 }
 
 // defaults of one call, from the settings or the operation.
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -34,7 +34,7 @@
 	g := &generation{
 		s:       s,
 		job:     j,
-		asm:     stream.New(stream.Options{RequestID: j.req.ID, MaxTokens: j.req.MaxTokens}),
+		asm:     stream.New(stream.Options{RequestID: j.req.ID, MaxTokens: j.req.MaxTokens, From: j.answered}),
 		attempt: 1,
 	}
 	for {
--- a/internal/front/handlers.go
+++ b/internal/front/handlers.go
@@ -76,7 +76,7 @@
 		j.sink = &wholeSink{w: w, meta: meta}
 	}
 	do := func(ctx context.Context) *request.Refusal { return s.generate(ctx, j) }
-	refusal = s.serve(ctx, j, do, relayTokens(j.sink))
+	refusal = s.serve(ctx, j, do, relayTokens(j))
 	if refusal != nil {
 		j.sink.refuse(refusal)
 	}
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -32,8 +32,10 @@
 // is relayed.
 func (s *Server) serve(ctx context.Context, j *job, do work, pass relay) *request.Refusal {
 	switch {
-	case j.req.Repeatable:
+	case j.req.Repeatable && j.req.Key == "":
 		return s.admitted(ctx, j, do)
+	case j.req.Repeatable:
+		return s.joined(ctx, j, do, pass)
 	case j.req.Key == "":
 		return s.withoutKey(ctx, j, do)
 	}
@@ -50,7 +52,9 @@
 		if res.Mine() {
 			return s.asHolder(ctx, j, res, do)
 		}
-		end, err := s.await(ctx, j, res, pass)
+		end, err := s.passOn(ctx, j, pass, func(ctx context.Context, w io.Writer) (claims.Ending, error) {
+			return s.opts.Claims.Await(ctx, res, w)
+		})
 		if err != nil {
 			return awaitRefusal(ctx)
 		}
@@ -123,6 +127,7 @@
 func (s *Server) asHolder(ctx context.Context, j *job, res claims.Result, do work) *request.Refusal {
 	j.permit = res.Permit
 	j.record = res.Answer
+	j.needed = func() bool { return true }
 	refusal := s.admitted(context.WithoutCancel(ctx), j, do)
 	switch {
 	case refusal == nil:
@@ -138,8 +143,8 @@
 	return refusal
 }
 
-// await relays the holder's answer within the job's time.
-func (s *Server) await(ctx context.Context, j *job, res claims.Result, pass relay) (claims.Ending, error) {
+// passOn passes the answer of another run on within the job's time.
+func (s *Server) passOn(ctx context.Context, j *job, pass relay, from func(context.Context, io.Writer) (claims.Ending, error)) (claims.Ending, error) {
 	ctx, cancel := context.WithDeadline(ctx, j.req.Deadline)
 	defer cancel()
 	r, w := io.Pipe()
@@ -149,7 +154,7 @@
 		r.CloseWithError(err)
 		passed <- err
 	}()
-	end, err := s.opts.Claims.Await(ctx, res, w)
+	end, err := from(ctx, w)
 	if err == nil && end.State != claims.AnswerComplete {
 		err = errNotWhole
 	}
@@ -181,30 +186,30 @@
 
 // recorded is one line of a recorded generation.
 type recorded struct {
-	Text string `json:"t"`
+	Text   string `json:"t"`
+	Tokens int    `json:"n"`
 }
 
-// recordToken keeps a token for repeats of the key.
-func (j *job) recordToken(text string) {
+// recordTokens keeps a piece of the answer for repeats of the key.
+func (j *job) recordTokens(text string, tokens int) {
 	if j.record == nil {
 		return
 	}
-	line, err := json.Marshal(recorded{Text: text})
+	line, err := json.Marshal(recorded{Text: text, Tokens: tokens})
 	if err != nil {
 		return
 	}
 	_, _ = j.record.Write(append(line, '\n'))
 }
 
-// relayTokens passes a recorded generation on to a sink.
-func relayTokens(to sink) relay {
+// relayTokens passes a recorded generation on to the job's sink.
+func relayTokens(j *job) relay {
 	return func(r io.Reader) error {
-		tokens := 0
 		lines := bufio.NewReader(r)
 		for {
 			line, err := lines.ReadBytes('\n')
 			if err == io.EOF {
-				return to.finish(tokens)
+				return j.sink.finish(j.answered)
 			}
 			if err != nil {
 				return err
@@ -213,10 +218,10 @@
 			if err := json.Unmarshal(line, &rec); err != nil {
 				return merry.Prepend(err, "recorded answer")
 			}
-			if err := to.token(rec.Text); err != nil {
+			if err := j.sink.token(rec.Text); err != nil {
 				return err
 			}
-			tokens++
+			j.answered += rec.Tokens
 		}
 	}
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -17,6 +17,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 	"github.com/buckthorndock/buckthorndock/internal/gate"
+	"github.com/buckthorndock/buckthorndock/internal/join"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/router"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
@@ -43,6 +44,7 @@
 	Holder      *owner.Holder
 	Gate        *gate.Gate
 	Claims      *claims.Service
+	Join        *join.Service
 	Suspects    *suspects.Tracker
 	Operator    Operator // status and settings
 	// OperatorTokenSHA256 is the hex hash of the site's first operator token.
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -130,10 +130,10 @@
 		g.s.noteFirstToken(g.job, t, cached, g.first)
 	}
 	g.job.answered = g.asm.NextIndex()
-	g.job.recordToken(step.Text)
+	g.job.recordTokens(step.Text, step.Tokens)
 	err := g.job.sink.token(step.Text)
-	if g.job.record != nil {
-		return nil // the answer is kept for the caller's next try
+	if g.job.record != nil && g.job.needed() {
+		return nil // the answer is wanted also when its caller has gone
 	}
 	return err
 }
