Soft state in large domains: digests and limits told less often, staleness by size

Cause: at 48 daemons and 96 engines in one failure domain a daemon spent 18 KB/s sent and 26 KB/s received on control, over the 22 KB/s of the plan: limit usage was published every 2 s by every host (7 KB/s both ways), digests at 6 KB/s a domain, and reports older than 2.5 s, which is usual there, made every front poll the engines itself (14 KB/s). Ruled out: the membership beats themselves (4.5 KB/s each way at 420 hosts without sections) and the settings (0.2 KB/s). Change: limits are shared every 2 to 10 s by the number of hosts, digests keep to 3 KB/s a domain, and a report is stale only after 2.5 s + 60 ms for each engine of the domain.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -37,6 +37,10 @@
 // owns.
 const publishEvery = 500 * time.Millisecond
 
+// digestBudget bounds the bytes a second of all digests of a failure domain, as
+// one front receives them; in a large domain they come less often for it.
+const digestBudget = 3000
+
 // process holds the parts of a running daemon.
 type process struct {
 	cfg         *config.Daemon
@@ -159,6 +163,7 @@
 		Catalog:      p.catalog,
 		Log:          p.log,
 		PublishEvery: publishEvery,
+		DigestBudget: digestBudget,
 	})
 	rpc := p.owner.RPC(p.work)
 	p.holder = owner.NewHolder(owner.HolderOptions{
--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -21,9 +21,19 @@
 const (
 	digestEvery = 100 * time.Millisecond // between two looks at the owners' digests
 	watchEvery  = 200 * time.Millisecond // between two choices of what to watch
-	staleReport = 2500 * time.Millisecond
 )
 
+// A report is stale when it is older than staleLeast, and a little more for each
+// engine of the domain: owners tell less often where there are more of them.
+const (
+	staleLeast  = 2500 * time.Millisecond
+	stalePerOne = 60 * time.Millisecond
+)
+
+func staleAfter(engines int) time.Duration {
+	return staleLeast + time.Duration(engines)*stalePerOne
+}
+
 // applySettings passes new settings on.
 func (p *process) applySettings(ctx context.Context) error {
 	changed, cancel := p.follower.Subscribe()
@@ -139,8 +149,9 @@
 		isEngine := pool.Kind == settings.PoolEngine
 		own, others := p.byDomain(p.router.Upstreams(pool.Name))
 		served := false
+		limit := staleAfter(len(own))
 		for _, u := range own {
-			stale := isEngine && (!u.Reported || u.ReportAge > staleReport)
+			stale := isEngine && (!u.Reported || u.ReportAge > limit)
 			failing := u.State == placement.Dead || u.State == placement.Suspect
 			served = served || !failing
 			if stale || failing {
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -19,16 +19,25 @@
 	domainUsageSection = "limits-domain"
 )
 
-// limitsEvery is the time between two divisions of the shared limits.
-const limitsEvery = 2 * time.Second
+// Times between two divisions of the shared limits: a small site shares quickly, a
+// failure domain of many hosts keeps its bytes down. The most is well under the
+// time after which a host that tells nothing counts as silent.
+const (
+	limitsEveryLeast = 2 * time.Second
+	limitsEveryMost  = 10 * time.Second
+	limitsEveryHost  = 150 * time.Millisecond // more for each host of the domain
+)
+
+func (p *process) limitsEvery() time.Duration {
+	hosts := len(membership.InDomain(p.node.Members(), p.cfg.Domain))
+	return min(max(time.Duration(hosts)*limitsEveryHost, limitsEveryLeast), limitsEveryMost)
+}
 
 // gatewayKey is the key whose owner tells the other domains the sum of its own.
 const gatewayKey = "limits-gateway"
 
 // shareLimits exchanges demand with the peers and divides the limits by it.
 func (p *process) shareLimits(ctx context.Context) error {
-	ticker := time.NewTicker(limitsEvery)
-	defer ticker.Stop()
 	seen := map[sectionKey]uint64{} // version last taken
 	for {
 		p.gate.SetExpectedHosts(p.hostCount())
@@ -38,7 +47,7 @@
 			p.publishUsage(domainUsageSection, domain, p.node.PublishWide)
 		}
 		select {
-		case <-ticker.C:
+		case <-time.After(p.limitsEvery()):
 		case <-ctx.Done():
 			return nil
 		}
