--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test race scenarios demo bench capacity fmt lint generate clean
+.PHONY: all build test fuzz race demo bench capacity fmt lint generate clean
 
 all: build
 
@@ -11,6 +11,15 @@
 test: build
 	$(GO) test ./...
 
+# Each fuzz target for a moment, beyond the corpus that every test run tries.
+FUZZTIME ?= 3000x
+fuzz:
+	@grep -rl '^func Fuzz' --include='*_test.go' internal | while read -r file; do \
+		for target in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\)(.*/\1/p' $$file); do \
+			$(GO) test ./$$(dirname $$file) -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) || exit 1; \
+		done; \
+	done
+
 race:
 	$(GO) test -race ./...
 
--- /dev/null
+++ b/internal/front/sink_test.go
@@ -0,0 +1,62 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+)
+
+func TestEventSinkNeverEndsAPartialAnswerAsWhole(t *testing.T) {
+	w := httptest.NewRecorder()
+	s := &eventSink{w: w, meta: answerMeta{id: "r1", model: "m"}}
+	if err := s.token("half"); err != nil {
+		t.Fatal(err)
+	}
+	s.refuse(failed(request.CodeUpstreamFailed, 0, "the engine is gone"))
+	body := w.Body.String()
+	if strings.Contains(body, "[DONE]") || strings.Contains(body, `"finish_reason":"length"`) {
+		t.Errorf("a partial answer looks whole:\n%s", body)
+	}
+	if !strings.Contains(body, `"outcome":"failed"`) {
+		t.Errorf("the stream does not say how it ended:\n%s", body)
+	}
+}
+
+func TestEventSinkRefusesBeforeTheFirstTokenAsAnOrdinaryError(t *testing.T) {
+	w := httptest.NewRecorder()
+	s := &eventSink{w: w, meta: answerMeta{id: "r1"}}
+	s.refuse(request.Refuse(request.CodeQueueFull, 1500*time.Millisecond, "full"))
+	if w.Code != http.StatusTooManyRequests || w.Header().Get(headerRetryAfter) != "2" || w.Header().Get(headerRetryAfterMs) != "1500" {
+		t.Errorf("status %d, headers %v", w.Code, w.Header())
+	}
+	var body struct{ Error struct{ Outcome, Code string } }
+	if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil || body.Error.Outcome != "not_run" {
+		t.Errorf("body %s, %v", w.Body, err)
+	}
+}
+
+// TestClientsAreToldNotToRetryWhatMayHaveRun checks the header that the usual
+// OpenAI clients obey.
+func TestClientsAreToldNotToRetryWhatMayHaveRun(t *testing.T) {
+	cases := []struct {
+		refusal *request.Refusal
+		told    string
+	}{
+		{request.Refuse(request.CodeNoUpstream, time.Second, "x"), ""},
+		{request.Refuse(request.CodeNeverPossible, 0, "x"), "false"},
+		{failed(request.CodeUpstreamFailed, time.Second, "x"), "false"},
+		{&request.Refusal{Outcome: request.Unknown, Code: request.CodeOutcomeLost, RetryAfter: time.Second}, "false"},
+	}
+	for _, c := range cases {
+		w := httptest.NewRecorder()
+		writeRefusal(w, "r1", c.refusal)
+		if got := w.Header().Get(headerShouldRetry); got != c.told {
+			t.Errorf("%v: %s is %q, want %q", c.refusal, headerShouldRetry, got, c.told)
+		}
+	}
+}
