--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -88,6 +88,7 @@
 	c["restart"] = cmdRestart
 	c["resume"] = cmdResume
 	c["runs"] = cmdRuns
+	c["rush"] = cmdRush
 	c["shutdown"] = cmdShutdown
 	c["silence"] = cmdSilence
 	c["start"] = cmdStart
