--- a/internal/follow/options.go
+++ b/internal/follow/options.go
@@ -48,6 +48,7 @@
 	Fanout         int           // peers that a new record is pushed to; default 4
 	RecentBytes    int           // records kept for peers that lag a little; default 1 MiB
 	SnapshotEvery  int64         // records after which a snapshot is written; default 500
+	SnapshotFirst  time.Duration // from the start to the first look at the snapshot stream; default 2 s
 	SnapshotCheck  time.Duration // between two looks at the snapshot stream; default 1 min
 	Retention      time.Duration // shortest time that the log keeps a record; default 1 h
 	AppendAttempts int           // appends of one change, all with the same id; default 5
@@ -66,6 +67,7 @@
 	setDefault(&o.Fanout, 4)
 	setDefault(&o.RecentBytes, 1<<20)
 	setDefault(&o.SnapshotEvery, 500)
+	setDefault(&o.SnapshotFirst, 2*time.Second)
 	setDefault(&o.SnapshotCheck, time.Minute)
 	setDefault(&o.Retention, time.Hour)
 	setDefault(&o.AppendAttempts, 5)
--- a/internal/follow/snapshots.go
+++ b/internal/follow/snapshots.go
@@ -102,9 +102,11 @@
 }
 
 // snapshotLoop lets the hosts that read the log also write snapshots. Two hosts
-// may do so at once; their snapshots are equal.
+// may do so at once; their snapshots are equal. The first look comes soon, or
+// hosts that are replaced often would never get to write one.
 func (f *Follower) snapshotLoop(ctx context.Context) {
-	for pause(ctx, jitter(f.o.SnapshotCheck)) {
+	wait := f.o.SnapshotFirst
+	for ; pause(ctx, jitter(wait)); wait = f.o.SnapshotCheck {
 		if !f.o.Peers.Tailer() {
 			continue
 		}
