--- a/internal/core/placement/view_test.go
+++ b/internal/core/placement/view_test.go
@@ -141,6 +141,24 @@
 	}
 }
 
+// TestCachedPrefixIsFound has too many engines to draw the right one by luck.
+func TestCachedPrefixIsFound(t *testing.T) {
+	v := newTestView(40)
+	storeAll(v, "a-017", []uint64{1, 2, 3})
+	storeAll(v, "a-018", []uint64{1})
+	a := testAsk()
+	a.Prefix = []uint64{1, 2, 3, 4}
+	for seed := range uint64(20) {
+		if d, _ := Place(v, a, t0, newRand(seed)); d.Chosen.Name != "a-017" {
+			t.Errorf("seed %d: %s for %v", seed, d.Chosen.Name, d.Reason)
+		}
+	}
+	v.SetState("a-017", Leaving)
+	if d, _ := Place(v, a, t0, newRand(1)); d.Chosen.Name != "a-018" {
+		t.Errorf("%s, want the engine with the next longest prefix", d.Chosen.Name)
+	}
+}
+
 // TestEstimateParts works each part of an estimate out by hand.
 func TestEstimateParts(t *testing.T) {
 	v := newTestView(1)
@@ -207,6 +225,33 @@
 	}
 }
 
+func TestAskWithoutSeparationKeepsLimits(t *testing.T) {
+	v := newTestView(4)
+	a := testAsk()
+	for i, longFrom := range []int{20_000, 0} {
+		a.LongFrom = longFrom
+		if _, err := Place(v, a, t0.Add(time.Duration(i)*time.Minute), newRand(1)); err != nil {
+			t.Fatal(err)
+		}
+		if long, live := v.Boundary("p", "a"); long != 2 || live != 4 {
+			t.Errorf("%d of %d engines take long prompts, want 2 of 4", long, live)
+		}
+	}
+}
+
+func TestGangMembersAreNotedEach(t *testing.T) {
+	v := newTestView(2)
+	for i := range 2 {
+		p := Placement{ID: ID{Request: "r", Member: i}, Upstream: fmt.Sprintf("a-%03d", i), Tokens: 60_000}
+		if !v.NotePlaced(p, t0) || v.NotePlaced(p, t0) {
+			t.Errorf("member %d is not noted exactly once", i)
+		}
+		if free := v.Engine(p.Upstream).free(); free != testMemory-60_000 {
+			t.Errorf("member %d: %d tokens free", i, free)
+		}
+	}
+}
+
 func TestGangTakesTheLargest(t *testing.T) {
 	v := newTestView(4)
 	for i, total := range []int64{100, 900, 300, 800} {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -118,10 +118,17 @@
 		return err
 	}
 	p.node = node
-	p.peers = &peers{Node: node, host: p.cfg.Host, domain: p.cfg.Domain}
+	p.peers = &peers{Node: node, host: p.cfg.Host, domain: p.cfg.Domain, upstreamDomain: p.upstreamDomain}
 	return nil
 }
 
+func (p *process) upstreamDomain(name string) string {
+	if u := p.follower.Current().Upstream(name); u != nil {
+		return u.Domain
+	}
+	return ""
+}
+
 func (p *process) buildFollower() error {
 	p.follower = follow.New(follow.Options{
 		Log:       p.logService,
@@ -192,8 +199,14 @@
 }
 
 func (p *process) buildFront() error {
+	holds := newHolds(p.log)
+	var atPoint func(front.Point)
+	if p.cfg.TestFaults {
+		atPoint = holds.wait
+	}
 	var err error
 	p.front, err = front.NewServer(front.Options{
+		AtPoint:             atPoint,
 		Host:                p.cfg.Host,
 		Domain:              p.cfg.Domain,
 		Incarnation:         p.holderName().Incarnation,
@@ -214,7 +227,7 @@
 	}
 	handler := p.front.Handler()
 	if p.cfg.TestFaults {
-		handler = withFaults(handler, p.node)
+		handler = withFaults(handler, p.node, holds)
 	}
 	p.server = &http.Server{
 		Handler:           handler,
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -26,7 +26,7 @@
 // callService runs a call until its one end and returns the service's answer.
 func (s *Server) callService(ctx context.Context, j *job) ([]byte, *request.Refusal) {
 	c := &serviceCall{s: s, job: j, attempt: 1}
-	ctx = upstream.WithPermit(ctx, j.permitted)
+	ctx = upstream.WithPermit(ctx, s.permit(j))
 	for {
 		d, refusal := c.place()
 		if refusal != nil {
@@ -53,8 +53,13 @@
 		c.s.noteDecision(c.job, c.attempt, d, []string{d.Chosen.Name})
 		return d, nil
 	}
+	if len(c.exclude) > 0 {
+		// All that is left has failed before; one of them may be well again.
+		c.exclude = nil
+		return c.place()
+	}
 	c.s.noteDecision(c.job, c.attempt, d, nil)
-	refusal := request.Refuse(request.CodeNoUpstream, retryElsewhere, "no live server of service %s", c.job.req.Target)
+	refusal := request.Refuse(request.CodeNoUpstream, c.s.comeBack(d), "no live server of service %s", c.job.req.Target)
 	if c.wrote {
 		refusal.Outcome = request.Failed
 	}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -19,6 +19,7 @@
 	callerGone bool
 	end        retry.End // unless complete or callerGone
 	reachable  bool      // the engine still knows the attempt
+	late       bool      // the request's time was over: no fault of the engine's
 	err        error
 }
 
@@ -34,11 +35,13 @@
 // stream opens a stream of the running attempt, the first or a resumed one, and
 // hands its tokens to the caller until it ends.
 func (g *generation) stream(ctx context.Context, t *target) streamEnd {
-	ctx, cancel := context.WithCancel(upstream.WithPermit(ctx, g.job.permitted))
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// The permit is for the dispatch alone: a look at a silent attempt needs none.
+	dispatch := upstream.WithPermit(ctx, g.s.permit(g.job))
 	g.asm.StartAttempt(g.attempt)
 	arrivals := make(chan arrival)
-	go pump(ctx, g.s.opts.Client, t.address(), g.engineRequest(t), arrivals)
+	go pump(dispatch, g.s.opts.Client, t.address(), g.engineRequest(t), arrivals)
 
 	idle := time.NewTimer(g.job.routing.Idle())
 	defer idle.Stop()
@@ -181,7 +184,7 @@
 // interrupted tells a passed deadline from a caller that has gone.
 func (g *generation) interrupted(ctx context.Context) streamEnd {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(g.job.req.Deadline) {
-		return streamEnd{end: retry.Silent, err: context.DeadlineExceeded}
+		return streamEnd{end: retry.Silent, late: true, err: context.DeadlineExceeded}
 	}
 	return streamEnd{callerGone: true, err: ctx.Err()}
 }
