Test: a caller that never reads loses its connection

Cause: the bound on one write to a caller was there but untested. Ruled out: a scenario, since the kernel buffers some megabytes of a loopback stream and a slow engine would take minutes to fill them. Change: the bound is part of an answer's description; a test with 50 ms and a connection that nobody reads.

--- a/internal/front/handlers.go
+++ b/internal/front/handlers.go
@@ -69,7 +69,7 @@
 		writeRefusal(w, id, refusal)
 		return
 	}
-	meta := answerMeta{shape: ask.shape, id: id, model: ask.model, created: time.Now().Unix(), promptTokens: j.req.PromptTokens}
+	meta := answerMeta{shape: ask.shape, id: id, model: ask.model, created: time.Now().Unix(), promptTokens: j.req.PromptTokens, writeTimeout: DefaultWriteTimeout}
 	if ask.stream {
 		j.sink = &eventSink{w: w, meta: meta}
 	} else {
@@ -117,7 +117,7 @@
 	}
 	refusal = s.serve(ctx, j, do, pass)
 	s.noteEnd(j, refusal)
-	setWriteDeadline(w)
+	setWriteDeadline(w, DefaultWriteTimeout)
 	if refusal != nil {
 		writeRefusal(w, id, refusal)
 		return nil
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -9,9 +9,9 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 )
 
-// writeTimeout is the longest that one write to a caller may block. A caller
-// that never reads loses its connection, not a daemon's memory.
-const writeTimeout = 10 * time.Second
+// DefaultWriteTimeout is the longest that one write to a caller may block. A
+// caller that never reads loses its connection, not a daemon's memory.
+const DefaultWriteTimeout = 10 * time.Second
 
 // answerShape tells the two OpenAI answers apart.
 type answerShape uint8
@@ -28,6 +28,7 @@
 	model        string
 	created      int64 // Unix seconds
 	promptTokens int
+	writeTimeout time.Duration
 }
 
 // sink delivers an answer to its caller, token by token.
@@ -127,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	setWriteDeadline(s.w)
+	setWriteDeadline(s.w, s.meta.writeTimeout)
 	s.w.Header().Set("Content-Type", "application/json")
 	s.w.Header().Set(headerRequestID, s.meta.id)
 	_, err = s.w.Write(body)
@@ -135,7 +136,7 @@
 }
 
 func (s *wholeSink) refuse(r *request.Refusal) {
-	setWriteDeadline(s.w)
+	setWriteDeadline(s.w, s.meta.writeTimeout)
 	writeRefusal(s.w, s.meta.id, r)
 }
 
@@ -164,7 +165,7 @@
 // refuse ends a started stream by an error event and without the final marker.
 func (s *eventSink) refuse(r *request.Refusal) {
 	if !s.started {
-		setWriteDeadline(s.w)
+		setWriteDeadline(s.w, s.meta.writeTimeout)
 		writeRefusal(s.w, s.meta.id, r)
 		return
 	}
@@ -190,7 +191,7 @@
 		s.w.Header().Set("Cache-Control", "no-store")
 		s.w.Header().Set(headerRequestID, s.meta.id)
 	}
-	setWriteDeadline(s.w)
+	setWriteDeadline(s.w, s.meta.writeTimeout)
 	if _, err := s.w.Write(b); err != nil {
 		return err
 	}
@@ -206,6 +207,6 @@
 
 // setWriteDeadline bounds the next write. Writers without deadlines, as in
 // tests, are left as they are.
-func setWriteDeadline(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+func setWriteDeadline(w http.ResponseWriter, timeout time.Duration) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
 }
--- a/internal/front/sink_test.go
+++ b/internal/front/sink_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -34,7 +38,9 @@
 	if w.Code != http.StatusTooManyRequests || w.Header().Get(headerRetryAfter) != "2" || w.Header().Get(headerRetryAfterMs) != "1500" {
 		t.Errorf("status %d, headers %v", w.Code, w.Header())
 	}
-	var body struct{ Error struct{ Outcome, Code string } }
+	var body struct {
+		Error struct{ Outcome, Code string }
+	}
 	if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil || body.Error.Outcome != "not_run" {
 		t.Errorf("body %s, %v", w.Body, err)
 	}
@@ -60,3 +66,29 @@
 		}
 	}
 }
+
+func TestCallerThatNeverReadsLosesItsConnection(t *testing.T) {
+	ended := make(chan error, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s := &eventSink{w: w, meta: answerMeta{id: "r1", writeTimeout: 50 * time.Millisecond}}
+		text := strings.Repeat("x", 64<<10)
+		for {
+			if err := s.token(text); err != nil {
+				ended <- err
+				return
+			}
+		}
+	}))
+	defer srv.Close()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(srv.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: d\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-ended; !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("ended by %v, want the write's deadline", err)
+	}
+}
