Front: a placement is logged when it is taken, not at each look

Cause: a long prompt waiting for its reservation, or a suspect waiting for an engine of its own, wrote a placement line at each look, 20 a second. Change: the line is written once the attempt may begin. Run: go test ./test/scenarios passes.

--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -158,8 +158,12 @@
 		t, verdict := g.decide()
 		if verdict == nil {
 			ok, refusal := g.begin(ctx, t)
-			if ok || refusal != nil {
-				return t, g.refused(refusal)
+			if refusal != nil {
+				return nil, g.refused(refusal)
+			}
+			if ok {
+				g.s.noteDecision(g.job, g.attempt, t.decision, t.names())
+				return t, nil
 			}
 			verdict = &noPlace{wait: true}
 		}
@@ -187,7 +191,7 @@
 		g.s.opts.Router.Finished(t.placement.ID, placement.End{})
 		return nil
 	}
-	g.s.noteDecision(g.job, g.attempt, *d, []string{d.Chosen.Name})
+	g.s.noteDecision(g.job, g.attempt, *d, t.names())
 	return t
 }
 
@@ -255,7 +259,6 @@
 	}
 	switch d.Verdict {
 	case placement.Placed:
-		g.s.noteDecision(g.job, g.attempt, d, []string{d.Chosen.Name})
 		return newTarget(g.job, g.attempt, d), nil
 	case placement.WaitMemory:
 		return nil, &noPlace{wait: true}
@@ -291,11 +294,6 @@
 		return nil, &noPlace{wait: true}
 	}
 	d.Chosen = placement.Candidate{Name: members[0].Name, Address: members[0].Address, Domain: d.GangDomain}
-	names := make([]string, len(members))
-	for i, m := range members {
-		names[i] = m.Name
-	}
-	g.s.noteDecision(g.job, g.attempt, d, names)
 	t := newTarget(g.job, g.attempt, d)
 	t.gang = members
 	t.placement.Tokens = members[0].Prefill
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -49,6 +49,18 @@
 	return t.incarnation != "" && now.Incarnation != t.incarnation
 }
 
+// names returns the names of all engines of the target.
+func (t *target) names() []string {
+	if len(t.gang) == 0 {
+		return []string{t.name()}
+	}
+	names := make([]string, len(t.gang))
+	for i, m := range t.gang {
+		names[i] = m.Name
+	}
+	return names
+}
+
 // engine names the engine for the holder.
 func (t *target) engine(j *job) owner.Engine {
 	return owner.Engine{Name: t.name(), Address: t.address(), Pool: j.pool.Name}
