Front: a permit that has lapsed is no upstream's fault

A generation that may run once and whose caller left was counted failed instead of unknown. Ruled out: a dispatch after all (the permit allows none). Change: such a job ends at once, not run, with a time to come back; the end of a caller that left is the same for calls and generations. Conclusion: only what an upstream did is held against it.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -83,7 +83,10 @@
 // next decides what follows a failed attempt; nil means to try again.
 func (c *serviceCall) next(ctx context.Context, d placement.Decision, err error) *request.Refusal {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return c.callerGone()
+		return callerGone(c.job)
+	}
+	if errors.Is(err, upstream.ErrNotPermitted) {
+		return notPermitted()
 	}
 	end := callEnd(err)
 	a := retry.Attempt{Number: c.attempt, End: end, EarlierWrote: c.wrote}
@@ -106,15 +109,6 @@
 	return nil
 }
 
-// callerGone ends a call whose caller has left. It may have run.
-func (c *serviceCall) callerGone() *request.Refusal {
-	refusal := failed(request.CodeCallerGone, 0, "the caller has gone")
-	if !c.job.req.Repeatable {
-		refusal.Outcome = request.Unknown
-	}
-	return refusal
-}
-
 // callEnd tells how an attempt of a call ended.
 func callEnd(err error) retry.End {
 	if upstream.IsNotStarted(err) {
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -12,6 +12,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/stream"
 	"github.com/buckthorndock/buckthorndock/internal/router"
+	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
 // generation is one request for an answer on its way through its attempts. One
@@ -99,7 +100,10 @@
 func (g *generation) next(ctx context.Context, t *target, res streamEnd) retry.Decision {
 	now := time.Now()
 	if res.callerGone {
-		return retry.Decision{Action: retry.GiveUp, Refusal: failed(request.CodeCallerGone, 0, "the caller has gone")}
+		return retry.Decision{Action: retry.GiveUp, Refusal: callerGone(g.job)}
+	}
+	if errors.Is(res.err, upstream.ErrNotPermitted) {
+		return retry.Decision{Action: retry.GiveUp, Refusal: notPermitted()}
 	}
 	a := retry.Attempt{
 		Number:       g.attempt,
