Upstream: a dispatch follows no redirect

Ruled out: the transport's own retries (connections are never reused). Change: a redirect is an answer that cannot be used. Besides, a job whose permit was used is never told not_run, whatever the attempt's end says. Run: TestNoRedirectIsFollowed before: both dispatches 'not sent: dispatch is not permitted any more'; after: passes. go test -race ./internal/upstream ./internal/front passes. Conclusion: one dispatch is one sending.

--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -106,7 +106,17 @@
 	if refusal != nil && j.permit.Release() {
 		return neverSent(refusal)
 	}
-	return refusal
+	return maybeSent(refusal)
+}
+
+// maybeSent corrects the outcome of a job whose permit was used.
+func maybeSent(r *request.Refusal) *request.Refusal {
+	if r == nil || r.Outcome != request.NotRun {
+		return r
+	}
+	changed := *r
+	changed.Outcome = request.Unknown
+	return &changed
 }
 
 // neverSent tells what is certain of a job whose permit was given back unused:
@@ -138,6 +148,7 @@
 	case refusal.Outcome == request.Failed:
 		res.Answer.Finish(claims.Ending{State: claims.AnswerFailed, Code: refusal.Code, Message: refusal.Message})
 	default:
+		refusal = maybeSent(refusal)
 		res.Answer.Finish(claims.Ending{State: claims.AnswerUnknown, Code: refusal.Code, Message: refusal.Message})
 	}
 	return refusal
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -52,7 +52,7 @@
 	shared := &http.Transport{DialContext: obs.CountBytes(obs.PurposeEngines, dialer.DialContext), MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
 	return &Client{
 		opts:     opts,
-		dispatch: &http.Client{Transport: fresh},
+		dispatch: &http.Client{Transport: fresh, CheckRedirect: followNone},
 		poll:     &http.Client{Transport: shared, Timeout: opts.PollTimeout},
 		pollPool: shared,
 		workers:  map[string]*engineapi.Client{},
@@ -60,6 +60,10 @@
 	}
 }
 
+// followNone makes a redirect an answer like others: a second sending would be a
+// second dispatch, and an error in it no proof that the first did not run.
+func followNone(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // worker returns the client whose calls each open a connection.
 func (c *Client) worker(address string) (*engineapi.Client, error) {
 	return c.cached(c.workers, address, c.dispatch)
