Claims: a claim that was given up is told released, not unknown

Cause: the scenario once_log_frozen failed: a caller was told not_run while the log hung, came back when the log did, and was told 'unknown: the host that may have run the request cannot be asked'. The append that hung had taken effect, so the key was held by a claim whose permit was dead; its host had no answer under that offset and called it missing. Ruled out: a run (the witness had none); waiting for the release to be written (it may take seconds, and the caller has no way to know). Change: a host remembers, for the claims' window, those it gave up while they might still come to hold, and says released for them. The holder in a verdict carries the id of its claim. Dispatch is as impossible as before: the permit is dead before the claim is noted. Conclusion: 'not run' stays 'not run'.

--- a/internal/claims/await.go
+++ b/internal/claims/await.go
@@ -55,7 +55,7 @@
 		if r.Holder.Incarnation != s.o.Incarnation {
 			return Chunk{State: AnswerMissing}
 		}
-		return s.answers.read(ctx, answerKey{r.record.Customer, r.record.Key, r.Offset}, from)
+		return s.readOwn(ctx, answerKey{r.record.Customer, r.record.Key, r.Offset}, r.Holder.ID, from)
 	}
 	for range awaitTries {
 		chunk, err := s.callAwait(ctx, r, from)
@@ -80,6 +80,7 @@
 		Customer:    r.record.Customer,
 		Key:         r.record.Key,
 		Offset:      r.Offset,
+		ID:          r.Holder.ID,
 		Incarnation: r.Holder.Incarnation,
 		From:        from,
 		Wait:        awaitPoll,
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -440,3 +440,40 @@
 		t.Errorf("state %v of a run that never was", chunk.State)
 	}
 }
+
+// A caller who was told 'not run' must not be told 'unknown' when it comes back.
+func TestClaimGivenUpIsAsGoodAsReleased(t *testing.T) {
+	s := newSite(t, "a", "b")
+	s.log.set(func() { s.log.faults = []fault{blinded} })
+	short := ask("basket")
+	short.NotAfter = time.Now().Add(200 * time.Millisecond)
+	_, err := s.hosts["a"].Acquire(context.Background(), short)
+	wantCode(t, err, request.CodeKeyUnavailable)
+	s.log.set(func() { s.log.noReads = false })
+	eventually(t, "the other host holds the key", func() bool {
+		r, err := s.acquire("b", "basket")
+		if err != nil || r.Mine() {
+			return err == nil
+		}
+		end, err := s.hosts["b"].Await(context.Background(), r, &bytes.Buffer{})
+		if err != nil || end.State != AnswerReleased {
+			t.Errorf("%v, %v", end.State, err)
+		}
+		return false
+	})
+}
+
+func TestGivenUpIsForgotten(t *testing.T) {
+	now := time.Now()
+	g := newGivenUp(time.Minute, func() time.Time { return now })
+	g.add(claim.ID{1})
+	g.sweep()
+	if !g.has(claim.ID{1}) || g.has(claim.ID{2}) {
+		t.Error("wrong claims known")
+	}
+	now = now.Add(time.Minute + 1)
+	g.sweep()
+	if g.has(claim.ID{1}) {
+		t.Error("known beyond its window")
+	}
+}
--- a/internal/claims/rpc.go
+++ b/internal/claims/rpc.go
@@ -83,6 +83,7 @@
 	Customer    string
 	Key         string
 	Offset      int64
+	ID          claim.ID
 	Incarnation uint64 // the holder's; another process knows nothing
 	From        int    // bytes received so far
 	Wait        time.Duration
@@ -120,6 +121,6 @@
 	}
 	ctx, cancel := context.WithTimeout(r.s.base, a.Wait)
 	defer cancel()
-	*reply = r.s.answers.read(ctx, answerKey{a.Customer, a.Key, a.Offset}, a.From)
+	*reply = r.s.readOwn(ctx, answerKey{a.Customer, a.Key, a.Offset}, a.ID, a.From)
 	return nil
 }
--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -33,6 +33,7 @@
 	wg        sync.WaitGroup
 	combiners [claim.Partitions]*combiner
 	answers   *Answers
+	givenUp   *givenUp
 	releaser  *releaser
 }
 
@@ -45,6 +46,7 @@
 	for i := range s.combiners {
 		s.combiners[i] = newCombiner(o, log, s.base, &s.wg, i)
 	}
+	s.givenUp = newGivenUp(o.Replay.Window(), o.Now)
 	s.releaser = newReleaser(s)
 	return s
 }
@@ -67,6 +69,7 @@
 func (s *Service) keepMarks(ctx context.Context) {
 	for sleep(ctx, s.o.MarkEvery) {
 		s.answers.sweep()
+		s.givenUp.sweep()
 		for i, c := range s.combiners {
 			refs := s.peers.Combiners(i)
 			if len(refs) == 0 || refs[0].Host != s.o.Host {
@@ -119,6 +122,7 @@
 	}
 	permit.Kill()
 	if open {
+		s.givenUp.add(cl.ID)
 		s.releaser.add(cl, s.o.Now())
 	}
 	if reply.State == StateHeld {
@@ -236,6 +240,15 @@
 	return request.Refuse(request.CodeKeyUnavailable, awayRetry, "the claim log does not answer")
 }
 
+// readOwn returns what is there of a run of this host.
+func (s *Service) readOwn(ctx context.Context, key answerKey, id claim.ID, from int) Chunk {
+	chunk := s.answers.read(ctx, key, from)
+	if chunk.State == AnswerMissing && s.givenUp.has(id) {
+		return Chunk{State: AnswerReleased}
+	}
+	return chunk
+}
+
 // Release gives up a key that this host holds and has not dispatched; another
 // ask may then take it. It reports false when the request was dispatched.
 func (s *Service) Release(r Result) bool {
--- a/internal/core/claim/verdict.go
+++ b/internal/core/claim/verdict.go
@@ -50,6 +50,7 @@
 
 // Holder is a claim that holds its key.
 type Holder struct {
+	ID          ID // of the claim
 	Host        string
 	Incarnation uint64
 	Offset      int64
@@ -146,6 +147,7 @@
 
 func (e *entry) current() Holder {
 	return Holder{
+		ID:          e.holder.ID,
 		Host:        e.holder.Host,
 		Incarnation: e.holder.Incarnation,
 		Offset:      e.offset,
