Owner: the test of two owners waits until they may grant

Ruled out: the ledger (it did what it must) and the machine's load (it fails alone, too). Change: the test first waits until each host's owner grants on each engine; all that it checked stays. Conclusion: the test now checks what it is named after.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -177,6 +177,11 @@
 	s.mu.Lock()
 	s.split = true
 	s.mu.Unlock()
+	for _, h := range s.hosts {
+		for _, e := range s.engines {
+			s.untilGranting(h, e)
+		}
+	}
 	var asking sync.WaitGroup
 	granted := make([]int, len(s.hosts))
 	for i, h := range s.hosts {
@@ -218,6 +223,22 @@
 	s.booksReturnToZero()
 }
 
+// untilGranting waits until the owner that a host asks has read an engine's books,
+// before which it grants nothing.
+func (s *site) untilGranting(h *testHost, e Engine) {
+	n := 0
+	s.eventually("the owner grants on "+e.Name, func() bool {
+		n++
+		id := ledger.ID{Kind: ledger.Reservation, Name: fmt.Sprintf("%s-%s-try-%d", h.name, e.Name, n)}
+		reply, err := h.holder.Reserve(context.Background(), e, ledger.Ask{Engine: e.Name, ID: id.Name, Tokens: 1})
+		if err != nil || !reply.Granted {
+			return false
+		}
+		h.holder.End(e, id)
+		return true
+	})
+}
+
 func TestOverlappingGangsAllFinish(t *testing.T) {
 	s := newSite(t, 3, 4)
 	var all sync.WaitGroup
