Logs: one name for each event, in msg

Cause: three styles stood side by side: an event's name as the message, as a field beside prose, and as text 'event=...' inside the message; a reservation's line replaced this daemon's own host field by the asker's. Ruled out: a hook that rewrites entries: it would hide what the code says. Change: the message is the event's name everywhere; the asker is 'holder'; the end of a holding is 'holding_ended'. Run: tests of owner, follow, peer, claims and all scenarios pass.

--- a/internal/claims/batch.go
+++ b/internal/claims/batch.go
@@ -71,7 +71,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	logErrors.Inc()
-	c.o.Log.WithError(err).WithField("stream", c.stream).WithField("records", len(batch)).Warn("event=claim_append_failed")
+	c.o.Log.WithError(err).WithField("stream", c.stream).WithField("records", len(batch)).Warn("claim_append_failed")
 	for _, p := range batch {
 		p.errorAt = c.reads
 	}
--- a/internal/claims/follow.go
+++ b/internal/claims/follow.go
@@ -34,7 +34,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.away {
-		c.o.Log.WithError(err).WithField("stream", c.stream).Warn("event=claim_log_away")
+		c.o.Log.WithError(err).WithField("stream", c.stream).Warn("claim_log_away")
 	}
 	c.away = true
 	logErrors.Inc()
@@ -101,7 +101,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.away {
-		c.o.Log.WithField("stream", c.stream).Info("event=claim_log_back")
+		c.o.Log.WithField("stream", c.stream).Info("claim_log_back")
 		c.away = false
 		c.signal()
 	}
@@ -120,14 +120,14 @@
 func (c *combiner) report(before, after claim.Stats) {
 	if n := after.Undecodable - before.Undecodable; n > 0 {
 		undecodable.Add(int(n))
-		c.o.Log.WithField("stream", c.stream).WithField("records", n).Warn("event=claim_undecodable")
+		c.o.Log.WithField("stream", c.stream).WithField("records", n).Warn("claim_undecodable")
 	}
 	if n := after.Restarts - before.Restarts; n > 0 {
 		restarts.Add(int(n))
-		c.o.Log.WithField("stream", c.stream).Warn("event=claim_window_trimmed")
+		c.o.Log.WithField("stream", c.stream).Warn("claim_window_trimmed")
 	}
 	if n := after.Backwards - before.Backwards; n > 0 {
-		c.o.Log.WithField("stream", c.stream).WithField("records", n).Warn("event=claim_log_time_backwards")
+		c.o.Log.WithField("stream", c.stream).WithField("records", n).Warn("claim_log_time_backwards")
 	}
 }
 
--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -73,7 +73,7 @@
 				continue
 			}
 			if err := c.mark(ctx); err != nil {
-				s.o.Log.WithError(err).WithField("stream", c.stream).Warn("event=claim_mark_failed")
+				s.o.Log.WithError(err).WithField("stream", c.stream).Warn("claim_mark_failed")
 			}
 		}
 	}
--- a/internal/follow/apply.go
+++ b/internal/follow/apply.go
@@ -45,7 +45,6 @@
 func (f *Follower) logVerdict(v *settings.Verdict) {
 	countVerdict(v.Outcome)
 	entry := f.o.Logger.WithFields(logrus.Fields{
-		"event":     "settings_record",
 		"offset":    v.Offset,
 		"change_id": v.ChangeID,
 		"author":    v.Author,
@@ -54,11 +53,11 @@
 	})
 	switch {
 	case !f.Ready():
-		entry.Debug("settings record replayed")
+		entry.Debug("settings_replayed")
 	case v.Accepted():
-		entry.Info("settings change accepted")
+		entry.Info("settings_accepted")
 	default:
-		entry.WithField("reason", v.Reason()).Warn("settings record refused")
+		entry.WithField("reason", v.Reason()).Warn("settings_refused")
 	}
 }
 
@@ -68,16 +67,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	entry := f.o.Logger.WithFields(logrus.Fields{
-		"event": "settings_snapshot", "source": source,
-		"offset": next.Offset(), "own_offset": f.state.Offset(),
+		"source": source, "offset": next.Offset(), "own_offset": f.state.Offset(),
 	})
 	if next.Offset() <= f.state.Offset() {
 		snapshotsRefused.Inc()
-		entry.Debug("settings snapshot is not newer")
+		entry.Debug("settings_snapshot_old")
 		return false
 	}
 	snapshotsAdopted.Inc()
-	entry.Info("settings snapshot adopted")
+	entry.Info("settings_snapshot_adopted")
 	f.state = next
 	f.recent.clear()
 	f.publish(true)
@@ -101,8 +99,8 @@
 	}
 	divergences.Inc()
 	f.o.Logger.WithFields(logrus.Fields{
-		"event": "settings_divergence", "peer": peer.Name, "offset": offset,
-	}).Error("a peer has other settings at the same offset")
+		"peer": peer.Name, "offset": offset,
+	}).Error("settings_divergence")
 }
 
 // recentRecords keeps the latest records, without gaps, within a size.
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -153,8 +153,8 @@
 func (f *Follower) logFindings(known finding.List, next *view) {
 	for _, found := range next.findings {
 		if !slices.Contains(known, found) {
-			f.o.Logger.WithField("event", "settings_finding").WithField("offset", next.offset).
-				WithField("place", found.Place.String()).Warn(found.Message)
+			f.o.Logger.WithField("offset", next.offset).WithField("place", found.Place.String()).
+				WithField("detail", found.Message).Warn("settings_finding")
 		}
 	}
 }
--- a/internal/follow/snapshots.go
+++ b/internal/follow/snapshots.go
@@ -94,8 +94,8 @@
 func (f *Follower) readSnapshot(r platform.Record) *settings.State {
 	state, err := unpack(r.Data)
 	if err != nil {
-		f.o.Logger.WithField("event", "settings_snapshot_broken").WithField("snapshot_offset", r.Offset).
-			WithError(err).Warn("snapshot stream holds a broken snapshot")
+		f.o.Logger.WithField("snapshot_offset", r.Offset).
+			WithError(err).Warn("settings_snapshot_broken")
 		return nil
 	}
 	return state
@@ -165,7 +165,7 @@
 	}
 	snapshotsWritten.Inc()
 	f.snapshots.newest, f.snapshots.at = offset, f.o.Now()
-	f.o.Logger.WithField("event", "settings_snapshot_written").WithField("offset", offset).
-		WithField("bytes", len(packed)).Info("settings snapshot written")
+	f.o.Logger.WithField("offset", offset).
+		WithField("bytes", len(packed)).Info("settings_snapshot_written")
 	return nil
 }
--- a/internal/follow/spread.go
+++ b/internal/follow/spread.go
@@ -54,7 +54,7 @@
 	}
 	var reply PushReply
 	if err := f.o.Peers.Call(ctx, peer.Address, methodPush, args, &reply); err != nil {
-		f.o.Logger.WithField("event", "settings_push_failed").WithField("peer", peer.Name).WithError(err).Debug("push failed")
+		f.o.Logger.WithField("peer", peer.Name).WithError(err).Debug("settings_push_failed")
 	}
 }
 
@@ -112,7 +112,7 @@
 	args := &PullArgs{AgeMs: f.Lag(start).Milliseconds(), From: f.Offset() + 1}
 	var reply PullReply
 	if err := f.o.Peers.Call(ctx, peer.Address, methodPull, args, &reply); err != nil {
-		f.o.Logger.WithField("event", "settings_pull_failed").WithField("peer", peer.Name).WithError(err).Debug("pull failed")
+		f.o.Logger.WithField("peer", peer.Name).WithError(err).Debug("settings_pull_failed")
 		return false
 	}
 	if !reply.Ready {
@@ -138,7 +138,7 @@
 	if len(reply.Snapshot) > 0 {
 		state, err := unpack(reply.Snapshot)
 		if err != nil {
-			f.o.Logger.WithField("event", "settings_snapshot_broken").WithField("peer", peer.Name).WithError(err).Warn("peer sent a broken snapshot")
+			f.o.Logger.WithField("peer", peer.Name).WithError(err).Warn("settings_snapshot_broken")
 			return false
 		}
 		f.adopt(state, peer.Name)
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -33,8 +33,8 @@
 		err := f.catchUp(ctx)
 		if err == nil || fromPeer && ctx.Err() == nil {
 			f.ready.Store(true)
-			f.o.Logger.WithField("event", "settings_ready").WithField("offset", f.Offset()).
-				WithField("from_peer", fromPeer).WithField("from_log", err == nil).Info("settings are there")
+			f.o.Logger.WithField("offset", f.Offset()).
+				WithField("from_peer", fromPeer).WithField("from_log", err == nil).Info("settings_ready")
 			return
 		}
 		f.logFailure(err)
@@ -51,8 +51,8 @@
 
 func (f *Follower) logFailure(err error) {
 	logFailures.Inc()
-	f.o.Logger.WithField("event", "settings_log_failure").WithField("offset", f.Offset()).
-		WithError(err).Warn("settings log cannot be followed")
+	f.o.Logger.WithField("offset", f.Offset()).
+		WithError(err).Warn("settings_log_failure")
 }
 
 // tail reads the log as long as it is this host's turn, or nothing was heard for
--- a/internal/owner/act.go
+++ b/internal/owner/act.go
@@ -69,7 +69,7 @@
 	case errors.As(err, &refused):
 		return ledger.Refused
 	default:
-		s.opts.Log.WithFields(fields{"event": "reserve_lost", "engine": ask.Engine, "id": ask.ID}).WithError(err).Warn()
+		s.opts.Log.WithFields(fields{"engine": ask.Engine, "id": ask.ID}).WithError(err).Warn("reserve_lost")
 		return ledger.Lost
 	}
 }
@@ -89,7 +89,6 @@
 func (s *Service) logEnd(engine string, id ledger.ID, cause ledger.Cause, err error) {
 	metricEnds(cause).Inc()
 	entry := s.opts.Log.WithFields(fields{
-		"event":   "end",
 		"engine":  engine,
 		"kind":    id.Kind.String(),
 		"id":      id.Name,
@@ -97,14 +96,14 @@
 		"cause":   string(cause),
 	})
 	if err != nil {
-		entry.WithError(err).Warn()
+		entry.WithError(err).Warn("holding_ended")
 		return
 	}
 	if cause == ledger.CauseReleased {
-		entry.Debug()
+		entry.Debug("holding_ended")
 		return
 	}
-	entry.Info()
+	entry.Info("holding_ended")
 }
 
 // wantBooks has an engine's books read soon.
--- a/internal/owner/digest.go
+++ b/internal/owner/digest.go
@@ -58,7 +58,7 @@
 	d := s.digest()
 	data, err := d.Encode()
 	if err != nil {
-		s.opts.Log.WithFields(fields{"event": "digest_failed"}).WithError(err).Error()
+		s.opts.Log.WithError(err).Error("digest_failed")
 		return s.opts.PublishEvery
 	}
 	metricDigest.Add(len(data))
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -141,7 +141,7 @@
 		}
 		for _, r := range page.Records {
 			if err := o.replay.Apply(order.Entry(r)); err != nil {
-				o.opts.Logger.WithFields(fields{"event": "order_record_refused", "offset": r.Offset}).WithError(err).Warn()
+				o.opts.Logger.WithFields(fields{"offset": r.Offset}).WithError(err).Warn("order_record_refused")
 			}
 		}
 		if len(page.Records) == 0 || o.replay.Next() >= page.Next {
@@ -154,7 +154,7 @@
 	for _, p := range o.pools {
 		p.keeper.LogAway()
 	}
-	o.opts.Logger.WithFields(fields{"event": "order_log_away"}).WithError(err).Warn()
+	o.opts.Logger.WithError(err).Warn("order_log_away")
 }
 
 func (o *Orders) stepPool(ctx context.Context, p OrderPool, want bool) {
@@ -188,7 +188,7 @@
 func (o *Orders) append(ctx context.Context, rec order.Record) bool {
 	data, err := rec.Encode()
 	if err != nil {
-		o.opts.Logger.WithFields(fields{"event": "order_record_failed"}).WithError(err).Error()
+		o.opts.Logger.WithError(err).Error("order_record_failed")
 		return false
 	}
 	call, cancel := context.WithTimeout(ctx, o.opts.CallTimeout)
@@ -257,7 +257,6 @@
 	err := o.opts.Engines.Order(call, address, fence, ord)
 	metricOrders.Inc()
 	entry := o.opts.Logger.WithFields(fields{
-		"event":   "order",
 		"engine":  ord.Engine,
 		"order":   string(ord.Kind),
 		"model":   ord.Model,
@@ -267,8 +266,8 @@
 		"fence":   fence,
 	})
 	if err != nil {
-		entry.WithError(err).Warn()
+		entry.WithError(err).Warn("order")
 		return
 	}
-	entry.Info()
+	entry.Info("order")
 }
--- a/internal/owner/poller.go
+++ b/internal/owner/poller.go
@@ -93,7 +93,7 @@
 	if s.owned[p.engine.Name] == p {
 		s.ledger.EngineDown(p.engine.Name)
 	}
-	s.opts.Log.WithFields(fields{"event": "engine_down", "engine": p.engine.Name}).WithError(err).Warn()
+	s.opts.Log.WithFields(fields{"engine": p.engine.Name}).WithError(err).Warn("engine_down")
 }
 
 func (p *poller) readLoad(ctx context.Context) {
--- a/internal/owner/renew.go
+++ b/internal/owner/renew.go
@@ -94,11 +94,11 @@
 func (h *Holder) renewAt(ctx context.Context, o ownerOf, r ledger.Renewal) {
 	var reply ledger.RenewalReply
 	if err := h.call(ctx, o.address, o.self, methodRenew, r, &reply); err != nil {
-		h.opts.Log.WithFields(fields{"event": "renew_failed", "owner": o.host}).WithError(err).Warn()
+		h.opts.Log.WithFields(fields{"owner": o.host}).WithError(err).Warn("renew_failed")
 		return
 	}
 	if reply.Newer != "" {
-		h.opts.Log.WithFields(fields{"event": "replaced", "owner": o.host, "newer": reply.Newer}).Error()
+		h.opts.Log.WithFields(fields{"owner": o.host, "newer": reply.Newer}).Error("replaced")
 	}
 	for _, c := range reply.Gone {
 		h.lost(c)
@@ -131,7 +131,7 @@
 		if now.Sub(t.since) > h.opts.EndLimit {
 			delete(h.held, key)
 			metricDropped.Inc()
-			h.opts.Log.WithFields(fields{"event": "end_given_up", "engine": key.engine, "id": key.id.Name}).Error()
+			h.opts.Log.WithFields(fields{"engine": key.engine, "id": key.id.Name}).Error("end_given_up")
 			continue
 		}
 		t.busy = true
--- a/internal/owner/rpc.go
+++ b/internal/owner/rpc.go
@@ -57,10 +57,9 @@
 
 func (s *Service) logVerdict(ask ledger.Ask, reply ReserveReply) {
 	f := fields{
-		"event":     "reserve",
 		"engine":    ask.Engine,
 		"id":        ask.ID,
-		"host":      ask.Holder.Host,
+		"holder":    ask.Holder.Host,
 		"tokens":    ask.Tokens,
 		"gang_size": ask.GangSize,
 		"granted":   reply.Granted,
@@ -72,7 +71,7 @@
 		f["reason"] = string(reply.Reason)
 		f["retry_after"] = reply.RetryAfter
 	}
-	s.opts.Log.WithFields(f).Info()
+	s.opts.Log.WithFields(f).Info("reserve")
 }
 
 // ReleaseArgs names a holding to end.
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -103,7 +103,7 @@
 	p.cancel()
 	delete(s.owned, name)
 	s.ledger.Disown(name)
-	s.opts.Log.WithFields(fields{"event": "engine_disowned", "engine": name}).Info()
+	s.opts.Log.WithFields(fields{"engine": name}).Info("engine_disowned")
 }
 
 // takeOver needs the lock.
@@ -113,7 +113,7 @@
 	s.owned[e.Name] = p
 	s.ledger.Own(e.Name) // its ReadBooks is the poller's first act
 	s.work.Go(func() { p.run(ctx) })
-	s.opts.Log.WithFields(fields{"event": "engine_owned", "engine": e.Name, "address": e.Address}).Info()
+	s.opts.Log.WithFields(fields{"engine": e.Name, "address": e.Address}).Info("engine_owned")
 }
 
 // loadsPerDigest is how often an engine's load is read for one digest: a report
--- a/internal/peer/faults.go
+++ b/internal/peer/faults.go
@@ -34,7 +34,7 @@
 	n.faults.set(hostsOrDomains)
 	n.pool.closeCut()
 	n.server.closeCut()
-	n.log.WithField("cut", hostsOrDomains).Warn("peer cut set")
+	n.log.WithField("cut", hostsOrDomains).Warn("peer_cut_set")
 	return nil
 }
 
@@ -47,6 +47,6 @@
 	}
 	n.pool.silence()
 	n.server.silence()
-	n.log.Warn("peer connections silenced")
+	n.log.Warn("peer_connections_silenced")
 	return nil
 }
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -78,7 +78,7 @@
 	view := n.members.View(time.Now())
 	n.view.Store(&view)
 	if n.members.Superseded() && !n.superseded.Swap(true) {
-		n.log.WithError(errSuperseded).Error("host superseded")
+		n.log.WithError(errSuperseded).Error("host_superseded")
 	}
 }
 
@@ -109,7 +109,7 @@
 	}
 	if err != nil {
 		exchangeErr.Inc()
-		n.log.WithError(err).Debug("heartbeat failed")
+		n.log.WithError(err).Debug("heartbeat_failed")
 		n.step(func(m *membership.Members, now time.Time) { m.Failed(now, out.Address) })
 	}
 	return err
@@ -153,7 +153,7 @@
 	defer cancel()
 	hosts, err := n.opts.HostList(ctx)
 	if err != nil {
-		n.log.WithError(err).Warn("host list unreadable")
+		n.log.WithError(err).Warn("host_list_unreadable")
 		return
 	}
 	listed := listedHosts(hosts)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -97,7 +97,7 @@
 	n.log.WithFields(logrus.Fields{
 		"address":     n.Addr(),
 		"incarnation": n.opts.Incarnation,
-	}).Info("peer node started")
+	}).Info("peer_started")
 	for ctx.Err() == nil {
 		n.tick()
 		pause(ctx, n.jitter(n.opts.Interval))
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -55,7 +55,7 @@
 			return
 		}
 		if err != nil {
-			s.n.log.WithError(err).Warn("peer accept failed")
+			s.n.log.WithError(err).Warn("peer_accept_failed")
 			pause(ctx, acceptPause)
 			continue
 		}
@@ -92,7 +92,7 @@
 		if !s.refusals.Allow() {
 			return
 		}
-		s.n.log.WithError(err).WithField("from", raw.RemoteAddr().String()).Warn("peer refused")
+		s.n.log.WithError(err).WithField("from", raw.RemoteAddr().String()).Warn("peer_refused")
 		return
 	}
 	defer l.close()
