Reservations: a name is asked for once

Cause: when the answer to a reserve call was lost, the front asked again under the same name. The ledger was releasing that name and remembered it as ended for 60 s, so it denied it each time; a request whose pool had only such engines waited 60 s and was refused, with all memory free. Ruled out: forgetting ended names sooner; a late reserve call would then be taken for a new one. Change: each ask of an attempt has a name of its own, as Holder.Reserve wants it. Conclusion: a lost answer costs a round trip.

--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -23,6 +23,7 @@
 
 	attempt      int // number of the running attempt, from 1
 	resumes      int // of the running attempt, since its last token
+	asks         int // for reservations so far
 	earlierWrote bool
 	exclude      []string
 	first        time.Time // of the first token, zero before
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -46,9 +46,11 @@
 	return false, nil
 }
 
-// reservationName names the reservations of the running attempt.
+// reservationName returns a new name for a reservation. A name is asked for once:
+// one whose answer was lost is being released.
 func (g *generation) reservationName() string {
-	return fmt.Sprintf("%s#%d", g.job.req.ID, g.attempt)
+	g.asks++
+	return fmt.Sprintf("%s#%d.%d", g.job.req.ID, g.attempt, g.asks)
 }
 
 func (g *generation) pause(ctx context.Context, d time.Duration) {
