Memory comes back from hosts that are gone, restarted, or were never heard of

Cause: nothing told the ledger that a host had gone or lives anew. What a killed front held was ended 60 s (reservations, exports) or 5 min (streams) later; a front that came back idle renewed with nobody, so its newer incarnation was not seen. Ruled out: shorter limits for silence; a host may be cut off from this owner only. Settable limits; they are not needed with what is known from elsewhere. Change: the daemon keeps the platform's list as it reads it; two hosts of a domain read it each 2 s, the rest each 30 s as before. Each second the owner is told the incarnations that membership knows (what older ones hold ends at once), and HostGone for holders that are dead or unknown to membership and that a list not older than 2 min does not have.

--- a/internal/core/ledger/reconcile.go
+++ b/internal/core/ledger/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -144,6 +145,23 @@
 	}
 }
 
+// SawHolder says that a host lives in an incarnation, also when that one holds
+// nothing here.
+func (l *Ledger) SawHolder(h Holder, now time.Time) []Action {
+	return l.sawHolder(h, now)
+}
+
+// Hosts returns the hosts that hold something on owned engines, sorted.
+func (l *Ledger) Hosts() []string {
+	seen := map[string]struct{}{}
+	for _, e := range l.engines {
+		for _, en := range e.entries {
+			seen[en.Holder.Host] = struct{}{}
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
 // sawHolder notes a holder; the first sight of a newer incarnation ends what the
 // older ones hold.
 func (l *Ledger) sawHolder(h Holder, now time.Time) []Action {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -49,7 +49,7 @@
 	work        context.Context // of the background work
 
 	logService platform.Log
-	hosts      platform.Hosts
+	list       *hostList
 	weights    platform.Weights
 
 	node     *peer.Node
@@ -85,9 +85,12 @@
 }
 
 func (p *process) holderName() ledger.Holder {
-	return ledger.Holder{Host: p.cfg.Host, Incarnation: strconv.FormatUint(p.incarnation, 10)}
+	return holderOf(p.cfg.Host, p.incarnation)
 }
 
+// incarnationText is a host's incarnation as engines and their owners know it.
+func incarnationText(incarnation uint64) string { return strconv.FormatUint(incarnation, 10) }
+
 func (p *process) buildPlatform() error {
 	logService, err := platform.NewHTTP(p.cfg.Platform.Log, obs.CountedClient(obs.PurposeLog))
 	if err != nil {
@@ -101,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	p.logService, p.hosts, p.weights = logService, hosts, weights
+	p.logService, p.list, p.weights = logService, &hostList{source: hosts}, weights
 	return nil
 }
 
@@ -114,7 +117,7 @@
 		Listen:      p.cfg.PeerListen,
 		Key:         p.cfg.PeerKey,
 		Seeds:       p.cfg.Seeds,
-		HostList:    p.hosts.List,
+		HostList:    p.list.List,
 		TestFaults:  p.cfg.TestFaults,
 		Logger:      p.log,
 	})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,6 +73,7 @@
 	run("digests", p.readDigests)
 	run("watch", p.watch)
 	run("owner", p.owner.Run)
+	run("hosts", p.followHosts)
 	run("holder", p.holder.Run)
 	run("orders", p.orders.Run)
 	run("claims", p.claims.Run)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -152,3 +152,19 @@
 	defer s.mu.Unlock()
 	s.ledger.HostGone(host, s.opts.Clock())
 }
+
+// HostLives says that a host lives in an incarnation: what its former ones hold
+// is ended at once.
+func (s *Service) HostLives(ctx context.Context, h ledger.Holder) {
+	s.mu.Lock()
+	acts := s.ledger.SawHolder(h, s.opts.Clock())
+	s.mu.Unlock()
+	s.background(ctx, acts)
+}
+
+// Hosts returns the hosts that hold something on owned engines.
+func (s *Service) Hosts() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Hosts()
+}
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -67,6 +67,7 @@
 	c["deaths"] = cmdDeaths
 	c["end"] = cmdEnd
 	c["exited"] = cmdExited
+	c["export"] = cmdExport
 	c["fault"] = cmdFault
 	c["fetch"] = cmdFetch
 	c["freeze"] = cmdFreeze
