--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -94,6 +94,7 @@
 	}
 	<-ctx.Done()
 	p.front.Refuse()
+	p.log.WithField("in_flight", p.front.InFlight()).Info("refusing")
 	p.waitDrained()
 	p.closeServer()
 	p.waitEnds()
