bench: a site under load, with its targets as ratios

Cause: 'make bench' called the tool without a mix or a site. Ruled out: one process with all stand-ins, which shares its scheduler with what it measures; a daemon in each failure domain as in the demo, where fronts do not share engines. Change: test/bench/run.sh starts three daemons and six engines of one failure domain as processes and runs the parts policies, prefix, overload and faults; test/bench/summary works out the ratios that have targets. The demo's site takes the daemons' domains, the size of the prefix cache, and processes that may end. A report's seconds count the requests sent in them that ended well.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test race scenarios demo bench fmt lint generate clean
+.PHONY: all build test race scenarios demo bench bench-quick fmt lint generate clean
 
 all: build
 
@@ -18,7 +18,11 @@
 	KEEP=$(KEEP) ./test/demo/run.sh
 
 bench: build
-	$(BIN)/buckthorndock bench run --dir bench
+	RECORD=1 ./test/bench/run.sh
+
+# One policy pair only, in under a minute and without a record, for rounds.
+bench-quick: build
+	DURATION=10s ./test/bench/run.sh quick
 
 fmt:
 	gofmt -l -w cmd internal test
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -71,6 +71,7 @@
 	Sent     int `json:"sent"`
 	Complete int `json:"complete"`
 	Refused  int `json:"refused"`
+	Good     int `json:"good"` // of those sent in this second: right answers in time
 }
 
 // bucket is a range of prompt lengths, from included, to excluded.
@@ -304,6 +305,9 @@
 	}
 	for _, x := range records {
 		at(x.Started).Sent++
+		if x.Good() {
+			at(x.Started).Good++
+		}
 		switch x.Outcome {
 		case request.Complete:
 			at(x.Ended).Complete++
--- a/test/demo/site/main.go
+++ b/test/demo/site/main.go
@@ -24,11 +24,15 @@
 	timeScale float64 // engine seconds in a real second
 	memory    int     // tokens of each engine
 	lag       string  // how old load reports and cache events are
+	cache     int     // most tokens that an engine's prefix cache keeps; zero: all free memory
+	witness   bool    // engines write what they ran
+	daemons   string  // failure domain of each daemon
+	mayEnd    string  // processes that the run ends or stops itself
 }
 
-// domains are the failure domains of the site. The examples' users have three
-// each, which share these.
-var domains = []string{"hal-a", "hal-b", "hal-c"}
+// defaultDaemons has a daemon in each failure domain of the examples. The
+// examples' users have three domains each, which share these.
+const defaultDaemons = "hal-a,hal-b,hal-c"
 
 // domainOf maps the domains of the examples to those of the site.
 var domainOf = strings.NewReplacer("savo-niirala", "hal-a", "savo-petonen", "hal-b", "savo-saaristo", "hal-c")
@@ -47,6 +51,10 @@
 	flag.Float64Var(&o.timeScale, "time-scale", 20, "engine seconds in a real second")
 	flag.IntVar(&o.memory, "memory-tokens", 400_000, "KV memory of each engine")
 	flag.StringVar(&o.lag, "lag", "100ms", "how old load reports and cache events are")
+	flag.IntVar(&o.cache, "cache-tokens", 0, "most that an engine's prefix cache keeps; 0: all free memory")
+	flag.BoolVar(&o.witness, "witness", false, "engines write what they ran to files witness-NAME.jsonl")
+	flag.StringVar(&o.daemons, "daemons", defaultDaemons, "failure domain of each daemon, separated by commas")
+	flag.StringVar(&o.mayEnd, "may-end", "", "names of processes that the run ends or stops itself, separated by commas")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/test/demo/site/process.go
+++ b/test/demo/site/process.go
@@ -99,6 +99,7 @@
 	default:
 	}
 	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	_ = p.cmd.Process.Signal(syscall.SIGCONT) // one that was stopped
 	select {
 	case <-p.ended:
 		return nil
--- a/test/demo/site/site.go
+++ b/test/demo/site/site.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -112,7 +113,11 @@
 		"--time-scale", fmt.Sprint(s.opts.timeScale),
 		"--load-lag", s.opts.lag,
 		"--event-delay", s.opts.lag,
+		"--cache-tokens", fmt.Sprint(s.opts.cache),
 	)
+	if s.opts.witness {
+		args = append(args, "--witness-file", filepath.Join(s.opts.dir, "witness-"+u.name+".jsonl"))
+	}
 	for _, m := range u.models {
 		args = append(args, "--model", m)
 	}
@@ -147,12 +152,15 @@
 
 // planDaemons chooses free ports and writes the daemon files.
 func (s *site) planDaemons() error {
+	domains := strings.Split(s.opts.daemons, ",")
 	ports, err := freeAddresses(2 * len(domains))
 	if err != nil {
 		return err
 	}
+	hosts := map[string]int{} // in each domain
 	for i, domain := range domains {
-		host := domain + "-entry-1"
+		hosts[domain]++
+		host := fmt.Sprintf("%s-entry-%d", domain, hosts[domain])
 		s.daemons = append(s.daemons, daemon{
 			host: host, domain: domain, listen: ports[2*i], peer: ports[2*i+1],
 			config: filepath.Join(s.opts.dir, host+".yaml"),
@@ -238,6 +246,9 @@
 	}
 	text := fmt.Sprintf("BUCKTHORNDOCK_ADDRESS=%s\nBUCKTHORNDOCK_TOKEN=%s\nDAEMONS='%s'\nexport BUCKTHORNDOCK_ADDRESS BUCKTHORNDOCK_TOKEN\n",
 		strings.Join(addresses, ","), operatorToken, strings.Join(names, " "))
+	if err := s.writePIDs(); err != nil {
+		return err
+	}
 	file := filepath.Join(s.opts.dir, "env")
 	if err := os.WriteFile(file+".part", []byte(text), filePerm); err != nil {
 		return err
@@ -245,10 +256,27 @@
 	return os.Rename(file+".part", file)
 }
 
+// writePIDs writes the process id of each process, for runs that make faults.
+func (s *site) writePIDs() error {
+	var b strings.Builder
+	for _, p := range s.processes {
+		fmt.Fprintf(&b, "%s %d\n", p.name, p.cmd.Process.Pid)
+	}
+	return os.WriteFile(filepath.Join(s.opts.dir, "pids"), []byte(b.String()), filePerm)
+}
+
+// mayEnd says whether the run ends or stops a process itself.
+func (s *site) mayEnd(p *process) bool {
+	return slices.Contains(strings.Split(s.opts.mayEnd, ","), p.name)
+}
+
 // wait returns when the context ends, or with an error when a process does.
 func (s *site) wait(ctx context.Context) error {
 	ended := make(chan *process, len(s.processes))
 	for _, p := range s.processes {
+		if s.mayEnd(p) {
+			continue
+		}
 		go func() {
 			<-p.ended
 			ended <- p
@@ -267,7 +295,10 @@
 func (s *site) stop() error {
 	var errs []error
 	for i := len(s.processes) - 1; i >= 0; i-- {
-		errs = append(errs, s.processes[i].stop())
+		err := s.processes[i].stop()
+		if !s.mayEnd(s.processes[i]) {
+			errs = append(errs, err)
+		}
 	}
 	return errors.Join(errs...)
 }
