Fronts share the work they are offered, and divide the engines alike

Cause: the boundary of each front followed only its own requests: the offered work of peers was taken in nowhere. A front that had seen no long prompt lately kept other engines for short ones than its neighbours did. Ruled out: that the boundary of one front alone is wrong: with the work of all it is the same on each (router test; without the exchange it fails with 1 of 6 engines for long prompts where the other front has 4 or more). Change: each front publishes its offered work by length every 2 s to its failure domain, and takes in that of the others. Conclusion: kept for now for the agreement of the fronts, its gain is unproved.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -72,6 +72,7 @@
 	run("orders", p.orders.Run)
 	run("claims", p.claims.Run)
 	run("limits", p.shareLimits)
+	run("work", p.shareWork)
 	run("suspects", p.shareSuspects)
 	run("front", p.front.Run)
 	return &wg
