Capacity tool: settings changes, keyed calls, customers, replacements

Cause: the tool measured daemons that are idle or that proxy one customer's short requests. The slopes of settings spread, claims, shared limits of many customers, a site's settings at full size, and a fresh daemon's start could not be taken. Ruled out: Go benchmarks alone; they leave out TLS, HTTP headers, connections that come and go, and the timers. Change: -changes publishes a team's document so many times a minute, through one daemon after another, and takes the time until all daemons have it in force; -keyed makes a share of the requests calls that may run only once; -customers draws each request's customer among so many, each with a limit; -others names upstreams of domains that do not run; -replace kills daemons and starts fresh ones; -prompt, -answer, -step and -batch shape requests and engines. The results have the rates of all daemons' counters. Requests reuse connections, as behind a balancer. Conclusion: the slopes of docs/CAPACITY.md can be taken with it.

--- /dev/null
+++ b/test/capacity/load.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// tokenBytes is the rough length of a token of the prompts below.
+const tokenBytes = 4
+
+// client keeps its connections, as a balancer does.
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+// callers is the load of one daemon: requests at a steady rate that do not wait
+// for answers, each from a customer drawn by chance.
+type callers struct {
+	address string
+	rate    float64
+	keyed   float64 // share that is calls of a service with a key
+	names   int     // customers
+	body    string  // of a completion
+}
+
+// newCallers returns the load of a daemon by the options.
+func newCallers(o options, address string) *callers {
+	prompt := strings.Repeat("milk, eggs, rye ", o.prompt*tokenBytes/len("milk, eggs, rye ")+1)
+	return &callers{
+		address: address,
+		rate:    o.rate,
+		keyed:   o.keyed,
+		names:   o.customers,
+		body:    fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":%d,"stream":true}`, prompt, o.answer),
+	}
+}
+
+// run sends until the context ends.
+func (c *callers) run(ctx context.Context) {
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / c.rate))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			go c.send(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *callers) send(ctx context.Context) {
+	path, body := "/v1/completions", c.body
+	keyed := rand.Float64() < c.keyed
+	if keyed {
+		path, body = "/v1/services/s/confirm", `{"basket":"milk"}`
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+path, strings.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+customerToken(rand.IntN(c.names)))
+	req.Header.Set("Content-Type", "application/json")
+	if keyed {
+		req.Header.Set("X-Repeatable", "false")
+		req.Header.Set("Idempotency-Key", uuid.Must(uuid.NewV7()).String())
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+}
--- a/test/capacity/measure.go
+++ b/test/capacity/measure.go
@@ -24,6 +24,8 @@
 	sent     map[string]float64
 	received map[string]float64
 	appends  float64
+	offset   float64            // of the settings
+	counters map[string]float64 // counters without their labels, but for those of bytes
 }
 
 // measureSite starts a site, lets it settle, and measures its daemons.
@@ -37,7 +39,7 @@
 	defer stopLoad()
 	if o.rate > 0 {
 		for _, d := range s.daemons {
-			go load(loadCtx, d.address, o.rate)
+			go newCallers(o, d.address).run(loadCtx)
 		}
 	}
 	if err := pause(ctx, o.settle); err != nil {
@@ -47,7 +49,8 @@
 	if err != nil {
 		return result{}, err
 	}
-	if err := pause(ctx, o.measure); err != nil {
+	took, err := s.during(ctx, o)
+	if err != nil {
 		return result{}, err
 	}
 	after, err := s.sample()
@@ -55,13 +58,38 @@
 		return result{}, err
 	}
 	r := summarize(before, after)
+	r.Spread = timesOf(took)
+	if r.Starts, err = s.replaceDaemons(ctx, o); err != nil {
+		return result{}, err
+	}
 	r.Daemons = n
 	r.Domains = o.domains
 	r.Engines = n * o.engines
 	r.RatePerDaemon = o.rate
+	r.Prompt = o.prompt
+	r.Answer = o.answer
+	r.StepMs = o.step.Seconds() * 1000
+	r.Customers = o.customers
+	r.Others = o.others
+	r.Keyed = o.keyed
+	r.Changes = o.changes
 	return r, nil
 }
 
+// during lets the time to measure pass, with changes of the settings if wanted.
+func (s *site) during(ctx context.Context, o options) ([]time.Duration, error) {
+	if o.changes == 0 {
+		return nil, pause(ctx, o.measure)
+	}
+	span, cancel := context.WithTimeout(ctx, o.measure)
+	defer cancel()
+	took, err := s.changeSettings(span, o)
+	if err != nil {
+		return nil, err
+	}
+	return took, ctx.Err()
+}
+
 func pause(ctx context.Context, d time.Duration) error {
 	select {
 	case <-time.After(d):
@@ -84,7 +112,7 @@
 }
 
 func (d *daemon) sample() (sample, error) {
-	sm := sample{at: time.Now(), sent: map[string]float64{}, received: map[string]float64{}}
+	sm := sample{at: time.Now(), sent: map[string]float64{}, received: map[string]float64{}, counters: map[string]float64{}}
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.pid))
 	if err != nil {
 		return sm, err
@@ -127,6 +155,11 @@
 			sm.received[purpose] += number(value)
 		case "buckthorndock_claim_appends_total":
 			sm.appends += number(value)
+		case "buckthorndock_settings_offset":
+			sm.offset = number(value)
+		}
+		if strings.HasPrefix(kind, "buckthorndock_") && strings.HasSuffix(kind, "_total") && !strings.HasSuffix(kind, "_bytes_total") {
+			sm.counters[kind] += number(value)
 		}
 	}
 }
@@ -162,6 +195,7 @@
 		}
 	}
 	n := float64(len(after))
+	r.Counters = events(before, after)
 	for _, s := range []*spread{&r.CPUPercent, &r.RSSMiB, &r.SentBytes, &r.ReceivedBytes} {
 		s.Mean /= n
 	}
@@ -172,6 +206,24 @@
 	return r
 }
 
+// events returns how fast the counters rose, the mean of the daemons.
+func events(before, after []sample) (rates []event) {
+	sums := map[string]float64{}
+	for i := range after {
+		span := after[i].at.Sub(before[i].at).Seconds()
+		for name, v := range after[i].counters {
+			sums[name] += (v - before[i].counters[name]) / span
+		}
+	}
+	for name, v := range sums {
+		if v != 0 {
+			rates = append(rates, event{Name: name, Rate: v / float64(len(after))})
+		}
+	}
+	sort.Slice(rates, func(i, j int) bool { return rates[i].Name < rates[j].Name })
+	return rates
+}
+
 // add counts one daemon in; Mean holds the sum until the end.
 func (s *spread) add(v float64) {
 	s.Mean += v
@@ -184,34 +236,3 @@
 	}
 	return sum
 }
-
-// load sends short completions at a steady rate, without waiting for answers.
-func load(ctx context.Context, address string, rate float64) {
-	ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
-	defer ticker.Stop()
-	prompt := strings.Repeat("milk and eggs ", 300)
-	body := fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":20,"stream":true}`, prompt)
-	for {
-		select {
-		case <-ticker.C:
-			go send(ctx, address, body)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func send(ctx context.Context, address, body string) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(body))
-	if err != nil {
-		return
-	}
-	req.Header.Set("Authorization", "Bearer "+customerToken)
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return
-	}
-	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body)
-}
--- /dev/null
+++ b/test/capacity/replace.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"syscall"
+	"time"
+)
+
+// Limits of a replacement.
+const (
+	readyPoll  = 5 * time.Millisecond
+	readyLimit = time.Minute
+	joinTime   = 10 * time.Second // after which the whole of its start is counted
+)
+
+// start is what a fresh daemon took to be ready in a running site.
+type start struct {
+	ReadySeconds  float64 `json:"ready_seconds"`
+	CPUSeconds    float64 `json:"cpu_seconds"`
+	SentBytes     float64 `json:"sent_bytes"`
+	ReceivedBytes float64 `json:"received_bytes"`
+	// The same after ten seconds, when it also knows its peers and the engines.
+	JoinedCPUSeconds    float64 `json:"joined_cpu_seconds"`
+	JoinedSentBytes     float64 `json:"joined_sent_bytes"`
+	JoinedReceivedBytes float64 `json:"joined_received_bytes"`
+}
+
+// replaceDaemons kills daemons one after another and puts fresh ones of other
+// names in their places.
+func (s *site) replaceDaemons(ctx context.Context, o options) ([]start, error) {
+	var starts []start
+	for i := range o.replace {
+		st, err := s.replaceOne(ctx, o, i)
+		if err != nil {
+			return starts, fmt.Errorf("replacement %d: %w", i, err)
+		}
+		starts = append(starts, st)
+	}
+	return starts, nil
+}
+
+func (s *site) replaceOne(ctx context.Context, o options, i int) (start, error) {
+	at := i % len(s.daemons)
+	old := s.daemons[at]
+	if err := s.kill(old); err != nil {
+		return start{}, err
+	}
+	d, err := s.startDaemon(o, fmt.Sprintf("r%d", i), old.domain)
+	if err != nil {
+		return start{}, err
+	}
+	began := time.Now()
+	s.daemons[at] = d
+	if err := s.listHosts(); err != nil {
+		return start{}, err
+	}
+	if err := d.awaitReady(ctx); err != nil {
+		return start{}, err
+	}
+	st := start{ReadySeconds: time.Since(began).Seconds()}
+	ready, err := d.sample()
+	if err != nil {
+		return st, err
+	}
+	st.CPUSeconds, st.SentBytes, st.ReceivedBytes = ready.cpu, total(ready.sent), total(ready.received)
+	if err := pause(ctx, joinTime); err != nil {
+		return st, err
+	}
+	joined, err := d.sample()
+	st.JoinedCPUSeconds, st.JoinedSentBytes, st.JoinedReceivedBytes = joined.cpu, total(joined.sent), total(joined.received)
+	return st, err
+}
+
+// kill ends a daemon as a host failure does.
+func (s *site) kill(d *daemon) error {
+	if err := d.process.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	_, err := d.process.Wait()
+	s.processes = deleteProcess(s.processes, d)
+	return err
+}
+
+func deleteProcess(all []*exec.Cmd, d *daemon) []*exec.Cmd {
+	var kept []*exec.Cmd
+	for _, p := range all {
+		if p.Process != d.process {
+			kept = append(kept, p)
+		}
+	}
+	return kept
+}
+
+// awaitReady waits until the daemon says that it is ready.
+func (d *daemon) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for {
+		if d.ready() {
+			return nil
+		}
+		if err := pause(ctx, readyPoll); err != nil {
+			return fmt.Errorf("%s is not ready: %w", d.name, err)
+		}
+	}
+}
+
+func (d *daemon) ready() bool {
+	resp, err := http.Get("http://" + d.address + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode == http.StatusOK
+}
--- a/test/capacity/site.go
+++ b/test/capacity/site.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -24,6 +26,7 @@
 	daemons   []*daemon
 	log       string // IP:port of the log
 	hosts     string
+	weights   string
 }
 
 type daemon struct {
@@ -32,17 +35,21 @@
 	address string
 	peer    string
 	pid     int
+	process *os.Process
 }
 
 const (
 	peerKey       = "capacity-key-0123456789abcdef0123"
 	operatorToken = "capacity-operator"
-	customerToken = "capacity-customer"
-	// SHA-256 of the two tokens.
-	operatorHash = "a9bd37e35a923de93ebdb9770d92cbd39d7419889ec11f076991c388a4b7c417"
-	customerHash = "dcbc7517ad22ba8e3e0451d7543158c5678a73982de11bedbca75ff2aa4de44b"
+	// noUpstream is the address of the upstreams that only the settings name; each
+	// has a port of its own and nobody asks them anything.
+	noUpstream = "127.1.0.0"
 )
 
+func customerToken(i int) string { return fmt.Sprintf("capacity-customer-%d", i) }
+
+func hashOf(token string) string { return fmt.Sprintf("%x", sha256.Sum256([]byte(token))) }
+
 // startSite starts n daemons with their engines and publishes settings.
 func startSite(ctx context.Context, o options, n int) (s *site, err error) {
 	dir, err := os.MkdirTemp("", "buckthorndock-capacity-")
@@ -61,28 +68,58 @@
 	if s.hosts, err = s.standin(o, "hosts"); err != nil {
 		return s, err
 	}
-	weights, err := s.standin(o, "weights")
-	if err != nil {
+	if s.weights, err = s.standin(o, "weights"); err != nil {
 		return s, err
 	}
 	var upstreams strings.Builder
 	for i := range n * o.engines {
 		domain := domainName(i % o.domains)
-		address, err := s.standin(o, "engine", "--name", fmt.Sprintf("e%d", i), "--model", "m", "--decode-step", "5ms")
+		address, err := s.standin(o, "engine", "--name", fmt.Sprintf("e%d", i), "--model", "m",
+			"--decode-step", o.step.String(), "--batch", strconv.Itoa(o.batch))
 		if err != nil {
 			return s, err
 		}
 		fmt.Fprintf(&upstreams, "      - {name: e%d, address: %q, domain: %s}\n", i, address, domain)
 	}
 	for i := range n {
-		if err := s.startDaemon(o, fmt.Sprintf("d%d", i), domainName(i%o.domains), weights); err != nil {
+		d, err := s.startDaemon(o, fmt.Sprintf("d%d", i), domainName(i%o.domains))
+		if err != nil {
 			return s, err
 		}
+		s.daemons = append(s.daemons, d)
 	}
 	if err := s.listHosts(); err != nil {
 		return s, err
 	}
-	return s, s.publish(ctx, o, upstreams.String())
+	for i := range o.others {
+		fmt.Fprintf(&upstreams, "      - {name: other%d, address: \"%s:%d\", domain: %s}\n",
+			i, noUpstream, portsFrom+i, domainName(o.domains+i%otherDomains))
+	}
+	services, err := s.services(o)
+	if err != nil {
+		return s, err
+	}
+	return s, s.publish(ctx, o, upstreams.String(), services)
+}
+
+// otherDomains is the number of domains over which the upstreams without daemons
+// are spread: 7 domains less the one that runs.
+const otherDomains = 6
+
+// services starts a service in each domain and returns their pool.
+func (s *site) services(o options) (string, error) {
+	if o.keyed == 0 {
+		return "", nil
+	}
+	text := "  - name: sp\n    kind: service\n    upstreams:\n"
+	for i := range o.domains {
+		address, err := s.standin(o, "service", "--operation", "confirm")
+		if err != nil {
+			return "", err
+		}
+		text += fmt.Sprintf("      - {name: s%d, address: %q, domain: %s}\n", i, address, domainName(i))
+	}
+	return text, nil
 }
 
 func domainName(i int) string { return fmt.Sprintf("domain-%d", i) }
@@ -109,14 +146,14 @@
 	return address, nil
 }
 
-func (s *site) startDaemon(o options, name, domain, weights string) error {
+func (s *site) startDaemon(o options, name, domain string) (*daemon, error) {
 	address, err := freeAddress()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	peer, err := freeAddress()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	text := fmt.Sprintf(`host: %s
 domain: %s
@@ -126,23 +163,22 @@
 peer_key: %s
 operator_token_sha256: %s
 platform: {log: "%s", hosts: "%s", weights: "%s"}
-`, name, domain, address, peer, peerKey, operatorHash, s.log, s.hosts, weights)
+`, name, domain, address, peer, peerKey, hashOf(operatorToken), s.log, s.hosts, s.weights)
 	file := filepath.Join(s.dir, name+".yaml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		return err
+		return nil, err
 	}
 	logFile, err := os.Create(filepath.Join(s.dir, name+".log"))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	cmd := exec.Command(filepath.Join(o.bin, "buckthorndockd"), "--config", file)
 	cmd.Stderr = logFile
 	if err := cmd.Start(); err != nil {
-		return err
+		return nil, err
 	}
 	s.processes = append(s.processes, cmd)
-	s.daemons = append(s.daemons, &daemon{name: name, domain: domain, address: address, peer: peer, pid: cmd.Process.Pid})
-	return nil
+	return &daemon{name: name, domain: domain, address: address, peer: peer, pid: cmd.Process.Pid, process: cmd.Process}, nil
 }
 
 // Daemons' ports come from below the range of outgoing connections.
@@ -187,23 +223,26 @@
 }
 
 // publish puts the settings in force through the first daemon.
-func (s *site) publish(ctx context.Context, o options, upstreams string) error {
-	dir := filepath.Join(s.dir, "settings")
-	if err := os.Mkdir(dir, 0o700); err != nil {
+func (s *site) publish(ctx context.Context, o options, upstreams, services string) error {
+	if err := os.Mkdir(s.settingsDir(), 0o700); err != nil {
 		return err
 	}
-	text := "pools:\n  - name: p\n    kind: engine\n    upstreams:\n" + upstreams +
-		"models:\n  - {name: m, pool: p}\n" +
-		"customers:\n  - {name: c, token_sha256: [" + customerHash + "]}\n"
-	if err := os.WriteFile(filepath.Join(dir, "_root.yaml"), []byte(text), 0o600); err != nil {
+	text := "pools:\n  - name: p\n    kind: engine\n    upstreams:\n" + upstreams + services +
+		"models:\n  - {name: m, pool: p}\n"
+	if services != "" {
+		text += "services:\n  - {name: s, pool: sp, operations: [{name: confirm, repeatable: false}]}\n"
+	}
+	text += "customers:\n"
+	for i := range o.customers {
+		text += fmt.Sprintf("  - {name: c%d, token_sha256: [%s], limits: {requests_in_flight: 1000000}}\n", i, hashOf(customerToken(i)))
+	}
+	if err := os.WriteFile(filepath.Join(s.settingsDir(), "_root.yaml"), []byte(text), 0o600); err != nil {
 		return err
 	}
 	var err error
 	for range 50 {
-		cmd := exec.CommandContext(ctx, filepath.Join(o.bin, "buckthorndock"),
-			"--address", s.daemons[0].address, "--token", operatorToken, "settings", "apply", dir)
 		var out []byte
-		if out, err = cmd.CombinedOutput(); err == nil {
+		if out, err = s.apply(ctx, o, s.daemons[0]).CombinedOutput(); err == nil {
 			return nil
 		}
 		err = fmt.Errorf("publish: %w: %s", err, out)
