--- /dev/null
+++ b/internal/obs/page_test.go
@@ -0,0 +1,59 @@
+package obs
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// event matches a log line of a level that operators see.
+var event = regexp.MustCompile(`\.(?:Info|Warn|Error)\("([a-z_ ]+)"\)`)
+
+// TestPageNamesEveryEvent keeps docs/OPERATIONS.md in step with the daemon's log
+// lines.
+func TestPageNamesEveryEvent(t *testing.T) {
+	text, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(text)
+	named := 0
+	err = filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !ofDaemon(path) {
+			return err
+		}
+		code, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, m := range event.FindAllStringSubmatch(string(code), -1) {
+			named++
+			if !strings.Contains(page, "`"+m[1]+"`") && !strings.HasSuffix(m[1], "_undecodable") {
+				t.Errorf("%s: docs/OPERATIONS.md does not name the event %q", path, m[1])
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if named < 30 {
+		t.Errorf("only %d events found: has the way of logging changed?", named)
+	}
+}
+
+// ofDaemon reports whether a file is code that a daemon runs.
+func ofDaemon(path string) bool {
+	if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.HasSuffix(path, "_gen.go") {
+		return false
+	}
+	for _, other := range []string{"../standin/", "../cli/", "../bench/"} {
+		if strings.HasPrefix(path, other) {
+			return false
+		}
+	}
+	return true
+}
