Fresher load reports in small failure domains

Cause: a report reached the fronts 0.5 to 1 s late: loads are read every 500 ms, digests spread every 500 ms, and peers exchange every 500 ms, against engine steps of 2 to 15 ms. Shorts went to engines that had a long prompt in hand. Change: loads are read every 50 ms and spread every 100 ms at the most; the owner stretches both by its budget of bytes as before, so that large domains do not change. Peers of a domain below 30 hosts exchange more often, up to six times, for the same cost a host.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -32,9 +32,13 @@
 	journalSize    = 2000
 )
 
-// publishEvery is the time between two digests of the engines that this host
-// owns.
-const publishEvery = 500 * time.Millisecond
+// Shortest times between two load reports of an engine that this host owns, and
+// between two digests of these engines. The owner stretches both in a large
+// failure domain, to keep its digests within their budget.
+const (
+	loadEvery    = 50 * time.Millisecond
+	publishEvery = 100 * time.Millisecond
+)
 
 // process holds the parts of a running daemon.
 type process struct {
@@ -145,6 +149,7 @@
 		Publisher:    &publisher{node: p.node, log: p.log},
 		Catalog:      p.catalog,
 		Log:          p.log,
+		LoadEvery:    loadEvery,
 		PublishEvery: publishEvery,
 	})
 	rpc := p.owner.RPC(p.work)
--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -14,7 +14,7 @@
 
 // Times of the loops that feed the router.
 const (
-	digestEvery = 100 * time.Millisecond // between two looks at the owners' digests
+	digestEvery = 20 * time.Millisecond  // between two looks at the owners' digests
 	watchEvery  = 200 * time.Millisecond // between two choices of what to watch
 	staleReport = 2500 * time.Millisecond
 )
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -100,12 +100,31 @@
 	}).Info("peer node started")
 	for ctx.Err() == nil {
 		n.tick()
-		pause(ctx, n.jitter(n.opts.Interval))
+		pause(ctx, n.jitter(n.interval()))
 	}
 	n.Close()
 	return nil
 }
 
+// Exchanges cost each host in proportion to the hosts of its domain, so a small
+// domain can have them more often within the same budget.
+const (
+	fullDomain = 30 // hosts from which Interval is not shortened
+	mostOften  = 6  // times as often at the most
+)
+
+// interval returns the time until the next exchange with the own domain.
+func (n *Node) interval() time.Duration {
+	hosts := 0
+	for _, m := range n.Members() {
+		if m.Domain == n.opts.Domain && m.State != membership.Dead {
+			hosts++
+		}
+	}
+	part := max(min(hosts, fullDomain), fullDomain/mostOften)
+	return n.opts.Interval * time.Duration(part) / fullDomain
+}
+
 // Close ends the listener, all connections and the background work, but does
 // not wait for registered methods that still run. It is called by Run, and
 // needed only for a node that never ran.
