Short prompts prefer engines kept for their length

Cause: prompts of 4k to 16k take 25 to 100 ms, less than the age of a report, so an engine that often has one in hand looked as idle as one kept for short prompts. It is part of the choice only, of no estimate that refuses.

--- a/internal/core/placement/estimate.go
+++ b/internal/core/placement/estimate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 )
 
 // leastUrgent is the priority behind which all work counts.
@@ -105,6 +106,9 @@
 	if e.requests() > 0 {
 		est.Residual = max(e.report.Step, 0)
 	}
+	if est.Residual == 0 && s.mayMeetLonger(e) {
+		est.Unseen = max(e.report.Step, 0)
+	}
 	if e.reported {
 		est.Stale = min(max(s.now.Sub(e.report.Taken)-s.opts.StaleAfter, 0), maxWait)
 	}
@@ -114,11 +118,22 @@
 	return est
 }
 
+// mayMeetLonger reports whether the engine takes prompts so much longer than this
+// short one that meeting one costs a step of another's work. A prompt of middle
+// length is over before a report shows it, so an engine without known work counts
+// as idle only when it is kept for prompts of about this length.
+func (s *estimator) mayMeetLonger(e *Engine) bool {
+	if s.class == Long || s.ask.Policy != settings.PolicyLengthAware || s.ask.LongFrom <= 0 {
+		return false
+	}
+	return float64(e.limit()) > s.opts.NearRatio*float64(s.ask.Tokens)
+}
+
 // cost is what the choice goes by. An engine may finish a prompt that it has begun
-// before a more urgent one, so that less urgent work is better avoided; but it
-// refuses no deadline.
+// before a more urgent one, so that less urgent work is better avoided, and so is
+// work that may have come since the report; but neither refuses a deadline.
 func (x *Estimate) cost() int64 {
-	return int64(x.FirstToken + x.LessUrgent)
+	return int64(x.FirstToken + x.LessUrgent + x.Unseen)
 }
 
 // memoryWait estimates how long it takes until enough memory is free: what is
--- a/internal/core/placement/types.go
+++ b/internal/core/placement/types.go
@@ -230,6 +230,7 @@
 	Stale      time.Duration // penalty of an old report
 
 	LessUrgent time.Duration // work that only an engine which interrupts nothing does first; not in the sum
+	Unseen     time.Duration // longer work that the engine may have begun since its report; not in the sum
 
 	Finish time.Duration // until the expected end of the answer
 	Cached int           // prompt tokens in the cache
