--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -34,9 +34,13 @@
 	journalSize    = 2000
 )
 
-// publishEvery is the time between two digests of the engines that this host
-// owns.
-const publishEvery = 500 * time.Millisecond
+// Shortest times between two load reports of an engine that this host owns, and
+// between two digests of these engines. The owner stretches both in a large
+// failure domain, to keep its digests within their budget.
+const (
+	loadEvery    = 50 * time.Millisecond
+	publishEvery = 100 * time.Millisecond
+)
 
 // digestBudget bounds the bytes a second of all digests of a failure domain, as
 // one front receives them; in a large domain they come less often for it.
@@ -167,6 +171,7 @@
 		Publisher:    &publisher{node: p.node, log: p.log},
 		Catalog:      p.catalog,
 		Log:          p.log,
+		LoadEvery:    loadEvery,
 		PublishEvery: publishEvery,
 		DigestBudget: digestBudget,
 	})
