--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -78,6 +78,7 @@
 	run("orders", p.orders.Run)
 	run("claims", p.claims.Run)
 	run("limits", p.shareLimits)
+	run("work", p.shareWork)
 	run("suspects", p.shareSuspects)
 	run("front", p.front.Run)
 	return &wg
@@ -95,6 +96,7 @@
 	}
 	<-ctx.Done()
 	p.front.Refuse()
+	p.log.WithField("in_flight", p.front.InFlight()).Info("refusing")
 	p.waitDrained()
 	p.closeServer()
 	p.waitEnds()
--- a/internal/follow/snapshots.go
+++ b/internal/follow/snapshots.go
@@ -94,17 +94,19 @@
 func (f *Follower) readSnapshot(r platform.Record) *settings.State {
 	state, err := unpack(r.Data)
 	if err != nil {
-		f.o.Logger.WithField("event", "settings_snapshot_broken").WithField("snapshot_offset", r.Offset).
-			WithError(err).Warn("snapshot stream holds a broken snapshot")
+		f.o.Logger.WithField("snapshot_offset", r.Offset).
+			WithError(err).Warn("settings_snapshot_broken")
 		return nil
 	}
 	return state
 }
 
 // snapshotLoop lets the hosts that read the log also write snapshots. Two hosts
-// may do so at once; their snapshots are equal.
+// may do so at once; their snapshots are equal. The first look comes soon, or
+// hosts that are replaced often would never get to write one.
 func (f *Follower) snapshotLoop(ctx context.Context) {
-	for pause(ctx, jitter(f.o.SnapshotCheck)) {
+	wait := f.o.SnapshotFirst
+	for ; pause(ctx, jitter(wait)); wait = f.o.SnapshotCheck {
 		if !f.o.Peers.Tailer() {
 			continue
 		}
@@ -163,7 +165,7 @@
 	}
 	snapshotsWritten.Inc()
 	f.snapshots.newest, f.snapshots.at = offset, f.o.Now()
-	f.o.Logger.WithField("event", "settings_snapshot_written").WithField("offset", offset).
-		WithField("bytes", len(packed)).Info("settings snapshot written")
+	f.o.Logger.WithField("offset", offset).
+		WithField("bytes", len(packed)).Info("settings_snapshot_written")
 	return nil
 }
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -12,6 +12,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/stream"
 	"github.com/buckthorndock/buckthorndock/internal/router"
+	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
 // generation is one request for an answer on its way through its attempts. One
@@ -35,7 +36,7 @@
 	g := &generation{
 		s:       s,
 		job:     j,
-		asm:     stream.New(stream.Options{RequestID: j.req.ID, MaxTokens: j.req.MaxTokens}),
+		asm:     stream.New(stream.Options{RequestID: j.req.ID, MaxTokens: j.req.MaxTokens, From: j.answered}),
 		attempt: 1,
 	}
 	for {
@@ -100,7 +101,10 @@
 func (g *generation) next(ctx context.Context, t *target, res streamEnd) retry.Decision {
 	now := time.Now()
 	if res.callerGone {
-		return retry.Decision{Action: retry.GiveUp, Refusal: failed(request.CodeCallerGone, 0, "the caller has gone")}
+		return retry.Decision{Action: retry.GiveUp, Refusal: callerGone(g.job)}
+	}
+	if errors.Is(res.err, upstream.ErrNotPermitted) {
+		return retry.Decision{Action: retry.GiveUp, Refusal: notPermitted()}
 	}
 	a := retry.Attempt{
 		Number:       g.attempt,
@@ -159,8 +163,12 @@
 		t, verdict := g.decide()
 		if verdict == nil {
 			ok, refusal := g.begin(ctx, t)
-			if ok || refusal != nil {
-				return t, g.refused(refusal)
+			if refusal != nil {
+				return nil, g.refused(refusal)
+			}
+			if ok {
+				g.s.noteDecision(g.job, g.attempt, t.decision, t.names())
+				return t, nil
 			}
 			verdict = &noPlace{wait: true}
 		}
@@ -188,7 +196,7 @@
 		g.s.opts.Router.Finished(t.placement.ID, placement.End{})
 		return nil
 	}
-	g.s.noteDecision(g.job, g.attempt, *d, []string{d.Chosen.Name})
+	g.s.noteDecision(g.job, g.attempt, *d, t.names())
 	return t
 }
 
@@ -256,7 +264,6 @@
 	}
 	switch d.Verdict {
 	case placement.Placed:
-		g.s.noteDecision(g.job, g.attempt, d, []string{d.Chosen.Name})
 		return newTarget(g.job, g.attempt, d), nil
 	case placement.WaitMemory:
 		return nil, &noPlace{wait: true}
@@ -292,11 +299,6 @@
 		return nil, &noPlace{wait: true}
 	}
 	d.Chosen = placement.Candidate{Name: members[0].Name, Address: members[0].Address, Domain: d.GangDomain}
-	names := make([]string, len(members))
-	for i, m := range members {
-		names[i] = m.Name
-	}
-	g.s.noteDecision(g.job, g.attempt, d, names)
 	t := newTarget(g.job, g.attempt, d)
 	t.gang = members
 	t.placement.Tokens = members[0].Prefill
--- a/internal/front/handlers.go
+++ b/internal/front/handlers.go
@@ -69,14 +69,14 @@
 		writeRefusal(w, id, refusal)
 		return
 	}
-	meta := answerMeta{shape: ask.shape, id: id, model: ask.model, created: time.Now().Unix(), promptTokens: j.req.PromptTokens}
+	meta := answerMeta{shape: ask.shape, id: id, model: ask.model, created: time.Now().Unix(), promptTokens: j.req.PromptTokens, writeTimeout: DefaultWriteTimeout}
 	if ask.stream {
 		j.sink = &eventSink{w: w, meta: meta}
 	} else {
 		j.sink = &wholeSink{w: w, meta: meta}
 	}
 	do := func(ctx context.Context) *request.Refusal { return s.generate(ctx, j) }
-	refusal = s.serve(ctx, j, do, relayTokens(j.sink))
+	refusal = s.serve(ctx, j, do, relayTokens(j))
 	if refusal != nil {
 		j.sink.refuse(refusal)
 	}
@@ -117,7 +117,7 @@
 	}
 	refusal = s.serve(ctx, j, do, pass)
 	s.noteEnd(j, refusal)
-	setWriteDeadline(w)
+	setWriteDeadline(w, DefaultWriteTimeout)
 	if refusal != nil {
 		writeRefusal(w, id, refusal)
 		return nil
