Daemon: findings of settings are logged once

Cause: the follower logs each finding with its place, and the daemon logged all of them again as one line with newlines in it. Change: the second goes. Conclusion: one event, one line.

--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -43,9 +43,6 @@
 		p.router.ApplySettings(snap)
 		p.front.ApplySettings(snap)
 		p.suspects.ApplySettings(snap)
-		if err := p.follower.Findings().Err(); err != nil {
-			p.log.WithError(err).Warn("settings_findings")
-		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
