Engine API: a retry carries the text that was handed out

Cause: a retry on another engine said only the index to go on from. The stand-ins' answers are the same everywhere, a real engine's are not: going on from an index without the text would join halves of two answers. Ruled out: starting again from the first token (the caller has read the first half). Change: answer_so_far in GenerateRequest; the front keeps the text it has handed out, bounded by max_tokens. Run: tests of standin and front pass. Conclusion: the seam is right; that a real engine continues well is not proved here.

--- a/internal/api/engineapi/oas_json_gen.go
+++ b/internal/api/engineapi/oas_json_gen.go
@@ -951,6 +951,12 @@
 		e.FieldStart("resume_from")
 		e.Int(s.ResumeFrom)
 	}
+	{
+		if s.AnswerSoFar.Set {
+			e.FieldStart("answer_so_far")
+			s.AnswerSoFar.Encode(e)
+		}
+	}
 	{
 		if s.ReservationID.Set {
 			e.FieldStart("reservation_id")
@@ -979,7 +985,7 @@
 	}
 }
 
-var jsonFieldsNameOfGenerateRequest = [14]string{
+var jsonFieldsNameOfGenerateRequest = [15]string{
 	0:  "request_id",
 	1:  "attempt",
 	2:  "model",
@@ -990,10 +996,11 @@
 	7:  "max_tokens",
 	8:  "priority",
 	9:  "resume_from",
-	10: "reservation_id",
-	11: "gang",
-	12: "deadline_ms",
-	13: "holder",
+	10: "answer_so_far",
+	11: "reservation_id",
+	12: "gang",
+	13: "deadline_ms",
+	14: "holder",
 }
 
 // Decode decodes GenerateRequest from json.
@@ -1130,6 +1137,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"resume_from\"")
 			}
+		case "answer_so_far":
+			if err := func() error {
+				s.AnswerSoFar.Reset()
+				if err := s.AnswerSoFar.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"answer_so_far\"")
+			}
 		case "reservation_id":
 			if err := func() error {
 				s.ReservationID.Reset()
@@ -1170,7 +1187,7 @@
 				return errors.Wrap(err, "decode field \"deadline_ms\"")
 			}
 		case "holder":
-			requiredBitSet[1] |= 1 << 5
+			requiredBitSet[1] |= 1 << 6
 			if err := func() error {
 				if err := s.Holder.Decode(d); err != nil {
 					return err
@@ -1190,7 +1207,7 @@
 	var failures []validate.FieldError
 	for i, mask := range [2]uint8{
 		0b10110111,
-		0b00100011,
+		0b01000011,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/internal/api/engineapi/oas_schemas_gen.go
+++ b/internal/api/engineapi/oas_schemas_gen.go
@@ -326,7 +326,9 @@
 	// 0 urgent, 1 normal, 2 bulk.
 	Priority int `json:"priority"`
 	// Index of the first token wanted.
-	ResumeFrom    int       `json:"resume_from"`
+	ResumeFrom int `json:"resume_from"`
+	// Text of the tokens before resume_from, from which an engine that does not know the attempt goes on.
+	AnswerSoFar   OptString `json:"answer_so_far"`
 	ReservationID OptString `json:"reservation_id"`
 	// IP:port of each member, the receiver first. Each must hold reservation_id.
 	Gang       []string `json:"gang"`
@@ -384,6 +386,11 @@
 	return s.ResumeFrom
 }
 
+// GetAnswerSoFar returns the value of AnswerSoFar.
+func (s *GenerateRequest) GetAnswerSoFar() OptString {
+	return s.AnswerSoFar
+}
+
 // GetReservationID returns the value of ReservationID.
 func (s *GenerateRequest) GetReservationID() OptString {
 	return s.ReservationID
@@ -454,6 +461,11 @@
 	s.ResumeFrom = val
 }
 
+// SetAnswerSoFar sets the value of AnswerSoFar.
+func (s *GenerateRequest) SetAnswerSoFar(val OptString) {
+	s.AnswerSoFar = val
+}
+
 // SetReservationID sets the value of ReservationID.
 func (s *GenerateRequest) SetReservationID(val OptString) {
 	s.ReservationID = val
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
@@ -27,7 +28,8 @@
 	asks         int // for reservations so far
 	earlierWrote bool
 	exclude      []string
-	first        time.Time // of the first token, zero before
+	first        time.Time       // of the first token, zero before
+	text         strings.Builder // handed out so far
 }
 
 // generate runs a job until its one end. It returns nil when the whole answer
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -130,6 +130,7 @@
 		g.s.noteFirstToken(g.job, t, cached, g.first)
 	}
 	g.job.answered = g.asm.NextIndex()
+	g.text.WriteString(step.Text)
 	g.job.recordTokens(step.Text, step.Tokens)
 	err := g.job.sink.token(step.Text)
 	if g.job.record != nil && g.job.needed() {
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -82,6 +82,9 @@
 		DeadlineMs:   engineapi.NewOptInt64(time.Until(req.Deadline).Milliseconds()),
 		Holder:       engineapi.Holder{Host: g.s.opts.Host, Incarnation: g.s.opts.Incarnation},
 	}
+	if g.text.Len() > 0 {
+		er.AnswerSoFar = engineapi.NewOptString(g.text.String())
+	}
 	for _, m := range t.gang {
 		er.Gang = append(er.Gang, m.Address)
 	}
