--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -34,9 +34,13 @@
 	journalSize    = 2000
 )
 
-// publishEvery is the time between two digests of the engines that this host
-// owns.
-const publishEvery = 500 * time.Millisecond
+// Shortest times between two load reports of an engine that this host owns, and
+// between two digests of these engines. The owner stretches both in a large
+// failure domain, to keep its digests within their budget.
+const (
+	loadEvery    = 50 * time.Millisecond
+	publishEvery = 100 * time.Millisecond
+)
 
 // digestBudget bounds the bytes a second of all digests of a failure domain, as
 // one front receives them; in a large domain they come less often for it.
@@ -50,7 +54,7 @@
 	work        context.Context // of the background work
 
 	logService platform.Log
-	hosts      platform.Hosts
+	list       *hostList
 	weights    platform.Weights
 
 	node     *peer.Node
@@ -87,9 +91,12 @@
 }
 
 func (p *process) holderName() ledger.Holder {
-	return ledger.Holder{Host: p.cfg.Host, Incarnation: strconv.FormatUint(p.incarnation, 10)}
+	return holderOf(p.cfg.Host, p.incarnation)
 }
 
+// incarnationText is a host's incarnation as engines and their owners know it.
+func incarnationText(incarnation uint64) string { return strconv.FormatUint(incarnation, 10) }
+
 func (p *process) buildPlatform() error {
 	logService, err := platform.NewHTTP(p.cfg.Platform.Log, obs.CountedClient(obs.PurposeLog))
 	if err != nil {
@@ -103,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	p.logService, p.hosts, p.weights = logService, hosts, weights
+	p.logService, p.list, p.weights = logService, &hostList{source: hosts}, weights
 	return nil
 }
 
@@ -116,7 +123,7 @@
 		Listen:      p.cfg.PeerListen,
 		Key:         p.cfg.PeerKey,
 		Seeds:       p.cfg.Seeds,
-		HostList:    p.hosts.List,
+		HostList:    p.list.List,
 		TestFaults:  p.cfg.TestFaults,
 		Logger:      p.log,
 	})
@@ -164,6 +171,7 @@
 		Publisher:    &publisher{node: p.node, log: p.log},
 		Catalog:      p.catalog,
 		Log:          p.log,
+		LoadEvery:    loadEvery,
 		PublishEvery: publishEvery,
 		DigestBudget: digestBudget,
 	})
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
@@ -24,9 +25,11 @@
 
 	attempt      int // number of the running attempt, from 1
 	resumes      int // of the running attempt, since its last token
+	asks         int // for reservations so far
 	earlierWrote bool
 	exclude      []string
-	first        time.Time // of the first token, zero before
+	first        time.Time       // of the first token, zero before
+	text         strings.Builder // handed out so far
 }
 
 // generate runs a job until its one end. It returns nil when the whole answer
