Gangs: the member that failed is blamed, not the receiver that reports it

Cause: when a member of a gang stops, the receiver reports an error. The front took it for the receiver's fault: it made the receiver suspect and avoided it in the next attempt. With three engines, one of them stopped, two were left out and the request waited for its deadline: long_engine failed with "failed ... in 25002 ms ... no upstream had room within the deadline". Ruled out: a fault of placement or of the ledger; both were told of two bad engines. Change: after an error that a gang's receiver reports, all members are probed on new connections, and those that do not answer are avoided and noted as dead or suspect. A gang that finds no members forgets whom it avoids, as a single engine does. Run: long_engine (engine of a reservation killed, receiver killed, member stopped, member killed with none to take its place; books zero after each) passes, 3 of 3 runs. It fails without the probes (same end as before) and without the release of reservations ("203 tokens held by 1"), as memory_answers does. It passes without the forgetting, which has no scenario. Conclusion: holds for these faults.

--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -27,6 +27,7 @@
 	asks         int // for reservations so far
 	earlierWrote bool
 	exclude      []string
+	blamed       []string // for the end of the last attempt
 	first        time.Time // of the first token, zero before
 }
 
@@ -83,7 +84,7 @@
 		}
 		g.attempt = decision.Attempt
 		g.resumes = 0
-		g.exclude = append(g.exclude, t.name())
+		g.exclude = append(g.exclude, g.blamed...)
 		return nil, true
 	}
 }
@@ -116,9 +117,7 @@
 	if res.end != retry.NotWritten {
 		g.earlierWrote = true
 	}
-	if !res.late {
-		g.s.noteUpstream(t.name(), res.end, res.reachable)
-	}
+	g.blamed = g.blame(ctx, t, res)
 	if res.end == retry.Died {
 		g.s.opts.Suspects.Died(t.name(), t.incarnation, now)
 	}
@@ -295,6 +294,10 @@
 // receives the request.
 func (g *generation) decideGang(ask placement.Ask, d placement.Decision) (*target, *noPlace) {
 	members := g.s.opts.Router.GangMembers(ask)
+	if len(members) == 0 && len(g.exclude) > 0 {
+		// Those that have failed are needed, if they are back.
+		g.exclude = nil
+	}
 	if len(members) == 0 {
 		return nil, &noPlace{wait: true}
 	}
