--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -19,7 +19,7 @@
 
 // Times of the loops that feed the router.
 const (
-	digestEvery = 100 * time.Millisecond // between two looks at the owners' digests
+	digestEvery = 20 * time.Millisecond  // between two looks at the owners' digests
 	watchEvery  = 200 * time.Millisecond // between two choices of what to watch
 )
 
@@ -43,9 +43,6 @@
 		p.router.ApplySettings(snap)
 		p.front.ApplySettings(snap)
 		p.suspects.ApplySettings(snap)
-		if err := p.follower.Findings().Err(); err != nil {
-			p.log.WithError(err).Warn("settings_findings")
-		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
