Leaving upstreams: the platform's list counts, and is heard within seconds

Cause: the list names leaving upstreams, and the daemon used its entries of entry hosts only. An upstream that was leaving by the settings and had been dead in between was taken as live again. The list was read every 30 s by each host, at the smallest site too. Ruled out: reading the list more often at full size (420 hosts; the list has all upstreams and a host's bytes are few). An own mark at each host alone: some would learn 30 s later than others. Change: who reads of a leaving upstream publishes its address to the domain, and all routers mark it; the mark ends with the list's word or a new life of the engine. SetState never makes live what settings or list have leaving. The list is read 14 times a second by the whole site, at least every 30 s and at most every 2 s by one host. Scenarios leaving_upstream (engine and service; list, own report with the list down or stale; a restarted engine takes work) and leaving_host (list's word and its end, missing entry, list down, list stale; owner, keys and settings do without it); commands hosts with upstreams, and count. A service's own report is not asked while it is well; for services the list and the settings count.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -52,6 +52,8 @@
 	hosts      platform.Hosts
 	weights    platform.Weights
 
+	listedLeaving *string // upstreams that the last list had as leaving, nil before
+
 	node     *peer.Node
 	peers    *peers
 	follower *follow.Follower
@@ -114,7 +116,7 @@
 		Listen:      p.cfg.PeerListen,
 		Key:         p.cfg.PeerKey,
 		Seeds:       p.cfg.Seeds,
-		HostList:    p.hosts.List,
+		HostList:    p.readHosts,
 		TestFaults:  p.cfg.TestFaults,
 		Logger:      p.log,
 	})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,6 +71,7 @@
 	run("follower", p.follower.Run)
 	run("settings", p.applySettings)
 	run("digests", p.readDigests)
+	run("listed", p.applyListed)
 	run("watch", p.watch)
 	run("owner", p.owner.Run)
 	run("holder", p.holder.Run)
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -131,22 +131,30 @@
 	return n.Call(ctx, out.Address, pushMethod, push, &Ack{})
 }
 
-// followList reads the platform's list now and then, and often as long as no
-// other host is known. A failed read changes nothing.
+// followList reads the platform's list now and then. A failed read changes
+// nothing.
 func (n *Node) followList(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.readList(ctx)
-		wait := n.opts.ListEvery
-		if len(n.Members()) <= 1 {
-			wait = min(wait, listEveryAlone)
-		}
-		pause(ctx, n.jitter(wait))
+		pause(ctx, n.jitter(min(n.opts.ListEvery, listEvery(len(n.Members())))))
+	}
+}
+
+// listEvery returns the time between two reads of the list, so that the whole
+// site reads it about as often whatever its size: what the list alone tells is
+// then heard within seconds, as the first to read of it tells the others.
+func listEvery(hosts int) time.Duration {
+	if hosts <= 1 {
+		return listEveryAlone
 	}
+	return max(listEveryLeast, time.Duration(hosts)*time.Second/listReadsPerSecond)
 }
 
-// listEveryAlone is the time between two reads of the list while no other host is
-// known.
-const listEveryAlone = time.Second
+const (
+	listEveryAlone     = time.Second // while no other host is known
+	listEveryLeast     = 2 * time.Second
+	listReadsPerSecond = 14 // of the whole site
+)
 
 func (n *Node) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, n.opts.CallTimeout)
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -27,7 +27,7 @@
 
 	Interval         time.Duration // between two exchanges with the own domain; default 500 ms
 	HeartbeatTimeout time.Duration // of one heartbeat call; default 2 s
-	ListEvery        time.Duration // between two reads of HostList; default 30 s
+	ListEvery        time.Duration // longest time between two reads of HostList, less at small sites; default 30 s
 	CallTimeout      time.Duration // of a call whose context has no deadline; default 5 s
 	DialTimeout      time.Duration // of connect and handshake; default 2 s
 	HandshakeTimeout time.Duration // of an incoming connection; default 3 s
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,7 @@
 	view    *placement.View
 	rng     *rand.Rand
 	pools   map[string]bool
+	leaving leaving
 	changed chan struct{} // closed and replaced when capacity may have grown
 }
 
@@ -44,6 +45,7 @@
 		view:    placement.NewView(placement.Options{}),
 		rng:     rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
 		pools:   map[string]bool{},
+		leaving: leaving{settings: map[string]bool{}, listed: map[string]*listedLeave{}},
 		changed: make(chan struct{}),
 	}
 }
@@ -53,12 +55,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	seen := map[string]bool{}
+	clear(r.leaving.settings)
 	for _, p := range snap.Pools() {
 		seen[p.Name] = true
 		r.view.SetPool(p.Name, specsOf(p))
-		for _, u := range p.Upstreams {
-			r.applyLeaving(u)
-		}
+		r.applyLeaving(p)
 	}
 	for name := range r.pools {
 		if !seen[name] {
@@ -77,16 +78,6 @@
 	return specs
 }
 
-func (r *Router) applyLeaving(u *settings.UpstreamView) {
-	e := r.view.Engine(u.Name)
-	switch {
-	case u.Leaving:
-		r.view.SetState(u.Name, placement.Leaving)
-	case e.State() == placement.Leaving:
-		r.view.SetState(u.Name, placement.Live)
-	}
-}
-
 // Place decides where a request goes; see placement.Place. The spill domains are
 // filled in for work that may be sent to another domain.
 func (r *Router) Place(ask placement.Ask) (placement.Decision, error) {
@@ -187,7 +178,7 @@
 	r.view.ApplyCacheEvents(upstream, incarnation, events)
 }
 
-// SetState notes what is thought of an upstream. One that the settings have
+// SetState notes what is thought of an upstream. One that settings or list have
 // leaving stays so until they say otherwise, unless it is dead.
 func (r *Router) SetState(upstream string, s placement.State) {
 	r.mu.Lock()
@@ -196,7 +187,10 @@
 	if e == nil || e.State() == s {
 		return
 	}
-	if e.State() == placement.Leaving && s != placement.Dead {
+	if s != placement.Dead && (r.isLeaving(e) || e.State() == placement.Leaving) {
+		s = placement.Leaving
+	}
+	if e.State() == s {
 		return
 	}
 	r.view.SetState(upstream, s)
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -139,7 +139,8 @@
 	State   string `json:"state"`
 }
 
-// cmdHosts tells the platform's list of the daemons: hosts [NAME=leaving|gone...].
+// cmdHosts tells the platform's list of the daemons, engines and services:
+// hosts [NAME=leaving|gone...].
 func cmdHosts(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, neg, args, 0, "hosts [NAME=leaving|gone...]")
 	s := siteOf(ts)
@@ -151,10 +152,17 @@
 	entries := []hostEntry{}
 	for _, name := range s.order {
 		p := s.processes[name]
-		if p.kind != kindDaemon || said[name] == "gone" {
+		e := hostEntry{Name: name, Domain: p.domain, Region: region, State: "live"}
+		switch {
+		case said[name] == "gone":
+			continue
+		case p.kind == kindDaemon:
+			e.Kind, e.Address = "entry", p.peer
+		case p.kind == "engine", p.kind == "service":
+			e.Kind, e.Address = "upstream", p.address
+		default:
 			continue
 		}
-		e := hostEntry{Name: name, Kind: "entry", Domain: p.domain, Region: region, Address: p.peer, State: "live"}
 		if said[name] != "" {
 			e.State = said[name]
 		}
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -71,6 +71,7 @@
 	c["answer"] = cmdAnswer
 	c["books"] = cmdBooks
 	c["codes"] = cmdCodes
+	c["count"] = cmdCount
 	c["crowd"] = cmdCrowd
 	c["crowdcomplete"] = cmdCrowdComplete
 	c["cut"] = cmdCut
--- a/test/scenarios/settings_test.go
+++ b/test/scenarios/settings_test.go
@@ -42,6 +42,15 @@
 	})
 }
 
+// cmdCount sets a variable to the number of runs that a stand-in has witnessed so
+// far: count VARIABLE NAME.
+func cmdCount(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "count VARIABLE NAME")
+	var w witness
+	ts.Check(get(siteOf(ts).process(ts, args[1]).address, "/standin/witness", &w))
+	ts.Setenv(args[0], strconv.Itoa(len(w.Runs)))
+}
+
 // cmdCodes checks the exit codes that several commands wrote to files, in any
 // order: codes FILE[,FILE...] CODE...
 func cmdCodes(ts *testscript.TestScript, neg bool, args []string) {
