--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -88,7 +88,7 @@
 func (p *process) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listEvery)
 	defer cancel()
-	if _, err := p.list.List(ctx); err != nil {
+	if _, err := p.readHosts(ctx); err != nil {
 		p.log.WithError(err).Debug("host_list_unread")
 	}
 }
