The step that a short prompt may meet is counted in tokens

Cause: the reported step is a mean over steps of decoding too, 2.5 ms on a quiet engine, so that a cached block elsewhere outweighed it. Change: the step counts 2048 tokens (an option) at the engine's rate.

--- a/internal/core/placement/estimate.go
+++ b/internal/core/placement/estimate.go
@@ -106,8 +106,8 @@
 	if e.requests() > 0 {
 		est.Residual = max(e.report.Step, 0)
 	}
-	if est.Residual == 0 && s.mayMeetLonger(e) {
-		est.Unseen = max(e.report.Step, 0)
+	if all == 0 && s.mayMeetLonger(e) {
+		est.Unseen = tokensTime(float64(s.opts.StepTokens), rate)
 	}
 	if e.reported {
 		est.Stale = min(max(s.now.Sub(e.report.Taken)-s.opts.StaleAfter, 0), maxWait)
--- a/internal/core/placement/options.go
+++ b/internal/core/placement/options.go
@@ -17,6 +17,7 @@
 	TokensPerByte float64       // of a prompt, without observation, 0.25
 	AnswerShare   float64       // expected answer as a share of its bound, without observation, 0.25
 	Residence     time.Duration // time for which a request holds memory, without observation, 10 s
+	StepTokens    int           // prompt tokens that an engine computes before it turns to another request, 2048
 	RateHalfLife  time.Duration // after it an observation counts half, 30 s
 
 	PrefixBlocks int // cached blocks kept for one engine, 2048
@@ -45,6 +46,7 @@
 	setDefault(&o.TokensPerByte, 0.25)
 	setDefault(&o.AnswerShare, 0.25)
 	setDefault(&o.Residence, 10*time.Second)
+	setDefault(&o.StepTokens, 2048)
 	setDefault(&o.RateHalfLife, 30*time.Second)
 	setDefault(&o.PrefixBlocks, 2048)
 	setDefault(&o.WorkHalfLife, 20*time.Second)
