Only very long prompts go behind bulk work

Cause: normal prompts from 32k tokens on were sent as bulk, behind audits of up to a million tokens that they pass under least-loaded+priority. Ruled out: nothing yet; see the conclusion. Change: a normal prompt is sent as bulk from four times the long length on (an option). Conclusion: part of the cause only: the bucket still waits a second in the daemon's own queue, for the estimate of what is ahead of a normal prompt counts most of an audit.

--- a/internal/core/placement/options.go
+++ b/internal/core/placement/options.go
@@ -30,6 +30,7 @@
 	LongSlack      float64       // multiple of the long length below which the first engine's limit always stays, 2
 	PromotePart    float64       // prompts below this part of the long length go before others, 0.125
 	PromoteShare   float64       // as long as they are at most this share of the work, 0.25
+	DemoteFrom     float64       // multiple of the long length from which prompts go after others, 4
 	BoundaryMargin float64       // engines by which the target must differ before it moves, 0.75
 	BoundaryDwell  time.Duration // least time between two moves, 2 s
 }
@@ -57,6 +58,7 @@
 	setDefault(&o.LongSlack, 2)
 	setDefault(&o.PromotePart, 0.125)
 	setDefault(&o.PromoteShare, 0.25)
+	setDefault(&o.DemoteFrom, 4)
 	setDefault(&o.BoundaryMargin, 0.75)
 	setDefault(&o.BoundaryDwell, 2*time.Second)
 	return o
@@ -68,6 +70,11 @@
 	}
 }
 
+// demoteFrom returns the length from which prompts go after others.
+func (o *Options) demoteFrom(longFrom int) float64 {
+	return o.DemoteFrom * float64(longFrom)
+}
+
 // promoteBelow returns the length below which prompts go before others.
 func (o *Options) promoteBelow(longFrom int) float64 {
 	return o.PromotePart * float64(longFrom)
--- a/internal/core/placement/place.go
+++ b/internal/core/placement/place.go
@@ -54,8 +54,9 @@
 
 // enginePriority returns the priority to send. Engines know three, which the
 // length-aware policy also uses to let the shortest prompts pass longer ones:
-// normal ones count as urgent while they are a small part of the work, and long
-// ones as bulk.
+// normal ones count as urgent while they are a small part of the work, and very
+// long ones as bulk. What is only somewhat long stays normal: behind all bulk work
+// it would wait longer than without any separation.
 func (t *task) enginePriority(g *group) request.Priority {
 	a := t.ask
 	if !usesPriority(a.Policy) {
@@ -65,7 +66,7 @@
 	if asked != request.Normal || !t.separates() {
 		return asked
 	}
-	if ClassOf(a.Tokens, a.LongFrom) == Long {
+	if float64(a.Tokens) >= t.view.opts.demoteFrom(a.LongFrom) {
 		return request.Bulk
 	}
 	if g.boundary.promotes && float64(a.Tokens) < t.view.opts.promoteBelow(a.LongFrom) {
