All refusals of the front are spread alike

Cause: a request that the gate let in and placement refused as too late was told to come back in exactly the backlog or a second, so that callers of a wake came back together. Ruled out: the gate's own refusals; they are spread over at least five seconds. Change: the gate works out the time also for refusals after it, from the pool's backlog and all that were refused lately, and counts them.

--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -214,11 +214,17 @@
 // ended returns why the context has ended.
 func (g *generation) ended(ctx context.Context) *request.Refusal {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return request.Refuse(request.CodeDeadline, retryElsewhere, "no upstream had room within the deadline")
+		return request.Refuse(request.CodeDeadline, g.comeBack(0), "no upstream had room within the deadline")
 	}
 	return failed(request.CodeCallerGone, 0, "the caller has gone")
 }
 
+// comeBack returns when the caller may come back, spread like the gate's refusals
+// so that callers that were refused together do not return together.
+func (g *generation) comeBack(backlog time.Duration) time.Duration {
+	return g.s.opts.Gate.ComeBack(g.job.pool.Name, g.job.req, max(backlog, retryElsewhere))
+}
+
 // refused corrects a refusal's outcome: what an earlier attempt wrote may have
 // run.
 func (g *generation) refused(r *request.Refusal) *request.Refusal {
@@ -265,7 +271,7 @@
 			"needs %d tokens of memory, at most %d can be gathered", ask.Need(), d.MemoryLimit)}
 	case placement.TooLate:
 		g.s.noteDecision(g.job, g.attempt, d, nil)
-		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, max(d.Backlog.Drain(), retryElsewhere),
+		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, g.comeBack(d.Backlog.Drain()),
 			"the deadline cannot be met at the present load")}
 	}
 	if len(blocked) > 0 {
@@ -277,7 +283,7 @@
 		return g.decide()
 	}
 	g.s.noteDecision(g.job, g.attempt, d, nil)
-	return nil, &noPlace{refusal: request.Refuse(request.CodeNoUpstream, max(d.Backlog.Drain(), retryElsewhere),
+	return nil, &noPlace{refusal: request.Refuse(request.CodeNoUpstream, g.comeBack(d.Backlog.Drain()),
 		"no upstream of pool %s can take it now", g.job.pool.Name)}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -158,6 +158,18 @@
 	return request.Refuse(code, after, format, args...)
 }
 
+// ComeBack returns when a request that was let in, and could not be placed after
+// all, may come back: after the backlog given or that of the pool, whichever is
+// longer, spread as for those that the gate itself refuses, and counted with them.
+func (g *Gate) ComeBack(pool string, r *request.Request, backlog time.Duration) time.Duration {
+	if p := g.pool(pool); p != nil {
+		backlog = max(backlog, p.comeBack(r))
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return admission.RetryAfter(backlog, g.rng)
+}
+
 func (g *Gate) pool(name string) *pool {
 	g.poolsMu.RLock()
 	defer g.poolsMu.RUnlock()
--- a/internal/gate/pool.go
+++ b/internal/gate/pool.go
@@ -213,6 +213,15 @@
 	return p.gate.refuse(code, p.drain.ComeBack(p.queue.Cost(), now), format, args...)
 }
 
+// comeBack counts a refused request and returns the backlog to spread it by.
+func (p *pool) comeBack(r *request.Request) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.gate.opts.Now()
+	p.drain.Refused(r.TotalTokens(), now)
+	return p.drain.ComeBack(p.queue.Cost(), now)
+}
+
 func (p *pool) stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/test/bench/run.sh
+++ b/test/bench/run.sh
@@ -3,7 +3,8 @@
 # runs the parts asked for, all of them without arguments:
 #   policies  a mix, and its short requests alone, under each placement policy
 #   prefix    prompts that share prefixes, under two policies
-#   overload  the mix at 100% and 150% of what the engines carry, and after a wake
+#   overload  the mix at 100% and 150% of what the engines carry
+#   wake      many requests that come at once, and those that come back
 #   quick     the mix, and its short requests alone, under the product's policy
 #   faults    one engine killed and one stopped in the middle of the mix
 # Writes the result of each to a directory of its own and, with all parts,
@@ -15,7 +16,7 @@
 
 seed=${SEED:-1}
 duration=${DURATION:-13s}
-parts=${*:-policies prefix overload faults}
+parts=${*:-policies prefix overload wake faults}
 rate=$(awk '$1 == "rate:" {print $2}' bench/mixes/mixed.yaml) # 70% of the capacity
 dir=$(mktemp -d "${TMPDIR:-/tmp}/buckthorndock-bench.XXXXXX")
 out=${OUT:-$dir/results}
@@ -86,6 +87,9 @@
 	sleep 3
 	load load-150 --mix bench/mixes/mixed.yaml --rate "$(share 150)" --duration "$duration" --scale-time "$tight"
 	sleep 3
+}
+
+wake() {
 	load wake --mix bench/mixes/wake.yaml
 	sleep 3
 }
