--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -226,7 +226,7 @@
 // ended returns why the context has ended.
 func (g *generation) ended(ctx context.Context) *request.Refusal {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return request.Refuse(request.CodeDeadline, retryElsewhere, "no upstream had room within the deadline")
+		return request.Refuse(request.CodeDeadline, g.s.comeBack(g.job, 0), "no upstream had room within the deadline")
 	}
 	return failed(request.CodeCallerGone, 0, "the caller has gone")
 }
@@ -276,7 +276,7 @@
 			"needs %d tokens of memory, at most %d can be gathered", ask.Need(), d.MemoryLimit)}
 	case placement.TooLate:
 		g.s.noteDecision(g.job, g.attempt, d, nil)
-		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, g.s.comeBack(d),
+		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, g.s.comeBack(g.job, d.Backlog.Drain()),
 			"the deadline cannot be met at the present load")}
 	}
 	if len(blocked) > 0 {
@@ -288,7 +288,7 @@
 		return g.decide()
 	}
 	g.s.noteDecision(g.job, g.attempt, d, nil)
-	return nil, &noPlace{refusal: request.Refuse(request.CodeNoUpstream, g.s.comeBack(d),
+	return nil, &noPlace{refusal: request.Refuse(request.CodeNoUpstream, g.s.comeBack(g.job, d.Backlog.Drain()),
 		"no upstream of pool %s can take it now", g.job.pool.Name)}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -152,18 +152,28 @@
 
 // refuse returns a Refusal whose RetryAfter is spread beyond backlog.
 func (g *Gate) refuse(code request.Code, backlog time.Duration, format string, args ...any) *request.Refusal {
-	return request.Refuse(code, g.Spread(backlog), format, args...)
+	return request.Refuse(code, g.spread(backlog), format, args...)
 }
 
-// Spread returns a time to come back in after a backlog has been worked off,
+// spread returns a time to come back in after a backlog has been worked off,
 // spread at random so that a fleet that was refused together does not come back
 // together.
-func (g *Gate) Spread(backlog time.Duration) time.Duration {
+func (g *Gate) spread(backlog time.Duration) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return admission.RetryAfter(backlog, g.rng)
 }
 
+// ComeBack returns when a request that was let in, and could not be placed after
+// all, may come back: after the backlog given or that of the pool, whichever is
+// longer, spread as for those that the gate itself refuses, and counted with them.
+func (g *Gate) ComeBack(pool string, r *request.Request, backlog time.Duration) time.Duration {
+	if p := g.pool(pool); p != nil {
+		backlog = max(backlog, p.comeBack(r))
+	}
+	return g.spread(backlog)
+}
+
 func (g *Gate) pool(name string) *pool {
 	g.poolsMu.RLock()
 	defer g.poolsMu.RUnlock()
