--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test fuzz race demo bench capacity fmt lint generate clean
+.PHONY: all build test fuzz race demo bench bench-quick capacity fmt lint generate clean
 
 all: build
 
@@ -27,7 +27,11 @@
 	KEEP=$(KEEP) ./test/demo/run.sh
 
 bench: build
-	./bench/run.sh
+	RECORD=1 ./test/bench/run.sh
+
+# One policy pair only, in under a minute and without a record, for rounds.
+bench-quick: build
+	DURATION=10s ./test/bench/run.sh quick
 
 capacity: build
 	$(GO) run ./test/capacity -bin $(BIN)
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/follow"
 	"github.com/buckthorndock/buckthorndock/internal/front"
 	"github.com/buckthorndock/buckthorndock/internal/gate"
+	"github.com/buckthorndock/buckthorndock/internal/join"
 	"github.com/buckthorndock/buckthorndock/internal/obs"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
@@ -33,9 +34,13 @@
 	journalSize    = 2000
 )
 
-// publishEvery is the time between two digests of the engines that this host
-// owns.
-const publishEvery = 500 * time.Millisecond
+// Shortest times between two load reports of an engine that this host owns, and
+// between two digests of these engines. The owner stretches both in a large
+// failure domain, to keep its digests within their budget.
+const (
+	loadEvery    = 50 * time.Millisecond
+	publishEvery = 100 * time.Millisecond
+)
 
 // digestBudget bounds the bytes a second of all digests of a failure domain, as
 // one front receives them; in a large domain they come less often for it.
@@ -49,11 +54,9 @@
 	work        context.Context // of the background work
 
 	logService platform.Log
-	hosts      platform.Hosts
+	list       *hostList
 	weights    platform.Weights
 
-	listedLeaving *string // upstreams that the last list had as leaving, nil before
-
 	node     *peer.Node
 	peers    *peers
 	follower *follow.Follower
@@ -66,6 +69,7 @@
 	holder  *owner.Holder
 	orders  *owner.Orders
 	claims  *claims.Service
+	join    *join.Service
 	gate    *gate.Gate
 
 	suspects *suspects.Tracker
@@ -77,7 +81,7 @@
 // newProcess builds a daemon that does nothing yet but listen to peers.
 func newProcess(work context.Context, cfg *config.Daemon, log *logrus.Entry) (*process, error) {
 	p := &process{cfg: cfg, log: log, work: work, incarnation: uint64(time.Now().UnixMilli())}
-	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildUpstreams, p.buildOwner, p.buildOrders, p.buildClaims, p.buildFront}
+	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildUpstreams, p.buildOwner, p.buildOrders, p.buildClaims, p.buildJoin, p.buildFront}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -87,9 +91,12 @@
 }
 
 func (p *process) holderName() ledger.Holder {
-	return ledger.Holder{Host: p.cfg.Host, Incarnation: strconv.FormatUint(p.incarnation, 10)}
+	return holderOf(p.cfg.Host, p.incarnation)
 }
 
+// incarnationText is a host's incarnation as engines and their owners know it.
+func incarnationText(incarnation uint64) string { return strconv.FormatUint(incarnation, 10) }
+
 func (p *process) buildPlatform() error {
 	logService, err := platform.NewHTTP(p.cfg.Platform.Log, obs.CountedClient(obs.PurposeLog))
 	if err != nil {
@@ -103,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	p.logService, p.hosts, p.weights = logService, hosts, weights
+	p.logService, p.list, p.weights = logService, &hostList{source: hosts}, weights
 	return nil
 }
 
@@ -116,7 +123,7 @@
 		Listen:      p.cfg.PeerListen,
 		Key:         p.cfg.PeerKey,
 		Seeds:       p.cfg.Seeds,
-		HostList:    p.readHosts,
+		HostList:    p.list.List,
 		TestFaults:  p.cfg.TestFaults,
 		Logger:      p.log,
 	})
@@ -164,6 +171,7 @@
 		Publisher:    &publisher{node: p.node, log: p.log},
 		Catalog:      p.catalog,
 		Log:          p.log,
+		LoadEvery:    loadEvery,
 		PublishEvery: publishEvery,
 		DigestBudget: digestBudget,
 	})
@@ -205,6 +213,11 @@
 	return p.node.Register(claims.ServiceName, p.claims.RPC())
 }
 
+func (p *process) buildJoin() error {
+	p.join = join.New(join.Options{Host: p.cfg.Host, Incarnation: p.incarnation, Peers: p.peers})
+	return p.node.Register(join.ServiceName, p.join.RPC(p.work))
+}
+
 func (p *process) buildFront() error {
 	holds := newHolds(p.log)
 	var atPoint func(front.Point)
@@ -224,6 +237,7 @@
 		Holder:              p.holder,
 		Gate:                p.gate,
 		Claims:              p.claims,
+		Join:                p.join,
 		Suspects:            p.suspects,
 		Operator:            &operator{follower: p.follower, peers: p.peers},
 		OperatorTokenSHA256: p.cfg.OperatorTokenSHA256,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,10 +74,12 @@
 	run("listed", p.applyListed)
 	run("watch", p.watch)
 	run("owner", p.owner.Run)
+	run("hosts", p.followHosts)
 	run("holder", p.holder.Run)
 	run("orders", p.orders.Run)
 	run("claims", p.claims.Run)
 	run("limits", p.shareLimits)
+	run("work", p.shareWork)
 	run("suspects", p.shareSuspects)
 	run("front", p.front.Run)
 	return &wg
--- a/internal/daemon/listed.go
+++ b/internal/daemon/listed.go
@@ -17,25 +17,6 @@
 // listedEvery is the time between two looks at what the hosts have read.
 const listedEvery = 200 * time.Millisecond
 
-// readHosts reads the platform's list for the peers, and publishes which
-// upstreams it has as leaving. A list that cannot be read changes nothing.
-func (p *process) readHosts(ctx context.Context) ([]platform.Host, error) {
-	hosts, err := p.hosts.List(ctx)
-	if err != nil {
-		return nil, err
-	}
-	leaving := leavingUpstreams(hosts)
-	if p.listedLeaving != nil && *p.listedLeaving == leaving {
-		return hosts, nil
-	}
-	if err := p.node.Publish(listedSection, []byte(leaving)); err != nil {
-		p.log.WithError(err).Error("section_not_published")
-		return hosts, nil
-	}
-	p.listedLeaving = &leaving
-	return hosts, nil
-}
-
 // leavingUpstreams returns the addresses of leaving upstreams, in order and with
 // blanks between: the list's names of hosts need not be those of the settings.
 func leavingUpstreams(hosts []platform.Host) string {
@@ -49,16 +30,19 @@
 	return strings.Join(addresses, " ")
 }
 
-// applyListed tells the router what any host of the domain has read.
+// applyListed tells the domain what this host has read, and the router what any
+// host has.
 func (p *process) applyListed(ctx context.Context) error {
 	ticker := time.NewTicker(listedEvery)
 	defer ticker.Stop()
+	told := "" // nothing is as good as no section
 	for {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return nil
 		}
+		told = p.tellListed(told)
 		leaving := map[string]bool{}
 		for _, section := range p.node.Sections(listedSection) {
 			for _, address := range strings.Fields(string(section.Data)) {
@@ -68,3 +52,19 @@
 		p.router.SetListed(leaving)
 	}
 }
+
+// tellListed publishes what the last list has as leaving, when that is not what
+// was told before. It returns what has been told. A list that cannot be read
+// changes nothing.
+func (p *process) tellListed(told string) string {
+	hosts, _ := p.list.last()
+	now := leavingUpstreams(hosts)
+	if now == told {
+		return told
+	}
+	if err := p.node.Publish(listedSection, []byte(now)); err != nil {
+		p.log.WithError(err).Error("section_not_published")
+		return told
+	}
+	return now
+}
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
@@ -12,6 +13,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/stream"
 	"github.com/buckthorndock/buckthorndock/internal/router"
+	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
 // generation is one request for an answer on its way through its attempts. One
@@ -23,9 +25,11 @@
 
 	attempt      int // number of the running attempt, from 1
 	resumes      int // of the running attempt, since its last token
+	asks         int // for reservations so far
 	earlierWrote bool
 	exclude      []string
-	first        time.Time // of the first token, zero before
+	first        time.Time       // of the first token, zero before
+	text         strings.Builder // handed out so far
 }
 
 // generate runs a job until its one end. It returns nil when the whole answer
@@ -34,7 +38,7 @@
 	g := &generation{
 		s:       s,
 		job:     j,
-		asm:     stream.New(stream.Options{RequestID: j.req.ID, MaxTokens: j.req.MaxTokens}),
+		asm:     stream.New(stream.Options{RequestID: j.req.ID, MaxTokens: j.req.MaxTokens, From: j.answered}),
 		attempt: 1,
 	}
 	for {
@@ -99,7 +103,10 @@
 func (g *generation) next(ctx context.Context, t *target, res streamEnd) retry.Decision {
 	now := time.Now()
 	if res.callerGone {
-		return retry.Decision{Action: retry.GiveUp, Refusal: failed(request.CodeCallerGone, 0, "the caller has gone")}
+		return retry.Decision{Action: retry.GiveUp, Refusal: callerGone(g.job)}
+	}
+	if errors.Is(res.err, upstream.ErrNotPermitted) {
+		return retry.Decision{Action: retry.GiveUp, Refusal: notPermitted()}
 	}
 	a := retry.Attempt{
 		Number:       g.attempt,
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -78,6 +78,7 @@
 	c["deaths"] = cmdDeaths
 	c["end"] = cmdEnd
 	c["exited"] = cmdExited
+	c["export"] = cmdExport
 	c["fault"] = cmdFault
 	c["fetch"] = cmdFetch
 	c["freeze"] = cmdFreeze
