--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -58,9 +57,6 @@
 	list       *hostList
 	weights    platform.Weights
 
-	listedMu      sync.Mutex
-	listedLeaving *string // upstreams that the last list had as leaving, nil before
-
 	node     *peer.Node
 	peers    *peers
 	follower *follow.Follower
@@ -127,7 +123,7 @@
 		Listen:      p.cfg.PeerListen,
 		Key:         p.cfg.PeerKey,
 		Seeds:       p.cfg.Seeds,
-		HostList:    p.readHosts,
+		HostList:    p.list.List,
 		TestFaults:  p.cfg.TestFaults,
 		Logger:      p.log,
 	})
