Upstreams that the platform has leaving get no new work

Cause: nothing read entries of kind upstream in the platform's list. And an upstream that settings have leaving was taken for live when it had died and was back. Ruled out: all hosts reading the list often; at 420 hosts that would be some 200 reads a second. The router keeps what settings and list say and applies it to each new state. Command hosts also lists upstreams.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,6 +74,7 @@
 	run("watch", p.watch)
 	run("owner", p.owner.Run)
 	run("hosts", p.followHosts)
+	run("leaving", p.followLeaving)
 	run("holder", p.holder.Run)
 	run("orders", p.orders.Run)
 	run("claims", p.claims.Run)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,8 @@
 	view    *placement.View
 	rng     *rand.Rand
 	pools   map[string]bool
+	leaving map[string]bool // names that the settings have leaving
+	listed  map[string]bool // names and addresses that the platform has leaving
 	changed chan struct{} // closed and replaced when capacity may have grown
 }
 
@@ -53,11 +55,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	seen := map[string]bool{}
+	leaving := map[string]bool{}
 	for _, p := range snap.Pools() {
 		seen[p.Name] = true
 		r.view.SetPool(p.Name, specsOf(p))
 		for _, u := range p.Upstreams {
-			r.applyLeaving(u)
+			leaving[u.Name] = u.Leaving
 		}
 	}
 	for name := range r.pools {
@@ -66,6 +69,8 @@
 		}
 	}
 	r.pools = seen
+	r.leaving = leaving
+	r.applyLeaving()
 	r.signal()
 }
 
@@ -77,16 +82,39 @@
 	return specs
 }
 
-func (r *Router) applyLeaving(u *settings.UpstreamView) {
-	e := r.view.Engine(u.Name)
-	switch {
-	case u.Leaving:
-		r.view.SetState(u.Name, placement.Leaving)
-	case e.State() == placement.Leaving:
-		r.view.SetState(u.Name, placement.Live)
+// SetListed takes the names or addresses of the upstreams that the platform's list
+// has leaving.
+func (r *Router) SetListed(leaving []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listed = map[string]bool{}
+	for _, l := range leaving {
+		r.listed[l] = true
+	}
+	r.applyLeaving()
+	r.signal()
+}
+
+// applyLeaving marks what settings or list have leaving, and takes back the mark
+// of the rest. The caller holds the lock.
+func (r *Router) applyLeaving() {
+	for pool := range r.pools {
+		for _, e := range r.view.Engines(pool) {
+			switch {
+			case e.State() == placement.Dead:
+			case r.isLeaving(e):
+				r.view.SetState(e.Name(), placement.Leaving)
+			case e.State() == placement.Leaving:
+				r.view.SetState(e.Name(), placement.Live)
+			}
+		}
 	}
 }
 
+func (r *Router) isLeaving(e *placement.Engine) bool {
+	return r.leaving[e.Name()] || r.listed[e.Name()] || r.listed[e.Address()]
+}
+
 // Place decides where a request goes; see placement.Place. The spill domains are
 // filled in for work that may be sent to another domain.
 func (r *Router) Place(ask placement.Ask) (placement.Decision, error) {
@@ -187,16 +215,19 @@
 	r.view.ApplyCacheEvents(upstream, incarnation, events)
 }
 
-// SetState notes what is thought of an upstream. One that the settings have
+// SetState notes what is thought of an upstream. One that settings or list have
 // leaving stays so until they say otherwise, unless it is dead.
 func (r *Router) SetState(upstream string, s placement.State) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.view.Engine(upstream)
-	if e == nil || e.State() == s {
+	if e == nil {
 		return
 	}
-	if e.State() == placement.Leaving && s != placement.Dead {
+	if s != placement.Dead && r.isLeaving(e) {
+		s = placement.Leaving
+	}
+	if e.State() == s || e.State() == placement.Leaving && s != placement.Dead {
 		return
 	}
 	r.view.SetState(upstream, s)
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -139,7 +139,8 @@
 	State   string `json:"state"`
 }
 
-// cmdHosts tells the platform's list of the daemons: hosts [NAME=leaving|gone...].
+// cmdHosts tells the platform's list of the daemons, and of the upstreams that are
+// named: hosts [NAME=leaving|gone...].
 func cmdHosts(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, neg, args, 0, "hosts [NAME=leaving|gone...]")
 	s := siteOf(ts)
@@ -151,10 +152,13 @@
 	entries := []hostEntry{}
 	for _, name := range s.order {
 		p := s.processes[name]
-		if p.kind != kindDaemon || said[name] == "gone" {
+		if p.kind != kindDaemon && said[name] == "" || said[name] == "gone" {
 			continue
 		}
 		e := hostEntry{Name: name, Kind: "entry", Domain: p.domain, Region: region, Address: p.peer, State: "live"}
+		if p.kind != kindDaemon {
+			e.Kind, e.Address = "upstream", p.address
+		}
 		if said[name] != "" {
 			e.State = said[name]
 		}
