--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -57,6 +58,9 @@
 	list       *hostList
 	weights    platform.Weights
 
+	listedMu      sync.Mutex
+	listedLeaving *string // upstreams that the last list had as leaving, nil before
+
 	node     *peer.Node
 	peers    *peers
 	follower *follow.Follower
@@ -123,7 +127,7 @@
 		Listen:      p.cfg.PeerListen,
 		Key:         p.cfg.PeerKey,
 		Seeds:       p.cfg.Seeds,
-		HostList:    p.list.List,
+		HostList:    p.readHosts,
 		TestFaults:  p.cfg.TestFaults,
 		Logger:      p.log,
 	})
--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -10,15 +10,11 @@
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 )
 
-// Times of what follows the platform's list of hosts.
-const (
-	hostsEvery = time.Second // between two looks at who holds memory and who leaves
-	// listEvery is the time between two reads by the few hosts of a failure domain
-	// that read the list for all; the others read it as the peers package does.
-	listEvery = 2 * time.Second
-	// listFresh is the age up to which a read list says who has gone.
-	listFresh = 2 * time.Minute
-)
+// hostsEvery is the time between two looks at which hosts live and which have gone.
+const hostsEvery = time.Second
+
+// listFresh is the age up to which a read list says who has gone.
+const listFresh = 2 * time.Minute
 
 // hostList keeps the platform's list as it was last read.
 type hostList struct {
@@ -69,12 +65,7 @@
 func (p *process) followHosts(ctx context.Context) error {
 	ticker := time.NewTicker(hostsEvery)
 	defer ticker.Stop()
-	var read time.Time
 	for {
-		if time.Since(read) >= listEvery && p.peers.Tailer() {
-			read = time.Now()
-			p.readList(ctx)
-		}
 		p.noteLives(ctx)
 		p.noteGone(time.Now())
 		select {
@@ -85,14 +76,6 @@
 	}
 }
 
-func (p *process) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, listEvery)
-	defer cancel()
-	if _, err := p.list.List(ctx); err != nil {
-		p.log.WithError(err).Debug("host_list_unread")
-	}
-}
-
 // noteLives tells the owner the incarnations of all hosts.
 func (p *process) noteLives(ctx context.Context) {
 	for _, m := range p.node.Members() {
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -107,9 +107,11 @@
 	return s.opts.Suspects.Blocked(s.opts.Router.Names(j.pool.Name), j.req.Fingerprint, time.Now())
 }
 
-// comeBack returns when the caller of a request that was not placed may try again.
-func (s *Server) comeBack(d placement.Decision) time.Duration {
-	return s.opts.Gate.Spread(max(d.Backlog.Drain(), retryElsewhere))
+// comeBack returns when the caller of a request that was not placed may try again,
+// spread like the gate's refusals so that callers that were refused together do
+// not return together.
+func (s *Server) comeBack(j *job, backlog time.Duration) time.Duration {
+	return s.opts.Gate.ComeBack(j.pool.Name, j.req, max(backlog, retryElsewhere))
 }
 
 // engineWait returns the longest wait on an engine for a job. The policies that
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -59,7 +59,7 @@
 		return c.place()
 	}
 	c.s.noteDecision(c.job, c.attempt, d, nil)
-	refusal := request.Refuse(request.CodeNoUpstream, c.s.comeBack(d), "no live server of service %s", c.job.req.Target)
+	refusal := request.Refuse(request.CodeNoUpstream, c.s.comeBack(c.job, d.Backlog.Drain()), "no live server of service %s", c.job.req.Target)
 	if c.wrote {
 		refusal.Outcome = request.Failed
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,8 +28,7 @@
 	view    *placement.View
 	rng     *rand.Rand
 	pools   map[string]bool
-	leaving map[string]bool // names that the settings have leaving
-	listed  map[string]bool // names and addresses that the platform has leaving
+	leaving leaving
 	changed chan struct{} // closed and replaced when capacity may have grown
 }
 
@@ -46,6 +45,7 @@
 		view:    placement.NewView(placement.Options{}),
 		rng:     rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
 		pools:   map[string]bool{},
+		leaving: leaving{settings: map[string]bool{}, listed: map[string]*listedLeave{}},
 		changed: make(chan struct{}),
 	}
 }
@@ -55,13 +55,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	seen := map[string]bool{}
-	leaving := map[string]bool{}
+	clear(r.leaving.settings)
 	for _, p := range snap.Pools() {
 		seen[p.Name] = true
 		r.view.SetPool(p.Name, specsOf(p))
-		for _, u := range p.Upstreams {
-			leaving[u.Name] = u.Leaving
-		}
+		r.applyLeaving(p)
 	}
 	for name := range r.pools {
 		if !seen[name] {
@@ -69,8 +67,6 @@
 		}
 	}
 	r.pools = seen
-	r.leaving = leaving
-	r.applyLeaving()
 	r.signal()
 }
 
@@ -82,39 +78,6 @@
 	return specs
 }
 
-// SetListed takes the names or addresses of the upstreams that the platform's list
-// has leaving.
-func (r *Router) SetListed(leaving []string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.listed = map[string]bool{}
-	for _, l := range leaving {
-		r.listed[l] = true
-	}
-	r.applyLeaving()
-	r.signal()
-}
-
-// applyLeaving marks what settings or list have leaving, and takes back the mark
-// of the rest. The caller holds the lock.
-func (r *Router) applyLeaving() {
-	for pool := range r.pools {
-		for _, e := range r.view.Engines(pool) {
-			switch {
-			case e.State() == placement.Dead:
-			case r.isLeaving(e):
-				r.view.SetState(e.Name(), placement.Leaving)
-			case e.State() == placement.Leaving:
-				r.view.SetState(e.Name(), placement.Live)
-			}
-		}
-	}
-}
-
-func (r *Router) isLeaving(e *placement.Engine) bool {
-	return r.leaving[e.Name()] || r.listed[e.Name()] || r.listed[e.Address()]
-}
-
 // Place decides where a request goes; see placement.Place. The spill domains are
 // filled in for work that may be sent to another domain.
 func (r *Router) Place(ask placement.Ask) (placement.Decision, error) {
@@ -221,13 +184,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.view.Engine(upstream)
-	if e == nil {
+	if e == nil || e.State() == s {
 		return
 	}
-	if s != placement.Dead && r.isLeaving(e) {
+	if s != placement.Dead && (r.isLeaving(e) || e.State() == placement.Leaving) {
 		s = placement.Leaving
 	}
-	if e.State() == s || e.State() == placement.Leaving && s != placement.Dead {
+	if e.State() == s {
 		return
 	}
 	r.view.SetState(upstream, s)
