--- a/internal/daemon/listed.go
+++ b/internal/daemon/listed.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/membership"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 )
 
@@ -62,7 +63,11 @@
 			return nil
 		}
 		leaving := map[string]bool{}
+		dead := p.deadHosts()
 		for _, section := range p.node.Sections(listedSection) {
+			if dead[section.Host] {
+				continue // its word cannot be taken back
+			}
 			for _, address := range strings.Fields(string(section.Data)) {
 				leaving[address] = true
 			}
@@ -70,3 +75,11 @@
 		p.router.SetListed(leaving)
 	}
 }
+
+func (p *process) deadHosts() map[string]bool {
+	dead := map[string]bool{}
+	for _, m := range p.node.Members() {
+		dead[m.Host] = m.State == membership.Dead
+	}
+	return dead
+}
