Join: what goes on by itself carries the text that was passed on

Cause: a retry tells the engine the answer so far since another change; a request that goes on after the run it had joined broke told only the index. Ruled out: starting anew (the caller has read the beginning). Change: the text passed on from another run is kept with its count and starts the request's own. Conclusion: that the stand-ins would not show a difference here is left as is: their answers follow from the prompt.

--- a/internal/front/build.go
+++ b/internal/front/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,6 +46,7 @@
 
 	first    *placement.Decision // place taken by the gate, noted with the router
 	answered int                 // tokens delivered
+	passed   strings.Builder     // text delivered from another run
 	permit   *claim.Permit       // to dispatch once, nil when it may be repeated
 	record   *claims.Recording   // keeps the answer for repeats of the key, nil without
 	needed   func() bool         // the answer is kept for somebody else; set with record
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -42,6 +42,7 @@
 		asm:     stream.New(stream.Options{RequestID: j.req.ID, MaxTokens: j.req.MaxTokens, From: j.answered}),
 		attempt: 1,
 	}
+	g.text.WriteString(j.passed.String())
 	for {
 		target, refusal := g.place(ctx)
 		if refusal != nil {
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -233,6 +233,7 @@
 				return err
 			}
 			j.answered += rec.Tokens
+			j.passed.WriteString(rec.Text)
 		}
 	}
 }
