--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -137,7 +137,7 @@
 		SpillDomains: p.peers.reachableDomains,
 		Seed:         p.incarnation,
 	})
-	p.watcher = upstream.NewWatcher(p.client, p.router, upstream.WatchOptions{})
+	p.watcher = upstream.NewWatcher(p.client, p.router, upstream.WatchOptions{Interval: watchEach, Timeout: watchAnswer})
 	p.engines = owner.NewHTTPEngines(&http.Client{}, time.Now)
 	return nil
 }
--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/placement"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
+	"github.com/buckthorndock/buckthorndock/internal/router"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
@@ -16,7 +18,17 @@
 const (
 	digestEvery = 20 * time.Millisecond  // between two looks at the owners' digests
 	watchEvery  = 200 * time.Millisecond // between two choices of what to watch
-	staleReport = 2500 * time.Millisecond
+	watchEach   = 100 * time.Millisecond // between two looks at one of them
+	watchAnswer = 400 * time.Millisecond // in which it has to answer
+)
+
+// A report is stale, and its engine is looked at directly, when it is much older
+// than those of most engines of the pool. How old these are depends on the size of
+// the failure domain.
+const (
+	staleFactor = 3                       // times the median age
+	staleLeast  = 700 * time.Millisecond  // never stale before
+	staleMost   = 2500 * time.Millisecond // always stale after
 )
 
 // applySettings passes new settings on.
@@ -129,8 +141,10 @@
 	var targets []upstream.Target
 	for _, pool := range p.follower.Current().Pools() {
 		isEngine := pool.Kind == settings.PoolEngine
-		for _, u := range p.router.Upstreams(pool.Name) {
-			stale := isEngine && (!u.Reported || u.ReportAge > staleReport)
+		upstreams := p.router.Upstreams(pool.Name)
+		limit := staleLimit(upstreams)
+		for _, u := range upstreams {
+			stale := isEngine && (!u.Reported || u.ReportAge > limit)
 			failing := u.State == placement.Dead || u.State == placement.Suspect
 			if u.Domain == p.cfg.Domain && (stale || failing) {
 				targets = append(targets, upstream.Target{Name: u.Name, Address: u.Address, Engine: isEngine})
@@ -139,3 +153,18 @@
 	}
 	return targets
 }
+
+// staleLimit returns the age from which a report of one of these engines is stale.
+func staleLimit(upstreams []router.UpstreamStatus) time.Duration {
+	var ages []time.Duration
+	for _, u := range upstreams {
+		if u.Reported {
+			ages = append(ages, u.ReportAge)
+		}
+	}
+	if len(ages) == 0 {
+		return staleMost
+	}
+	slices.Sort(ages)
+	return min(max(staleFactor*ages[len(ages)/2], staleLeast), staleMost)
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/placement"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/stream"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
@@ -42,10 +43,13 @@
 
 	idle := time.NewTimer(g.job.routing.Idle())
 	defer idle.Stop()
+	doubt := time.NewTicker(doubtEvery)
+	defer doubt.Stop()
 	for {
 		select {
 		case a := <-arrivals:
 			idle.Reset(g.job.routing.Idle())
+			doubt.Reset(doubtEvery)
 			if res, ended := g.arrived(ctx, t, a); ended {
 				return res
 			}
@@ -54,6 +58,10 @@
 				return res
 			}
 			idle.Reset(g.job.routing.Idle())
+		case <-doubt.C:
+			if res, ended := g.doubtful(ctx, t); ended {
+				return res
+			}
 		case <-ctx.Done():
 			return g.interrupted(ctx)
 		}
@@ -178,6 +186,33 @@
 	return streamEnd{end: retry.Silent, reachable: true}, true
 }
 
+// Times of the look at an engine that others have found silent.
+const (
+	doubtEvery = 250 * time.Millisecond // of silence on this stream before a look
+	doubtProbe = 300 * time.Millisecond // in which the engine has to answer
+)
+
+// doubtful ends a stream without waiting for the idle limit when its engine is
+// suspect or dead by now and does not answer this attempt's own question either.
+func (g *generation) doubtful(ctx context.Context, t *target) (res streamEnd, ended bool) {
+	state, ok := g.s.opts.Router.State(t.name())
+	if !ok || state != placement.Suspect && state != placement.Dead {
+		return streamEnd{}, false
+	}
+	probe, cancel := context.WithTimeout(ctx, doubtProbe)
+	defer cancel()
+	_, err := g.s.opts.Client.Probe(probe, t.address(), g.job.req.ID, g.attempt)
+	switch {
+	case ctx.Err() != nil:
+		return g.interrupted(ctx), true
+	case err == nil:
+		return streamEnd{}, false
+	case upstream.IsNotStarted(err):
+		return streamEnd{end: retry.Died, err: err}, true
+	}
+	return streamEnd{end: retry.Silent, err: err}, true
+}
+
 // interrupted tells a passed deadline from a caller that has gone.
 func (g *generation) interrupted(ctx context.Context) streamEnd {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(g.job.req.Deadline) {
