Requests that cannot end in time are given up before they start

Cause: the gate let a queued request start until its very deadline, so that under overload engines worked on answers that nobody could get. Ruled out: late cancels; engines stop when the deadline passes. Change: the gate takes off the least time that the request takes on an engine, and for one that had to queue the wait that engines are filled up to.

--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -101,17 +101,40 @@
 	return err != nil || fit != router.MustWait
 }
 
+// minService answers the gate: the least time from a request's start to its end.
+func (s *Server) minService(req *request.Request) time.Duration {
+	wj := s.waiting.get(req.ID)
+	if wj == nil || req.Kind != request.Generate || !separates(wj.job) {
+		return 0
+	}
+	return s.opts.Router.ServiceTime(router.Ask(req, wj.job.pool.Name, wj.job.routing))
+}
+
+// placedWait answers the gate: how long a request that had to queue waits on its
+// engine, which is then as full as engineWait lets it be.
+func (s *Server) placedWait(req *request.Request) time.Duration {
+	wj := s.waiting.get(req.ID)
+	if wj == nil || req.Kind != request.Generate || !separates(wj.job) || req.Priority == request.Urgent {
+		return 0
+	}
+	return engineWait(wj.job)
+}
+
+// separates reports whether a job's policy is the product's own. The policies that
+// it is compared with send at once.
+func separates(j *job) bool {
+	return j.routing.Policy == "" || j.routing.Policy == settings.PolicyLengthAware
+}
+
 // blocked returns the engines on which a job must not start now, because it or
 // what runs there may be what crashes engines.
 func (s *Server) blocked(j *job) []string {
 	return s.opts.Suspects.Blocked(s.opts.Router.Names(j.pool.Name), j.req.Fingerprint, time.Now())
 }
 
-// engineWait returns the longest wait on an engine for a job. The policies that
-// the product is compared with send at once.
+// engineWait returns the longest wait on an engine for a job.
 func engineWait(j *job) time.Duration {
-	policy := j.routing.Policy
-	if j.req.Priority == request.Urgent || policy != "" && policy != settings.PolicyLengthAware {
+	if j.req.Priority == request.Urgent || !separates(j) {
 		return math.MaxInt64
 	}
 	if j.req.Priority == request.Bulk {
@@ -151,8 +174,10 @@
 				MaxRequests: p.Routing.QueueRequests,
 				MaxTokens:   p.Routing.QueueTokens,
 			},
-			TryPlace: s.tryPlace,
-			Lane:     lane,
+			TryPlace:   s.tryPlace,
+			Lane:       lane,
+			MinService: s.minService,
+			PlacedWait: s.placedWait,
 		})
 	}
 	for name := range s.pools {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -38,6 +38,10 @@
 	// MinService returns the least time from start to end. A request is given up
 	// when less is left. Nil means none.
 	MinService func(*request.Request) time.Duration
+	// PlacedWait returns the longest wait with which TryPlace still takes a place. A
+	// request that had to queue is given up that much earlier, for it finds all
+	// places as full. Nil means none.
+	PlacedWait func(*request.Request) time.Duration
 }
 
 // Gate admits requests. It is safe for concurrent use.
@@ -77,6 +81,9 @@
 	if o.Lane == nil {
 		o.Lane = func(r *request.Request) uint64 { return xxhash.Sum64String(r.Target) }
 	}
+	if o.PlacedWait == nil {
+		o.PlacedWait = func(*request.Request) time.Duration { return 0 }
+	}
 	if o.MinService == nil {
 		o.MinService = func(*request.Request) time.Duration { return 0 }
 	}
--- a/internal/gate/pool.go
+++ b/internal/gate/pool.go
@@ -95,6 +95,10 @@
 	case p.queue.Len() == 0 && p.opts.TryPlace(r):
 		return nil, nil
 	}
+	latest = latest.Add(-p.opts.PlacedWait(r))
+	if !now.Before(latest) {
+		return nil, p.refuse(r, request.CodeDeadline, now, "no place is free in time")
+	}
 	w := p.newWaiter(r, weight, latest)
 	w.since = now
 	if wait, ok := p.drain.Time(p.queue.Ahead(&w.entry), now); ok && now.Add(wait).After(latest) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -132,6 +132,15 @@
 	return d, MayStart, nil
 }
 
+// ServiceTime returns the least time that a request takes on an engine; see
+// placement.ServiceTime.
+func (r *Router) ServiceTime(ask placement.Ask) time.Duration {
+	ask.Domain = r.opts.Domain
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return placement.ServiceTime(r.view, ask, r.opts.Now())
+}
+
 // GangMembers chooses the engines of a gang; see placement.GangMembers.
 func (r *Router) GangMembers(ask placement.Ask) []placement.GangMember {
 	ask.Domain = r.opts.Domain
