The rate of a queue is not measured while it fills the engines

Cause: the first pops after a quiet time go into the room that engines have left; counted, they made the gate think that it drains much faster than it does, and promise places that did not come. Ruled out: the time constant; 20 s of steady rate hide the burst only later. Change: the first 0.3 s of a backlog that follows a second without one are left out.

--- a/internal/core/admission/backoff.go
+++ b/internal/core/admission/backoff.go
@@ -27,9 +27,15 @@
 
 // Drain measures how fast a pool takes work from its queue. Only time with a
 // backlog counts: without one the rate would be that of the arrivals.
+//
+// The first moments of a backlog that follows a quiet time count for nothing: what
+// leaves then goes into room that upstreams had left, and would show many times the
+// lasting rate.
 type Drain struct {
 	busy   bool
 	since  time.Time
+	from   time.Time // when the backlog's measure begins
+	end    time.Time // of the last backlog
 	tokens rate
 	time   rate // seconds with a backlog
 	wave   rate // cost of those refused lately, who will come back
@@ -38,14 +44,34 @@
 // Backlog tells whether the queue holds anything from now on.
 func (d *Drain) Backlog(busy bool, now time.Time) {
 	if d.busy {
-		d.time.add(max(now.Sub(d.since), 0).Seconds(), now, drainTime)
+		d.time.add(max(now.Sub(later(d.since, d.from)), 0).Seconds(), now, drainTime)
+		d.end = now
+	}
+	if busy && !d.busy && now.Sub(d.end) > quietTime {
+		d.from = now.Add(fillTime)
 	}
 	d.busy = busy
 	d.since = now
 }
 
+// Times of the measure of a new backlog.
+const (
+	quietTime = time.Second            // without a backlog, after which one is new
+	fillTime  = 300 * time.Millisecond // in which it fills the room left
+)
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Served counts the cost of an entry that left the queue to be served.
 func (d *Drain) Served(cost int, now time.Time) {
+	if now.Before(d.from) {
+		return
+	}
 	d.tokens.add(float64(cost), now, drainTime)
 }
 
