Refused callers are spread over ten seconds at the least

Cause: refusals of a wake come over about three seconds; spread over five more, the callers came back with a peak well above their mean. Ruled out: unjittered refusals (mended before). Change: the shortest window is ten seconds instead of five.

--- a/internal/core/admission/backoff.go
+++ b/internal/core/admission/backoff.go
@@ -7,14 +7,14 @@
 
 // Bounds of what RetryAfter returns.
 const (
-	minRetryWindow = 5 * time.Second
+	minRetryWindow = 10 * time.Second
 	maxRetryWindow = 2 * time.Minute
 	maxRetryStart  = time.Minute
 )
 
 // RetryAfter returns when a refused caller may come back: after the backlog is
 // worked off, spread evenly over a window twice as long, so that callers that were
-// refused together do not return together. The window is five seconds to two
+// refused together do not return together. The window is ten seconds to two
 // minutes.
 func RetryAfter(backlog time.Duration, rng *rand.Rand) time.Duration {
 	backlog = max(backlog, 0)
