--- a/internal/claims/await.go
+++ b/internal/claims/await.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
 const (
@@ -11,14 +13,22 @@
 	awaitTries = 3               // failed calls in a row before the holder is given up
 )
 
+var errNoAddress = merry.Sentinel("the holder's host is not known")
+
 // Await relays the answer of a run that Result.Holder holds, here or at another
 // host, and returns how it ended. The answer is whole only with AnswerComplete;
 // with any other state the bytes written so far are no answer. The error is that
 // of w, or of the context.
 func (s *Service) Await(ctx context.Context, r Result, w io.Writer) (Ending, error) {
+	return Relay(ctx, w, func(from int) Chunk { return s.nextChunk(ctx, r, from) })
+}
+
+// Relay writes an answer that comes in chunks and returns how it ended, as Await
+// does. The function next returns what is there beyond from bytes.
+func Relay(ctx context.Context, w io.Writer, next func(from int) Chunk) (Ending, error) {
 	from := 0
 	for {
-		chunk := s.nextChunk(ctx, r, from)
+		chunk := next(from)
 		if err := ctx.Err(); err != nil {
 			return Ending{State: AnswerUnknown}, err
 		}
@@ -45,7 +55,7 @@
 		if r.Holder.Incarnation != s.o.Incarnation {
 			return Chunk{State: AnswerMissing}
 		}
-		return s.answers.read(ctx, answerKey{r.record.Customer, r.record.Key, r.Offset}, from)
+		return s.readOwn(ctx, answerKey{r.record.Customer, r.record.Key, r.Offset}, r.Holder.ID, from)
 	}
 	for range awaitTries {
 		chunk, err := s.callAwait(ctx, r, from)
@@ -62,7 +72,7 @@
 func (s *Service) callAwait(ctx context.Context, r Result, from int) (Chunk, error) {
 	address, ok := s.peers.Address(r.Holder.Host)
 	if !ok {
-		return Chunk{State: AnswerUnreachable}, nil
+		return Chunk{}, errNoAddress // it may have started a moment ago
 	}
 	ctx, cancel := context.WithTimeout(ctx, awaitPoll+s.o.CallTimeout)
 	defer cancel()
@@ -70,11 +80,14 @@
 		Customer:    r.record.Customer,
 		Key:         r.record.Key,
 		Offset:      r.Offset,
+		ID:          r.Holder.ID,
 		Incarnation: r.Holder.Incarnation,
 		From:        from,
 		Wait:        awaitPoll,
 	}
 	var chunk Chunk
-	err := s.peers.Call(ctx, address, ServiceName+".Await", args, &chunk)
-	return chunk, err
+	if err := s.peers.Call(ctx, address, ServiceName+".Await", args, &chunk); err != nil {
+		return Chunk{}, err
+	}
+	return chunk, nil
 }
--- a/internal/claims/batch.go
+++ b/internal/claims/batch.go
@@ -55,12 +55,12 @@
 	for i, p := range batch {
 		records[i] = p.data
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.o.LogTimeout)
+	appendCtx, cancel := context.WithTimeout(ctx, c.o.LogTimeout)
 	defer cancel()
 	appends.Inc()
 	appendedRecords.Add(len(batch))
-	_, err := c.log.Append(ctx, c.stream, records)
-	if err != nil {
+	_, err := c.log.Append(appendCtx, c.stream, records)
+	if err != nil && ctx.Err() == nil {
 		c.fail(batch, err)
 	}
 }
@@ -71,7 +71,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	logErrors.Inc()
-	c.o.Log.WithError(err).WithField("stream", c.stream).WithField("records", len(batch)).Warn("event=claim_append_failed")
+	c.o.Log.WithError(err).WithField("stream", c.stream).WithField("records", len(batch)).Warn("claim_append_failed")
 	for _, p := range batch {
 		p.errorAt = c.reads
 	}
--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -33,6 +33,7 @@
 	wg        sync.WaitGroup
 	combiners [claim.Partitions]*combiner
 	answers   *Answers
+	givenUp   *givenUp
 	releaser  *releaser
 }
 
@@ -45,6 +46,7 @@
 	for i := range s.combiners {
 		s.combiners[i] = newCombiner(o, log, s.base, &s.wg, i)
 	}
+	s.givenUp = newGivenUp(o.Replay.Window(), o.Now)
 	s.releaser = newReleaser(s)
 	return s
 }
@@ -67,13 +69,14 @@
 func (s *Service) keepMarks(ctx context.Context) {
 	for sleep(ctx, s.o.MarkEvery) {
 		s.answers.sweep()
+		s.givenUp.sweep()
 		for i, c := range s.combiners {
 			refs := s.peers.Combiners(i)
 			if len(refs) == 0 || refs[0].Host != s.o.Host {
 				continue
 			}
 			if err := c.mark(ctx); err != nil {
-				s.o.Log.WithError(err).WithField("stream", c.stream).Warn("event=claim_mark_failed")
+				s.o.Log.WithError(err).WithField("stream", c.stream).Warn("claim_mark_failed")
 			}
 		}
 	}
@@ -106,6 +109,8 @@
 		LifeMs:      s.o.Replay.KeyLife.Milliseconds(),
 	}
 	permit := claim.NewPermit(notAfter)
+	verdictCame := s.answers.expect(a.Customer, a.Key)
+	defer verdictCame()
 	ctx, cancel := context.WithTimeout(ctx, min(notAfter.Sub(now), s.o.DecideIn))
 	defer cancel()
 	reply, open := s.ask(ctx, cl)
@@ -117,6 +122,7 @@
 	}
 	permit.Kill()
 	if open {
+		s.givenUp.add(cl.ID)
 		s.releaser.add(cl, s.o.Now())
 	}
 	if reply.State == StateHeld {
@@ -200,8 +206,10 @@
 	ctx, cancel := context.WithTimeout(ctx, s.o.CallTimeout)
 	defer cancel()
 	var reply AcquireReply
-	err := s.peers.Call(ctx, ref.Address, ServiceName+".Acquire", AcquireArgs{Claim: cl, Wait: callWait(ctx)}, &reply)
-	return reply, err
+	if err := s.peers.Call(ctx, ref.Address, ServiceName+".Acquire", AcquireArgs{Claim: cl, Wait: callWait(ctx)}, &reply); err != nil {
+		return AcquireReply{}, err
+	}
+	return reply, nil
 }
 
 // callWait leaves the answer of a call time to come back.
@@ -232,6 +240,15 @@
 	return request.Refuse(request.CodeKeyUnavailable, awayRetry, "the claim log does not answer")
 }
 
+// readOwn returns what is there of a run of this host.
+func (s *Service) readOwn(ctx context.Context, key answerKey, id claim.ID, from int) Chunk {
+	chunk := s.answers.read(ctx, key, from)
+	if chunk.State == AnswerMissing && s.givenUp.has(id) {
+		return Chunk{State: AnswerReleased}
+	}
+	return chunk
+}
+
 // Release gives up a key that this host holds and has not dispatched; another
 // ask may then take it. It reports false when the request was dispatched.
 func (s *Service) Release(r Result) bool {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,6 +17,8 @@
 	"github.com/buckthorndock/buckthorndock/internal/follow"
 	"github.com/buckthorndock/buckthorndock/internal/front"
 	"github.com/buckthorndock/buckthorndock/internal/gate"
+	"github.com/buckthorndock/buckthorndock/internal/join"
+	"github.com/buckthorndock/buckthorndock/internal/obs"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
@@ -40,6 +43,10 @@
 	publishEvery = 100 * time.Millisecond
 )
 
+// digestBudget bounds the bytes a second of all digests of a failure domain, as
+// one front receives them; in a large domain they come less often for it.
+const digestBudget = 3000
+
 // process holds the parts of a running daemon.
 type process struct {
 	cfg         *config.Daemon
@@ -48,9 +55,12 @@
 	work        context.Context // of the background work
 
 	logService platform.Log
-	hosts      platform.Hosts
+	list       *hostList
 	weights    platform.Weights
 
+	listedMu      sync.Mutex
+	listedLeaving *string // upstreams that the last list had as leaving, nil before
+
 	node     *peer.Node
 	peers    *peers
 	follower *follow.Follower
@@ -63,6 +73,7 @@
 	holder  *owner.Holder
 	orders  *owner.Orders
 	claims  *claims.Service
+	join    *join.Service
 	gate    *gate.Gate
 
 	suspects *suspects.Tracker
@@ -74,7 +85,7 @@
 // newProcess builds a daemon that does nothing yet but listen to peers.
 func newProcess(work context.Context, cfg *config.Daemon, log *logrus.Entry) (*process, error) {
 	p := &process{cfg: cfg, log: log, work: work, incarnation: uint64(time.Now().UnixMilli())}
-	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildUpstreams, p.buildOwner, p.buildOrders, p.buildClaims, p.buildFront}
+	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildUpstreams, p.buildOwner, p.buildOrders, p.buildClaims, p.buildJoin, p.buildFront}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -84,23 +95,26 @@
 }
 
 func (p *process) holderName() ledger.Holder {
-	return ledger.Holder{Host: p.cfg.Host, Incarnation: strconv.FormatUint(p.incarnation, 10)}
+	return holderOf(p.cfg.Host, p.incarnation)
 }
 
+// incarnationText is a host's incarnation as engines and their owners know it.
+func incarnationText(incarnation uint64) string { return strconv.FormatUint(incarnation, 10) }
+
 func (p *process) buildPlatform() error {
-	logService, err := platform.NewHTTP(p.cfg.Platform.Log, &http.Client{})
+	logService, err := platform.NewHTTP(p.cfg.Platform.Log, obs.CountedClient(obs.PurposeLog))
 	if err != nil {
 		return err
 	}
-	hosts, err := platform.NewHTTP(p.cfg.Platform.Hosts, &http.Client{})
+	hosts, err := platform.NewHTTP(p.cfg.Platform.Hosts, obs.CountedClient(obs.PurposeHosts))
 	if err != nil {
 		return err
 	}
-	weights, err := platform.NewHTTP(p.cfg.Platform.Weights, &http.Client{})
+	weights, err := platform.NewHTTP(p.cfg.Platform.Weights, obs.CountedClient(obs.PurposeWeights))
 	if err != nil {
 		return err
 	}
-	p.logService, p.hosts, p.weights = logService, hosts, weights
+	p.logService, p.list, p.weights = logService, &hostList{source: hosts}, weights
 	return nil
 }
 
@@ -113,7 +127,7 @@
 		Listen:      p.cfg.PeerListen,
 		Key:         p.cfg.PeerKey,
 		Seeds:       p.cfg.Seeds,
-		HostList:    p.hosts.List,
+		HostList:    p.readHosts,
 		TestFaults:  p.cfg.TestFaults,
 		Logger:      p.log,
 	})
@@ -121,12 +135,24 @@
 		return err
 	}
 	p.node = node
-	p.peers = &peers{Node: node, host: p.cfg.Host, domain: p.cfg.Domain}
+	p.peers = &peers{Node: node, host: p.cfg.Host, domain: p.cfg.Domain, upstreamDomain: p.upstreamDomain}
 	return nil
 }
 
+func (p *process) upstreamDomain(name string) string {
+	if u := p.follower.Current().Upstream(name); u != nil {
+		return u.Domain
+	}
+	return ""
+}
+
 func (p *process) buildFollower() error {
-	p.follower = follow.New(follow.Options{Log: p.logService, Peers: p.peers, Logger: p.log})
+	p.follower = follow.New(follow.Options{
+		Log:       p.logService,
+		Peers:     p.peers,
+		Retention: p.cfg.Platform.LogRetention,
+		Logger:    p.log,
+	})
 	return p.node.Register(follow.Service, p.follower.RPC())
 }
 
@@ -138,7 +164,7 @@
 		Seed:         p.incarnation,
 	})
 	p.watcher = upstream.NewWatcher(p.client, p.router, upstream.WatchOptions{Interval: watchEach, Timeout: watchAnswer})
-	p.engines = owner.NewHTTPEngines(&http.Client{}, time.Now)
+	p.engines = owner.NewHTTPEngines(obs.CountedClient(obs.PurposeEngines), time.Now)
 	return nil
 }
 
@@ -151,6 +177,7 @@
 		Log:          p.log,
 		LoadEvery:    loadEvery,
 		PublishEvery: publishEvery,
+		DigestBudget: digestBudget,
 	})
 	rpc := p.owner.RPC(p.work)
 	p.holder = owner.NewHolder(owner.HolderOptions{
@@ -190,9 +217,20 @@
 	return p.node.Register(claims.ServiceName, p.claims.RPC())
 }
 
+func (p *process) buildJoin() error {
+	p.join = join.New(join.Options{Host: p.cfg.Host, Incarnation: p.incarnation, Peers: p.peers})
+	return p.node.Register(join.ServiceName, p.join.RPC(p.work))
+}
+
 func (p *process) buildFront() error {
+	holds := newHolds(p.log)
+	var atPoint func(front.Point)
+	if p.cfg.TestFaults {
+		atPoint = holds.wait
+	}
 	var err error
 	p.front, err = front.NewServer(front.Options{
+		AtPoint:             atPoint,
 		Host:                p.cfg.Host,
 		Domain:              p.cfg.Domain,
 		Incarnation:         p.holderName().Incarnation,
@@ -203,6 +241,7 @@
 		Holder:              p.holder,
 		Gate:                p.gate,
 		Claims:              p.claims,
+		Join:                p.join,
 		Suspects:            p.suspects,
 		Operator:            &operator{follower: p.follower, peers: p.peers},
 		OperatorTokenSHA256: p.cfg.OperatorTokenSHA256,
@@ -213,7 +252,7 @@
 	}
 	handler := p.front.Handler()
 	if p.cfg.TestFaults {
-		handler = withFaults(handler, p.node)
+		handler = withFaults(handler, p.node, holds)
 	}
 	p.server = &http.Server{
 		Handler:           handler,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
@@ -36,6 +37,10 @@
 		p.node.Close()
 		return merry.Prepend(err, "listen for callers")
 	}
+	gauges := metrics.NewSet()
+	p.follower.RegisterMetrics(gauges)
+	metrics.RegisterSet(gauges)
+	defer metrics.UnregisterSet(gauges, true)
 	background := p.start()
 	failed := make(chan error, 1)
 	go func() { failed <- p.server.Serve(listener) }()
@@ -66,8 +71,10 @@
 	run("follower", p.follower.Run)
 	run("settings", p.applySettings)
 	run("digests", p.readDigests)
+	run("listed", p.applyListed)
 	run("watch", p.watch)
 	run("owner", p.owner.Run)
+	run("hosts", p.followHosts)
 	run("holder", p.holder.Run)
 	run("orders", p.orders.Run)
 	run("claims", p.claims.Run)
@@ -90,6 +97,7 @@
 	}
 	<-ctx.Done()
 	p.front.Refuse()
+	p.log.WithField("in_flight", p.front.InFlight()).Info("refusing")
 	p.waitDrained()
 	p.closeServer()
 	p.waitEnds()
--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -1,11 +1,14 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
 	"github.com/buckthorndock/buckthorndock/internal/core/placement"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
@@ -23,12 +26,14 @@
 )
 
 // A report is stale, and its engine is looked at directly, when it is much older
-// than those of most engines of the pool. How old these are depends on the size of
-// the failure domain.
+// than those of most engines of the pool, and in any case when it is older than
+// staleMost, and a little more for each engine of the domain: owners tell less often
+// where there are more of them.
 const (
-	staleFactor = 3                       // times the median age
-	staleLeast  = 700 * time.Millisecond  // never stale before
-	staleMost   = 2500 * time.Millisecond // always stale after
+	staleFactor = 3                      // times the median age
+	staleLeast  = 700 * time.Millisecond // never stale before
+	staleMost   = 2500 * time.Millisecond
+	stalePerOne = 60 * time.Millisecond
 )
 
 // applySettings passes new settings on.
@@ -40,9 +45,6 @@
 		p.router.ApplySettings(snap)
 		p.front.ApplySettings(snap)
 		p.suspects.ApplySettings(snap)
-		if err := p.follower.Findings().Err(); err != nil {
-			p.log.WithError(err).Warn("settings_findings")
-		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -129,6 +131,9 @@
 	defer ticker.Stop()
 	for {
 		p.watcher.Watch(ctx, p.unsure())
+		if n := p.router.Expire(); n > 0 {
+			p.log.WithField("attempts", n).Error("attempts_without_end")
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -141,12 +146,19 @@
 	var targets []upstream.Target
 	for _, pool := range p.follower.Current().Pools() {
 		isEngine := pool.Kind == settings.PoolEngine
-		upstreams := p.router.Upstreams(pool.Name)
-		limit := staleLimit(upstreams)
-		for _, u := range upstreams {
+		own, others := p.byDomain(p.router.Upstreams(pool.Name))
+		served := false
+		limit := staleLimit(own)
+		for _, u := range own {
 			stale := isEngine && (!u.Reported || u.ReportAge > limit)
 			failing := u.State == placement.Dead || u.State == placement.Suspect
-			if u.Domain == p.cfg.Domain && (stale || failing) {
+			served = served || !failing
+			if stale || failing {
+				targets = append(targets, upstream.Target{Name: u.Name, Address: u.Address, Engine: isEngine})
+			}
+		}
+		if !served && pool.Routing.Spill != settings.SpillNever {
+			for _, u := range p.spillChoice(others) {
 				targets = append(targets, upstream.Target{Name: u.Name, Address: u.Address, Engine: isEngine})
 			}
 		}
@@ -155,16 +167,40 @@
 }
 
 // staleLimit returns the age from which a report of one of these engines is stale.
-func staleLimit(upstreams []router.UpstreamStatus) time.Duration {
+func staleLimit(engines []router.UpstreamStatus) time.Duration {
 	var ages []time.Duration
-	for _, u := range upstreams {
+	for _, u := range engines {
 		if u.Reported {
 			ages = append(ages, u.ReportAge)
 		}
 	}
+	most := staleMost + time.Duration(len(engines))*stalePerOne
 	if len(ages) == 0 {
-		return staleMost
+		return most
 	}
 	slices.Sort(ages)
-	return min(max(staleFactor*ages[len(ages)/2], staleLeast), staleMost)
+	return min(max(staleFactor*ages[len(ages)/2], staleLeast), most)
+}
+
+func (p *process) byDomain(all []router.UpstreamStatus) (own, others []router.UpstreamStatus) {
+	for _, u := range all {
+		if u.Domain == p.cfg.Domain {
+			own = append(own, u)
+		} else {
+			others = append(others, u)
+		}
+	}
+	return own, others
+}
+
+// spillWatched bounds the upstreams of other domains that one front watches when
+// its own domain has none. Each front takes others, so that they share the load.
+const spillWatched = 8
+
+// spillChoice returns the upstreams that come first for this host by rendezvous
+// hashing.
+func (p *process) spillChoice(others []router.UpstreamStatus) []router.UpstreamStatus {
+	score := func(u router.UpstreamStatus) uint64 { return xxhash.Sum64String(p.cfg.Host + "\x00" + u.Name) }
+	slices.SortFunc(others, func(a, b router.UpstreamStatus) int { return cmp.Compare(score(a), score(b)) })
+	return others[:min(len(others), spillWatched)]
 }
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -26,7 +26,7 @@
 // callService runs a call until its one end and returns the service's answer.
 func (s *Server) callService(ctx context.Context, j *job) ([]byte, *request.Refusal) {
 	c := &serviceCall{s: s, job: j, attempt: 1}
-	ctx = upstream.WithPermit(ctx, j.permitted)
+	ctx = upstream.WithPermit(ctx, s.permit(j))
 	for {
 		d, refusal := c.place()
 		if refusal != nil {
@@ -53,8 +53,13 @@
 		c.s.noteDecision(c.job, c.attempt, d, []string{d.Chosen.Name})
 		return d, nil
 	}
+	if len(c.exclude) > 0 {
+		// All that is left has failed before; one of them may be well again.
+		c.exclude = nil
+		return c.place()
+	}
 	c.s.noteDecision(c.job, c.attempt, d, nil)
-	refusal := request.Refuse(request.CodeNoUpstream, retryElsewhere, "no live server of service %s", c.job.req.Target)
+	refusal := request.Refuse(request.CodeNoUpstream, c.s.comeBack(c.job, d.Backlog.Drain()), "no live server of service %s", c.job.req.Target)
 	if c.wrote {
 		refusal.Outcome = request.Failed
 	}
@@ -78,7 +83,10 @@
 // next decides what follows a failed attempt; nil means to try again.
 func (c *serviceCall) next(ctx context.Context, d placement.Decision, err error) *request.Refusal {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return c.callerGone()
+		return callerGone(c.job)
+	}
+	if errors.Is(err, upstream.ErrNotPermitted) {
+		return notPermitted()
 	}
 	end := callEnd(err)
 	a := retry.Attempt{Number: c.attempt, End: end, EarlierWrote: c.wrote}
@@ -101,15 +109,6 @@
 	return nil
 }
 
-// callerGone ends a call whose caller has left. It may have run.
-func (c *serviceCall) callerGone() *request.Refusal {
-	refusal := failed(request.CodeCallerGone, 0, "the caller has gone")
-	if !c.job.req.Repeatable {
-		refusal.Outcome = request.Unknown
-	}
-	return refusal
-}
-
 // callEnd tells how an attempt of a call ended.
 func callEnd(err error) retry.End {
 	if upstream.IsNotStarted(err) {
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
@@ -12,6 +13,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/stream"
 	"github.com/buckthorndock/buckthorndock/internal/router"
+	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
 // generation is one request for an answer on its way through its attempts. One
@@ -23,9 +25,12 @@
 
 	attempt      int // number of the running attempt, from 1
 	resumes      int // of the running attempt, since its last token
+	asks         int // for reservations so far
 	earlierWrote bool
 	exclude      []string
-	first        time.Time // of the first token, zero before
+	blamed       []string        // for the end of the last attempt
+	first        time.Time       // of the first token, zero before
+	text         strings.Builder // handed out so far
 }
 
 // generate runs a job until its one end. It returns nil when the whole answer
@@ -34,7 +39,7 @@
 	g := &generation{
 		s:       s,
 		job:     j,
-		asm:     stream.New(stream.Options{RequestID: j.req.ID, MaxTokens: j.req.MaxTokens}),
+		asm:     stream.New(stream.Options{RequestID: j.req.ID, MaxTokens: j.req.MaxTokens, From: j.answered}),
 		attempt: 1,
 	}
 	for {
@@ -81,7 +86,7 @@
 		}
 		g.attempt = decision.Attempt
 		g.resumes = 0
-		g.exclude = append(g.exclude, t.name())
+		g.exclude = append(g.exclude, g.blamed...)
 		return nil, true
 	}
 }
@@ -99,7 +104,10 @@
 func (g *generation) next(ctx context.Context, t *target, res streamEnd) retry.Decision {
 	now := time.Now()
 	if res.callerGone {
-		return retry.Decision{Action: retry.GiveUp, Refusal: failed(request.CodeCallerGone, 0, "the caller has gone")}
+		return retry.Decision{Action: retry.GiveUp, Refusal: callerGone(g.job)}
+	}
+	if errors.Is(res.err, upstream.ErrNotPermitted) {
+		return retry.Decision{Action: retry.GiveUp, Refusal: notPermitted()}
 	}
 	a := retry.Attempt{
 		Number:       g.attempt,
@@ -111,7 +119,7 @@
 	if res.end != retry.NotWritten {
 		g.earlierWrote = true
 	}
-	g.s.noteUpstream(t.name(), res.end, res.reachable)
+	g.blamed = g.blame(ctx, t, res)
 	if res.end == retry.Died {
 		g.s.opts.Suspects.Died(t.name(), t.incarnation, now)
 	}
@@ -156,8 +164,12 @@
 		t, verdict := g.decide()
 		if verdict == nil {
 			ok, refusal := g.begin(ctx, t)
-			if ok || refusal != nil {
-				return t, g.refused(refusal)
+			if refusal != nil {
+				return nil, g.refused(refusal)
+			}
+			if ok {
+				g.s.noteDecision(g.job, g.attempt, t.decision, t.names())
+				return t, nil
 			}
 			verdict = &noPlace{wait: true}
 		}
@@ -185,7 +197,7 @@
 		g.s.opts.Router.Finished(t.placement.ID, placement.End{})
 		return nil
 	}
-	g.s.noteDecision(g.job, g.attempt, *d, []string{d.Chosen.Name})
+	g.s.noteDecision(g.job, g.attempt, *d, t.names())
 	return t
 }
 
@@ -214,17 +226,11 @@
 // ended returns why the context has ended.
 func (g *generation) ended(ctx context.Context) *request.Refusal {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return request.Refuse(request.CodeDeadline, g.comeBack(0), "no upstream had room within the deadline")
+		return request.Refuse(request.CodeDeadline, g.s.comeBack(g.job, 0), "no upstream had room within the deadline")
 	}
 	return failed(request.CodeCallerGone, 0, "the caller has gone")
 }
 
-// comeBack returns when the caller may come back, spread like the gate's refusals
-// so that callers that were refused together do not return together.
-func (g *generation) comeBack(backlog time.Duration) time.Duration {
-	return g.s.opts.Gate.ComeBack(g.job.pool.Name, g.job.req, max(backlog, retryElsewhere))
-}
-
 // refused corrects a refusal's outcome: what an earlier attempt wrote may have
 // run.
 func (g *generation) refused(r *request.Refusal) *request.Refusal {
@@ -259,7 +265,6 @@
 	}
 	switch d.Verdict {
 	case placement.Placed:
-		g.s.noteDecision(g.job, g.attempt, d, []string{d.Chosen.Name})
 		return newTarget(g.job, g.attempt, d), nil
 	case placement.WaitMemory:
 		return nil, &noPlace{wait: true}
@@ -271,7 +276,7 @@
 			"needs %d tokens of memory, at most %d can be gathered", ask.Need(), d.MemoryLimit)}
 	case placement.TooLate:
 		g.s.noteDecision(g.job, g.attempt, d, nil)
-		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, g.comeBack(d.Backlog.Drain()),
+		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, g.s.comeBack(g.job, d.Backlog.Drain()),
 			"the deadline cannot be met at the present load")}
 	}
 	if len(blocked) > 0 {
@@ -283,7 +288,7 @@
 		return g.decide()
 	}
 	g.s.noteDecision(g.job, g.attempt, d, nil)
-	return nil, &noPlace{refusal: request.Refuse(request.CodeNoUpstream, g.comeBack(d.Backlog.Drain()),
+	return nil, &noPlace{refusal: request.Refuse(request.CodeNoUpstream, g.s.comeBack(g.job, d.Backlog.Drain()),
 		"no upstream of pool %s can take it now", g.job.pool.Name)}
 }
 
@@ -291,15 +296,14 @@
 // receives the request.
 func (g *generation) decideGang(ask placement.Ask, d placement.Decision) (*target, *noPlace) {
 	members := g.s.opts.Router.GangMembers(ask)
+	if len(members) == 0 && len(g.exclude) > 0 {
+		// Those that have failed are needed, if they are back.
+		g.exclude = nil
+	}
 	if len(members) == 0 {
 		return nil, &noPlace{wait: true}
 	}
 	d.Chosen = placement.Candidate{Name: members[0].Name, Address: members[0].Address, Domain: d.GangDomain}
-	names := make([]string, len(members))
-	for i, m := range members {
-		names[i] = m.Name
-	}
-	g.s.noteDecision(g.job, g.attempt, d, names)
 	t := newTarget(g.job, g.attempt, d)
 	t.gang = members
 	t.placement.Tokens = members[0].Prefill
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -10,12 +10,16 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/buckthorndock/buckthorndock/internal/claims"
+	"github.com/buckthorndock/buckthorndock/internal/core/claim"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 )
 
-// maxSupersedes bounds how often a key that its holder released is asked for
-// again within one request.
-const maxSupersedes = 3
+// A key that its holder released is asked for again, a few times within one
+// request and with growing waits: the release may not be in the log yet.
+const (
+	maxSupersedes = 8
+	supersedeWait = 20 * time.Millisecond // the first, then doubled each time
+)
 
 // work runs an admitted job until its end.
 type work func(ctx context.Context) *request.Refusal
@@ -27,10 +31,15 @@
 // and has a key runs only at the holder of the key; elsewhere the holder's answer
 // is relayed.
 func (s *Server) serve(ctx context.Context, j *job, do work, pass relay) *request.Refusal {
-	if j.req.Key == "" || j.req.Repeatable {
+	switch {
+	case j.req.Repeatable && j.req.Key == "":
 		return s.admitted(ctx, j, do)
+	case j.req.Repeatable:
+		return s.joined(ctx, j, do, pass)
+	case j.req.Key == "":
+		return s.withoutKey(ctx, j, do)
 	}
-	for range maxSupersedes {
+	for try := range maxSupersedes {
 		res, err := s.opts.Claims.Acquire(ctx, claims.Ask{
 			Customer:    j.req.Customer,
 			Key:         j.req.Key,
@@ -43,17 +52,35 @@
 		if res.Mine() {
 			return s.asHolder(ctx, j, res, do)
 		}
-		end, err := s.await(ctx, j, res, pass)
+		end, err := s.passOn(ctx, j, pass, func(ctx context.Context, w io.Writer) (claims.Ending, error) {
+			return s.opts.Claims.Await(ctx, res, w)
+		})
 		if err != nil {
 			return awaitRefusal(ctx)
 		}
 		if end.State != claims.AnswerReleased {
 			return end.Refusal()
 		}
+		if !s.pause(ctx, supersedeWait<<try, j.req.Deadline) {
+			break
+		}
 	}
 	return request.Refuse(request.CodeKeyUnavailable, retryElsewhere, "the idempotency key changes hands too often")
 }
 
+// pause waits, and reports false when the context or the deadline ends first.
+func (s *Server) pause(ctx context.Context, d time.Duration, deadline time.Time) bool {
+	if time.Until(deadline) < d {
+		return false
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // admitted runs a job that the gate lets in.
 func (s *Server) admitted(ctx context.Context, j *job, do work) *request.Refusal {
 	ctx, cancel := context.WithDeadline(ctx, j.req.Deadline)
@@ -71,27 +98,64 @@
 	return refusal
 }
 
+// withoutKey runs a job that may be dispatched once and has no key.
+func (s *Server) withoutKey(ctx context.Context, j *job, do work) *request.Refusal {
+	j.permit = claim.NewPermit(j.req.Deadline)
+	j.permit.Grant(0)
+	refusal := s.admitted(ctx, j, do)
+	if refusal != nil && j.permit.Release() {
+		return neverSent(refusal)
+	}
+	return maybeSent(refusal)
+}
+
+// maybeSent corrects the outcome of a job whose permit was used.
+func maybeSent(r *request.Refusal) *request.Refusal {
+	if r == nil || r.Outcome != request.NotRun {
+		return r
+	}
+	changed := *r
+	changed.Outcome = request.Unknown
+	return &changed
+}
+
+// neverSent tells what is certain of a job whose permit was given back unused:
+// nothing was sent, and nothing will be.
+func neverSent(r *request.Refusal) *request.Refusal {
+	if r.Outcome == request.NotRun {
+		return r
+	}
+	code := r.Code
+	if code == request.CodeOutcomeLost {
+		code = request.CodeDeadline
+	}
+	return request.Refuse(code, retryElsewhere, "it ended before it was sent")
+}
+
 // asHolder runs a job whose key this host holds. It goes on when the caller has
 // gone, for the caller may ask for the answer again.
 func (s *Server) asHolder(ctx context.Context, j *job, res claims.Result, do work) *request.Refusal {
 	j.permit = res.Permit
 	j.record = res.Answer
+	j.needed = func() bool { return true }
 	refusal := s.admitted(context.WithoutCancel(ctx), j, do)
 	switch {
 	case refusal == nil:
 		res.Answer.Finish(claims.Ending{State: claims.AnswerComplete})
-	case refusal.Outcome == request.NotRun && s.opts.Claims.Release(res):
+	case s.opts.Claims.Release(res):
 		// Nothing was sent: the key is free again.
+		refusal = neverSent(refusal)
 	case refusal.Outcome == request.Failed:
 		res.Answer.Finish(claims.Ending{State: claims.AnswerFailed, Code: refusal.Code, Message: refusal.Message})
 	default:
+		refusal = maybeSent(refusal)
 		res.Answer.Finish(claims.Ending{State: claims.AnswerUnknown, Code: refusal.Code, Message: refusal.Message})
 	}
 	return refusal
 }
 
-// await relays the holder's answer within the job's time.
-func (s *Server) await(ctx context.Context, j *job, res claims.Result, pass relay) (claims.Ending, error) {
+// passOn passes the answer of another run on within the job's time.
+func (s *Server) passOn(ctx context.Context, j *job, pass relay, from func(context.Context, io.Writer) (claims.Ending, error)) (claims.Ending, error) {
 	ctx, cancel := context.WithDeadline(ctx, j.req.Deadline)
 	defer cancel()
 	r, w := io.Pipe()
@@ -101,7 +165,7 @@
 		r.CloseWithError(err)
 		passed <- err
 	}()
-	end, err := s.opts.Claims.Await(ctx, res, w)
+	end, err := from(ctx, w)
 	if err == nil && end.State != claims.AnswerComplete {
 		err = errNotWhole
 	}
@@ -133,30 +197,30 @@
 
 // recorded is one line of a recorded generation.
 type recorded struct {
-	Text string `json:"t"`
+	Text   string `json:"t"`
+	Tokens int    `json:"n"`
 }
 
-// recordToken keeps a token for repeats of the key.
-func (j *job) recordToken(text string) {
+// recordTokens keeps a piece of the answer for repeats of the key.
+func (j *job) recordTokens(text string, tokens int) {
 	if j.record == nil {
 		return
 	}
-	line, err := json.Marshal(recorded{Text: text})
+	line, err := json.Marshal(recorded{Text: text, Tokens: tokens})
 	if err != nil {
 		return
 	}
 	_, _ = j.record.Write(append(line, '\n'))
 }
 
-// relayTokens passes a recorded generation on to a sink.
-func relayTokens(to sink) relay {
+// relayTokens passes a recorded generation on to the job's sink.
+func relayTokens(j *job) relay {
 	return func(r io.Reader) error {
-		tokens := 0
 		lines := bufio.NewReader(r)
 		for {
 			line, err := lines.ReadBytes('\n')
 			if err == io.EOF {
-				return to.finish(tokens)
+				return j.sink.finish(j.answered)
 			}
 			if err != nil {
 				return err
@@ -165,17 +229,10 @@
 			if err := json.Unmarshal(line, &rec); err != nil {
 				return merry.Prepend(err, "recorded answer")
 			}
-			if err := to.token(rec.Text); err != nil {
+			if err := j.sink.token(rec.Text); err != nil {
 				return err
 			}
-			tokens++
+			j.answered += rec.Tokens
 		}
 	}
 }
-
-// permitted reports whether a job may be dispatched now. It is asked when a
-// connection is open and nothing has been written, so that an upstream which
-// cannot be reached does not use the permit up.
-func (j *job) permitted() bool {
-	return j.permit == nil || j.permit.Dispatch(time.Now())
-}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -20,6 +20,7 @@
 	callerGone bool
 	end        retry.End // unless complete or callerGone
 	reachable  bool      // the engine still knows the attempt
+	late       bool      // the request's time was over: no fault of the engine's
 	err        error
 }
 
@@ -35,11 +36,13 @@
 // stream opens a stream of the running attempt, the first or a resumed one, and
 // hands its tokens to the caller until it ends.
 func (g *generation) stream(ctx context.Context, t *target) streamEnd {
-	ctx, cancel := context.WithCancel(upstream.WithPermit(ctx, g.job.permitted))
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// The permit is for the dispatch alone: a look at a silent attempt needs none.
+	dispatch := upstream.WithPermit(ctx, g.s.permit(g.job))
 	g.asm.StartAttempt(g.attempt)
 	arrivals := make(chan arrival)
-	go pump(ctx, g.s.opts.Client, t.address(), g.engineRequest(t), arrivals)
+	go pump(dispatch, g.s.opts.Client, t.address(), g.engineRequest(t), arrivals)
 
 	idle := time.NewTimer(g.job.routing.Idle())
 	defer idle.Stop()
@@ -135,10 +138,11 @@
 		g.s.noteFirstToken(g.job, t, cached, g.first)
 	}
 	g.job.answered = g.asm.NextIndex()
-	g.job.recordToken(step.Text)
+	g.text.WriteString(step.Text)
+	g.job.recordTokens(step.Text, step.Tokens)
 	err := g.job.sink.token(step.Text)
-	if g.job.record != nil {
-		return nil // the answer is kept for the caller's next try
+	if g.job.record != nil && g.job.needed() {
+		return nil // the answer is wanted also when its caller has gone
 	}
 	return err
 }
@@ -216,7 +220,7 @@
 // interrupted tells a passed deadline from a caller that has gone.
 func (g *generation) interrupted(ctx context.Context) streamEnd {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(g.job.req.Deadline) {
-		return streamEnd{end: retry.Silent, err: context.DeadlineExceeded}
+		return streamEnd{end: retry.Silent, late: true, err: context.DeadlineExceeded}
 	}
 	return streamEnd{callerGone: true, err: ctx.Err()}
 }
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -31,7 +31,6 @@
 		ID:        placement.ID{Request: j.req.ID, Attempt: attempt},
 		Upstream:  d.Chosen.Name,
 		Model:     j.req.Target,
-		Class:     d.Class,
 		Priority:  d.EnginePriority,
 		Tokens:    j.req.PromptTokens,
 		MaxTokens: j.req.MaxTokens,
@@ -50,6 +49,18 @@
 	return t.incarnation != "" && now.Incarnation != t.incarnation
 }
 
+// names returns the names of all engines of the target.
+func (t *target) names() []string {
+	if len(t.gang) == 0 {
+		return []string{t.name()}
+	}
+	names := make([]string, len(t.gang))
+	for i, m := range t.gang {
+		names[i] = m.Name
+	}
+	return names
+}
+
 // engine names the engine for the holder.
 func (t *target) engine(j *job) owner.Engine {
 	return owner.Engine{Name: t.name(), Address: t.address(), Pool: j.pool.Name}
@@ -71,6 +82,9 @@
 		DeadlineMs:   engineapi.NewOptInt64(time.Until(req.Deadline).Milliseconds()),
 		Holder:       engineapi.Holder{Host: g.s.opts.Host, Incarnation: g.s.opts.Incarnation},
 	}
+	if g.text.Len() > 0 {
+		er.AnswerSoFar = engineapi.NewOptString(g.text.String())
+	}
 	for _, m := range t.gang {
 		er.Gang = append(er.Gang, m.Address)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -159,10 +159,16 @@
 
 // refuse returns a Refusal whose RetryAfter is spread beyond backlog.
 func (g *Gate) refuse(code request.Code, backlog time.Duration, format string, args ...any) *request.Refusal {
+	return request.Refuse(code, g.spread(backlog), format, args...)
+}
+
+// spread returns a time to come back in after a backlog has been worked off,
+// spread at random so that a fleet that was refused together does not come back
+// together.
+func (g *Gate) spread(backlog time.Duration) time.Duration {
 	g.mu.Lock()
-	after := admission.RetryAfter(backlog, g.rng)
-	g.mu.Unlock()
-	return request.Refuse(code, after, format, args...)
+	defer g.mu.Unlock()
+	return admission.RetryAfter(backlog, g.rng)
 }
 
 // ComeBack returns when a request that was let in, and could not be placed after
@@ -172,9 +178,7 @@
 	if p := g.pool(pool); p != nil {
 		backlog = max(backlog, p.comeBack(r))
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return admission.RetryAfter(backlog, g.rng)
+	return g.spread(backlog)
 }
 
 func (g *Gate) pool(name string) *pool {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
+	"github.com/buckthorndock/buckthorndock/internal/obs"
 )
 
 // Options configure a Client. The zero value uses the defaults.
@@ -48,10 +49,10 @@
 	}
 	dialer := &net.Dialer{Timeout: opts.DialTimeout}
 	fresh := &http.Transport{DialContext: dialPermitted(dialer), DisableKeepAlives: true}
-	shared := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	shared := &http.Transport{DialContext: obs.CountBytes(obs.PurposeEngines, dialer.DialContext), MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
 	return &Client{
 		opts:     opts,
-		dispatch: &http.Client{Transport: fresh},
+		dispatch: &http.Client{Transport: fresh, CheckRedirect: followNone},
 		poll:     &http.Client{Transport: shared, Timeout: opts.PollTimeout},
 		pollPool: shared,
 		workers:  map[string]*engineapi.Client{},
@@ -59,6 +60,10 @@
 	}
 }
 
+// followNone makes a redirect an answer like others: a second sending would be a
+// second dispatch, and an error in it no proof that the first did not run.
+func followNone(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // worker returns the client whose calls each open a connection.
 func (c *Client) worker(address string) (*engineapi.Client, error) {
 	return c.cached(c.workers, address, c.dispatch)
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -3,18 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
-
-	// The programs under test are built from these; importing them keeps go test
-	// from reporting an old result after a change to one.
-	_ "github.com/buckthorndock/buckthorndock/internal/cli"
-	_ "github.com/buckthorndock/buckthorndock/internal/daemon"
-	_ "github.com/buckthorndock/buckthorndock/internal/standin/command"
 )
 
 // binDir holds the programs under test.
@@ -24,6 +19,18 @@
 	os.Exit(buildAndRun(m))
 }
 
+// lookAtSources walks the sources of the programs under test. go test notes what
+// a test looks at, and does not report an old result after a change to it.
+func lookAtSources() error {
+	for _, dir := range []string{"../../cmd", "../../internal"} {
+		err := filepath.WalkDir(dir, func(_ string, _ fs.DirEntry, err error) error { return err })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func buildAndRun(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "buckthorndock-bin-")
 	if err != nil {
@@ -41,43 +48,65 @@
 }
 
 func TestScenarios(t *testing.T) {
+	if err := lookAtSources(); err != nil {
+		t.Fatal(err)
+	}
 	testscript.Run(t, testscript.Params{
 		Dir:                 ".",
 		RequireExplicitExec: true,
 		Setup:               setupSite,
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"start":         cmdStart,
-			"restart":       cmdRestart,
-			"kill":          cmdKill,
-			"freeze":        cmdFreeze,
-			"resume":        cmdResume,
-			"stop":          cmdStop,
-			"leave":         cmdLeave,
-			"exited":        cmdExited,
-			"hosts":         cmdHosts,
-			"fault":         cmdFault,
-			"publish":       cmdPublish,
-			"ready":         cmdReady,
-			"runs":          cmdRuns,
-			"books":         cmdBooks,
-			"logged":        cmdLogged,
-			"status":        cmdStatus,
-			"answer":        cmdAnswer,
-			"metric":        cmdMetric,
-			"nap":           cmdNap,
-			"promptof":      cmdPromptOf,
-			"crowd":         cmdCrowd,
-			"crowdcomplete": cmdCrowdComplete,
-			"keepalive":     cmdKeepAlive,
-			"deaths":        cmdDeaths,
-			"fetch":         cmdFetch,
-			"cut":           cmdCut,
-			"silence":       cmdSilence,
-			"garbage":       cmdGarbage,
-			"openai":        cmdOpenAI,
-			"http":          cmdHTTP,
-			"abandon":       cmdAbandon,
-			"neverread":     cmdNeverRead,
-		},
+		Cmds:                commands(),
 	})
 }
+
+// command is one command of the scenarios.
+type command = func(ts *testscript.TestScript, neg bool, args []string)
+
+// commands returns the commands of the scenarios; one a line, so that changes to
+// the list stay apart.
+func commands() map[string]command {
+	c := map[string]command{}
+	c["abandon"] = cmdAbandon
+	c["agree"] = cmdAgree
+	c["answer"] = cmdAnswer
+	c["books"] = cmdBooks
+	c["codes"] = cmdCodes
+	c["count"] = cmdCount
+	c["crowd"] = cmdCrowd
+	c["crowdcomplete"] = cmdCrowdComplete
+	c["cut"] = cmdCut
+	c["deaths"] = cmdDeaths
+	c["end"] = cmdEnd
+	c["exited"] = cmdExited
+	c["export"] = cmdExport
+	c["fault"] = cmdFault
+	c["fetch"] = cmdFetch
+	c["freeze"] = cmdFreeze
+	c["garbage"] = cmdGarbage
+	c["hold"] = cmdHold
+	c["hosts"] = cmdHosts
+	c["http"] = cmdHTTP
+	c["keepalive"] = cmdKeepAlive
+	c["leave"] = cmdLeave
+	c["link"] = cmdLink
+	c["logged"] = cmdLogged
+	c["metric"] = cmdMetric
+	c["nap"] = cmdNap
+	c["neverread"] = cmdNeverRead
+	c["openai"] = cmdOpenAI
+	c["promptof"] = cmdPromptOf
+	c["publish"] = cmdPublish
+	c["ready"] = cmdReady
+	c["restart"] = cmdRestart
+	c["resume"] = cmdResume
+	c["runs"] = cmdRuns
+	c["rush"] = cmdRush
+	c["shutdown"] = cmdShutdown
+	c["silence"] = cmdSilence
+	c["start"] = cmdStart
+	c["status"] = cmdStatus
+	c["together"] = cmdTogether
+	c["watch"] = cmdWatch
+	c["watched"] = cmdWatched
+	return c
+}
