--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -159,7 +159,7 @@
 		SpillDomains: p.peers.reachableDomains,
 		Seed:         p.incarnation,
 	})
-	p.watcher = upstream.NewWatcher(p.client, p.router, upstream.WatchOptions{})
+	p.watcher = upstream.NewWatcher(p.client, p.router, upstream.WatchOptions{Interval: watchEach, Timeout: watchAnswer})
 	p.engines = owner.NewHTTPEngines(obs.CountedClient(obs.PurposeEngines), time.Now)
 	return nil
 }
