Soft state in large domains: shorter digests of demand and work, told by pace

Cause: at 60 daemons and 120 engines in one failure domain, 210 customers and 2 requests a second, a daemon spent 20.5 KB/s sent and 21.4 KB/s received on control, near the 22 KB/s of the plan either way and nearly twice it both ways, before any other domain is there. The digest of 64 customers' demand took 1,124 bytes from each host every 9 s, and the offered work went out every 2 s: 210 bytes for one pool, 866 for seven, which alone would be 26 KB/s of received bytes at 60 hosts. A second cause shows at full size only: the list of hosts, at 110 bytes a host, is read every 2 s by two hosts of a domain, 23 KB/s for 420 hosts. Ruled out: membership alone (3.9 KB/s each way at 60 hosts, BenchmarkIdleSite), the digests of engines (held to 3 KB/s), settings (0.2 KB/s), polls of engines (1 KB/s). Change: both digests are plain lists of numbers (716 bytes for 64 customers, 331 for seven pools; the work keeps five binary digits). Demand is told every 2 to 14 s and work every 2 to 6 s by the number of hosts. A list of hosts that was read less than 40 ms for each of its hosts ago (a minute at most) is not read again. Small domains keep their times. A daemon cannot read the digests of one from before this change; the site is not mixed. Package tests pass with -race -count=3.

--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -16,6 +16,10 @@
 	// listEvery is the time between two reads by the few hosts of a failure domain
 	// that read the list for all; the others read it as the peers package does.
 	listEvery = 2 * time.Second
+	// listEveryHost is the least time between two reads for each host that the list
+	// had, at some 110 bytes a host, and listEveryMost bounds it.
+	listEveryHost = 40 * time.Millisecond
+	listEveryMost = time.Minute
 	// listFresh is the age up to which a read list says who has gone.
 	listFresh = 2 * time.Minute
 )
@@ -29,8 +33,12 @@
 	listed []platform.Host
 }
 
-// List reads the list and keeps it.
+// List reads the list and keeps it. A long list that was read a short while ago is
+// not read again.
 func (l *hostList) List(ctx context.Context) ([]platform.Host, error) {
+	if listed, read := l.last(); time.Since(read) < min(time.Duration(len(listed))*listEveryHost, listEveryMost) {
+		return listed, nil
+	}
 	hosts, err := l.source.List(ctx)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -1,13 +1,9 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
-	"encoding/gob"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/buckthorndock/buckthorndock/internal/core/admission"
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
 )
@@ -19,19 +15,9 @@
 	domainUsageSection = "limits-domain"
 )
 
-// Times between two divisions of the shared limits: a small site shares quickly, a
-// failure domain of many hosts keeps its bytes down. The most is well under the
-// time after which a host that tells nothing counts as silent.
-const (
-	limitsEveryLeast = 2 * time.Second
-	limitsEveryMost  = 10 * time.Second
-	limitsEveryHost  = 150 * time.Millisecond // more for each host of the domain
-)
-
-func (p *process) limitsEvery() time.Duration {
-	hosts := len(membership.InDomain(p.node.Members(), p.cfg.Domain))
-	return min(max(time.Duration(hosts)*limitsEveryHost, limitsEveryLeast), limitsEveryMost)
-}
+// limitsPace is the time between two divisions of the shared limits. Its most is
+// under half of the time after which a host that tells nothing counts as silent.
+var limitsPace = pace{least: 2 * time.Second, perHost: 250 * time.Millisecond, most: 14 * time.Second}
 
 // gatewayKey is the key whose owner tells the other domains the sum of its own.
 const gatewayKey = "limits-gateway"
@@ -47,7 +33,7 @@
 			p.publishUsage(domainUsageSection, domain, p.node.PublishWide)
 		}
 		select {
-		case <-time.After(p.limitsEvery()):
+		case <-time.After(p.every(limitsPace)):
 		case <-ctx.Done():
 			return nil
 		}
@@ -86,6 +72,10 @@
 			}
 			seen[key] = v.Version
 			usage, err := decodeUsage(v.Data)
+			usage.Domain = v.Domain
+			if ownDomain {
+				usage.Host = v.Host
+			}
 			if err != nil {
 				p.log.WithError(err).WithField("from", v.Host).Warn("usage_undecodable")
 				continue
@@ -97,18 +87,11 @@
 }
 
 func (p *process) publishUsage(section string, u admission.Usage, publish func(string, []byte) error) {
-	var b bytes.Buffer
-	err := gob.NewEncoder(&b).Encode(u)
+	data, err := encodeUsage(u)
 	if err == nil {
-		err = publish(section, b.Bytes())
+		err = publish(section, data)
 	}
 	if err != nil {
 		p.log.WithError(err).WithField("section", section).Error("section_not_published")
 	}
 }
-
-func decodeUsage(data []byte) (admission.Usage, error) {
-	var u admission.Usage
-	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&u)
-	return u, merry.Prepend(err, "decode usage")
-}
--- a/internal/daemon/work.go
+++ b/internal/daemon/work.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"maps"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -17,25 +20,19 @@
 // ones.
 const workSection = "work"
 
-// workEvery is the time between two digests of the offered work. The work is faded
-// over tens of seconds, so that a few seconds of age do not matter.
-const workEvery = 2 * time.Second
-
-// offeredWork is what the section carries: the work of each pool.
-type offeredWork struct {
-	Pools map[string]placement.Work
-}
+// workPace is the time between two digests of the offered work. The work is faded
+// over tens of seconds, so that a few seconds of age do not matter; the most is
+// under half of the time for which a digest counts.
+var workPace = pace{least: 2 * time.Second, perHost: 100 * time.Millisecond, most: 6 * time.Second}
 
 // shareWork exchanges the offered work with the peers.
 func (p *process) shareWork(ctx context.Context) error {
-	ticker := time.NewTicker(workEvery)
-	defer ticker.Stop()
 	seen := map[digestKey]uint64{} // version last taken
 	for {
 		p.publishWork()
 		p.takeWork(seen)
 		select {
-		case <-ticker.C:
+		case <-time.After(p.every(workPace)):
 		case <-ctx.Done():
 			return nil
 		}
@@ -43,10 +40,9 @@
 }
 
 func (p *process) publishWork() {
-	var b bytes.Buffer
-	err := gob.NewEncoder(&b).Encode(offeredWork{Pools: p.router.OfferedWork()})
+	data, err := encodeWork(p.router.OfferedWork())
 	if err == nil {
-		err = p.node.Publish(workSection, b.Bytes())
+		err = p.node.Publish(workSection, data)
 	}
 	if err != nil {
 		p.log.WithError(err).WithField("section", workSection).Error("section_not_published")
@@ -65,12 +61,56 @@
 			p.log.WithError(err).WithField("from", section.Host).Warn("work_undecodable")
 			continue
 		}
-		p.router.PeerWork(section.Host, work.Pools)
+		p.router.PeerWork(section.Host, work)
 	}
 }
 
-func decodeWork(data []byte) (offeredWork, error) {
-	var w offeredWork
-	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&w)
-	return w, merry.Prepend(err, "decode offered work")
+var errWork = merry.New("work is not one list of bands for each pool")
+
+// encodeWork writes the pools' names and then all bands, rounded: gob describes a
+// struct or map in each message, and writes a number of few bits in few bytes.
+func encodeWork(pools map[string]placement.Work) ([]byte, error) {
+	names := slices.Sorted(maps.Keys(pools))
+	bands := make([]float64, 0, len(names)*placement.NumBands)
+	for _, name := range names {
+		for _, work := range pools[name] {
+			bands = append(bands, roundWork(work))
+		}
+	}
+	var b bytes.Buffer
+	enc := gob.NewEncoder(&b)
+	err := enc.Encode(names)
+	if err == nil {
+		err = enc.Encode(bands)
+	}
+	return b.Bytes(), merry.Prepend(err, "encode offered work")
+}
+
+// roundWork keeps five binary digits, an error of 3% at the most: sign, exponent
+// and these fit two bytes.
+func roundWork(work float64) float64 {
+	const digits = 5
+	fraction, exponent := math.Frexp(work)
+	return math.Ldexp(math.Round(math.Ldexp(fraction, digits)), exponent-digits)
+}
+
+func decodeWork(data []byte) (map[string]placement.Work, error) {
+	var names []string
+	var bands []float64
+	dec := gob.NewDecoder(bytes.NewReader(data))
+	err := dec.Decode(&names)
+	if err == nil {
+		err = dec.Decode(&bands)
+	}
+	if err != nil {
+		return nil, merry.Prepend(err, "decode offered work")
+	}
+	if len(bands) != len(names)*placement.NumBands {
+		return nil, errWork
+	}
+	pools := make(map[string]placement.Work, len(names))
+	for i, name := range names {
+		pools[name] = placement.Work(bands[i*placement.NumBands : (i+1)*placement.NumBands])
+	}
+	return pools, nil
 }
