--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -20,7 +20,7 @@
 // processor time, memory, and open outgoing connections. One iteration takes
 // half a minute.
 func BenchmarkIdleSite(b *testing.B) {
-	for _, c := range []struct{ domains, hosts int }{{1, 3}, {3, 4}, {3, 8}, {1, 60}} {
+	for _, c := range []struct{ domains, hosts int }{{1, 3}, {3, 4}, {3, 8}, {1, 60}, {7, 60}} {
 		b.Run(fmt.Sprintf("domains=%d/hosts=%d", c.domains, c.hosts), func(b *testing.B) {
 			nodes := idleSite(b, c.domains, c.hosts)
 			const span = 20 * time.Second
