--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -10,11 +10,16 @@
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 )
 
-// hostsEvery is the time between two looks at which hosts live and which have gone.
-const hostsEvery = time.Second
-
-// listFresh is the age up to which a read list says who has gone.
-const listFresh = 2 * time.Minute
+// Times of what follows the platform's list of hosts.
+const (
+	hostsEvery = time.Second // between two looks at which hosts live and which have gone
+	// listEveryHost is the least time between two reads for each host that the list
+	// had, at some 110 bytes a host, and listEveryMost bounds it.
+	listEveryHost = 40 * time.Millisecond
+	listEveryMost = time.Minute
+	// listFresh is the age up to which a read list says who has gone.
+	listFresh = 2 * time.Minute
+)
 
 // hostList keeps the platform's list as it was last read.
 type hostList struct {
@@ -25,8 +30,12 @@
 	listed []platform.Host
 }
 
-// List reads the list and keeps it.
+// List reads the list and keeps it. A long list that was read a short while ago is
+// not read again.
 func (l *hostList) List(ctx context.Context) ([]platform.Host, error) {
+	if listed, read := l.last(); time.Since(read) < min(time.Duration(len(listed))*listEveryHost, listEveryMost) {
+		return listed, nil
+	}
 	hosts, err := l.source.List(ctx)
 	if err != nil {
 		return nil, err
