--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -49,10 +49,15 @@
 		}
 		return http.StatusGatewayTimeout
 	}
-	if s, ok := statusOf[r.Code]; ok {
-		return s
+	s, ok := statusOf[r.Code]
+	switch {
+	case !ok:
+		return http.StatusInternalServerError
+	case r.Outcome != request.NotRun && (s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests):
+		// Those two say that nothing was done.
+		return http.StatusBadGateway
 	}
-	return http.StatusInternalServerError
+	return s
 }
 
 // errorBody returns the typed body of a refusal.
--- a/internal/front/sink_test.go
+++ b/internal/front/sink_test.go
@@ -67,6 +67,20 @@
 	}
 }
 
+func TestStatusOfWhatMayHaveRun(t *testing.T) {
+	cases := map[request.Outcome]int{
+		request.NotRun:  http.StatusServiceUnavailable,
+		request.Failed:  http.StatusBadGateway,
+		request.Unknown: http.StatusBadGateway,
+	}
+	for outcome, want := range cases {
+		r := &request.Refusal{Outcome: outcome, Code: request.CodeNoUpstream}
+		if got := status(r); got != want {
+			t.Errorf("%s: status %d, want %d", outcome, got, want)
+		}
+	}
+}
+
 func TestCallerThatNeverReadsLosesItsConnection(t *testing.T) {
 	ended := make(chan error, 1)
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
