Callers: bounds on connections and on the pace of bodies; scenario strangers

Cause: a caller could open connections until the process had no files left, and send a body a byte a minute for as long as it liked; only headers were bounded. Ruled out: a ReadTimeout of the server, which would also end the wait that tells whether the caller of a long answer is still there; waiting in place of closing, as health checks would wait too. Change: daemon-file key max_connections (10000), further ones are closed at once and counted, with a gauge of the open ones; a body must come at 4 KiB/s after 10 s. Scenario strangers: a daemon with another peer key, one idempotency key of two customers, operator calls with a customer's token, 64 KiB of headers, slow headers and bodies, many connections, and no token, peer key or idempotency key in any log at level debug. That a server refuses a client that trusts anybody is tested in internal/peer.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,8 @@
 	// ShutdownTimeout is the longest a graceful shutdown waits for requests in
 	// progress; zero waits until all have ended.
 	ShutdownTimeout time.Duration
+	// MaxConnections bounds the open connections of callers and operators.
+	MaxConnections int
 	// TestFaults opens the fault switches used by the scenarios.
 	TestFaults bool
 }
@@ -37,8 +39,11 @@
 	LogRetention time.Duration
 }
 
-// DefaultLogRetention holds where the daemon file says nothing.
-const DefaultLogRetention = time.Hour
+// Defaults of the daemon file.
+const (
+	DefaultLogRetention   = time.Hour
+	DefaultMaxConnections = 10_000
+)
 
 // MinPeerKeyLen is the shortest peer key accepted, in bytes.
 const MinPeerKeyLen = 32
--- a/internal/config/parser.go
+++ b/internal/config/parser.go
@@ -213,6 +213,19 @@
 	return d
 }
 
+// count returns a number of at least one.
+func (p *parser) count(key string, byDefault int) int {
+	f, ok := p.take(key)
+	if !ok {
+		return byDefault
+	}
+	n, err := strconv.Atoi(f.value)
+	if err != nil || n < 1 {
+		p.addf(f.line, key, "%q is not a number above 0", f.value)
+	}
+	return n
+}
+
 func (p *parser) logLevel(key string) string {
 	f, ok := p.take(key)
 	if !ok {
@@ -264,6 +277,7 @@
 		LogLevel:            p.logLevel("log_level"),
 		OperatorTokenSHA256: p.tokenHash("operator_token_sha256"),
 		ShutdownTimeout:     p.seconds("shutdown_timeout_seconds"),
+		MaxConnections:      p.count("max_connections", DefaultMaxConnections),
 		TestFaults:          p.boolean("test_faults"),
 	}
 	if d.Listen != "" && d.Listen == d.PeerListen {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,13 +37,15 @@
 		p.node.Close()
 		return merry.Prepend(err, "listen for callers")
 	}
+	limited := &limitedListener{Listener: listener, most: int64(cfg.MaxConnections)}
 	gauges := metrics.NewSet()
+	gauges.NewGauge("buckthorndock_connections_open", func() float64 { return float64(limited.open.Load()) })
 	p.follower.RegisterMetrics(gauges)
 	metrics.RegisterSet(gauges)
 	defer metrics.UnregisterSet(gauges, true)
 	background := p.start()
 	failed := make(chan error, 1)
-	go func() { failed <- p.server.Serve(listener) }()
+	go func() { failed <- p.server.Serve(limited) }()
 	log.WithFields(logrus.Fields{"listen": cfg.Listen, "domain": cfg.Domain}).Info("started")
 	select {
 	case err = <-failed:
--- /dev/null
+++ b/internal/daemon/listener.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+var connectionsRefused = metrics.NewCounter("buckthorndock_connections_refused_total")
+
+// limitedListener closes connections beyond a number at once, so that callers
+// who open many cannot use up the files of the process.
+type limitedListener struct {
+	net.Listener
+	most int64
+	open atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.most {
+			return &limitedConn{Conn: conn, l: l}, nil
+		}
+		l.open.Add(-1)
+		connectionsRefused.Inc()
+		_ = conn.Close()
+	}
+}
+
+// limitedConn gives its place back when it is closed.
+type limitedConn struct {
+	net.Conn
+	l    *limitedListener
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { c.l.open.Add(-1) })
+	return c.Conn.Close()
+}
--- a/internal/front/auth.go
+++ b/internal/front/auth.go
@@ -45,7 +45,7 @@
 		if id.customer != nil {
 			limit = int64(id.customer.Requests.MaxBodyBytes)
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
+		r.Body = newPacedBody(w, http.MaxBytesReader(w, r.Body, limit))
 		ctx := context.WithValue(r.Context(), identityKey{}, id)
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -71,6 +71,7 @@
 	c["answer"] = cmdAnswer
 	c["books"] = cmdBooks
 	c["codes"] = cmdCodes
+	c["connections"] = cmdConnections
 	c["count"] = cmdCount
 	c["crowd"] = cmdCrowd
 	c["crowdcomplete"] = cmdCrowdComplete
@@ -90,9 +91,11 @@
 	c["leave"] = cmdLeave
 	c["link"] = cmdLink
 	c["logged"] = cmdLogged
+	c["manyheaders"] = cmdManyHeaders
 	c["metric"] = cmdMetric
 	c["nap"] = cmdNap
 	c["neverread"] = cmdNeverRead
+	c["nosecrets"] = cmdNoSecrets
 	c["openai"] = cmdOpenAI
 	c["promptof"] = cmdPromptOf
 	c["publish"] = cmdPublish
@@ -106,6 +109,7 @@
 	c["start"] = cmdStart
 	c["status"] = cmdStatus
 	c["together"] = cmdTogether
+	c["trickle"] = cmdTrickle
 	c["watch"] = cmdWatch
 	c["watched"] = cmdWatched
 	return c
--- a/test/scenarios/site_test.go
+++ b/test/scenarios/site_test.go
@@ -95,7 +95,8 @@
 func (s *site) daemonFile(p *process, extra []string) (string, error) {
 	var b strings.Builder
 	fmt.Fprintf(&b, "host: %s\ndomain: %s\nregion: %s\n", p.name, p.domain, region)
-	fmt.Fprintf(&b, "listen: %s\npeer_listen: %s\npeer_key: %s\n", p.address, p.peer, peerKey)
+	key, extra := peerKeyOf(extra)
+	fmt.Fprintf(&b, "listen: %s\npeer_listen: %s\npeer_key: %s\n", p.address, p.peer, key)
 	fmt.Fprintf(&b, "operator_token_sha256: %s\ntest_faults: true\nlog_level: debug\nplatform:\n", operatorHash)
 	for _, name := range []string{"log", "hosts", "weights"} {
 		server, rest := pickService(name, extra)
@@ -127,6 +128,19 @@
 	return name, rest
 }
 
+// peerKeyOf returns the peer key, which peer_key=KEY changes, and the other lines.
+func peerKeyOf(extra []string) (key string, rest []string) {
+	key = peerKey
+	for _, line := range extra {
+		if other, ok := strings.CutPrefix(line, "peer_key="); ok {
+			key = other
+			continue
+		}
+		rest = append(rest, line)
+	}
+	return key, rest
+}
+
 // until looks at a condition until it holds; the last reason is reported.
 func until(ts *testscript.TestScript, what string, condition func() error) {
 	deadline := time.Now().Add(patience)
