--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -21,19 +21,21 @@
 const (
 	digestEvery = 20 * time.Millisecond  // between two looks at the owners' digests
 	watchEvery  = 200 * time.Millisecond // between two choices of what to watch
+	watchEach   = 100 * time.Millisecond // between two looks at one of them
+	watchAnswer = 400 * time.Millisecond // in which it has to answer
 )
 
-// A report is stale when it is older than staleLeast, and a little more for each
-// engine of the domain: owners tell less often where there are more of them.
+// A report is stale, and its engine is looked at directly, when it is much older
+// than those of most engines of the pool, and in any case when it is older than
+// staleMost, and a little more for each engine of the domain: owners tell less often
+// where there are more of them.
 const (
-	staleLeast  = 2500 * time.Millisecond
+	staleFactor = 3                      // times the median age
+	staleLeast  = 700 * time.Millisecond // never stale before
+	staleMost   = 2500 * time.Millisecond
 	stalePerOne = 60 * time.Millisecond
 )
 
-func staleAfter(engines int) time.Duration {
-	return staleLeast + time.Duration(engines)*stalePerOne
-}
-
 // applySettings passes new settings on.
 func (p *process) applySettings(ctx context.Context) error {
 	changed, cancel := p.follower.Subscribe()
@@ -146,7 +148,7 @@
 		isEngine := pool.Kind == settings.PoolEngine
 		own, others := p.byDomain(p.router.Upstreams(pool.Name))
 		served := false
-		limit := staleAfter(len(own))
+		limit := staleLimit(own)
 		for _, u := range own {
 			stale := isEngine && (!u.Reported || u.ReportAge > limit)
 			failing := u.State == placement.Dead || u.State == placement.Suspect
@@ -164,6 +166,22 @@
 	return targets
 }
 
+// staleLimit returns the age from which a report of one of these engines is stale.
+func staleLimit(engines []router.UpstreamStatus) time.Duration {
+	var ages []time.Duration
+	for _, u := range engines {
+		if u.Reported {
+			ages = append(ages, u.ReportAge)
+		}
+	}
+	most := staleMost + time.Duration(len(engines))*stalePerOne
+	if len(ages) == 0 {
+		return most
+	}
+	slices.Sort(ages)
+	return min(max(staleFactor*ages[len(ages)/2], staleLeast), most)
+}
+
 func (p *process) byDomain(all []router.UpstreamStatus) (own, others []router.UpstreamStatus) {
 	for _, u := range all {
 		if u.Domain == p.cfg.Domain {
