--- /dev/null
+++ b/internal/core/placement/service_time_test.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+)
+
+// TestServiceTimeIsThatOfAFreeEngine: it is prefill and expected answer at the
+// fastest engine's rates, whatever waits there.
+func TestServiceTimeIsThatOfAFreeEngine(t *testing.T) {
+	v := newTestView(2)
+	for i, e := range v.Engines("p") {
+		r := report(2, 0)
+		r.PrefillRate, r.DecodeRate, r.QueuedPrefill = float64(1000*(i+1)), 50, 1e6
+		v.ApplyReport(e.Name(), r)
+	}
+	a := testAsk()
+	want := tokensTime(1000, 2000) + tokensTime(v.opts.AnswerShare*100, 50)
+	if got := ServiceTime(v, a, t0); got != want {
+		t.Errorf("service time %v, want %v", got, want)
+	}
+	for _, e := range v.Engines("p") {
+		v.SetState(e.Name(), Dead)
+	}
+	if got := ServiceTime(v, a, t0); got != 0 {
+		t.Errorf("service time %v without a live engine", got)
+	}
+}
+
+// TestShortsAvoidWhatTheyMayMeet: among engines without known work a short prompt
+// goes to the one kept for its length, unless work of its own kind is ahead there.
+func TestShortsAvoidWhatTheyMayMeet(t *testing.T) {
+	v := newTestView(6)
+	v.ApplyPeerWork("p", "a", "other", Work{3: 1e5, 10: 1e6}, t0)
+	a := testAsk()
+	kept := func() int {
+		n := 0
+		for seed := range uint64(50) {
+			d, err := Place(v, a, t0, newRand(seed))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !v.Engine(d.Chosen.Name).TakesLong() {
+				n++
+			}
+		}
+		return n
+	}
+	if n := kept(); n != 50 {
+		t.Errorf("%d of 50 went to an engine kept for short prompts", n)
+	}
+	for _, e := range v.Engines("p") {
+		if !e.TakesLong() {
+			r := report(2, 0)
+			r.QueuedPrefill = 1e5
+			v.ApplyReport(e.Name(), r)
+		}
+	}
+	if n := kept(); n != 0 {
+		t.Errorf("%d of 50 went behind the queue", n)
+	}
+	a.Policy = settings.PolicyLeastLoaded
+	if d, _ := Place(v, a, t0, newRand(1)); d.Chosen.Estimate.Unseen != 0 {
+		t.Errorf("another policy counts %v", d.Chosen.Estimate.Unseen)
+	}
+}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -312,3 +312,19 @@
 	p.free.Store(1 << 40)
 	g.Kick(lists)
 }
+
+// TestPlacedWaitCountsOnlyForTheQueue: a request with little time left starts where
+// a place is free, and is refused at once where it would have to queue.
+func TestPlacedWaitCountsOnlyForTheQueue(t *testing.T) {
+	g, p := newGate(1, PoolOptions{PlacedWait: func(*request.Request) time.Duration { return time.Hour }})
+	if _, refusal := g.Enter(context.Background(), newRequest("a", 0, time.Minute), nil, 1, lists); refusal != nil {
+		t.Fatalf("a place was free: %v", refusal)
+	}
+	_, refusal := g.Enter(context.Background(), newRequest("a", 0, time.Minute), nil, 1, lists)
+	if refusal == nil || refusal.Code != request.CodeDeadline || refusal.RetryAfter == 0 {
+		t.Errorf("without a free place: %+v", refusal)
+	}
+	if n := g.Stats(lists).Requests; n != 0 || p.free.Load() != 0 {
+		t.Errorf("%d are queued, %d places free", n, p.free.Load())
+	}
+}
