--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -12,10 +12,7 @@
 
 // Times of what follows the platform's list of hosts.
 const (
-	hostsEvery = time.Second // between two looks at who holds memory and who leaves
-	// listEvery is the time between two reads by the few hosts of a failure domain
-	// that read the list for all; the others read it as the peers package does.
-	listEvery = 2 * time.Second
+	hostsEvery = time.Second // between two looks at which hosts live and which have gone
 	// listEveryHost is the least time between two reads for each host that the list
 	// had, at some 110 bytes a host, and listEveryMost bounds it.
 	listEveryHost = 40 * time.Millisecond
@@ -77,12 +74,7 @@
 func (p *process) followHosts(ctx context.Context) error {
 	ticker := time.NewTicker(hostsEvery)
 	defer ticker.Stop()
-	var read time.Time
 	for {
-		if time.Since(read) >= listEvery && p.peers.Tailer() {
-			read = time.Now()
-			p.readList(ctx)
-		}
 		p.noteLives(ctx)
 		p.noteGone(time.Now())
 		select {
@@ -93,14 +85,6 @@
 	}
 }
 
-func (p *process) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, listEvery)
-	defer cancel()
-	if _, err := p.list.List(ctx); err != nil {
-		p.log.WithError(err).Debug("host_list_unread")
-	}
-}
-
 // noteLives tells the owner the incarnations of all hosts.
 func (p *process) noteLives(ctx context.Context) {
 	for _, m := range p.node.Members() {
--- /dev/null
+++ b/internal/daemon/listed.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+	"github.com/buckthorndock/buckthorndock/internal/platform"
+)
+
+// listedSection carries the upstreams that the platform's list has as leaving.
+// Each host reads the list now and then; so the first that reads of one tells its
+// domain.
+const listedSection = "listed-leaving"
+
+// listedEvery is the time between two looks at what the hosts have read.
+const listedEvery = 200 * time.Millisecond
+
+// leavingUpstreams returns the addresses of leaving upstreams, in order and with
+// blanks between: the list's names of hosts need not be those of the settings.
+func leavingUpstreams(hosts []platform.Host) string {
+	var addresses []string
+	for _, h := range hosts {
+		if h.Kind == platform.HostUpstream && h.State == platform.HostLeaving {
+			addresses = append(addresses, h.Address)
+		}
+	}
+	slices.Sort(addresses)
+	return strings.Join(addresses, " ")
+}
+
+// applyListed tells the domain what this host has read, and the router what any
+// host has.
+func (p *process) applyListed(ctx context.Context) error {
+	ticker := time.NewTicker(listedEvery)
+	defer ticker.Stop()
+	told := "" // nothing is as good as no section
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+		told = p.tellListed(told)
+		leaving := map[string]bool{}
+		dead := p.deadHosts()
+		for _, section := range p.node.Sections(listedSection) {
+			if dead[section.Host] {
+				continue // its word cannot be taken back
+			}
+			for _, address := range strings.Fields(string(section.Data)) {
+				leaving[address] = true
+			}
+		}
+		p.router.SetListed(leaving)
+	}
+}
+
+// tellListed publishes what the last list has as leaving, when that is not what
+// was told before. It returns what has been told. A list that cannot be read
+// changes nothing.
+func (p *process) tellListed(told string) string {
+	hosts, _ := p.list.last()
+	now := leavingUpstreams(hosts)
+	if now == told {
+		return told
+	}
+	if err := p.node.Publish(listedSection, []byte(now)); err != nil {
+		p.log.WithError(err).Error("section_not_published")
+		return told
+	}
+	return now
+}
+
+func (p *process) deadHosts() map[string]bool {
+	dead := map[string]bool{}
+	for _, m := range p.node.Members() {
+		dead[m.Host] = m.State == membership.Dead
+	}
+	return dead
+}
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -28,6 +28,7 @@
 	asks         int // for reservations so far
 	earlierWrote bool
 	exclude      []string
+	blamed       []string        // for the end of the last attempt
 	first        time.Time       // of the first token, zero before
 	text         strings.Builder // handed out so far
 }
@@ -41,6 +42,7 @@
 		asm:     stream.New(stream.Options{RequestID: j.req.ID, MaxTokens: j.req.MaxTokens, From: j.answered}),
 		attempt: 1,
 	}
+	g.text.WriteString(j.passed.String())
 	for {
 		target, refusal := g.place(ctx)
 		if refusal != nil {
@@ -85,7 +87,7 @@
 		}
 		g.attempt = decision.Attempt
 		g.resumes = 0
-		g.exclude = append(g.exclude, t.name())
+		g.exclude = append(g.exclude, g.blamed...)
 		return nil, true
 	}
 }
@@ -118,9 +120,7 @@
 	if res.end != retry.NotWritten {
 		g.earlierWrote = true
 	}
-	if !res.late {
-		g.s.noteUpstream(t.name(), res.end, res.reachable)
-	}
+	g.blamed = g.blame(ctx, t, res)
 	if res.end == retry.Died {
 		g.s.opts.Suspects.Died(t.name(), t.incarnation, now)
 	}
@@ -227,7 +227,7 @@
 // ended returns why the context has ended.
 func (g *generation) ended(ctx context.Context) *request.Refusal {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return request.Refuse(request.CodeDeadline, retryElsewhere, "no upstream had room within the deadline")
+		return request.Refuse(request.CodeDeadline, g.s.comeBack(g.job, 0), "no upstream had room within the deadline")
 	}
 	return failed(request.CodeCallerGone, 0, "the caller has gone")
 }
@@ -277,7 +277,7 @@
 			"needs %d tokens of memory, at most %d can be gathered", ask.Need(), d.MemoryLimit)}
 	case placement.TooLate:
 		g.s.noteDecision(g.job, g.attempt, d, nil)
-		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, g.s.comeBack(d),
+		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, g.s.comeBack(g.job, d.Backlog.Drain()),
 			"the deadline cannot be met at the present load")}
 	}
 	if len(blocked) > 0 {
@@ -289,7 +289,7 @@
 		return g.decide()
 	}
 	g.s.noteDecision(g.job, g.attempt, d, nil)
-	return nil, &noPlace{refusal: request.Refuse(request.CodeNoUpstream, g.s.comeBack(d),
+	return nil, &noPlace{refusal: request.Refuse(request.CodeNoUpstream, g.s.comeBack(g.job, d.Backlog.Drain()),
 		"no upstream of pool %s can take it now", g.job.pool.Name)}
 }
 
@@ -297,6 +297,10 @@
 // receives the request.
 func (g *generation) decideGang(ask placement.Ask, d placement.Decision) (*target, *noPlace) {
 	members := g.s.opts.Router.GangMembers(ask)
+	if len(members) == 0 && len(g.exclude) > 0 {
+		// Those that have failed are needed, if they are back.
+		g.exclude = nil
+	}
 	if len(members) == 0 {
 		return nil, &noPlace{wait: true}
 	}
--- a/internal/gate/pool.go
+++ b/internal/gate/pool.go
@@ -95,6 +95,10 @@
 	case p.queue.Len() == 0 && p.opts.TryPlace(r):
 		return nil, nil
 	}
+	latest = latest.Add(-p.opts.PlacedWait(r))
+	if !now.Before(latest) {
+		return nil, p.refuse(r, request.CodeDeadline, now, "no place is free in time")
+	}
 	w := p.newWaiter(r, weight, latest)
 	w.since = now
 	if wait, ok := p.drain.Time(p.queue.Ahead(&w.entry), now); ok && now.Add(wait).After(latest) {
@@ -213,6 +217,15 @@
 	return p.gate.refuse(code, p.drain.ComeBack(p.queue.Cost(), now), format, args...)
 }
 
+// comeBack counts a refused request and returns the backlog to spread it by.
+func (p *pool) comeBack(r *request.Request) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.gate.opts.Now()
+	p.drain.Refused(r.TotalTokens(), now)
+	return p.drain.ComeBack(p.queue.Cost(), now)
+}
+
 func (p *pool) stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
