A superseded daemon takes no more work; the harness in smaller files

Cause: a daemon that hears of a newer one under its own host's name is counted out by peers and owners, which end what it holds, but it went on serving callers. Ruled out: exiting at once (requests in progress would be cut). Conclusion: node.Superseded is wired.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,6 +84,7 @@
 	run("work", p.shareWork)
 	run("suspects", p.shareSuspects)
 	run("front", p.front.Run)
+	run("successor", p.yieldToSuccessor)
 	return &wg
 }
 
@@ -135,3 +136,25 @@
 		time.Sleep(drainCheck)
 	}
 }
+
+// supersededEvery is the time between two looks for a newer daemon with this
+// host's name.
+const supersededEvery = time.Second
+
+// yieldToSuccessor stops taking work when a newer daemon runs under this host's
+// name: peers and engine owners count only the newer one's word.
+func (p *process) yieldToSuccessor(ctx context.Context) error {
+	ticker := time.NewTicker(supersededEvery)
+	defer ticker.Stop()
+	for !p.node.Superseded() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	p.log.Error("superseded")
+	p.front.Leave()
+	p.front.Refuse()
+	return nil
+}
--- /dev/null
+++ b/test/scenarios/fault_test.go
@@ -0,0 +1,106 @@
+package scenarios
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// cmdFault switches a fault of a stand-in: fault NAME KIND [on|off] [KEY=VALUE...].
+func cmdFault(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "fault NAME KIND [on|off] [KEY=VALUE...]")
+	body := map[string]any{"kind": args[1], "on": true}
+	for _, a := range args[2:] {
+		key, value, pair := strings.Cut(a, "=")
+		if !pair {
+			body["on"] = a == "on"
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil {
+			body[key] = n
+		} else {
+			body[key] = value
+		}
+	}
+	err := post(siteOf(ts).process(ts, args[0]).address, "/standin/fault", body)
+	if args[1] != "die" {
+		ts.Check(err)
+	}
+}
+
+// cmdCut cuts a daemon off from the peers in the named hosts and domains; without
+// names it heals: cut DAEMON [NAME...].
+func cmdCut(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "cut DAEMON [NAME...]")
+	p := siteOf(ts).process(ts, args[0])
+	ts.Check(post(p.address, "/test-faults/cut?from="+strings.Join(args[1:], ","), struct{}{}))
+}
+
+// cmdSilence makes a daemon's open peer connections silent for good: silence
+// DAEMON.
+func cmdSilence(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "silence DAEMON")
+	ts.Check(post(siteOf(ts).process(ts, args[0]).address, "/test-faults/silence", struct{}{}))
+}
+
+// cmdHold stops the dispatches of a daemon at a point of their way, with off lets
+// them go on: hold DAEMON connected|permitted|off.
+func cmdHold(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "hold DAEMON connected|permitted|off")
+	at := args[1]
+	if at == "off" {
+		at = ""
+	}
+	ts.Check(post(siteOf(ts).process(ts, args[0]).address, "/test-faults/hold?at="+at, struct{}{}))
+}
+
+// cmdGarbage appends a record that is nothing to a stream of the log: garbage
+// LOG STREAM.
+func cmdGarbage(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "garbage LOG STREAM")
+	body := map[string][][]byte{"records": {[]byte("\x00garbage")}}
+	ts.Check(post(siteOf(ts).process(ts, args[0]).address, "/v1/streams/"+args[1]+"/records", body))
+}
+
+// cmdHosts tells the platform's list of the daemons, engines and services:
+// hosts [NAME=leaving|gone...].
+func cmdHosts(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 0, "hosts [NAME=leaving|gone...]")
+	s := siteOf(ts)
+	said := map[string]string{}
+	for _, a := range args {
+		name, state, _ := strings.Cut(a, "=")
+		said[name] = state
+	}
+	entries := []hostEntry{}
+	for _, name := range s.order {
+		p := s.processes[name]
+		e := hostEntry{Name: name, Domain: p.domain, Region: region, State: "live"}
+		switch {
+		case said[name] == "gone":
+			continue
+		case p.kind == kindDaemon:
+			e.Kind, e.Address = "entry", p.peer
+		case p.kind == "engine", p.kind == "service":
+			e.Kind, e.Address = "upstream", p.address
+		default:
+			continue
+		}
+		if said[name] != "" {
+			e.State = said[name]
+		}
+		entries = append(entries, e)
+	}
+	ts.Check(post(s.process(ts, "hosts").address, "/standin/hosts", entries))
+}
+
+// hostEntry is one entry of the platform's list, as api/platform.yaml has it.
+type hostEntry struct {
+	Name    string `json:"name"`
+	Kind    string `json:"kind"`
+	Domain  string `json:"domain"`
+	Region  string `json:"region"`
+	Address string `json:"address"`
+	State   string `json:"state"`
+}
--- a/test/scenarios/site_test.go
+++ b/test/scenarios/site_test.go
@@ -94,12 +94,13 @@
 
 func (s *site) daemonFile(p *process, extra []string) (string, error) {
 	var b strings.Builder
-	fmt.Fprintf(&b, "host: %s\ndomain: %s\nregion: %s\n", p.name, p.domain, region)
-	key, extra := peerKeyOf(extra)
+	host, extra := pick("host", p.name, extra)
+	key, extra := pick("peer_key", peerKey, extra)
+	fmt.Fprintf(&b, "host: %s\ndomain: %s\nregion: %s\n", host, p.domain, region)
 	fmt.Fprintf(&b, "listen: %s\npeer_listen: %s\npeer_key: %s\n", p.address, p.peer, key)
 	fmt.Fprintf(&b, "operator_token_sha256: %s\ntest_faults: true\nlog_level: debug\nplatform:\n", operatorHash)
 	for _, name := range []string{"log", "hosts", "weights"} {
-		server, rest := pickService(name, extra)
+		server, rest := pick(name, name, extra)
 		extra = rest
 		address, err := s.addressOf(server)
 		if err != nil {
@@ -114,31 +115,17 @@
 	return file, os.WriteFile(file, []byte(b.String()), 0o600)
 }
 
-// pickService returns the process that plays a service of the platform, which
-// SERVICE=NAME tells, and the other lines.
-func pickService(service string, extra []string) (name string, rest []string) {
-	name = service
+// pick returns the value of a key, which a line KEY=VALUE changes, and the other
+// lines.
+func pick(key, value string, extra []string) (picked string, rest []string) {
 	for _, line := range extra {
-		if other, ok := strings.CutPrefix(line, service+"="); ok {
-			name = other
+		if other, ok := strings.CutPrefix(line, key+"="); ok {
+			value = other
 			continue
 		}
 		rest = append(rest, line)
 	}
-	return name, rest
-}
-
-// peerKeyOf returns the peer key, which peer_key=KEY changes, and the other lines.
-func peerKeyOf(extra []string) (key string, rest []string) {
-	key = peerKey
-	for _, line := range extra {
-		if other, ok := strings.CutPrefix(line, "peer_key="); ok {
-			key = other
-			continue
-		}
-		rest = append(rest, line)
-	}
-	return key, rest
+	return value, rest
 }
 
 // until looks at a condition until it holds; the last reason is reported.
