--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,13 +37,15 @@
 		p.node.Close()
 		return merry.Prepend(err, "listen for callers")
 	}
+	limited := &limitedListener{Listener: listener, most: int64(cfg.MaxConnections)}
 	gauges := metrics.NewSet()
+	gauges.NewGauge("buckthorndock_connections_open", func() float64 { return float64(limited.open.Load()) })
 	p.follower.RegisterMetrics(gauges)
 	metrics.RegisterSet(gauges)
 	defer metrics.UnregisterSet(gauges, true)
 	background := p.start()
 	failed := make(chan error, 1)
-	go func() { failed <- p.server.Serve(listener) }()
+	go func() { failed <- p.server.Serve(limited) }()
 	log.WithFields(logrus.Fields{"listen": cfg.Listen, "domain": cfg.Domain}).Info("started")
 	select {
 	case err = <-failed:
@@ -82,6 +84,7 @@
 	run("work", p.shareWork)
 	run("suspects", p.shareSuspects)
 	run("front", p.front.Run)
+	run("successor", p.yieldToSuccessor)
 	return &wg
 }
 
@@ -133,3 +136,25 @@
 		time.Sleep(drainCheck)
 	}
 }
+
+// supersededEvery is the time between two looks for a newer daemon with this
+// host's name.
+const supersededEvery = time.Second
+
+// yieldToSuccessor stops taking work when a newer daemon runs under this host's
+// name: peers and engine owners count only the newer one's word.
+func (p *process) yieldToSuccessor(ctx context.Context) error {
+	ticker := time.NewTicker(supersededEvery)
+	defer ticker.Stop()
+	for !p.node.Superseded() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	p.log.Error("superseded")
+	p.front.Leave()
+	p.front.Refuse()
+	return nil
+}
