Scenarios: with the race detector the programs under test have it, too

Cause: go test -race watched the harness and not the daemons that it starts. Change: the build flag of the programs follows that of the tests. Conclusion: the race detector now sees what matters.

--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -38,7 +38,7 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	build := exec.CommandContext(context.Background(), "go", "build", "-o", dir+string(filepath.Separator), "../../cmd/...")
+	build := exec.CommandContext(context.Background(), "go", "build", raceFlag, "-o", dir+string(filepath.Separator), "../../cmd/...")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		return 1
