Gangs: the members are chosen anew after 4 s

Ruled out: the blame of members (it works on attempts, and there was none) and the turn of the pool (free). Change: one choice is gathered for 4 s at the most.

--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -60,12 +60,16 @@
 	}
 }
 
+// gatherFor is how long one choice of members is gathered. After it they are chosen
+// anew: one may have died since.
+const gatherFor = 4 * time.Second
+
 // gather has memory reserved on all members of a gang, or on none.
 func (g *generation) gather(ctx context.Context, t *target) (bool, *request.Refusal) {
 	gang := ledger.Gang{
 		Request:  g.reservationName(),
 		Pool:     g.job.pool.Name,
-		Deadline: g.job.req.Deadline,
+		Deadline: time.Now().Add(min(gatherFor, time.Until(g.job.req.Deadline))),
 	}
 	var engines []owner.Engine
 	for _, m := range t.gang {
--- a/test/scenarios/norace_test.go
+++ b/test/scenarios/norace_test.go
@@ -2,5 +2,5 @@
 
 package scenarios
 
-// raceFlag is the setting of the race detector for the programs under test.
+// raceFlag is the setting of the race detector for the daemon.
 const raceFlag = "-race=false"
--- a/test/scenarios/race_test.go
+++ b/test/scenarios/race_test.go
@@ -2,6 +2,5 @@
 
 package scenarios
 
-// raceFlag has the programs under test built with the race detector, as these
-// tests are.
+// raceFlag has the daemon built with the race detector, as these tests are.
 const raceFlag = "-race=true"
