--- a/internal/claims/answers.go
+++ b/internal/claims/answers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/option"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 )
 
@@ -166,7 +167,7 @@
 	if o.Records <= 0 {
 		o.Records = DefaultAnswerRecords
 	}
-	setDuration(&o.Age, window)
+	option.Default(&o.Age, window)
 	return &Answers{o: o, now: now, runs: map[answerKey]*kept{}, ended: list.New(), asked: map[scopedKey]*asked{}}
 }
 
--- a/internal/claims/types.go
+++ b/internal/claims/types.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/claim"
+	"github.com/buckthorndock/buckthorndock/internal/core/option"
 )
 
 // Ask is a front's wish to run the request of a key.
@@ -103,15 +104,15 @@
 	if o.Replay.MaxSkew <= 0 {
 		o.Replay.MaxSkew = claim.DefaultMaxSkew
 	}
-	setDuration(&o.BatchEvery, DefaultBatchEvery)
-	setDuration(&o.IdleWait, DefaultIdleWait)
-	setDuration(&o.Poll, DefaultPoll)
-	setDuration(&o.LogTimeout, DefaultLogTimeout)
-	setDuration(&o.RetryEvery, DefaultRetryEvery)
-	setDuration(&o.IdleStop, DefaultIdleStop)
-	setDuration(&o.CallTimeout, DefaultCallTimeout)
-	setDuration(&o.DecideIn, DefaultDecideIn)
-	setDuration(&o.MarkEvery, o.Replay.KeyLife/2)
+	option.Default(&o.BatchEvery, DefaultBatchEvery)
+	option.Default(&o.IdleWait, DefaultIdleWait)
+	option.Default(&o.Poll, DefaultPoll)
+	option.Default(&o.LogTimeout, DefaultLogTimeout)
+	option.Default(&o.RetryEvery, DefaultRetryEvery)
+	option.Default(&o.IdleStop, DefaultIdleStop)
+	option.Default(&o.CallTimeout, DefaultCallTimeout)
+	option.Default(&o.DecideIn, DefaultDecideIn)
+	option.Default(&o.MarkEvery, o.Replay.KeyLife/2)
 	if o.MaxBatch <= 0 {
 		o.MaxBatch = DefaultMaxBatch
 	}
@@ -127,12 +128,6 @@
 	return o
 }
 
-func setDuration(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
-	}
-}
-
 // MinRetention is the least time for which the log must keep claim records.
 func (o Options) MinRetention() time.Duration {
 	o = o.withDefaults()
--- a/internal/core/ledger/gather.go
+++ b/internal/core/ledger/gather.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/option"
 )
 
 // Member is one engine of a gang.
@@ -33,11 +35,11 @@
 )
 
 func (o GatherOptions) withDefaults() GatherOptions {
-	setDefault(&o.RoundLimit, DefaultRoundLimit)
-	setDefault(&o.Answer, DefaultAnswer)
-	setDefault(&o.RetryEvery, DefaultGatherRetry)
-	setDefault(&o.BackoffMin, DefaultBackoffMin)
-	setDefault(&o.BackoffMax, DefaultBackoffMax)
+	option.Default(&o.RoundLimit, DefaultRoundLimit)
+	option.Default(&o.Answer, DefaultAnswer)
+	option.Default(&o.RetryEvery, DefaultGatherRetry)
+	option.Default(&o.BackoffMin, DefaultBackoffMin)
+	option.Default(&o.BackoffMax, DefaultBackoffMax)
 	return o
 }
 
--- a/internal/core/ledger/types.go
+++ b/internal/core/ledger/types.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/option"
 )
 
 // Holder is an entry host and its start, on whose behalf memory is held. The
@@ -119,17 +121,11 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Soft, DefaultSoft)
-	setDefault(&o.Hard, DefaultHard)
-	setDefault(&o.Stream, DefaultStream)
-	setDefault(&o.RetryEvery, DefaultRetryEvery)
-	setDefault(&o.Retry, DefaultRetry)
-	setDefault(&o.HoldLimit, DefaultHoldLimit)
+	option.Default(&o.Soft, DefaultSoft)
+	option.Default(&o.Hard, DefaultHard)
+	option.Default(&o.Stream, DefaultStream)
+	option.Default(&o.RetryEvery, DefaultRetryEvery)
+	option.Default(&o.Retry, DefaultRetry)
+	option.Default(&o.HoldLimit, DefaultHoldLimit)
 	return o
 }
-
-func setDefault(d *time.Duration, v time.Duration) {
-	if *d == 0 {
-		*d = v
-	}
-}
--- a/internal/core/membership/members.go
+++ b/internal/core/membership/members.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/option"
 )
 
 // Config sets a Members up. Zero durations and counts take the defaults. All
@@ -43,24 +45,18 @@
 )
 
 func (c *Config) setDefaults() {
-	setDefault(&c.Beat, defaultBeat)
-	setDefault(&c.SuspectAfter, defaultSuspectAfter)
-	setDefault(&c.DeadAfter, defaultDeadAfter)
-	setDefault(&c.RemoteFactor, defaultRemoteFactor)
-	setDefault(&c.RemoteQuantum, defaultRemoteQuantum)
-	setDefault(&c.ForgetAfter, defaultForgetAfter)
-	setDefault(&c.Partners, defaultPartners)
-	setDefault(&c.RotateEvery, defaultRotateEvery)
-	setDefault(&c.ProbeEvery, defaultProbeEvery)
-	setDefault(&c.Gateways, defaultGateways)
-	setDefault(&c.GatewayEvery, defaultGatewayEvery)
-	setDefault(&c.MaxDeltaBytes, defaultMaxDeltaBytes)
-}
-
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v <= 0 {
-		*v = d
-	}
+	option.Default(&c.Beat, defaultBeat)
+	option.Default(&c.SuspectAfter, defaultSuspectAfter)
+	option.Default(&c.DeadAfter, defaultDeadAfter)
+	option.Default(&c.RemoteFactor, defaultRemoteFactor)
+	option.Default(&c.RemoteQuantum, defaultRemoteQuantum)
+	option.Default(&c.ForgetAfter, defaultForgetAfter)
+	option.Default(&c.Partners, defaultPartners)
+	option.Default(&c.RotateEvery, defaultRotateEvery)
+	option.Default(&c.ProbeEvery, defaultProbeEvery)
+	option.Default(&c.Gateways, defaultGateways)
+	option.Default(&c.GatewayEvery, defaultGatewayEvery)
+	option.Default(&c.MaxDeltaBytes, defaultMaxDeltaBytes)
 }
 
 // entry is what is known of one host's newest incarnation.
--- a/internal/core/order/keeper.go
+++ b/internal/core/order/keeper.go
@@ -1,6 +1,9 @@
 package order
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options are the times of order leases. Zero fields take the defaults.
 type Options struct {
@@ -20,19 +23,13 @@
 
 // WithDefaults fills zero fields.
 func (o Options) WithDefaults() Options {
-	setDefault(&o.Lease, DefaultLease)
-	setDefault(&o.Renew, DefaultRenew)
-	setDefault(&o.Margin, DefaultMargin)
-	setDefault(&o.Answer, DefaultAnswer)
+	o.Lease = cmp.Or(o.Lease, DefaultLease)
+	o.Renew = cmp.Or(o.Renew, DefaultRenew)
+	o.Margin = cmp.Or(o.Margin, DefaultMargin)
+	o.Answer = cmp.Or(o.Answer, DefaultAnswer)
 	return o
 }
 
-func setDefault(d *time.Duration, v time.Duration) {
-	if *d == 0 {
-		*d = v
-	}
-}
-
 // Keeper is one host's part in one pool's order lease. All times are of the
 // host's own clock.
 type Keeper struct {
--- a/internal/core/order/plan.go
+++ b/internal/core/order/plan.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -194,7 +195,7 @@
 	if opts.MaxLoads == 0 {
 		opts.MaxLoads = DefaultMaxLoads
 	}
-	setDefault(&opts.RetryEvery, DefaultOrderRetry)
+	opts.RetryEvery = cmp.Or(opts.RetryEvery, DefaultOrderRetry)
 	return &Planner{opts: opts, sent: map[string]time.Time{}}
 }
 
--- a/internal/core/placement/experiment_test.go
+++ b/internal/core/placement/experiment_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/option"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 )
 
@@ -108,8 +109,8 @@
 }
 
 func (c *expCase) setDefaults() {
-	setDefault(&c.engines, 24)
-	setDefault(&c.fronts, 8)
+	option.Default(&c.engines, 24)
+	option.Default(&c.fronts, 8)
 }
 
 func newExpSim(c expCase) *expSim {
--- a/internal/core/placement/options.go
+++ b/internal/core/placement/options.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/option"
+)
 
 // Options tunes a View. A zero field takes its default.
 type Options struct {
@@ -36,40 +40,34 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Samples, 3)
-	setDefault(&o.ReportSlack, 10*time.Millisecond)
-	setDefault(&o.StaleAfter, 3*time.Second)
-	setDefault(&o.MaxDrain, time.Second)
-	setDefault(&o.MaxFlight, time.Hour)
-	setDefault(&o.FlightGrace, 30*time.Second)
-	setDefault(&o.PrefillRate, 4000)
-	setDefault(&o.DecodeRate, 20)
-	setDefault(&o.TokensPerByte, 0.25)
-	setDefault(&o.AnswerShare, 0.25)
-	setDefault(&o.Residence, 10*time.Second)
-	setDefault(&o.StepTokens, 2048)
-	setDefault(&o.RateHalfLife, 30*time.Second)
-	setDefault(&o.PrefixBlocks, 2048)
-	setDefault(&o.WorkHalfLife, 20*time.Second)
-	setDefault(&o.ShortSkew, 1.5)
-	setDefault(&o.UpperLoad, 1.15)
-	setDefault(&o.LimitSlack, 2)
-	setDefault(&o.NearRatio, 4)
-	setDefault(&o.LongSlack, 2)
-	setDefault(&o.PromotePart, 0.125)
-	setDefault(&o.PromoteShare, 0.25)
-	setDefault(&o.DemoteFrom, 4)
-	setDefault(&o.BoundaryMargin, 0.75)
-	setDefault(&o.BoundaryDwell, 2*time.Second)
+	option.Default(&o.Samples, 3)
+	option.Default(&o.ReportSlack, 10*time.Millisecond)
+	option.Default(&o.StaleAfter, 3*time.Second)
+	option.Default(&o.MaxDrain, time.Second)
+	option.Default(&o.MaxFlight, time.Hour)
+	option.Default(&o.FlightGrace, 30*time.Second)
+	option.Default(&o.PrefillRate, 4000)
+	option.Default(&o.DecodeRate, 20)
+	option.Default(&o.TokensPerByte, 0.25)
+	option.Default(&o.AnswerShare, 0.25)
+	option.Default(&o.Residence, 10*time.Second)
+	option.Default(&o.StepTokens, 2048)
+	option.Default(&o.RateHalfLife, 30*time.Second)
+	option.Default(&o.PrefixBlocks, 2048)
+	option.Default(&o.WorkHalfLife, 20*time.Second)
+	option.Default(&o.ShortSkew, 1.5)
+	option.Default(&o.UpperLoad, 1.15)
+	option.Default(&o.LimitSlack, 2)
+	option.Default(&o.NearRatio, 4)
+	option.Default(&o.LongSlack, 2)
+	option.Default(&o.PromotePart, 0.125)
+	option.Default(&o.PromoteShare, 0.25)
+	option.Default(&o.DemoteFrom, 4)
+	option.Default(&o.BoundaryMargin, 0.75)
+	option.Default(&o.BoundaryDwell, 2*time.Second)
 	return o
 }
 
-func setDefault[T int | float64 | time.Duration](p *T, value T) {
-	if *p <= 0 {
-		*p = value
-	}
-}
-
 // demoteFrom returns the length from which prompts go after others.
 func (o *Options) demoteFrom(longFrom int) float64 {
 	return o.DemoteFrom * float64(longFrom)
--- a/internal/follow/options.go
+++ b/internal/follow/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/option"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 )
 
@@ -58,19 +59,19 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.PollWait, 4*time.Second)
-	setDefault(&o.CallTimeout, 3*time.Second)
-	setDefault(&o.PullEvery, 3*time.Second)
-	setDefault(&o.TailAfter, 30*time.Second)
-	setDefault(&o.RetryMin, 200*time.Millisecond)
-	setDefault(&o.RetryMax, 5*time.Second)
-	setDefault(&o.Fanout, 4)
-	setDefault(&o.RecentBytes, 1<<20)
-	setDefault(&o.SnapshotEvery, 500)
-	setDefault(&o.SnapshotFirst, 2*time.Second)
-	setDefault(&o.SnapshotCheck, time.Minute)
-	setDefault(&o.Retention, time.Hour)
-	setDefault(&o.AppendAttempts, 5)
+	option.Default(&o.PollWait, 4*time.Second)
+	option.Default(&o.CallTimeout, 3*time.Second)
+	option.Default(&o.PullEvery, 3*time.Second)
+	option.Default(&o.TailAfter, 30*time.Second)
+	option.Default(&o.RetryMin, 200*time.Millisecond)
+	option.Default(&o.RetryMax, 5*time.Second)
+	option.Default(&o.Fanout, 4)
+	option.Default(&o.RecentBytes, 1<<20)
+	option.Default(&o.SnapshotEvery, 500)
+	option.Default(&o.SnapshotFirst, 2*time.Second)
+	option.Default(&o.SnapshotCheck, time.Minute)
+	option.Default(&o.Retention, time.Hour)
+	option.Default(&o.AppendAttempts, 5)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -79,11 +80,5 @@
 	}
 }
 
-func setDefault[T int | int64 | time.Duration](v *T, d T) {
-	if *v <= 0 {
-		*v = d
-	}
-}
-
 // readLimit bounds the records of one read of the log.
 const readLimit = 1000
--- a/internal/owner/holder.go
+++ b/internal/owner/holder.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
+	"github.com/buckthorndock/buckthorndock/internal/core/option"
 )
 
 // HolderOptions are what a Holder needs. Times left zero take the defaults.
@@ -46,13 +47,13 @@
 )
 
 func (o HolderOptions) withDefaults() HolderOptions {
-	setDefault(&o.RenewEvery, DefaultRenewEvery)
-	setDefault(&o.CallTimeout, DefaultHolderTimeout)
-	setDefault(&o.RetryMin, DefaultRetryMin)
-	setDefault(&o.RetryMax, DefaultRetryMax)
-	setDefault(&o.EndLimit, DefaultEndLimit)
-	setDefault(&o.Settle, DefaultSettle)
-	setDefault(&o.RenewAfter, DefaultRenewAfter)
+	option.Default(&o.RenewEvery, DefaultRenewEvery)
+	option.Default(&o.CallTimeout, DefaultHolderTimeout)
+	option.Default(&o.RetryMin, DefaultRetryMin)
+	option.Default(&o.RetryMax, DefaultRetryMax)
+	option.Default(&o.EndLimit, DefaultEndLimit)
+	option.Default(&o.Settle, DefaultSettle)
+	option.Default(&o.RenewAfter, DefaultRenewAfter)
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
+	"github.com/buckthorndock/buckthorndock/internal/core/option"
 )
 
 // Options are what a Service needs. Times left zero take the defaults.
@@ -48,17 +49,17 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.LoadEvery, DefaultLoadEvery)
-	setDefault(&o.IdleEvery, DefaultIdleEvery)
-	setDefault(&o.BooksEvery, DefaultBooksEvery)
-	setDefault(&o.PublishEvery, DefaultPublishEvery)
-	setDefault(&o.DigestBudget, DefaultDigestBudget)
-	setDefault(&o.TickEvery, DefaultTickEvery)
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
-	setDefault(&o.DownAfter, DefaultDownAfter)
-	setDefault(&o.CacheWindow, DefaultCacheWindow)
-	setDefault(&o.CacheRead, DefaultCacheRead)
-	setDefault(&o.TurnLimit, DefaultTurnLimit)
+	option.Default(&o.LoadEvery, DefaultLoadEvery)
+	option.Default(&o.IdleEvery, DefaultIdleEvery)
+	option.Default(&o.BooksEvery, DefaultBooksEvery)
+	option.Default(&o.PublishEvery, DefaultPublishEvery)
+	option.Default(&o.DigestBudget, DefaultDigestBudget)
+	option.Default(&o.TickEvery, DefaultTickEvery)
+	option.Default(&o.CallTimeout, DefaultCallTimeout)
+	option.Default(&o.DownAfter, DefaultDownAfter)
+	option.Default(&o.CacheWindow, DefaultCacheWindow)
+	option.Default(&o.CacheRead, DefaultCacheRead)
+	option.Default(&o.TurnLimit, DefaultTurnLimit)
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
@@ -67,9 +68,3 @@
 	}
 	return o
 }
-
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/option"
 	"github.com/buckthorndock/buckthorndock/internal/core/order"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 )
@@ -61,8 +62,8 @@
 // NewOrders returns Orders that hold no lease.
 func NewOrders(opts OrderOptions) *Orders {
 	opts.Lease = opts.Lease.WithDefaults()
-	setDefault(&opts.Every, DefaultOrderEvery)
-	setDefault(&opts.CallTimeout, DefaultCallTimeout)
+	option.Default(&opts.Every, DefaultOrderEvery)
+	option.Default(&opts.CallTimeout, DefaultCallTimeout)
 	if opts.Clock == nil {
 		opts.Clock = time.Now
 	}
--- a/internal/owner/pools.go
+++ b/internal/owner/pools.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/option"
 	"github.com/buckthorndock/buckthorndock/internal/core/order"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 )
@@ -38,7 +39,7 @@
 			continue
 		}
 		longest := time.Duration(p.OrderMs) * time.Millisecond
-		setDefault(&longest, DefaultLongestOrder)
+		option.Default(&longest, DefaultLongestOrder)
 		out = append(out, OrderPool{
 			Name:          p.Name,
 			ChecksFencing: p.ChecksFencing,
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+	"github.com/buckthorndock/buckthorndock/internal/core/option"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 )
 
@@ -73,20 +74,20 @@
 )
 
 func (o *Options) setDefaults() {
-	setDefault(&o.Interval, defaultInterval)
-	setDefault(&o.HeartbeatTimeout, defaultHeartbeatTimeout)
-	setDefault(&o.ListEvery, defaultListEvery)
-	setDefault(&o.CallTimeout, defaultCallTimeout)
-	setDefault(&o.DialTimeout, defaultDialTimeout)
-	setDefault(&o.HandshakeTimeout, defaultHandshakeTimeout)
-	setDefault(&o.WriteTimeout, defaultWriteTimeout)
-	setDefault(&o.IdleTimeout, defaultIdleTimeout)
-	setDefault(&o.BackoffMin, defaultBackoffMin)
-	setDefault(&o.BackoffMax, defaultBackoffMax)
-	setDefault(&o.MaxConns, defaultMaxConns)
-	setDefault(&o.MaxHandshakes, defaultMaxHandshakes)
-	setDefault(&o.MaxMessageBytes, defaultMaxMessageBytes)
-	setDefault(&o.MaxInFlight, defaultMaxInFlight)
+	option.Default(&o.Interval, defaultInterval)
+	option.Default(&o.HeartbeatTimeout, defaultHeartbeatTimeout)
+	option.Default(&o.ListEvery, defaultListEvery)
+	option.Default(&o.CallTimeout, defaultCallTimeout)
+	option.Default(&o.DialTimeout, defaultDialTimeout)
+	option.Default(&o.HandshakeTimeout, defaultHandshakeTimeout)
+	option.Default(&o.WriteTimeout, defaultWriteTimeout)
+	option.Default(&o.IdleTimeout, defaultIdleTimeout)
+	option.Default(&o.BackoffMin, defaultBackoffMin)
+	option.Default(&o.BackoffMax, defaultBackoffMax)
+	option.Default(&o.MaxConns, defaultMaxConns)
+	option.Default(&o.MaxHandshakes, defaultMaxHandshakes)
+	option.Default(&o.MaxMessageBytes, defaultMaxMessageBytes)
+	option.Default(&o.MaxInFlight, defaultMaxInFlight)
 	if o.Incarnation == 0 {
 		o.Incarnation = uint64(time.Now().UnixMilli())
 	}
@@ -95,12 +96,6 @@
 	}
 }
 
-func setDefault[T int | int64 | time.Duration](v *T, d T) {
-	if *v <= 0 {
-		*v = d
-	}
-}
-
 func (o *Options) check() error {
 	if o.Host == "" || o.Domain == "" {
 		return merry.New("peer: host and domain must be set")
