--- a/internal/bench/history.go
+++ b/internal/bench/history.go
@@ -13,8 +13,8 @@
 
 const historyHeader = `# Comparisons of placement policies
 
-One line for each policy of a run of bench/run.sh. First tokens are in
-milliseconds; prompt lengths are those before scaling.
+One line for each policy of a run of bench compare with --history. First tokens are
+in milliseconds; prompt lengths are those before scaling.
 
 | date | commit | mix | seed | a second | s | lengths | policy | slowdown of short | short p95 in mix | alone | 64k-256k p95 | 256k-1M p95 | in time | worst customer | sent | complete | not run | failed | unknown |
 |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|
