Front: placing a request has its own file

Cause: generate.go held the attempts and the choice of a place, 313 lines. Change: place.go has the second; nothing else differs. Run: go vet and the package's tests pass. Conclusion: easier to find.

--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strings"
 	"time"
 
@@ -12,7 +11,6 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/stream"
-	"github.com/buckthorndock/buckthorndock/internal/router"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
@@ -154,160 +152,3 @@
 func (g *generation) running() ledger.ID {
 	return ledger.ID{Kind: ledger.Running, Name: g.job.req.ID, Attempt: g.attempt}
 }
-
-// place waits until the request can be placed, or says why it cannot.
-func (g *generation) place(ctx context.Context) (*target, *request.Refusal) {
-	if t := g.placeTaken(); t != nil {
-		return t, nil
-	}
-	for {
-		changed := g.s.opts.Router.Changed()
-		t, verdict := g.decide()
-		if verdict == nil {
-			ok, refusal := g.begin(ctx, t)
-			if refusal != nil {
-				return nil, g.refused(refusal)
-			}
-			if ok {
-				g.s.noteDecision(g.job, g.attempt, t.decision, t.names())
-				return t, nil
-			}
-			verdict = &noPlace{wait: true}
-		}
-		if !verdict.wait {
-			return nil, g.refused(verdict.refusal)
-		}
-		select {
-		case <-changed:
-		case <-time.After(placeRetry):
-		case <-ctx.Done():
-			return nil, g.refused(g.ended(ctx))
-		}
-	}
-}
-
-// placeTaken returns the place that the gate has found, if it still holds.
-func (g *generation) placeTaken() *target {
-	d := g.job.first
-	if d == nil {
-		return nil
-	}
-	g.job.first = nil
-	t := newTarget(g.job, g.attempt, *d)
-	if !g.tryStart(t) {
-		g.s.opts.Router.Finished(t.placement.ID, placement.End{})
-		return nil
-	}
-	g.s.noteDecision(g.job, g.attempt, *d, t.names())
-	return t
-}
-
-// begin makes sure that the attempt may start: that it does not meet another
-// suspect of crashes, and that its memory is reserved.
-func (g *generation) begin(ctx context.Context, t *target) (bool, *request.Refusal) {
-	if !g.tryStart(t) {
-		return false, nil
-	}
-	ok, refusal := g.secure(ctx, t)
-	if !ok {
-		g.s.opts.Suspects.End(t.run, false)
-	}
-	return ok, refusal
-}
-
-func (g *generation) tryStart(t *target) (ok bool) {
-	t.run, ok = g.s.opts.Suspects.TryStart(t.name(), g.job.req.Fingerprint, time.Now())
-	return ok
-}
-
-// placeRetry is the longest time between two looks for a place while nothing is
-// heard of the upstreams.
-const placeRetry = 50 * time.Millisecond
-
-// ended returns why the context has ended.
-func (g *generation) ended(ctx context.Context) *request.Refusal {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return request.Refuse(request.CodeDeadline, g.s.comeBack(g.job, 0), "no upstream had room within the deadline")
-	}
-	return failed(request.CodeCallerGone, 0, "the caller has gone")
-}
-
-// refused corrects a refusal's outcome: what an earlier attempt wrote may have
-// run.
-func (g *generation) refused(r *request.Refusal) *request.Refusal {
-	if r == nil || !g.earlierWrote {
-		return r
-	}
-	changed := *r
-	changed.Outcome = request.Failed
-	if !g.job.req.Repeatable {
-		changed.Outcome = request.Unknown
-	}
-	return &changed
-}
-
-// noPlace says why a request was not placed.
-type noPlace struct {
-	wait    bool // it may be placed later
-	refusal *request.Refusal
-}
-
-// decide asks the router once.
-func (g *generation) decide() (*target, *noPlace) {
-	if refusal := g.s.opts.Suspects.Refusal(g.job.req.Fingerprint, time.Now()); refusal != nil {
-		return nil, &noPlace{refusal: refusal}
-	}
-	blocked := g.s.blocked(g.job)
-	ask := router.Ask(g.job.req, g.job.pool.Name, g.job.routing)
-	ask.Exclude = slices.Concat(g.exclude, blocked)
-	d, err := g.s.opts.Router.Place(ask)
-	if err != nil {
-		return nil, &noPlace{refusal: request.Refuse(request.CodeInternal, retryElsewhere, "placement failed")}
-	}
-	switch d.Verdict {
-	case placement.Placed:
-		return newTarget(g.job, g.attempt, d), nil
-	case placement.WaitMemory:
-		return nil, &noPlace{wait: true}
-	case placement.NeedsGang:
-		return g.decideGang(ask, d)
-	case placement.NeverPossible:
-		g.s.noteDecision(g.job, g.attempt, d, nil)
-		return nil, &noPlace{refusal: request.Refuse(request.CodeNeverPossible, 0,
-			"needs %d tokens of memory, at most %d can be gathered", ask.Need(), d.MemoryLimit)}
-	case placement.TooLate:
-		g.s.noteDecision(g.job, g.attempt, d, nil)
-		return nil, &noPlace{refusal: request.Refuse(request.CodeDeadline, g.s.comeBack(g.job, d.Backlog.Drain()),
-			"the deadline cannot be met at the present load")}
-	}
-	if len(blocked) > 0 {
-		return nil, &noPlace{wait: true}
-	}
-	if len(g.exclude) > 0 {
-		// All that is left has failed before; one of them may be back.
-		g.exclude = nil
-		return g.decide()
-	}
-	g.s.noteDecision(g.job, g.attempt, d, nil)
-	return nil, &noPlace{refusal: request.Refuse(request.CodeNoUpstream, g.s.comeBack(g.job, d.Backlog.Drain()),
-		"no upstream of pool %s can take it now", g.job.pool.Name)}
-}
-
-// decideGang chooses the members of a gang. The first in the order of names
-// receives the request.
-func (g *generation) decideGang(ask placement.Ask, d placement.Decision) (*target, *noPlace) {
-	members := g.s.opts.Router.GangMembers(ask)
-	if len(members) == 0 && len(g.exclude) > 0 {
-		// Those that have failed are needed, if they are back.
-		g.exclude = nil
-	}
-	if len(members) == 0 {
-		return nil, &noPlace{wait: true}
-	}
-	d.Chosen = placement.Candidate{Name: members[0].Name, Address: members[0].Address, Domain: d.GangDomain}
-	t := newTarget(g.job, g.attempt, d)
-	t.gang = members
-	t.placement.Tokens = members[0].Prefill
-	t.placement.MaxTokens = 0
-	return t, nil
-}
