--- a/internal/front/auth.go
+++ b/internal/front/auth.go
@@ -112,8 +112,7 @@
 func (s *Server) handleAPIError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
 	id := newID()
 	refusal := s.refusalOfAPIError(err)
-	s.log.WithFields(refusalFields(id, refusal)).Info("refused_input")
-	writeRefusal(w, id, refusal)
+	s.refuseInput(w, id, refusal)
 }
 
 func (s *Server) refusalOfAPIError(err error) *request.Refusal {
--- a/internal/front/handlers.go
+++ b/internal/front/handlers.go
@@ -52,6 +52,12 @@
 	stream    bool
 }
 
+// refuseInput logs and writes the refusal of what never became a request.
+func (s *Server) refuseInput(w http.ResponseWriter, id string, refusal *request.Refusal) {
+	s.log.WithFields(refusalFields(id, refusal)).Info("refused_input")
+	writeRefusal(w, id, refusal)
+}
+
 func (s *Server) serveGeneration(ctx context.Context, ask generationAsk, w http.ResponseWriter) {
 	id := newID()
 	if refusal := s.enter(); refusal != nil {
@@ -60,13 +66,12 @@
 	}
 	defer s.exit()
 	if ask.err != nil {
-		writeRefusal(w, id, request.Refuse(request.CodeBadRequest, 0, "%s", ask.err.Error()))
+		s.refuseInput(w, id, request.Refuse(request.CodeBadRequest, 0, "%s", ask.err.Error()))
 		return
 	}
 	j, refusal := s.newGeneration(id, identityOf(ctx).customer, ask.params, ask.model, ask.prompt, ask.maxTokens)
 	if refusal != nil {
-		s.log.WithFields(refusalFields(id, refusal)).Info("refused_input")
-		writeRefusal(w, id, refusal)
+		s.refuseInput(w, id, refusal)
 		return
 	}
 	meta := answerMeta{shape: ask.shape, id: id, model: ask.model, created: time.Now().Unix(), promptTokens: j.req.PromptTokens, writeTimeout: DefaultWriteTimeout}
@@ -94,8 +99,7 @@
 	params := callParams{key: p.IdempotencyKey, repeatable: p.XRepeatable, deadlineMs: p.XDeadlineMs, priority: p.XPriority}
 	j, refusal := s.newCall(id, identityOf(ctx).customer, params, p.Service, p.Operation, body)
 	if refusal != nil {
-		s.log.WithFields(refusalFields(id, refusal)).Info("refused_input")
-		writeRefusal(w, id, refusal)
+		s.refuseInput(w, id, refusal)
 		return nil
 	}
 	var result []byte
--- a/test/scenarios/callers_test.go
+++ b/test/scenarios/callers_test.go
@@ -196,14 +196,6 @@
 	ts.Check(err)
 }
 
-// cmdNeverRead starts a streamed completion on a connection with a small buffer
-// and never reads it, until the scenario ends: neverread DAEMON TOKEN MODEL TOKENS.
-func cmdNeverRead(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, neg, args, 4, "neverread DAEMON TOKEN MODEL TOKENS")
-	conn := openStream(ts, args)
-	ts.Defer(func() { conn.Close() })
-}
-
 func openStream(ts *testscript.TestScript, args []string) *net.TCPConn {
 	p := siteOf(ts).process(ts, args[0])
 	c, err := net.Dial("tcp", p.address)
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -97,7 +97,6 @@
 	c["manyheaders"] = cmdManyHeaders
 	c["metric"] = cmdMetric
 	c["nap"] = cmdNap
-	c["neverread"] = cmdNeverRead
 	c["nosecrets"] = cmdNoSecrets
 	c["openai"] = cmdOpenAI
 	c["promptof"] = cmdPromptOf
