A deadline that passes after a dispatch admits the run; plans are checked when their turn comes

Ruled out: the store (the list was 200 ms old); the connection (the server ran it).

Change: the attempt is counted first; after its wait a plan whose engine leaves or has gone is made anew. Tests: TestDeadlineAfterDispatch..., TestEngineThatBegins..., the first seen failing before.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
@@ -82,17 +84,48 @@
 	}
 }
 
+// turn books engines and waits until they are free to read. A plan of which an engine
+// begins to leave in the meantime is made anew.
+func (g *run) turn(ctx context.Context) (booking.Plan, *request.Refusal) {
+	for {
+		p, refusal := g.place(ctx)
+		if refusal != nil {
+			return p, refusal
+		}
+		if !sleep(ctx, p.Wait) {
+			g.relay.opts.Planner.End(g.attemptID())
+			return p, g.ended(ctx)
+		}
+		if g.allStay(p) {
+			return p, nil
+		}
+		g.relay.opts.Planner.End(g.attemptID())
+	}
+}
+
+// allStay reports whether all engines of a plan still take new work.
+func (g *run) allStay(p booking.Plan) bool {
+	list := g.relay.opts.Upstreams()
+	for _, part := range p.Parts {
+		if u, known := list.Get(part.Upstream); !known || u.Leaving {
+			g.relay.log.WithFields(logrus.Fields{
+				"request": g.req.ID, "upstream": part.Upstream, "waited_ms": p.Wait.Milliseconds(),
+				"list_age_ms": time.Since(list.At).Milliseconds(),
+			}).Info("plan_made_anew")
+			return false
+		}
+	}
+	return true
+}
+
 // tryEngine makes one attempt on engines.
 func (g *run) tryEngine(ctx context.Context) ending {
-	p, refusal := g.place(ctx)
+	p, refusal := g.turn(ctx)
 	if refusal != nil {
 		return ending{refusal: refusal}
 	}
 	id := g.attemptID()
 	defer g.relay.opts.Planner.End(id)
-	if !sleep(ctx, p.Wait) {
-		return ending{refusal: g.ended(ctx)}
-	}
 	first := p.Parts[0]
 	g.sent = g.sent[:0]
 	for _, part := range p.Parts {
--- /dev/null
+++ b/internal/relay/fake_test.go
@@ -0,0 +1,236 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/booking"
+	"github.com/buckthorndock/buckthorndock/internal/core/cost"
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/core/retry"
+	"github.com/buckthorndock/buckthorndock/internal/core/route"
+)
+
+// script answers the attempts of a test in turn.
+type script struct {
+	mu     sync.Mutex
+	steps  []func(ctx context.Context, a Attempt) (*Answer, error)
+	sent   []Attempt
+	leases map[string]bool
+	orders int
+}
+
+func (s *script) Send(ctx context.Context, a Attempt) (*Answer, error) {
+	s.mu.Lock()
+	n := len(s.sent)
+	s.sent = append(s.sent, a)
+	s.mu.Unlock()
+	if n >= len(s.steps) {
+		return nil, &Failure{End: retry.NotWritten, Err: merry.New("the script is over")}
+	}
+	return s.steps[n](ctx, a)
+}
+
+func (s *script) Reserve(_ context.Context, on booking.Part, _ time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orders++
+	s.leases[on.Lease] = true
+	return nil
+}
+
+func (s *script) Release(_ context.Context, on booking.Part) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, on.Lease)
+	return nil
+}
+
+func (s *script) held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.leases)
+}
+
+func fail(end retry.End) func(context.Context, Attempt) (*Answer, error) {
+	return func(context.Context, Attempt) (*Answer, error) {
+		return nil, &Failure{End: end, Err: merry.New("scripted")}
+	}
+}
+
+// hang says nothing until the attempt is given up.
+func hang(ctx context.Context, _ Attempt) (*Answer, error) {
+	<-ctx.Done()
+	return nil, &Failure{End: retry.Broken, Err: ctx.Err()}
+}
+
+func answer(status int, body string) func(context.Context, Attempt) (*Answer, error) {
+	return answerFrom(status, strings.NewReader(body))
+}
+
+func answerFrom(status int, body io.Reader) func(context.Context, Attempt) (*Answer, error) {
+	return func(context.Context, Attempt) (*Answer, error) {
+		return &Answer{
+			Head:  Head{Status: status, Header: http.Header{"X-From": {"upstream"}}, Length: -1},
+			Body:  body,
+			Close: func() {},
+		}, nil
+	}
+}
+
+// broken is a body that ends with an error after some text.
+type broken struct{ io.Reader }
+
+func brokenBody(text string) io.Reader { return broken{strings.NewReader(text)} }
+
+func (b broken) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// record is a Sink that keeps what it is given.
+type record struct {
+	status int
+	body   strings.Builder
+	heads  int
+}
+
+func (r *record) Head(h Head) error {
+	r.status = h.Status
+	r.heads++
+	return nil
+}
+
+func (r *record) Body(p []byte, _ bool) error {
+	r.body.Write(p)
+	return nil
+}
+
+// fakePlanner returns the plans of a test in turn, the last one again and again.
+type fakePlanner struct {
+	mu    sync.Mutex
+	plans []booking.Plan
+	asks  []booking.Ask
+	open  map[string]bool
+	onAsk func(n int)
+}
+
+func (f *fakePlanner) Place(_ context.Context, a booking.Ask) booking.Plan {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := len(f.asks)
+	f.asks = append(f.asks, a)
+	f.open[a.ID] = true
+	if f.onAsk != nil {
+		f.onAsk(n)
+	}
+	return f.plans[min(n, len(f.plans)-1)]
+}
+
+func (f *fakePlanner) First(string) {}
+
+func (f *fakePlanner) End(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.open, id)
+}
+
+// fakePlain hands out servers in order, leaving the excluded out.
+type fakePlain struct{ servers []string }
+
+func (f fakePlain) Pick(service string, exclude []string) (fleet.Upstream, func(), bool) {
+	for _, id := range f.servers {
+		excluded := false
+		for _, x := range exclude {
+			excluded = excluded || x == id
+		}
+		if !excluded {
+			return fleet.Upstream{ID: id, Service: service, Address: "127.0.0.1:1"}, func() {}, true
+		}
+	}
+	return fleet.Upstream{}, nil, false
+}
+
+type fixture struct {
+	relay   *Relay
+	script  *script
+	planner *fakePlanner
+	list    *fleet.List
+}
+
+func newFixture(t *testing.T, steps ...func(context.Context, Attempt) (*Answer, error)) *fixture {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := &fixture{
+		script:  &script{steps: steps, leases: map[string]bool{}},
+		planner: &fakePlanner{open: map[string]bool{}},
+		list:    fleet.New(fleet.Options{AwayAfter: time.Hour, Return: time.Second}),
+	}
+	f.relay = New(Options{
+		Host:      "h1",
+		Sender:    f.script,
+		Planner:   f.planner,
+		Plain:     fakePlain{servers: []string{"s1", "s2", "s3"}},
+		Upstreams: func() *fleet.Snapshot { return f.list.Snapshot() },
+		Budget: func() BudgetOptions {
+			return BudgetOptions{Ratio: 1, Window: 10 * time.Second, Slack: 100, Hosts: 1}
+		},
+		Log: logrus.NewEntry(log),
+	})
+	return f
+}
+
+func plainRequest(kind route.Kind, patience time.Duration) *Request {
+	now := time.Now()
+	return &Request{
+		ID:       "r1",
+		Route:    &route.Route{Name: "plain", Kind: kind, MaxAttempts: 2, Objective: time.Minute},
+		Service:  &route.Service{Name: "shop"},
+		Arrived:  now,
+		Deadline: now.Add(patience),
+	}
+}
+
+func streamRequest(resumable bool) *Request {
+	now := time.Now()
+	return &Request{
+		ID: "r1",
+		Route: &route.Route{
+			Name: "stream", Kind: route.Stream, Resumable: resumable, MaxAttempts: 2,
+			Objective: time.Minute, GapObjective: time.Minute,
+		},
+		Service:  &route.Service{Name: "llm", Engine: &cost.Figures{Slots: 4}},
+		Prompt:   100,
+		Answer:   10,
+		Arrived:  now,
+		Deadline: now.Add(time.Minute),
+	}
+}
+
+func onEngine(ids ...string) booking.Plan {
+	p := booking.Plan{First: time.Millisecond}
+	for _, id := range ids {
+		p.Parts = append(p.Parts, booking.Part{Upstream: id, Address: id + ":1"})
+	}
+	return p
+}
+
+func (f *fixture) live(ids ...string) {
+	var all []fleet.Upstream
+	for _, id := range ids {
+		all = append(all, fleet.Upstream{ID: id, Service: "llm", Address: id + ":1"})
+	}
+	f.list.Replace(all, time.Now())
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,182 @@
+package relay
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/booking"
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/core/retry"
+	"github.com/buckthorndock/buckthorndock/internal/core/route"
+)
+
+func TestDeadlineAfterDispatchIsNotToldAsNotRun(t *testing.T) {
+	for _, kind := range []route.Kind{route.Once, route.Idempotent} {
+		f := newFixture(t, hang)
+		refusal := f.relay.Run(t.Context(), plainRequest(kind, 20*time.Millisecond), &record{})
+		if refusal == nil || refusal.Outcome == request.NotRun {
+			t.Errorf("%s: got %v, want an outcome that admits a run", kind, refusal)
+		}
+	}
+}
+
+func TestOnceIsSentAgainOnlyAfterAPromise(t *testing.T) {
+	cases := []struct {
+		end   retry.End
+		sends int
+	}{
+		{retry.NotWritten, 2}, {retry.Declined, 2},
+		{retry.Broken, 1}, {retry.Garbage, 1}, {retry.Refused, 1},
+	}
+	for _, c := range cases {
+		f := newFixture(t, fail(c.end), answer(200, "done"))
+		sink := &record{}
+		refusal := f.relay.Run(t.Context(), plainRequest(route.Once, time.Minute), sink)
+		if len(f.script.sent) != c.sends {
+			t.Errorf("%s: %d sends, want %d", c.end, len(f.script.sent), c.sends)
+		}
+		if c.sends == 2 && (refusal != nil || sink.body.String() != "done") {
+			t.Errorf("%s: got %v and %q", c.end, refusal, sink.body.String())
+		}
+		if c.sends == 1 && (refusal == nil || refusal.Outcome != request.Unknown) {
+			t.Errorf("%s: got %v, want unknown", c.end, refusal)
+		}
+	}
+}
+
+func TestDeclinedByAllIsNotRun(t *testing.T) {
+	f := newFixture(t, fail(retry.Declined), fail(retry.Declined), fail(retry.Declined), fail(retry.Declined))
+	refusal := f.relay.Run(t.Context(), plainRequest(route.Once, time.Minute), &record{})
+	if refusal == nil || refusal.Outcome != request.NotRun || refusal.RetryAfter <= 0 {
+		t.Fatalf("got %v, want not run with a time to come back", refusal)
+	}
+}
+
+func TestUpstreamsOwnFailureIsPassedOnWhenNoOtherAnswers(t *testing.T) {
+	f := newFixture(t, answer(500, "sorry"), answer(500, "sorry too"))
+	sink := &record{}
+	if refusal := f.relay.Run(t.Context(), plainRequest(route.Idempotent, time.Minute), sink); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if sink.status != 500 || sink.body.String() != "sorry too" || len(f.script.sent) != 2 {
+		t.Errorf("got %d %q after %d sends", sink.status, sink.body.String(), len(f.script.sent))
+	}
+}
+
+func TestFailureOfAOnceRequestIsNotRepeated(t *testing.T) {
+	f := newFixture(t, answer(500, "sorry"), answer(200, "done"))
+	sink := &record{}
+	if refusal := f.relay.Run(t.Context(), plainRequest(route.Once, time.Minute), sink); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if sink.status != 500 || len(f.script.sent) != 1 {
+		t.Errorf("got %d after %d sends", sink.status, len(f.script.sent))
+	}
+}
+
+func TestAnswerThatBreaksIsReplacedBeforeAnyOfItIsPassedOn(t *testing.T) {
+	f := newFixture(t, answerFrom(200, brokenBody("hal")), answer(200, "half or whole"))
+	sink := &record{}
+	if refusal := f.relay.Run(t.Context(), plainRequest(route.Idempotent, time.Minute), sink); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if sink.body.String() != "half or whole" || sink.heads != 1 {
+		t.Errorf("got %q with %d heads", sink.body.String(), sink.heads)
+	}
+}
+
+const (
+	firstEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	lastEvents  = "id: 3\ndata: c\n\n"
+)
+
+func TestStreamGoesOnAtAnotherEngine(t *testing.T) {
+	f := newFixture(t, answerFrom(200, brokenBody(firstEvents+"id: 3\nda")), answer(200, lastEvents))
+	f.live("e1", "e2")
+	f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2")}
+	sink := &record{}
+	if refusal := f.relay.Run(t.Context(), streamRequest(true), sink); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if got := sink.body.String(); got != firstEvents+lastEvents {
+		t.Errorf("the caller got %q", got)
+	}
+	if sink.heads != 1 || f.script.sent[1].After != "2" {
+		t.Errorf("%d heads, resumed after %q", sink.heads, f.script.sent[1].After)
+	}
+	if len(f.planner.open) != 0 {
+		t.Errorf("still in the book: %v", f.planner.open)
+	}
+}
+
+func TestStreamThatMayNotResumeIsCutVisibly(t *testing.T) {
+	f := newFixture(t, answerFrom(200, brokenBody(firstEvents)), answer(200, lastEvents))
+	f.live("e1", "e2")
+	f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2")}
+	refusal := f.relay.Run(t.Context(), streamRequest(false), &record{})
+	if refusal == nil || refusal.Outcome != request.Unknown || len(f.script.sent) != 1 {
+		t.Errorf("got %v after %d sends", refusal, len(f.script.sent))
+	}
+}
+
+func TestEngineThatBeginsToLeaveDuringTheWaitGetsNothing(t *testing.T) {
+	f := newFixture(t, answer(200, firstEvents))
+	f.live("e1", "e2")
+	waits := onEngine("e1")
+	waits.Wait = 5 * time.Millisecond
+	f.planner.plans = []booking.Plan{waits, onEngine("e2")}
+	f.planner.onAsk = func(n int) {
+		if n == 0 {
+			f.list.Read([]fleet.Change{{ID: "e1", Upstream: &fleet.Upstream{ID: "e1", Service: "llm", Leaving: true}}}, time.Now())
+		}
+	}
+	if refusal := f.relay.Run(t.Context(), streamRequest(true), &record{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if len(f.script.sent) != 1 || f.script.sent[0].To.ID != "e2" {
+		t.Errorf("sent %v", f.script.sent)
+	}
+}
+
+func TestCallerThatLeavesEndsTheAttempt(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	f := newFixture(t, func(ctx context.Context, a Attempt) (*Answer, error) {
+		leave()
+		defer close(ended)
+		return hang(ctx, a)
+	})
+	refusal := f.relay.Run(ctx, plainRequest(route.Idempotent, time.Minute), &record{})
+	<-ended
+	if refusal == nil || refusal.Code != request.CodeCallerGone || len(f.script.sent) != 1 {
+		t.Errorf("got %v after %d sends", refusal, len(f.script.sent))
+	}
+}
+
+func TestLeasesAreGivenBack(t *testing.T) {
+	f := newFixture(t, answer(200, firstEvents))
+	f.live("e1", "e2")
+	plan := onEngine("e1", "e2")
+	plan.Parts[1].Reserve = 50
+	f.planner.plans = []booking.Plan{plan}
+	if refusal := f.relay.Run(t.Context(), streamRequest(true), &record{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	helper := f.script.sent[0].Helpers[0]
+	if helper.Lease == "" || strings.ContainsAny(helper.Lease, "/,") {
+		t.Errorf("lease %q", helper.Lease)
+	}
+	for f.script.held() > 0 { // the release follows the answer; the test's timeout bounds it
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestEventsOverTheBoundAreRefused(t *testing.T) {
+	events := newEventReader(strings.NewReader("data: " + strings.Repeat("x", mostEventBytes) + "\n\n"))
+	if _, err := events.next(); err != errEventTooLong {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -85,20 +85,21 @@
 
 // next decides what follows a failed attempt.
 func (g *run) next(ctx context.Context, e ending) (refusal *request.Refusal, again bool) {
-	if ctx.Err() != nil {
-		return g.honest(g.ended(ctx)), false
-	}
+	earlier := g.wrote
 	if e.end.MayHaveRun() {
 		g.runs++
+		g.wrote = true
+	}
+	if ctx.Err() != nil {
+		return g.honest(g.ended(ctx)), false
 	}
 	decision := g.relay.next(g.req.Service.Name, retry.Attempt{
 		Number:       g.attempt,
 		End:          e.end,
-		EarlierWrote: g.wrote,
+		EarlierWrote: earlier,
 		Runs:         g.runs,
 		MostRuns:     g.req.Route.MaxAttempts,
 	}, g.coreRequest())
-	g.wrote = g.wrote || e.end.MayHaveRun()
 	g.logAttempt(e, decision)
 	g.exclude = append(g.exclude, e.blamed...)
 	return decision.Refusal, decision.Action == retry.Elsewhere
