--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -137,7 +137,7 @@
 		if err := t.passHead(answer); err != nil {
 			return ending{gone: true, err: err}
 		}
-		t.markFirst()
+		t.markEvent()
 		if err := t.sink.Body(ev.raw, true); err != nil {
 			return ending{gone: true, err: err}
 		}
@@ -166,6 +166,16 @@
 	return t.sink.Head(head)
 }
 
+// markEvent notes the time of an event.
+func (t *attempt) markEvent() {
+	t.markFirst()
+	now := time.Now()
+	if !t.latest.IsZero() {
+		t.pause = max(t.pause, now.Sub(t.latest))
+	}
+	t.latest = now
+}
+
 func (t *attempt) markFirst() {
 	if t.first.IsZero() {
 		t.first = time.Now()
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -62,6 +62,7 @@
 func (g *run) place(ctx context.Context) (booking.Plan, *request.Refusal) {
 	for {
 		p := g.relay.opts.Planner.Place(ctx, g.ask())
+		g.planned = p
 		g.plan = p.Verdict.String() + "/" + string(p.Reason)
 		switch p.Verdict {
 		case booking.Booked:
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
@@ -30,6 +31,9 @@
 	started bool   // the head has been passed on
 	first   time.Time
 	plan    string // how the last attempt was placed, for the log
+	planned booking.Plan
+	latest  time.Time     // of the last event passed on
+	pause   time.Duration // the longest between two events
 }
 
 // ending is how an attempt ended.
@@ -193,6 +197,12 @@
 	}
 	if !g.first.IsZero() {
 		fields["first_ms"] = g.first.Sub(g.req.Arrived).Milliseconds()
+		fields["pause_ms"] = g.pause.Milliseconds()
+	}
+	if len(g.planned.Parts) > 0 {
+		fields["expected_ms"] = g.planned.First.Milliseconds()
+		fields["waited_ms"] = g.planned.Wait.Milliseconds()
+		fields["backlog_ms"] = g.planned.Backlog.Milliseconds()
 	}
 	if refusal != nil {
 		fields["outcome"] = string(refusal.Outcome)
