Long prompts choose engines by the worth that it costs; late ones yield

Under load the choice fell back to all engines at once, drafts' engines included, for prompts that were late even then, and a plan of 0.27 s was spread over 17 engines.

Change: every number of engines is weighed by the worth lost: own lateness, writers that do not bear the parts, engines kept clear for short prompts, idle time. A prompt that is late in any case takes engines only when they are free, until it has to.

--- a/internal/core/booking/engine.go
+++ b/internal/core/booking/engine.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,8 +39,7 @@
 }
 
 // overdueShare is how much longer than so far a part that is overdue is expected
-// to take, as a share of its time so far. Trial and error on a day with slow
-// engines may refine it; it only has to grow with the delay.
+// to take, as a share of its time so far. It only has to grow with the delay.
 const overdueShare = 0.25
 
 // readEnd returns when the attempt's part will have been read.
@@ -57,64 +57,99 @@
 // only helping there.
 func (e *entry) writes(on *engine) bool { return len(e.engines) > 0 && e.engines[0] == on }
 
+// valueGrowth is the exponent with which the worth of an answer in time grows with
+// its prompt: less than in proportion, as today's users rate short, middle and long
+// prompts (1, 2.4 and 17 for 5, 45 and 210 thousand tokens).
+const valueGrowth = 0.7
+
+// lateShare is the part of an answer's worth that is lost when it is late.
+const lateShare = 0.75
+
+// value returns the worth of an answer in time, 1 for a prompt of a thousand tokens.
+func (a *Ask) value() float64 {
+	return math.Pow(max(float64(a.Prompt)/1000, 1), valueGrowth)
+}
+
+// writer is one request that writes on an engine, or will.
+type writer struct {
+	bears time.Duration // the longest part that does not make it late
+	value float64
+}
+
 // load is the state of an engine at one moment.
 type load struct {
 	engine  *engine
 	free    time.Time     // when all long parts booked here are read
+	current time.Duration // left of the long part that is being read
+	coming  time.Duration // the longest long part that is booked and not begun
 	unread  time.Duration // reading time of short prompts not yet read
-	writers int           // requests that write here or will
-	tight   int           // of them, those that bear the shortest pauses
-	long    int           // of them, those with a long prompt
-	helping int           // parts of others that are read or held here
-	context int64         // tokens of the writers
-	memory  int64         // tokens held or booked
-	bears   time.Duration // the longest part that all writers bear
-	avoided bool
+	writers []writer
+	tight   int   // of the writers, those that bear the shortest pauses
+	long    int   // of the writers, those with a long prompt
+	helping int   // parts of others that are read or held here
+	context int64 // tokens of the writers
+	memory  int64 // tokens held or booked
+	spare   bool  // kept for short prompts to come
 }
 
-// noPause is what an engine without writers bears.
-const noPause = time.Hour
-
 // look works out the load. tight is the shortest gap objective of the service.
 func (e *engine) look(now time.Time, tight time.Duration) load {
-	l := load{engine: e, free: now, bears: noPause}
+	l := load{engine: e, free: now}
 	for _, x := range e.entries {
 		e.add(&l, x, now, tight)
 	}
-	pass := time.Duration(e.figures.Stride) * e.figures.Step(l.writers, l.context)
-	if l.bears != noPause {
-		l.bears = max(l.bears-pass-pauseMargin, 0)
+	pass := time.Duration(e.figures.Stride) * e.figures.Step(len(l.writers), l.context)
+	for i := range l.writers {
+		l.writers[i].bears -= pass + pauseMargin
 	}
 	return l
 }
 
 func (e *engine) add(l *load, x *entry, now time.Time, tight time.Duration) {
 	if !x.first {
-		if x.long {
-			if end := x.readEnd(now); end.After(l.free) {
-				l.free = end
-			}
-		} else {
-			l.unread += e.figures.Read(x.ask.Prompt)
-		}
+		e.addReading(l, x, now)
 	}
 	l.memory += x.memoryOn(e)
 	if !x.writes(e) {
 		l.helping++
 		return
 	}
-	l.writers++
 	l.context += x.ask.need()
 	if x.long {
 		l.long++
 	}
-	if x.ask.Gap <= 0 {
+	l.writers = append(l.writers, writer{bears: x.ask.Gap, value: x.ask.value()})
+	if x.ask.Gap > 0 && x.ask.Gap <= tight {
+		l.tight++
+	}
+}
+
+func (e *engine) addReading(l *load, x *entry, now time.Time) {
+	if !x.long {
+		l.unread += e.figures.Read(x.ask.Prompt)
 		return
 	}
-	l.bears = min(l.bears, x.ask.Gap)
-	if x.ask.Gap <= tight {
-		l.tight++
+	end := x.readEnd(now)
+	if end.After(l.free) {
+		l.free = end
+	}
+	if x.begin.After(now) {
+		l.coming = max(l.coming, x.plan.Read)
+		return
+	}
+	l.current = max(l.current, end.Sub(now))
+}
+
+// harm returns the worth that is lost on the engine when a part of the length is
+// read there: that of the writers who do not bear it.
+func (l *load) harm(part time.Duration) float64 {
+	sum := 0.0
+	for _, w := range l.writers {
+		if part > w.bears {
+			sum += lateShare * w.value
+		}
 	}
+	return sum
 }
 
 // memoryOn returns the tokens that the attempt holds on one of its engines.
--- a/internal/core/booking/long.go
+++ b/internal/core/booking/long.go
@@ -1,62 +1,68 @@
 package booking
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
-// Bounds of the parts of a long prompt.
+// Bounds and weights of the choice of engines for a long prompt. Worth is in units of
+// Ask.value.
 const (
 	// mostParts is the first engine and the helpers that its wire takes.
 	mostParts = 17
-	// longestPart bounds a part on an engine that nobody writes on, so that it is
-	// soon free for others. Half a pause of the answers that long prompts get.
-	longestPart = 400 * time.Millisecond
 	// onTimeShare of the time left is aimed at, for engines may be slower than
 	// their figures.
-	onTimeShare = 0.8
+	onTimeShare = 0.85
 	// sendLead is how much before the engines are free the request is sent, for the
 	// way there.
 	sendLead = 5 * time.Millisecond
+	// idleCost is the worth that a second of an engine earns elsewhere: that of
+	// prompts of about 200,000 tokens, which take three engine seconds.
+	idleCost = 13.0
+	// waitCost orders engines by when they are free, per second.
+	waitCost = 30.0
+	// spareCost keeps engines for short prompts to come: one of them is worth as
+	// much as some short prompts in time.
+	spareCost = 6.0
+	// slowCost prefers the earlier of two ways in time, as a share of the worth for
+	// the whole of the time left.
+	slowCost = 0.2
+	// yieldLeast is how much longer than expected a late prompt may still take when
+	// it stops yielding to those in time.
+	yieldLeast = 1.5
 )
 
 // choice is one way to read a long prompt.
 type choice struct {
-	loads  []load // the engines, the first receives the request
-	begin  time.Time
-	read   time.Duration // of a part
-	reason Reason
+	loads []load // the engines, the first receives the request
+	begin time.Time
+	read  time.Duration // of a part
+	cost  float64
+	late  bool
+	harms bool // makes others late
 }
 
 func (c *choice) end() time.Time { return c.begin.Add(c.read) }
 
-// planLong looks at the engines whose writers bear long parts, then at all in
-// parts that each bears, and takes the first way that is in time, else the
-// fastest.
+// planLong takes the way that costs the least worth, its own and that of those who
+// write on the engines. A prompt that is late in any case yields to those in time: it
+// is read as soon as engines are free, and books none ahead until it has to.
 func (t *task) planLong(read time.Duration) Plan {
-	limit := t.now.Add(time.Duration(onTimeShare * float64(t.ask.Objective)))
-	var best *choice
-	for _, c := range t.choices(read) {
-		if !c.end().Add(t.pass(&c.loads[0])).After(limit) {
-			best = c
-			break
-		}
-		if best == nil || c.end().Before(best.end()) {
-			best = c
-		}
-	}
+	best := t.cheapest(read)
 	if best == nil {
 		return Plan{Verdict: t.noRoom()}
 	}
 	first := best.end().Sub(t.now) + t.pass(&best.loads[0])
+	whole := first + t.service.Figures.Write(t.ask.Expected, len(best.loads[0].writers)+1, best.loads[0].context+t.ask.need())
 	if first > t.ask.Left {
 		return Plan{Verdict: TooLate, First: first}
 	}
-	if best.end().After(limit) {
-		best.reason = ReasonLate
+	if best.late && t.mayYield(best, whole) {
+		return Plan{Verdict: Yield, First: first}
 	}
 	return Plan{
-		Reason: best.reason,
+		Reason: best.reason(),
 		Parts:  t.parts(best),
 		Wait:   max(best.begin.Sub(t.now)-sendLead, 0),
 		First:  first,
@@ -64,92 +70,119 @@
 	}
 }
 
-// choices returns the ways worth comparing, the least disturbing first.
-func (t *task) choices(read time.Duration) []*choice {
-	var all []*choice
-	clear := t.bearing(longestPart)
-	if c := t.fewest(clear, read, longestPart, ReasonClear); c != nil {
-		all = append(all, c)
-	}
-	// Parts that the tightest writers bear, on every engine.
-	short := t.book.shortRead(t.ask.Service)
-	if c := t.fewest(t.bearing(short), read, short, ReasonSplit); c != nil {
-		all = append(all, c)
-	}
-	// As fast as it goes, on clear engines and then on all.
-	if c := t.fastest(clear, read, ReasonClear); c != nil {
-		all = append(all, c)
-	}
-	if c := t.fastest(slices.Clone(t.loads), read, ReasonSplit); c != nil {
-		all = append(all, c)
-	}
-	return all
+// mayYield reports whether a late prompt should wait for engines to be free.
+func (t *task) mayYield(c *choice, whole time.Duration) bool {
+	busy := c.begin.Sub(t.now) > sendLead
+	return (busy || c.harms) && t.ask.Left > time.Duration(yieldLeast*float64(whole))
 }
 
-// bearing returns the engines whose writers bear a part of the length, those that
-// are free first in front.
-func (t *task) bearing(part time.Duration) []load {
-	var kept []load
-	for _, l := range t.loads {
-		if l.bears >= part && l.helping < l.engine.figures.Slots {
-			kept = append(kept, l)
-		}
+func (c *choice) reason() Reason {
+	switch {
+	case c.late:
+		return ReasonLate
+	case c.harms:
+		return ReasonHarm
+	case len(c.loads) == 1:
+		return ReasonAlone
 	}
-	sortByFree(kept)
-	return kept
+	return ReasonSplit
 }
 
-// fewest takes as few engines as keep a part under the bound.
-func (t *task) fewest(from []load, read, bound time.Duration, reason Reason) *choice {
-	n := int((read + bound - 1) / bound)
-	if n > len(from) || n > mostParts {
-		return nil
-	}
-	for ; n <= min(len(from), mostParts); n++ {
-		if c := t.choose(from[:n], read, reason); c != nil {
-			return c
-		}
-	}
-	return nil
-}
-
-// fastest takes the number of engines with which the prompt is read first.
-func (t *task) fastest(from []load, read time.Duration, reason Reason) *choice {
-	sortByFree(from)
+// cheapest compares all numbers of engines.
+func (t *task) cheapest(read time.Duration) *choice {
 	var best *choice
-	for n := 1; n <= min(len(from), mostParts); n++ {
-		c := t.choose(from[:n], read, reason)
-		if c != nil && (best == nil || c.end().Before(best.end())) {
+	most := min(len(t.loads), mostParts)
+	if t.service.Figures.MaxHelpers > 0 {
+		most = min(most, t.service.Figures.MaxHelpers+1)
+	}
+	ranked := slices.Clone(t.loads)
+	for n := 1; n <= most; n++ {
+		t.rank(ranked, read/time.Duration(n))
+		if c := t.choose(ranked[:n], read); c != nil && (best == nil || c.cost < best.cost) {
 			best = c
 		}
 	}
 	return best
 }
 
+// rank orders loads by what a part of the length costs there.
+func (t *task) rank(loads []load, part time.Duration) {
+	costs := make(map[*engine]float64, len(loads))
+	for i := range loads {
+		l := &loads[i]
+		c := l.harm(part) + waitCost*l.free.Sub(t.now).Seconds()
+		if l.spare {
+			c += spareCost
+		}
+		if l.helping >= l.engine.figures.Slots {
+			c += overCost
+		}
+		costs[l.engine] = c
+	}
+	slices.SortFunc(loads, func(a, b load) int {
+		return cmp.Or(
+			cmp.Compare(costs[a.engine], costs[b.engine]),
+			cmp.Compare(len(a.writers), len(b.writers)),
+			cmp.Compare(b.engine.order, a.engine.order), // the last in the order of packing is opened last
+		)
+	})
+}
+
 // choose returns the choice of just these engines, nil when their memory does not
 // hold the prompt. The engine with the fewest writers receives it.
-func (t *task) choose(from []load, read time.Duration, reason Reason) *choice {
+func (t *task) choose(from []load, read time.Duration) *choice {
 	loads := slices.Clone(from)
-	c := &choice{loads: loads, begin: t.now, read: read / time.Duration(len(loads)), reason: reason}
-	for _, l := range loads {
-		if l.free.After(c.begin) {
-			c.begin = l.free
+	c := &choice{loads: loads, begin: t.now, read: read / time.Duration(len(loads))}
+	for i := range loads {
+		if loads[i].free.After(c.begin) {
+			c.begin = loads[i].free
 		}
 	}
+	first := t.receiver(loads)
+	if first < 0 || !t.sharesFit(loads) {
+		return nil
+	}
+	loads[0], loads[first] = loads[first], loads[0]
+	t.weigh(c)
+	return c
+}
+
+// receiver returns the engine that receives the request, -1 when none can.
+func (t *task) receiver(loads []load) int {
 	first := -1
 	for i := range loads {
-		if loads[i].writers >= loads[i].engine.figures.Slots || !t.holds(&loads[i], len(loads)) {
+		l := &loads[i]
+		if len(l.writers) >= l.engine.figures.Slots || !t.holds(l, len(loads)) {
 			continue
 		}
-		if first < 0 || loads[i].writers < loads[first].writers {
+		if first < 0 || len(l.writers) < len(loads[first].writers) {
 			first = i
 		}
 	}
-	if first < 0 || !t.sharesFit(loads) {
-		return nil
+	return first
+}
+
+// weigh works out the cost of a choice.
+func (t *task) weigh(c *choice) {
+	for i := range c.loads {
+		l := &c.loads[i]
+		harm := l.harm(c.read)
+		c.harms = c.harms || harm > 0
+		c.cost += harm + idleCost*c.begin.Sub(l.free).Seconds()
+		if l.spare {
+			c.cost += spareCost
+		}
 	}
-	loads[0], loads[first] = loads[first], loads[0]
-	return c
+	value := t.ask.value()
+	first := c.end().Sub(t.now) + t.pass(&c.loads[0])
+	c.late = float64(first) > onTimeShare*float64(t.ask.Objective)
+	if c.late {
+		c.cost += lateShare * value
+	}
+	if first > t.ask.Left {
+		c.cost += value
+	}
+	c.cost += slowCost * value * first.Seconds() / max(t.ask.Left.Seconds(), 1e-3)
 }
 
 // spread reports whether the prompt needs the memory of several engines.
--- a/internal/core/booking/place.go
+++ b/internal/core/booking/place.go
@@ -1,7 +1,7 @@
 package booking
 
 import (
-	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -32,6 +32,7 @@
 	if len(t.loads) == 0 {
 		return Plan{Verdict: NoEngine}
 	}
+	t.markSpare()
 	read := t.service.Figures.Read(t.ask.Prompt)
 	var p Plan
 	if read <= t.book.shortRead(t.ask.Service) && t.fitsOne() {
@@ -109,18 +110,38 @@
 	// longWriterCost keeps them from engines that write long prompts' answers, whose
 	// context slows each step.
 	longWriterCost = 10.0
-	// bookedCost is that of a long part booked beside the writers, whose pause makes
-	// the answer late.
-	bookedCost = 150.0
+	// lateCost is that of an engine on which the answer will be late, by its first
+	// event or by the pause of a long part that is booked there.
+	lateCost = 600.0
 	// fullCost is that of an engine whose slots are nearly taken.
 	fullCost = 400.0
 	// overCost is that of an engine without a free slot.
 	overCost = 4000.0
 )
 
-// spareSlots are left free of the slots of an engine, for prompts that come
-// before the end of others is known.
-const spareSlots = 2
+const (
+	// spareSlots are left free of the slots of an engine, for prompts that come
+	// before the end of others is known.
+	spareSlots = 2
+	// queueMost is how many requests may wait at an engine whose slots are taken.
+	queueMost = 8
+	// spareEngines are kept clear for short prompts to come, as a share of all.
+	spareEngines = 0.08
+)
+
+// markSpare marks the engines that are opened next for short prompts.
+func (t *task) markSpare() {
+	left := int(math.Ceil(spareEngines * float64(len(t.loads))))
+	for i := range t.loads {
+		if left == 0 {
+			return
+		}
+		if t.loads[i].tight == 0 {
+			t.loads[i].spare = true
+			left--
+		}
+	}
+}
 
 func (t *task) planShort(read time.Duration) Plan {
 	best, bestScore, rank := -1, 0.0, 0
@@ -132,39 +153,42 @@
 		if l.room() < t.ask.need() {
 			continue
 		}
-		if score := t.shortScore(l, rank); best < 0 || score < bestScore {
+		if score := t.shortScore(l, read, rank); best < 0 || score < bestScore {
 			best, bestScore = i, score
 		}
 	}
 	l := &t.loads[best]
-	if l.writers >= l.engine.figures.Slots+queueMost {
+	if len(l.writers) >= l.engine.figures.Slots+queueMost {
 		return Plan{Verdict: Full}
 	}
 	reason := ReasonPacked
 	if l.tight == 0 {
 		reason = ReasonOpened
 	}
-	pass := t.pass(l)
-	first := max(l.free.Sub(t.now), 0) + l.unread + read + pass
-	return Plan{Reason: reason, Parts: []Part{part(l, 0)}, Read: read, First: first}
+	return Plan{Reason: reason, Parts: []Part{part(l, 0)}, Read: read, First: t.shortFirst(l, read)}
 }
 
-// queueMost is how many requests may wait at an engine whose slots are taken.
-const queueMost = 8
+// shortFirst returns the expected time to the first event.
+func (t *task) shortFirst(l *load, read time.Duration) time.Duration {
+	return l.current + l.unread + read + t.pass(l)
+}
 
-func (t *task) shortScore(l *load, rank int) float64 {
-	score := millis(l.free.Sub(t.now)) + millis(l.unread) + writerCost*float64(l.writers) + longWriterCost*float64(l.long)
-	if l.free.After(t.now) {
-		score += bookedCost
+func (t *task) shortScore(l *load, read time.Duration, rank int) float64 {
+	score := millis(l.current) + millis(l.unread) + writerCost*float64(len(l.writers)) + longWriterCost*float64(l.long)
+	if float64(t.shortFirst(l, read)) > onTimeShare*float64(t.ask.Objective) {
+		score += lateCost
+	}
+	if l.coming > t.ask.Gap-t.pass(l)-pauseMargin {
+		score += lateCost
 	}
 	if l.tight == 0 {
 		score += openCost + orderCost*float64(rank)
 	}
 	slots := l.engine.figures.Slots
 	switch {
-	case l.writers >= slots:
-		score += overCost * float64(l.writers-slots+1)
-	case l.writers >= slots-spareSlots:
+	case len(l.writers) >= slots:
+		score += overCost * float64(len(l.writers)-slots+1)
+	case len(l.writers) >= slots-spareSlots:
 		score += fullCost
 	}
 	return score
@@ -175,18 +199,9 @@
 // pass returns the time of one pass of an engine, after which events are sent.
 func (t *task) pass(l *load) time.Duration {
 	f := l.engine.figures
-	return time.Duration(f.Stride) * f.Step(l.writers+1, l.context+t.ask.need())
+	return time.Duration(f.Stride) * f.Step(len(l.writers)+1, l.context+t.ask.need())
 }
 
 func part(l *load, reserve int64) Part {
 	return Part{Upstream: l.engine.up.ID, Address: l.engine.up.Address, Reserve: reserve}
 }
-
-// sortByFree orders loads by the time at which they are free to read; the last in
-// the order of packing comes first among equals, for it is opened last.
-func sortByFree(loads []load) {
-	slices.Reverse(loads)
-	slices.SortStableFunc(loads, func(a, b load) int {
-		return cmp.Or(a.free.Compare(b.free), cmp.Compare(a.writers, b.writers))
-	})
-}
--- a/internal/core/booking/types.go
+++ b/internal/core/booking/types.go
@@ -46,9 +46,11 @@
 	TooLarge
 	// Full: every engine has as many requests as it queues.
 	Full
+	// Yield: it is late in any case and lets those in time go first; ask again.
+	Yield
 )
 
-var verdictNames = [...]string{"booked", "too_late", "no_engine", "too_large", "full"}
+var verdictNames = [...]string{"booked", "too_late", "no_engine", "too_large", "full", "yield"}
 
 // String returns the name used in logs and metrics.
 func (v Verdict) String() string {
@@ -65,9 +67,10 @@
 const (
 	ReasonPacked   Reason = "packed"    // on an engine that writes for others of its kind
 	ReasonOpened   Reason = "opened"    // on an engine that wrote for none of its kind
-	ReasonClear    Reason = "clear"     // on engines whose writers bear its parts
-	ReasonSplit    Reason = "small"     // in parts small enough for all writers
-	ReasonLate     Reason = "late"      // as soon as possible, which is late
+	ReasonAlone    Reason = "alone"     // read whole by one engine
+	ReasonSplit    Reason = "split"     // in parts that all who write there bear
+	ReasonHarm     Reason = "harm"      // in parts that make some late, which costs less than being late
+	ReasonLate     Reason = "late"      // it will be late
 	ReasonOnlyFail Reason = "only_fail" // only failing engines are left
 )
 
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -27,9 +27,11 @@
 	leastGapSilent = time.Second
 )
 
-// placeAgain is the time between two tries to place a request for which no engine
-// has room.
-const placeAgain = 50 * time.Millisecond
+// Times between two tries to place a request.
+const (
+	placeAgain = 50 * time.Millisecond  // for which no engine has room
+	yieldAgain = 100 * time.Millisecond // that is late and lets others go first
+)
 
 // attemptID names the attempt in the book. Hosts may get the same request.
 func (g *run) attemptID() string {
@@ -74,12 +76,14 @@
 		case booking.NoEngine:
 			return p, request.Refuse(request.CodeNoUpstream, retryAfterNone, "no engine of %s is known to live", g.req.Service.Name)
 		}
-		if g.left() < 2*placeAgain {
+		pause := placeAgain
+		if p.Verdict == booking.Yield {
+			pause = yieldAgain
+		}
+		if g.left() < 2*pause {
 			return p, request.Refuse(request.CodeQueueFull, retryAfterFailure, "no engine has had room")
 		}
-		select {
-		case <-time.After(placeAgain):
-		case <-ctx.Done():
+		if !sleep(ctx, pause) {
 			return p, g.ended(ctx)
 		}
 	}
