Tests of the new cores, the follower and the single exchange; an entry's writer is named, not counted

Found by the property that no engine is overbooked. Change: the writer is the plan's first part by its ID. A prompt without the time that all engines together need is refused at once.

--- /dev/null
+++ b/internal/core/booking/book_test.go
@@ -0,0 +1,264 @@
+package booking
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/cost"
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+var figures = cost.Figures{
+	Slots: 16, Memory: 450_000, Stride: 46, Chunk: 2048, StepMs: 0.925, PerSeqMs: 0.00483,
+	ContextPerK: 0.00254, ReadPerMs: 256, PairsMsPerM: 0.0917, UsualPrompt: 13_000, UsualAnswer: 1500, MaxHelpers: 16,
+}
+
+func upstreams(n int) *fleet.Snapshot {
+	l := fleet.New(fleet.Options{AwayAfter: time.Hour})
+	var all []fleet.Upstream
+	for i := range n {
+		id := fmt.Sprintf("e%02d", i)
+		all = append(all, fleet.Upstream{ID: id, Service: "llm", Address: id + ":1", Slots: 16})
+	}
+	l.Replace(all, start)
+	return l.Snapshot()
+}
+
+func newBook(engines int) *Book {
+	b := New()
+	b.SetServices([]Service{{Name: "llm", Figures: figures, TightGap: 200 * time.Millisecond}})
+	b.SetUpstreams(upstreams(engines))
+	return b
+}
+
+func ask(id string, prompt int) Ask {
+	a := Ask{ID: id, Host: "h1", Service: "llm", Prompt: prompt, Answer: 1600, Expected: 1500, Left: 10 * time.Second}
+	switch {
+	case prompt < 24_000:
+		a.Objective, a.Gap = 300*time.Millisecond, 200*time.Millisecond
+	case prompt < 112_000:
+		a.Objective, a.Gap = 1500*time.Millisecond, 500*time.Millisecond
+	default:
+		a.Objective, a.Gap, a.Left = 3*time.Second, 800*time.Millisecond, 15*time.Second
+	}
+	return a
+}
+
+func TestShortPromptsArePacked(t *testing.T) {
+	b := newBook(8)
+	used := map[string]int{}
+	for i := range 12 {
+		id := fmt.Sprint(i)
+		p := b.Place(ask(id, 5000), start)
+		if p.Verdict != Booked || len(p.Parts) != 1 {
+			t.Fatalf("%d: %+v", i, p)
+		}
+		b.First(id)
+		used[p.Parts[0].Upstream]++
+	}
+	if len(used) != 1 {
+		t.Errorf("12 short prompts are on %v", used)
+	}
+	for i := range 8 {
+		id := fmt.Sprint("more", i)
+		p := b.Place(ask(id, 5000), start)
+		b.First(id)
+		used[p.Parts[0].Upstream]++
+	}
+	if len(used) != 2 {
+		t.Errorf("20 short prompts are on %v", used)
+	}
+}
+
+func TestLongPromptIsSplitToBeInTime(t *testing.T) {
+	b := newBook(8)
+	p := b.Place(ask("long", 365_000), start) // 7.5 s on one engine
+	if p.Verdict != Booked || len(p.Parts) < 3 || p.First > 3*time.Second {
+		t.Errorf("got %+v", p)
+	}
+}
+
+func TestLongPartsStayOffEnginesThatWriteForShortPrompts(t *testing.T) {
+	b := newBook(8)
+	short := b.Place(ask("short", 5000), start)
+	b.First("short")
+	long := b.Place(ask("long", 210_000), start)
+	for _, part := range long.Parts {
+		if part.Upstream == short.Parts[0].Upstream {
+			t.Errorf("the short prompt's engine reads a part of %v", long.Read)
+		}
+	}
+	if long.Reason == ReasonHarm || long.Reason == ReasonLate {
+		t.Errorf("reason %s", long.Reason)
+	}
+}
+
+func TestShortPromptAvoidsEnginesWithBookedParts(t *testing.T) {
+	b := newBook(10)
+	open := b.Place(ask("writes", 5000), start).Parts[0]
+	b.First("writes")
+	booked := Plan{Parts: []Part{open}, Wait: 500 * time.Millisecond, Read: 400 * time.Millisecond, First: time.Second}
+	b.Note(ask("long", 210_000), booked, start)
+	if p := b.Place(ask("short", 5000), start); p.Parts[0].Upstream == open.Upstream {
+		t.Error("it is on the engine on which a long part begins soon")
+	}
+}
+
+func TestPromptThatIsLateInAnyCaseYields(t *testing.T) {
+	b := newBook(2)
+	if p := b.Place(ask("first", 250_000), start); p.Verdict != Booked {
+		t.Fatalf("got %+v", p)
+	}
+	a := ask("late", 250_000)
+	a.Objective = 100 * time.Millisecond
+	if p := b.Place(a, start); p.Verdict != Yield {
+		t.Errorf("got %s", p.Verdict)
+	}
+	a.Left = 4 * time.Second // no time to yield
+	if p := b.Place(a, start); p.Verdict != Booked || p.Reason != ReasonLate {
+		t.Errorf("got %s %s", p.Verdict, p.Reason)
+	}
+	a.ID, a.Left = "hopeless", 500*time.Millisecond // both engines together take two seconds
+	if p := b.Place(a, start); p.Verdict != TooLate {
+		t.Errorf("got %s", p.Verdict)
+	}
+}
+
+func TestMemoryIsSpreadOnlyWhenOneEngineDoesNotHoldIt(t *testing.T) {
+	b := newBook(6)
+	whole := b.Place(ask("fits", 300_000), start)
+	for _, part := range whole.Parts {
+		if part.Reserve != 0 {
+			t.Errorf("reserves %d", part.Reserve)
+		}
+	}
+	b.End("fits")
+	spread := b.Place(ask("huge", 900_000), start)
+	sum := spread.Parts[0].Reserve
+	for _, part := range spread.Parts[1:] {
+		sum += part.Reserve
+	}
+	if spread.Parts[0].Reserve != 0 || sum < 900_000-450_000 {
+		t.Errorf("reserves %d with %+v", sum, spread.Parts)
+	}
+	if p := b.Place(ask("never", 9_000_000), start); p.Verdict != TooLarge {
+		t.Errorf("got %s", p.Verdict)
+	}
+}
+
+func TestFailingEnginesAreTakenWhenNoOtherIsLeft(t *testing.T) {
+	b := newBook(2)
+	a := ask("a", 5000)
+	a.Avoid = []string{"e00"}
+	if p := b.Place(a, start); p.Parts[0].Upstream != "e01" {
+		t.Errorf("got %+v", p)
+	}
+	a.ID, a.Exclude = "b", []string{"e01"}
+	if p := b.Place(a, start); p.Verdict != Booked || p.Reason != ReasonOnlyFail {
+		t.Errorf("got %+v", p)
+	}
+	b.SetUpstreams(upstreams(0))
+	if p := b.Place(a, start); p.Verdict != NoEngine {
+		t.Errorf("got %+v", p)
+	}
+}
+
+func TestRestoreReplacesWhatADaemonBooked(t *testing.T) {
+	b := newBook(4)
+	p := b.Place(ask("old", 5000), start)
+	b.Restore("h1", []Open{{Ask: ask("new", 5000), Plan: p, Age: time.Second, HasFirst: true}}, start)
+	if b.Len() != 1 || b.entries["new"] == nil || !b.entries["new"].first {
+		t.Errorf("the book has %v", b.entries)
+	}
+	b.Forget("h1")
+	if b.Len() != 0 || len(b.byHost) != 0 {
+		t.Errorf("left: %v", b.entries)
+	}
+}
+
+func TestBookStaysConsistent(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(31)
+	params.MinSuccessfulTests = 60
+	props := gopter.NewProperties(params)
+	props.Property("entries stand on their engines and nowhere else, and memory is never overbooked", prop.ForAll(
+		func(seed uint64) bool {
+			rng := rand.New(rand.NewPCG(seed, 7))
+			b, now, booked := newBook(5), start, 0
+			var open []string
+			for i := range 300 {
+				now = now.Add(time.Duration(rng.IntN(40)) * time.Millisecond)
+				switch rng.IntN(8) {
+				case 0, 1, 2:
+					if len(open) > 0 {
+						k := rng.IntN(len(open))
+						b.End(open[k])
+						open = append(open[:k], open[k+1:]...)
+					}
+				case 3:
+					if len(open) > 0 {
+						b.First(open[rng.IntN(len(open))])
+					}
+				case 4:
+					b.SetUpstreams(upstreams(1 + rng.IntN(5)))
+				default:
+					id := fmt.Sprint(i)
+					sizes := []int{1000, 5000, 45_000, 210_000, 600_000}
+					if b.Place(ask(id, sizes[rng.IntN(len(sizes))]), now).Verdict == Booked {
+						open = append(open, id)
+						booked++
+					}
+				}
+				if !consistent(b, now) {
+					return false
+				}
+			}
+			return booked > 0
+		}, gen.UInt64()))
+	props.TestingRun(t)
+}
+
+func consistent(b *Book, now time.Time) bool {
+	for _, e := range b.engines {
+		for _, x := range e.entries {
+			if b.entries[x.ask.ID] != x {
+				return false
+			}
+		}
+		if l := e.look(now, 200*time.Millisecond); l.memory > figures.Memory {
+			return false
+		}
+	}
+	for id, x := range b.entries {
+		if b.byHost[x.ask.Host][id] != x {
+			return false
+		}
+	}
+	return true
+}
+
+func BenchmarkPlaceAmong78(b *testing.B) {
+	for _, prompt := range []int{5000, 210_000} {
+		b.Run(fmt.Sprint(prompt), func(b *testing.B) {
+			book := newBook(78)
+			for i := range 300 {
+				id := fmt.Sprint("w", i)
+				book.Place(ask(id, 5000), start)
+				book.First(id)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				id := fmt.Sprint(i)
+				book.Place(ask(id, prompt), start)
+				book.End(id)
+			}
+		})
+	}
+}
--- a/internal/core/booking/engine.go
+++ b/internal/core/booking/engine.go
@@ -31,7 +31,7 @@
 type entry struct {
 	ask     Ask
 	plan    Plan
-	engines []*engine // that are known, parts[0] first where it is
+	engines []*engine // of the plan's parts, those that are known
 	begin   time.Time // of reading, as booked
 	end     time.Time // of reading, as booked
 	first   bool      // its first event has come, so its prompt is read
@@ -55,7 +55,7 @@
 
 // writes reports whether the attempt writes on an engine, or will, in place of
 // only helping there.
-func (e *entry) writes(on *engine) bool { return len(e.engines) > 0 && e.engines[0] == on }
+func (e *entry) writes(on *engine) bool { return e.plan.Parts[0].Upstream == on.up.ID }
 
 // valueGrowth is the exponent with which the worth of an answer in time grows with
 // its prompt: less than in proportion, as today's users rate short, middle and long
--- a/internal/core/booking/long.go
+++ b/internal/core/booking/long.go
@@ -51,7 +51,7 @@
 func (t *task) planLong(read time.Duration) Plan {
 	best := t.cheapest(read)
 	if best == nil {
-		return Plan{Verdict: t.noRoom()}
+		return Plan{Verdict: t.noRoom(read)}
 	}
 	first := best.end().Sub(t.now) + t.pass(&best.loads[0])
 	whole := first + t.service.Figures.Write(t.ask.Expected, len(best.loads[0].writers)+1, best.loads[0].context+t.ask.need())
@@ -228,12 +228,16 @@
 	return parts
 }
 
-// noRoom tells a prompt that no engines ever hold from one that has to wait for
-// memory or slots.
-func (t *task) noRoom() Verdict {
-	most := int64(min(len(t.loads), mostParts)) * int64(memoryShare*float64(t.service.Figures.Memory))
-	if t.ask.need() > most {
+// noRoom tells a prompt that no engines ever hold, and one that has no time left, from
+// one that has to wait for memory or slots.
+func (t *task) noRoom(read time.Duration) Verdict {
+	most := min(len(t.loads), mostParts)
+	held := int64(most) * int64(memoryShare*float64(t.service.Figures.Memory))
+	switch {
+	case t.ask.need() > held:
 		return TooLarge
+	case read/time.Duration(most) > t.ask.Left:
+		return TooLate
 	}
 	return Full
 }
--- /dev/null
+++ b/internal/keyed/follower_test.go
@@ -0,0 +1,259 @@
+package keyed
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+	"github.com/buckthorndock/buckthorndock/internal/platform"
+)
+
+// fakeStore is a keyed stream in memory with faults.
+type fakeStore struct {
+	mu      sync.Mutex
+	records []platform.KeyedRecord
+	kept    int64 // lowest offset that can be read
+	down    bool
+	lag     int // records that Newest does not see yet
+	reads   int
+}
+
+func (s *fakeStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := platform.KeyedRecord{Offset: int64(len(s.records)), Key: key}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	s.records = append(s.records, r)
+}
+
+func (s *fakeStore) set(change func(*fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+func (s *fakeStore) Newest(context.Context, string) (platform.KeyedPage, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return platform.KeyedPage{}, platform.ErrBusy
+	}
+	seen := s.records[:len(s.records)-s.lag]
+	newest := map[string]platform.KeyedRecord{}
+	for _, r := range seen {
+		newest[r.Key] = r
+	}
+	page := platform.KeyedPage{Next: int64(len(seen))}
+	for _, r := range newest {
+		if r.Value != nil {
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page, nil
+}
+
+func (s *fakeStore) Since(_ context.Context, _ string, from int64, _ time.Duration) (platform.KeyedPage, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return platform.KeyedPage{}, platform.ErrBusy
+	}
+	if from < s.kept {
+		return platform.KeyedPage{}, merry.Wrap(platform.ErrTrimmed)
+	}
+	return platform.KeyedPage{Records: s.records[min(from, int64(len(s.records))):], Next: int64(len(s.records))}, nil
+}
+
+func (s *fakeStore) Put(context.Context, string, string, []byte) error { return nil }
+
+// table is what a follower has been told.
+type table struct {
+	mu     sync.Mutex
+	values map[string]string
+}
+
+func (t *table) apply(b Batch) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b.Whole {
+		t.values = map[string]string{}
+	}
+	for _, r := range b.Records {
+		if r.Value == nil {
+			delete(t.values, r.Key)
+			continue
+		}
+		t.values[r.Key] = string(r.Value)
+	}
+}
+
+func (t *table) get(key string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.values[key]
+}
+
+func newFollower(store platform.Keyed, spread *Spread) (*Follower, *table) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	tb := &table{values: map[string]string{}}
+	return New(Options{
+		Store: store, Stream: "s", Pace: time.Millisecond, Timeout: time.Second,
+		Spread: spread, Apply: tb.apply, Log: logrus.NewEntry(log),
+	}), tb
+}
+
+func mustRead(t *testing.T, f *Follower) {
+	t.Helper()
+	if err := f.read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestFollowsChangesAndRemovals(t *testing.T) {
+	store := &fakeStore{}
+	store.put("a", "1")
+	f, tb := newFollower(store, nil)
+	mustRead(t, f)
+	store.put("a", "2")
+	store.put("b", "1")
+	store.put("b", "")
+	mustRead(t, f)
+	if tb.get("a") != "2" || tb.get("b") != "" {
+		t.Errorf("got %v", tb.values)
+	}
+}
+
+func TestTrimmedStreamIsReadAnew(t *testing.T) {
+	store := &fakeStore{}
+	store.put("a", "1")
+	store.put("gone", "1")
+	f, tb := newFollower(store, nil)
+	mustRead(t, f)
+	store.put("gone", "")
+	store.put("a", "2")
+	store.set(func(s *fakeStore) { s.kept = 4 })
+	if err := f.read(t.Context()); !errors.Is(err, platform.ErrTrimmed) {
+		t.Fatalf("got %v", err)
+	}
+	f.restart()
+	mustRead(t, f)
+	if tb.get("a") != "2" || tb.get("gone") != "" {
+		t.Errorf("got %v", tb.values)
+	}
+}
+
+func TestOldCopyTakesNothingBack(t *testing.T) {
+	store := &fakeStore{}
+	store.put("a", "1")
+	store.put("a", "2")
+	f, tb := newFollower(store, nil)
+	mustRead(t, f)
+	f.restart()
+	store.set(func(s *fakeStore) { s.lag = 1 })
+	if err := f.read(t.Context()); err == nil {
+		t.Error("an old copy was taken")
+	}
+	if tb.get("a") != "2" {
+		t.Errorf("got %v", tb.values)
+	}
+}
+
+// fakePeers calls the spreads of other daemons directly.
+type fakePeers struct {
+	hosts   []string // in rank
+	spreads map[string]*Spread
+}
+
+func (p *fakePeers) Members() []membership.Member { return p.Rank("", len(p.hosts)) }
+
+func (p *fakePeers) Rank(_ string, n int) []membership.Member {
+	var list []membership.Member
+	for _, h := range p.hosts[:min(n, len(p.hosts))] {
+		list = append(list, membership.Member{Identity: membership.Identity{Host: h, Address: h}, State: membership.Live})
+	}
+	return list
+}
+
+func (p *fakePeers) Call(_ context.Context, address, _ string, args, reply any) error {
+	s := p.spreads[address]
+	if s == nil {
+		return merry.New("not there")
+	}
+	return s.RPC().Since(args.(*SinceRequest), reply.(*SinceReply))
+}
+
+func TestOthersReadFromTailersAndTailersFromThoseWhoAreServed(t *testing.T) {
+	peers := &fakePeers{hosts: []string{"t1", "t2", "x"}, spreads: map[string]*Spread{}}
+	stores, followers, tables := map[string]*fakeStore{}, map[string]*Follower{}, map[string]*table{}
+	for _, h := range peers.hosts {
+		stores[h] = &fakeStore{}
+		peers.spreads[h] = NewSpread(h, peers)
+		followers[h], tables[h] = newFollower(stores[h], peers.spreads[h])
+		for _, value := range []string{"1", "2"} {
+			stores[h].put("a", value)
+		}
+	}
+	mustRead(t, followers["t1"])
+	mustRead(t, followers["x"])
+	if tables["x"].get("a") != "2" || stores["x"].reads != 0 {
+		t.Errorf("got %v after %d reads of the store", tables["x"].values, stores["x"].reads)
+	}
+	// The store turns t2 away.
+	stores["t2"].set(func(s *fakeStore) { s.down = true })
+	mustRead(t, followers["t2"])
+	if tables["t2"].get("a") != "2" {
+		t.Errorf("got %v", tables["t2"].values)
+	}
+	// A removal reaches those who read from peers.
+	stores["t1"].put("a", "")
+	mustRead(t, followers["t1"])
+	mustRead(t, followers["x"])
+	if tables["x"].get("a") != "" {
+		t.Errorf("got %v", tables["x"].values)
+	}
+	// Nobody who knows anything answers: the store is read.
+	delete(peers.spreads, "t1")
+	delete(peers.spreads, "t2")
+	mustRead(t, followers["x"])
+	if stores["x"].reads != 1 {
+		t.Errorf("%d reads of the store", stores["x"].reads)
+	}
+}
+
+func TestKickBeginsAReadAnew(t *testing.T) {
+	store := &hangingStore{entered: make(chan struct{}, 1)}
+	f, _ := newFollower(store, nil)
+	result := make(chan error)
+	go func() { result <- f.read(t.Context()) }()
+	<-store.entered
+	f.Kick()
+	if err := <-result; err != errKicked {
+		t.Errorf("got %v", err)
+	}
+}
+
+type hangingStore struct{ entered chan struct{} }
+
+func (s *hangingStore) Newest(ctx context.Context, _ string) (platform.KeyedPage, error) {
+	s.entered <- struct{}{}
+	<-ctx.Done()
+	return platform.KeyedPage{}, ctx.Err()
+}
+
+func (s *hangingStore) Since(ctx context.Context, stream string, _ int64, _ time.Duration) (platform.KeyedPage, error) {
+	return s.Newest(ctx, stream)
+}
+
+func (s *hangingStore) Put(context.Context, string, string, []byte) error { return nil }
