Harm of a long part counts the writers that leave and their places

Ruled out: the figures of the engines (expected and seen agree until the pause). Change: a writer that would not wait counts its whole worth more, and each place held meanwhile what it earns. Peers' knowledge may be older by the wait of open reads, which were read from the store by all before.

--- a/internal/core/booking/engine.go
+++ b/internal/core/booking/engine.go
@@ -73,9 +73,21 @@
 // writer is one request that writes on an engine, or will.
 type writer struct {
 	bears time.Duration // the longest part that does not make it late
+	stays time.Duration // the longest part that it waits for before it moves or is left
 	value float64
 }
 
+// Waits of a writer for its next event, in its gap objective and at the least: those
+// after which a stream is moved to another engine, where its prompt is read anew.
+const (
+	staysGaps  = 4
+	staysLeast = time.Second
+)
+
+// stallCost is the worth that a writer's place earns in a second: a short prompt's
+// answer holds one for about two.
+const stallCost = 1.5
+
 // load is the state of an engine at one moment.
 type load struct {
 	engine  *engine
@@ -118,7 +130,11 @@
 	if x.long {
 		l.long++
 	}
-	l.writers = append(l.writers, writer{bears: x.ask.Gap, value: x.ask.value()})
+	l.writers = append(l.writers, writer{
+		bears: x.ask.Gap,
+		stays: max(staysGaps*x.ask.Gap, staysLeast),
+		value: x.ask.value(),
+	})
 	if x.ask.Gap > 0 && x.ask.Gap <= tight {
 		l.tight++
 	}
@@ -141,17 +157,30 @@
 }
 
 // harm returns the worth that is lost on the engine when a part of the length is
-// read there: that of the writers who do not bear it.
+// read there: that of the writers who do not bear it, and of their places meanwhile.
 func (l *load) harm(part time.Duration) float64 {
-	sum := 0.0
+	sum := stallCost * part.Seconds() * float64(len(l.writers))
 	for _, w := range l.writers {
 		if part > w.bears {
 			sum += lateShare * w.value
 		}
+		if part > w.stays {
+			sum += w.value
+		}
 	}
 	return sum
 }
 
+// bearsAll reports whether no writer is made late by a part of the length.
+func (l *load) bearsAll(part time.Duration) bool {
+	for _, w := range l.writers {
+		if part > w.bears {
+			return false
+		}
+	}
+	return true
+}
+
 // memoryOn returns the tokens that the attempt holds on one of its engines.
 func (e *entry) memoryOn(on *engine) int64 {
 	var reserved, own int64
--- a/internal/core/booking/long.go
+++ b/internal/core/booking/long.go
@@ -166,9 +166,8 @@
 func (t *task) weigh(c *choice) {
 	for i := range c.loads {
 		l := &c.loads[i]
-		harm := l.harm(c.read)
-		c.harms = c.harms || harm > 0
-		c.cost += harm + idleCost*c.begin.Sub(l.free).Seconds()
+		c.harms = c.harms || !l.bearsAll(c.read)
+		c.cost += l.harm(c.read) + idleCost*c.begin.Sub(l.free).Seconds()
 		if l.spare {
 			c.cost += spareCost
 		}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -14,9 +14,9 @@
 
 // Paces of the followers.
 const (
-	// settingsWait keeps a read of the settings open: a change is then heard at once,
-	// at a call each second.
-	settingsWait    = time.Second
+	// settingsWait keeps a read of the settings open, so that a change is heard at
+	// once. It is short, for a read that the store has swallowed looks the same.
+	settingsWait    = 500 * time.Millisecond
 	settingsTimeout = 600 * time.Millisecond
 	// settingsPace is between two reads from a peer, or between changes that come at
 	// once: a seventh of the time in which a change has to be in force.
--- a/internal/keyed/spread.go
+++ b/internal/keyed/spread.go
@@ -33,7 +33,8 @@
 	// peerWait bounds a question to a peer; a round trip takes 1 to 2 ms.
 	peerWait = 150 * time.Millisecond
 	// mostAge is the age up to which a peer's knowledge is as good as a read of the
-	// store: two paces of a tailer and the way.
+	// store: two paces of a tailer and the way. Where reads stay open it is more by
+	// their wait, during which a tailer hears of no change because there is none.
 	mostAge = 900 * time.Millisecond
 	// numAsked is how many peers are asked when the store does not answer.
 	numAsked = 3
@@ -139,7 +140,7 @@
 		}
 		began := time.Now()
 		var reply SinceReply
-		if !s.ask(ctx, m, SinceRequest{Stream: f.opts.Stream, From: next}, &reply) || reply.Age > mostAge || reply.Page.Next < next {
+		if !s.ask(ctx, m, SinceRequest{Stream: f.opts.Stream, From: next}, &reply) || reply.Age > mostAge+f.opts.Wait || reply.Page.Next < next {
 			continue
 		}
 		f.takeFromPeer(next, reply.Page, began.Add(-reply.Age))
