Tasks for all daemons go to those with more of a processor; suspects after five seconds

Cause: on the grown fleet the keeper of the book stood on a fifth of a core and 491 times a daemon changed its keeper: with 88 daemons a beat takes three seconds to spread, and 2.5 s of silence made a suspect. Two books at once overlap their parts. Ruled out: the network (no call failed after the start), dead daemons (none). Change: the share of a core is in the daemon file and told to all; rankings prefer the strong; membership's own limit of five seconds again.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -33,6 +33,9 @@
 
 	LogLevel string `yaml:"log_level"`
 	MemoryMB int    `yaml:"memory_mb"` // that the process may use
+	// CPUShare is the part of a core that the process may use. Tasks for all daemons
+	// go to those with more.
+	CPUShare float64 `yaml:"cpu_share"`
 
 	// DrainMs is how long after an upstream has said that it leaves it may still get
 	// requests.
@@ -51,6 +54,7 @@
 	defaultDrainMs  = 2000
 	defaultGraceMs  = 8000
 	defaultMemoryMB = 256
+	defaultCPUShare = 1
 	defaultRatio    = 0.2
 	defaultWindowMs = 10_000
 	minPeerKey      = 32 // bytes: whoever connects may try to guess it
@@ -73,6 +77,7 @@
 		DrainMs:  defaultDrainMs,
 		GraceMs:  defaultGraceMs,
 		MemoryMB: defaultMemoryMB,
+		CPUShare: defaultCPUShare,
 	}
 	cfg.Retry.Ratio, cfg.Retry.WindowMs = defaultRatio, defaultWindowMs
 	var found finding.List
@@ -118,6 +123,9 @@
 			found.Addf(at(key), "must be over 0")
 		}
 	}
+	if !(c.CPUShare > 0) {
+		found.Addf(at("cpu_share"), "must be over 0")
+	}
 	if c.Retry.Ratio < 0 || c.Retry.Slack < 0 {
 		found.Addf(at("retry"), "must not be negative")
 	}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -66,10 +66,9 @@
 // Timings of the membership: all daemons of a region form one group, for each sends
 // to engines of every failure domain.
 var membershipTimes = membership.Config{
-	Beat:         500 * time.Millisecond,
-	SuspectAfter: 2500 * time.Millisecond,
-	DeadAfter:    8 * time.Second,
-	ProbeEvery:   time.Second,
+	Beat:       500 * time.Millisecond,
+	DeadAfter:  8 * time.Second,
+	ProbeEvery: time.Second,
 }
 
 func newProcess(cfg *Config, provider Provider, log *logrus.Entry) (*process, error) {
@@ -122,13 +121,17 @@
 		return err
 	}
 	p.node = node
+	ranked, err := newPeers(node, p.cfg.CPUShare)
+	if err != nil {
+		return err
+	}
 	p.schedule = schedule.New(schedule.Options{
 		Host:        p.cfg.Host,
 		Incarnation: p.cfg.Incarnation,
-		Peers:       node,
+		Peers:       ranked,
 		Log:         p.log,
 	})
-	p.spread = keyed.NewSpread(p.cfg.Host, node)
+	p.spread = keyed.NewSpread(p.cfg.Host, ranked)
 	if err := node.Register(keyed.ServiceName, p.spread.RPC()); err != nil {
 		return err
 	}
