Missed connections spend no budget; a domain that cannot be reached is avoided whole

Ruled out: dead servers (they served their own side), the list (entries were right). Change: with CountArrivals a missed connection costs nothing; three unreachable upstreams of a domain with none reached in between put the whole domain aside, for spans that double.

--- a/internal/core/avoid/avoid_test.go
+++ b/internal/core/avoid/avoid_test.go
@@ -51,3 +51,26 @@
 		t.Errorf("still known: %v, %d", got, len(tr.byID))
 	}
 }
+
+func TestGroupIsAvoidedWhenSeveralAreUnreachable(t *testing.T) {
+	tr := New(Options{First: 100 * time.Millisecond, Most: time.Second, Forget: 10 * time.Second, CutAt: 3})
+	tr.Unreached("a", "far", start)
+	tr.Unreached("a", "far", start)
+	if tr.Unreached("b", "far", start); tr.Cut("far", start) {
+		t.Fatal("two of a group are taken for all")
+	}
+	if span := tr.Unreached("c", "far", start); span != 100*time.Millisecond || !tr.Cut("far", start) || tr.Cut("near", start) {
+		t.Fatalf("avoided for %v", span)
+	}
+	later := start.Add(150 * time.Millisecond)
+	if tr.Cut("far", later) {
+		t.Error("nobody looks whether the group is back")
+	}
+	if span := tr.Unreached("a", "far", later); span != 200*time.Millisecond {
+		t.Errorf("still cut, avoided for %v", span)
+	}
+	tr.Reached("far")
+	if tr.Cut("far", later) {
+		t.Error("a group that was reached is avoided")
+	}
+}
--- a/internal/core/retry/policy.go
+++ b/internal/core/retry/policy.go
@@ -61,8 +61,8 @@
 
 // spends reports whether another attempt is taken from the budget.
 func (p *Policy) spends(a Attempt) bool {
-	if p.opts.CountAll {
-		return true
+	if p.opts.CountArrivals {
+		return a.End != NotWritten
 	}
 	return a.End != NotWritten && a.End != Died
 }
@@ -108,10 +108,10 @@
 	MaxResumes   int           // resumes an attempt; DefaultMaxResumes when zero
 	MinRemaining time.Duration // time a new attempt needs at the least; DefaultMinRemaining when zero
 	RetryAfter   time.Duration // told to callers whose request was not run; DefaultRetryAfter when zero
-	// CountAll takes every further attempt from the budget, also after a death or
-	// a connection that could not be made. For sites that bound what arrives at
-	// the upstreams, not only what runs there.
-	CountAll bool
+	// CountArrivals takes every further attempt from the budget that follows one which
+	// arrived, also after a death. For sites that bound what arrives at the upstreams,
+	// not only what runs there.
+	CountArrivals bool
 }
 
 // Policy decides for the requests that share a Budget. It is not safe for
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -161,3 +161,22 @@
 		t.Error("a negative ratio allows retries")
 	}
 }
+
+func TestCountedArrivalsSpendAndMissedConnectionsDoNot(t *testing.T) {
+	for end, want := range map[End]Action{NotWritten: Elsewhere, Died: GiveUp, Declined: GiveUp, Broken: GiveUp} {
+		p := NewPolicy(PolicyOptions{CountArrivals: true}, NewBudget(BudgetOptions{Ratio: -1, Floor: -1}))
+		if d := p.Next(Attempt{Number: 1, End: end}, newRequest(true), start); d.Action != want {
+			t.Errorf("%s: %s, want %s", end, d.Action, want)
+		}
+	}
+}
+
+func TestRunsAreBoundedApartFromAttempts(t *testing.T) {
+	p := NewPolicy(PolicyOptions{MaxAttempts: 9}, NewBudget(BudgetOptions{Floor: 9}))
+	if d := p.Next(Attempt{Number: 3, End: Declined, Runs: 1, MostRuns: 2}, newRequest(true), start); d.Action != Elsewhere {
+		t.Errorf("after one run: %s", d.Action)
+	}
+	if d := p.Next(Attempt{Number: 3, End: Broken, Runs: 2, MostRuns: 2}, newRequest(true), start); d.Action != GiveUp {
+		t.Errorf("after two runs: %s", d.Action)
+	}
+}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -12,8 +12,9 @@
 // windows.
 const budgetShare = 0.7
 
-// mostAttempts bounds the sends of one request, those that were declined included.
-const mostAttempts = 4
+// mostAttempts bounds the sends of one request, those that could not connect and that
+// were declined included.
+const mostAttempts = 6
 
 // budget is this daemon's part of the site's bound for one service.
 type budget struct {
@@ -28,9 +29,9 @@
 	if b == nil {
 		core := retry.NewBudget(retry.BudgetOptions{Window: o.Window})
 		policy := retry.NewPolicy(retry.PolicyOptions{
-			MaxAttempts: mostAttempts,
-			RetryAfter:  retryAfterFailure,
-			CountAll:    true,
+			MaxAttempts:   mostAttempts,
+			RetryAfter:    retryAfterFailure,
+			CountArrivals: true,
 		}, core)
 		b = &budget{Budget: core, policy: policy}
 		r.budgets[service] = b
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -139,7 +139,7 @@
 	leases, failed := g.lease(ctx, id, p.Parts)
 	defer leases.release()
 	if failed != nil {
-		g.relay.failed(failed.blamed, failed.end)
+		g.relay.failed(failed.blamed, retry.Declined) // reached or not, it gave no memory
 		return *failed
 	}
 	to, known := g.relay.opts.Upstreams().Get(first.Upstream)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,9 @@
 	avoidFirst  = 400 * time.Millisecond
 	avoidMost   = 5 * time.Second
 	avoidForget = 15 * time.Second
+	// cutAt unreachable upstreams of a failure domain are taken for a cut: two may die
+	// together.
+	cutAt = 3
 )
 
 // New returns a Relay.
@@ -59,7 +62,7 @@
 	return &Relay{
 		opts:    o,
 		log:     o.Log,
-		avoid:   avoid.New(avoid.Options{First: avoidFirst, Most: avoidMost, Forget: avoidForget}),
+		avoid:   avoid.New(avoid.Options{First: avoidFirst, Most: avoidMost, Forget: avoidForget, CutAt: cutAt}),
 		budgets: map[string]*budget{},
 	}
 }
@@ -80,24 +83,43 @@
 // failed notes that upstreams failed.
 func (r *Relay) failed(ids []string, end retry.End) {
 	now := time.Now()
+	list := r.opts.Upstreams()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, id := range ids {
 		span := r.avoid.Failed(id, now)
-		r.log.WithFields(logrus.Fields{
-			"upstream": id, "end": end.String(), "avoid_ms": span.Milliseconds(),
-		}).Info("upstream_avoided")
+		fields := logrus.Fields{"upstream": id, "end": end.String(), "avoid_ms": span.Milliseconds()}
+		if u, known := list.Get(id); known && end == retry.NotWritten {
+			fields["domain"] = u.Domain
+			fields["avoid_domain_ms"] = r.avoid.Unreached(id, u.Domain, now).Milliseconds()
+		}
+		r.log.WithFields(fields).Info("upstream_avoided")
 	}
 }
 
+// succeeded notes that an upstream has served a request.
 func (r *Relay) succeeded(id string) {
+	list := r.opts.Upstreams()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.avoid.Succeeded(id, time.Now())
+	if u, known := list.Get(id); known {
+		r.avoid.Reached(u.Domain)
+	}
 }
 
+// avoided returns the upstreams to leave alone now, those of domains that cannot be
+// reached among them.
 func (r *Relay) avoided() []string {
+	now := time.Now()
+	list := r.opts.Upstreams()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.avoid.Avoided(time.Now())
+	ids := r.avoid.Avoided(now)
+	for _, u := range list.Upstreams {
+		if r.avoid.Cut(u.Domain, now) {
+			ids = append(ids, u.ID)
+		}
+	}
+	return ids
 }
