Requests that crash upstreams are kept away on the platform, too

Cause: the retry bounds hold one client attempt to its runs, but the same work comes again under a new id at any daemon, and would crash further servers. Ruled out: a count of crashes a request alone, which would take innocents with it. Change: relay notes runs with the quarantine core; an attempt that broke while nobody listens any more at its server is a death; suspects run apart; the daemons' exchange of evidence moved from daemon to suspects, for both programs' use. The test sends the same work five times: two crashes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -82,7 +82,7 @@
 	run("claims", p.claims.Run)
 	run("limits", p.shareLimits)
 	run("work", p.shareWork)
-	run("suspects", p.shareSuspects)
+	run("suspects", func(ctx context.Context) error { return p.suspects.Share(ctx, p.node) })
 	run("front", p.front.Run)
 	run("successor", p.yieldToSuccessor)
 	return &wg
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -22,6 +22,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 	"github.com/buckthorndock/buckthorndock/internal/relay"
 	"github.com/buckthorndock/buckthorndock/internal/schedule"
+	"github.com/buckthorndock/buckthorndock/internal/suspects"
 )
 
 // process holds the parts of a running daemon.
@@ -35,6 +36,7 @@
 	spread   *keyed.Spread
 	schedule *schedule.Service
 	plain    *plainServers
+	suspects *suspects.Tracker
 	pool     *httpwire.Pool
 	door     *relay.Door
 
@@ -80,6 +82,7 @@
 		provider:  provider,
 		log:       log,
 		store:     provider.Store(cfg.Store),
+		suspects:  suspects.New(cfg.Host, log),
 		plain:     newPlainServers(cfg.Domain, cfg.Incarnation),
 		upstreams: fleet.New(fleet.Options{AwayAfter: storeAwayAfter, Return: lapsedReturn}),
 		pool: httpwire.NewPool(httpwire.Options{
@@ -145,6 +148,8 @@
 		Sender:    p.provider.Sender(p.pool),
 		Planner:   p.schedule,
 		Plain:     p.plain,
+		Suspects:  p.suspects,
+		Reach:     p.pool.Reach,
 		Upstreams: p.list.Load,
 		Budget:    p.retryBudget,
 		Log:       p.log,
@@ -220,6 +225,7 @@
 	run("file", p.watchFile)
 	run("peers", p.node.Run)
 	run("schedule", p.schedule.Run)
+	run("suspects", func(ctx context.Context) error { return p.suspects.Share(ctx, p.node) })
 	run("sweep", p.sweep)
 	return &wg
 }
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -63,6 +63,15 @@
 	return a, nil
 }
 
+// Reach makes a connection to an address and closes it; the error is that of dialing.
+func (p *Pool) Reach(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
 	if !fresh {
 		if c := p.take(address, time.Now()); c != nil {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -132,6 +132,14 @@
 	id := g.attemptID()
 	defer g.relay.opts.Planner.End(id)
 	first := p.Parts[0]
+	to, known := g.relay.opts.Upstreams().Get(first.Upstream)
+	if !known {
+		to = fleet.Upstream{ID: first.Upstream, Service: g.req.Service.Name, Address: first.Address}
+	}
+	started, ok := g.start(to)
+	if !ok {
+		return apart(to)
+	}
 	g.sent = g.sent[:0]
 	for _, part := range p.Parts {
 		g.sent = append(g.sent, part.Upstream)
@@ -139,13 +147,10 @@
 	leases, failed := g.lease(ctx, id, p.Parts)
 	defer leases.release()
 	if failed != nil {
+		g.relay.opts.Suspects.End(started, false)
 		g.relay.failed(failed.blamed, retry.Declined) // reached or not, it gave no memory
 		return *failed
 	}
-	to, known := g.relay.opts.Upstreams().Get(first.Upstream)
-	if !known {
-		to = fleet.Upstream{ID: first.Upstream, Service: g.req.Service.Name, Address: first.Address}
-	}
 	e := g.exchange(ctx, Attempt{
 		Request: g.req,
 		Number:  g.attempt,
@@ -154,6 +159,7 @@
 		Left:    g.left(),
 		After:   g.after,
 	}, g.firstLimit(p), g.gapLimit(), func() { g.relay.opts.Planner.First(id) })
+	g.finish(ctx, to, started, e)
 	if e.delivered || e.gone {
 		if e.delivered {
 			g.relay.succeeded(first.Upstream)
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
+	"github.com/buckthorndock/buckthorndock/internal/suspects"
 )
 
 // script answers the attempts of a test in turn.
@@ -167,6 +169,7 @@
 	script  *script
 	planner *fakePlanner
 	list    *fleet.List
+	dead    map[string]bool // addresses at which nobody listens
 }
 
 func newFixture(t *testing.T, steps ...func(context.Context, Attempt) (*Answer, error)) *fixture {
@@ -177,11 +180,19 @@
 		script:  &script{steps: steps, leases: map[string]bool{}},
 		planner: &fakePlanner{open: map[string]bool{}},
 		list:    fleet.New(fleet.Options{AwayAfter: time.Hour, Return: time.Second}),
+		dead:    map[string]bool{},
 	}
 	f.relay = New(Options{
-		Host:      "h1",
-		Sender:    f.script,
-		Planner:   f.planner,
+		Host:     "h1",
+		Sender:   f.script,
+		Planner:  f.planner,
+		Suspects: suspects.New("h1", logrus.NewEntry(log)),
+		Reach: func(_ context.Context, address string) error {
+			if f.dead[address] {
+				return syscall.ECONNREFUSED
+			}
+			return nil
+		},
 		Plain:     fakePlain{servers: []string{"s1", "s2", "s3"}},
 		Upstreams: func() *fleet.Snapshot { return f.list.Snapshot() },
 		Budget: func() BudgetOptions {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -25,6 +25,10 @@
 		return ending{refusal: request.Refuse(request.CodeNoUpstream, retryAfterNone, "no server of %s is known to live", g.req.Service.Name)}
 	}
 	defer done()
+	started, ok := g.start(u)
+	if !ok {
+		return apart(u)
+	}
 	g.sent = []string{u.ID}
 	limit := max(time.Duration(plainSilence*float64(g.req.Route.Objective)), leastPlainSilent)
 	e := g.exchange(ctx, Attempt{
@@ -35,6 +39,7 @@
 		After:   g.after,
 		Fresh:   !g.req.Route.Repeatable(),
 	}, limit, limit, nil)
+	g.finish(ctx, u, started, e)
 	if e.delivered || e.gone {
 		g.relay.succeeded(u.ID)
 		return e
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,11 +15,15 @@
 
 // Options are the parts that a Relay works with.
 type Options struct {
-	Host    string // name of this daemon
-	Domain  string // failure domain
-	Sender  Sender
-	Planner Planner
-	Plain   Plain
+	Host     string // name of this daemon
+	Domain   string // failure domain
+	Sender   Sender
+	Planner  Planner
+	Plain    Plain
+	Suspects Suspects
+	// Reach tells whether a connection to an address can be made: an error says that
+	// nobody listens there, or that it cannot be told.
+	Reach func(ctx context.Context, address string) error
 	// Upstreams returns the present list.
 	Upstreams func() *fleet.Snapshot
 	// Budget returns the site's bound of repeats.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -180,3 +181,30 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+func TestRequestThatCrashesEnginesIsRefused(t *testing.T) {
+	crash := func(context.Context, Attempt) (*Answer, error) {
+		return nil, &Failure{End: retry.Broken, Err: syscall.ECONNRESET}
+	}
+	f := newFixture(t, crash, crash, crash, crash, crash, crash)
+	f.live("e1", "e2", "e3")
+	f.dead["e1:1"], f.dead["e2:1"], f.dead["e3:1"] = true, true, true
+	f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2"), onEngine("e3")}
+	sends := 0
+	for range 5 { // the caller sends the same work again and again
+		req := streamRequest(true)
+		req.Fingerprint = 77
+		f.relay.Run(t.Context(), req, &record{})
+		sends = len(f.script.sent)
+	}
+	if sends > 2 {
+		t.Errorf("it was sent %d times", sends)
+	}
+	// Another request that ran beside it is not held up by that.
+	f.script.steps = append(f.script.steps[:sends], answer(200, firstEvents))
+	f.dead = map[string]bool{}
+	f.planner.plans = []booking.Plan{onEngine("e3")}
+	if refusal := f.relay.Run(t.Context(), streamRequest(true), &record{}); refusal != nil {
+		t.Error(refusal)
+	}
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -81,6 +81,9 @@
 }
 
 func (g *run) try(ctx context.Context) ending {
+	if refusal := g.relay.opts.Suspects.Refusal(g.req.Fingerprint, time.Now()); refusal != nil {
+		return ending{refusal: refusal}
+	}
 	if g.req.Service.Engine != nil {
 		return g.tryEngine(ctx)
 	}
--- /dev/null
+++ b/internal/relay/suspect.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
+	"github.com/buckthorndock/buckthorndock/internal/core/retry"
+)
+
+// reachWait bounds the look whether an upstream has died: a dead process's host refuses
+// a connection within a round trip.
+const reachWait = 50 * time.Millisecond
+
+var errApart = merry.Sentinel("one of the requests that may have crashed an upstream runs there")
+
+// apart ends an attempt before it is sent: suspects run apart from each other, so the
+// next upstream is tried.
+func apart(from fleet.Upstream) ending {
+	return ending{end: retry.NotWritten, blamed: []string{from.ID}, err: errApart}
+}
+
+// start notes that the attempt begins on an upstream; false: it must not now.
+func (g *run) start(u fleet.Upstream) (quarantine.Run, bool) {
+	return g.relay.opts.Suspects.TryStart(u.ID, g.req.Fingerprint, time.Now())
+}
+
+// finish notes how the attempt on an upstream ended. One that broke while its process
+// died is evidence against all that ran there.
+func (g *run) finish(ctx context.Context, u fleet.Upstream, r quarantine.Run, e ending) {
+	if e.end == retry.Broken && !e.delivered && !e.gone && g.died(ctx, u) {
+		g.relay.opts.Suspects.Died(u.ID, u.ID, time.Now())
+	}
+	g.relay.opts.Suspects.End(r, e.delivered)
+}
+
+// died reports whether nobody listens at an upstream's address any more.
+func (g *run) died(ctx context.Context, u fleet.Upstream) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachWait)
+	defer cancel()
+	return errors.Is(g.relay.opts.Reach(ctx, u.Address), syscall.ECONNREFUSED)
+}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -8,6 +8,8 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
 )
@@ -106,3 +108,16 @@
 	// Pick returns a server, and the function to call when the attempt is over.
 	Pick(service string, exclude []string) (u fleet.Upstream, done func(), ok bool)
 }
+
+// Suspects keeps requests away that crash the upstreams which run them; see package
+// quarantine.
+type Suspects interface {
+	// Refusal returns why a request must not run at all, nil when it may.
+	Refusal(fingerprint uint64, now time.Time) *request.Refusal
+	// TryStart notes that a request begins on an upstream; false: not there, not now.
+	TryStart(upstream string, fingerprint uint64, now time.Time) (quarantine.Run, bool)
+	// End notes that a run is over.
+	End(run quarantine.Run, completed bool)
+	// Died notes that an upstream's process ended while it ran requests of this daemon.
+	Died(upstream, incarnation string, now time.Time)
+}
--- /dev/null
+++ b/internal/suspects/share.go
@@ -0,0 +1,88 @@
+package suspects
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+)
+
+// Node is what sharing needs of the membership.
+type Node interface {
+	Members() []membership.Member
+	Sections(name string) []membership.SectionView
+	PublishWide(name string, data []byte) error
+}
+
+// shareEvery is the time between two looks for new evidence.
+const shareEvery = 100 * time.Millisecond
+
+// sharing is the state of one daemon's exchange of evidence.
+type sharing struct {
+	tracker *Tracker
+	node    Node
+	log     *logrus.Entry
+	seen    map[life]uint64 // versions taken in
+	told    uint64
+}
+
+// life names one life of a daemon.
+type life struct {
+	host        string
+	incarnation uint64
+}
+
+// Share spreads the evidence about requests that crash upstreams to all daemons of all
+// domains, for the same request may be sent to any of them, until the context ends.
+func (t *Tracker) Share(ctx context.Context, node Node) error {
+	s := &sharing{tracker: t, node: node, log: t.log, seen: map[life]uint64{}}
+	ticker := time.NewTicker(shareEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.exchange()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (s *sharing) exchange() {
+	s.hear()
+	if s.tracker.Version() != s.told {
+		s.tell()
+	}
+	for _, m := range s.node.Members() {
+		if m.State == membership.Dead {
+			s.tracker.Forget(m.Host)
+		}
+	}
+}
+
+func (s *sharing) hear() {
+	for _, v := range s.node.Sections(Section) {
+		from := life{v.Host, v.Incarnation}
+		if v.Host == s.tracker.host || s.seen[from] == v.Version {
+			continue
+		}
+		s.seen[from] = v.Version
+		if err := s.tracker.Merge(v.Data, time.Now()); err != nil {
+			s.log.WithError(err).WithField("from", v.Host).Warn("evidence_undecodable")
+		}
+	}
+}
+
+func (s *sharing) tell() {
+	data, version, err := s.tracker.Digest(time.Now())
+	if err == nil {
+		err = s.node.PublishWide(Section, data)
+	}
+	if err != nil {
+		s.log.WithError(err).Error("evidence_not_published")
+		return
+	}
+	s.told = version
+}
