--- a/internal/edge/config_test.go
+++ b/internal/edge/config_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -83,3 +84,37 @@
 		t.Errorf("0.8 is %d, 0.4 %d, 0.3 %d, 0.192 %d", shareClass("0.8"), shareClass("0.4"), shareClass("0.3"), shareClass("0.192"))
 	}
 }
+
+// TestPageNamesEveryKey keeps docs/CONFIG-edge.md in step with Config.
+func TestPageNamesEveryKey(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "..", "docs", "CONFIG-edge.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys := keysOf(reflect.TypeFor[Config](), "")
+	for _, key := range keys {
+		if !strings.Contains(string(text), "| `"+key+"` |") {
+			t.Errorf("docs/CONFIG-edge.md does not name %s", key)
+		}
+	}
+	if rows := strings.Count(string(text), "\n| `"); rows != len(keys) {
+		t.Errorf("docs/CONFIG-edge.md has %d keys, the file %d", rows, len(keys))
+	}
+}
+
+func keysOf(t reflect.Type, prefix string) []string {
+	var keys []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name := f.Tag.Get("yaml")
+		if name == "-" {
+			continue
+		}
+		if f.Type.Kind() == reflect.Struct {
+			keys = append(keys, keysOf(f.Type, prefix+name+".")...)
+			continue
+		}
+		keys = append(keys, prefix+name)
+	}
+	return keys
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -147,7 +147,7 @@
 	after := p.upstreams.Snapshot()
 	p.list.Store(after)
 	p.mu.Unlock()
-	if p.logListChange(before, after) {
+	if p.logListChange(before, after) || !p.serving.Load() {
 		p.spreadList()
 	}
 }
@@ -198,4 +198,7 @@
 	p.mu.Unlock()
 	p.schedule.Apply(services, list)
 	p.plain.apply(list)
+	if p.door.Table() != nil && !list.At.IsZero() {
+		p.serving.Store(true)
+	}
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -41,6 +41,7 @@
 	door     *relay.Door
 
 	leaving atomic.Bool
+	serving atomic.Bool // all that choose upstreams know settings and list
 	list    atomic.Pointer[fleet.Snapshot]
 
 	live     atomic.Pointer[Config] // cfg with what has changed since the start
@@ -174,7 +175,7 @@
 
 // ready reports whether this daemon can serve.
 func (p *process) ready() bool {
-	return !p.leaving.Load() && p.door.Table() != nil && !p.list.Load().At.IsZero()
+	return !p.leaving.Load() && p.serving.Load()
 }
 
 // memoryShare is the part of the process's memory that the garbage collector aims to
--- /dev/null
+++ b/internal/schedule/service_test.go
@@ -0,0 +1,182 @@
+package schedule
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/booking"
+	"github.com/buckthorndock/buckthorndock/internal/core/cost"
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+)
+
+// group is a few daemons that call each other directly.
+type group struct {
+	hosts []string // in rank
+	mu    sync.Mutex
+	by    map[string]*Service
+	cut   map[string]bool // hosts that nobody reaches
+}
+
+// end is one daemon's view of the group.
+type end struct {
+	*group
+	host string
+}
+
+func (e end) Rank(_ string, n int) []membership.Member {
+	var list []membership.Member
+	for _, h := range e.hosts[:min(n, len(e.hosts))] {
+		list = append(list, membership.Member{Identity: membership.Identity{Host: h, Address: h}})
+	}
+	return list
+}
+
+func (e end) Call(_ context.Context, address, method string, args, reply any) error {
+	e.mu.Lock()
+	s, cut := e.by[address], e.cut[address] || e.cut[e.host]
+	e.mu.Unlock()
+	if cut {
+		return merry.New("cut")
+	}
+	switch method {
+	case ServiceName + ".Place":
+		return s.RPC().Place(args.(*PlaceRequest), reply.(*PlaceReply))
+	case ServiceName + ".Notify":
+		return s.RPC().Notify(args.(*NotifyRequest), reply.(*NotifyReply))
+	case ServiceName + ".Restore":
+		return s.RPC().Restore(args.(*RestoreRequest), reply.(*RestoreReply))
+	}
+	return merry.New("unknown method " + method)
+}
+
+func (g *group) setCut(host string, cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut[host] = cut
+}
+
+func newGroup(hosts ...string) *group {
+	g := &group{hosts: hosts, by: map[string]*Service{}, cut: map[string]bool{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := fleet.New(fleet.Options{AwayAfter: time.Hour})
+	var all []fleet.Upstream
+	for i := range 4 {
+		id := fmt.Sprint("e", i)
+		all = append(all, fleet.Upstream{ID: id, Service: "llm", Address: id})
+	}
+	l.Replace(all, time.Now())
+	services := []booking.Service{{Name: "llm", TightGap: 200 * time.Millisecond, Figures: cost.Figures{
+		Slots: 4, Memory: 100_000, Stride: 10, StepMs: 1, ReadPerMs: 256, MaxHelpers: 3,
+	}}}
+	for i, h := range hosts {
+		s := New(Options{Host: h, Incarnation: uint64(i + 1), Peers: end{g, h}, Log: logrus.NewEntry(log)})
+		s.Apply(services, l.Snapshot())
+		g.by[h] = s
+	}
+	return g
+}
+
+func (g *group) place(t *testing.T, host, id string) booking.Plan {
+	t.Helper()
+	p := g.by[host].Place(t.Context(), booking.Ask{
+		ID: id, Host: host, Service: "llm", Prompt: 1000, Answer: 100,
+		Objective: time.Second, Gap: 200 * time.Millisecond, Left: time.Minute,
+	})
+	if p.Verdict != booking.Booked {
+		t.Fatalf("%s: %+v", id, p)
+	}
+	return p
+}
+
+func (s *Service) booked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Len()
+}
+
+func TestKeeperKnowsWhatAllHaveBooked(t *testing.T) {
+	g := newGroup("k", "a", "b")
+	g.place(t, "k", "1")
+	g.place(t, "a", "2")
+	g.place(t, "b", "3")
+	if n := g.by["k"].booked(); n != 3 {
+		t.Errorf("the keeper knows %d attempts", n)
+	}
+	if n := g.by["a"].booked(); n != 1 {
+		t.Errorf("another daemon knows %d attempts", n)
+	}
+	g.by["a"].First("2")
+	g.by["a"].End("2")
+	g.by["a"].flush(t.Context(), false)
+	if n := g.by["k"].booked(); n != 2 {
+		t.Errorf("after an end the keeper knows %d attempts", n)
+	}
+}
+
+func TestWithoutItsKeeperADaemonAsksTheNextAndTellsItAll(t *testing.T) {
+	g := newGroup("k", "next", "a")
+	g.place(t, "a", "1")
+	g.setCut("k", true)
+	g.place(t, "a", "2") // by itself: the keeper does not answer
+	if n := g.by["a"].booked(); n != 2 {
+		t.Errorf("the daemon itself knows %d attempts", n)
+	}
+	g.by["a"].flush(t.Context(), true)
+	if n := g.by["next"].booked(); n != 2 {
+		t.Errorf("the next keeper was told of %d attempts", n)
+	}
+	g.place(t, "a", "3")
+	if n := g.by["next"].booked(); n != 3 {
+		t.Errorf("the next keeper knows %d attempts", n)
+	}
+}
+
+func TestKeeperThatStartsAnewIsToldAll(t *testing.T) {
+	g := newGroup("k", "a")
+	g.place(t, "a", "1")
+	fresh := newGroup("k", "a")
+	g.by["k"] = fresh.by["k"]
+	g.place(t, "a", "2")
+	g.by["a"].flush(t.Context(), true)
+	if n := g.by["k"].booked(); n != 2 {
+		t.Errorf("the new keeper knows %d attempts", n)
+	}
+}
+
+func TestDaemonThatStartsAnewLeavesNothingBehind(t *testing.T) {
+	g := newGroup("k", "a")
+	g.place(t, "a", "1")
+	g.by["a"].flush(t.Context(), true)
+	other := newGroup("k", "a")
+	again := other.by["a"]
+	again.opts.Incarnation, again.opts.Peers = 99, end{g, "a"}
+	g.mu.Lock()
+	g.by["a"] = again
+	g.mu.Unlock()
+	g.place(t, "a", "2")
+	if n := g.by["k"].booked(); n != 1 {
+		t.Errorf("the keeper knows %d attempts", n)
+	}
+}
+
+func TestSilentDaemonsAreForgotten(t *testing.T) {
+	g := newGroup("k", "a")
+	g.place(t, "a", "1")
+	g.by["k"].forgetSilent(time.Now().Add(forgetAfter / 2))
+	if g.by["k"].booked() != 1 {
+		t.Error("forgotten too early")
+	}
+	g.by["k"].forgetSilent(time.Now().Add(2 * forgetAfter))
+	if n := g.by["k"].booked(); n != 0 {
+		t.Errorf("the keeper still knows %d attempts", n)
+	}
+}
