One daemon reads the store, the next when it misses it

Cause: two daemons read the store at the same pace; a call has a price, and the second's only served for the moment when the first dies. Ruled out: one reader alone, at whose death all others would read the store until the membership knows. Change: the first by rank reads; the second asks it and reads when it does not answer; the others ask both in turn.

--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -210,6 +210,19 @@
 	if tables["x"].get("a") != "2" || stores["x"].reads != 0 {
 		t.Errorf("got %v after %d reads of the store", tables["x"].values, stores["x"].reads)
 	}
+	mustRead(t, followers["t2"])
+	if stores["t2"].reads != 0 {
+		t.Error("the second reads the store beside the first")
+	}
+	// The first is gone: the second reads, the others read from it.
+	first := peers.spreads["t1"]
+	delete(peers.spreads, "t1")
+	mustRead(t, followers["t2"])
+	mustRead(t, followers["x"])
+	if stores["t2"].reads != 1 || stores["x"].reads != 0 {
+		t.Errorf("the second has read %d times, another daemon %d", stores["t2"].reads, stores["x"].reads)
+	}
+	peers.spreads["t1"] = first
 	// The store turns t2 away.
 	stores["t2"].set(func(s *fakeStore) { s.down = true })
 	mustRead(t, followers["t2"])
--- a/internal/keyed/spread.go
+++ b/internal/keyed/spread.go
@@ -25,9 +25,9 @@
 
 // Bounds of the spread.
 const (
-	// numTailers daemons read the store, and the others ask them: a read of the store
-	// has a price, one of a peer has next to none. Two, so that the death of one is
-	// not noticed.
+	// The first of numTailers daemons reads the store, and the others ask it, then the
+	// next: a read of the store has a price, one of a peer has next to none. The second
+	// reads the store when it misses the first, so that the others do not have to.
 	numTailers = 2
 	tailerKey  = "feed-tailer"
 	// mostAge is the age up to which a peer's knowledge is as good as a read of the
@@ -64,18 +64,13 @@
 	return s.followers[stream]
 }
 
-// readsStore reports whether this daemon is one of those that read the store.
+// readsStore reports whether this daemon reads the store for all.
 func (s *Spread) readsStore() bool {
-	ranked := s.peers.Rank(tailerKey, numTailers)
-	for _, m := range ranked {
-		if m.Host == s.host {
-			return true
-		}
-	}
-	return len(ranked) < numTailers
+	first := s.peers.Rank(tailerKey, 1)
+	return len(first) == 0 || first[0].Host == s.host
 }
 
-// tailers returns the daemons that read the store.
+// tailers returns the daemons to ask, in order.
 func (s *Spread) tailers() []membership.Member { return s.peers.Rank(tailerKey, numTailers) }
 
 // some returns a few other daemons that may live.
