A cut domain is no death; a missed connection puts its domain aside for the request

Ruled out: too few attempts (eight were used up as well as six), dead engines. Change: a refused connection is a death only when another upstream of the domain is reached; the others of a domain are left alone by a request that has missed one there. Tests: TestCutOfADomainMakesNobodySuspect, TestMissedConnectionPutsItsDomainAside...

--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -14,7 +14,7 @@
 
 // mostAttempts bounds the sends of one request, those that could not connect and that
 // were declined included.
-const mostAttempts = 6
+const mostAttempts = 8
 
 // budget is this daemon's part of the site's bound for one service.
 type budget struct {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -56,7 +56,7 @@
 		Gap:       r.Route.GapObjective,
 		Left:      g.left(),
 		Exclude:   g.exclude,
-		Avoid:     g.relay.avoided(),
+		Avoid:     g.avoid(),
 	}
 }
 
@@ -167,6 +167,7 @@
 		return e
 	}
 	e.blamed = g.blame(e, p)
+	e.unreached = e.end == retry.NotWritten
 	g.relay.failed(e.blamed, e.end)
 	return e
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
@@ -17,7 +18,7 @@
 
 // tryPlain makes one attempt at a plain service.
 func (g *run) tryPlain(ctx context.Context) ending {
-	u, done, ok := g.relay.opts.Plain.Pick(g.req.Service.Name, g.tried())
+	u, done, ok := g.relay.opts.Plain.Pick(g.req.Service.Name, slices.Concat(g.exclude, g.avoid()))
 	if !ok {
 		u, done, ok = g.relay.opts.Plain.Pick(g.req.Service.Name, nil)
 	}
@@ -45,6 +46,7 @@
 		return e
 	}
 	e.blamed = []string{u.ID}
+	e.unreached = e.end == retry.NotWritten
 	if e.end != retry.Faulted {
 		g.relay.failed(e.blamed, e.end)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -187,7 +188,7 @@
 		return nil, &Failure{End: retry.Broken, Err: syscall.ECONNRESET}
 	}
 	f := newFixture(t, crash, crash, crash, crash, crash, crash)
-	f.live("e1", "e2", "e3")
+	f.live("e1", "e2", "e3", "sound")
 	f.dead["e1:1"], f.dead["e2:1"], f.dead["e3:1"] = true, true, true
 	f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2"), onEngine("e3")}
 	sends := 0
@@ -208,3 +209,43 @@
 		t.Error(refusal)
 	}
 }
+
+func TestMissedConnectionPutsItsDomainAsideForTheRequest(t *testing.T) {
+	f := newFixture(t, fail(retry.NotWritten), answer(200, firstEvents))
+	f.list.Replace([]fleet.Upstream{
+		{ID: "far1", Service: "llm", Domain: "far"}, {ID: "far2", Service: "llm", Domain: "far"}, {ID: "near", Service: "llm", Domain: "near"},
+	}, time.Now())
+	f.planner.plans = []booking.Plan{onEngine("far1"), onEngine("near")}
+	if refusal := f.relay.Run(t.Context(), streamRequest(true), &record{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	second := f.planner.asks[1]
+	if !slices.Contains(second.Avoid, "far2") || slices.Contains(second.Avoid, "near") || !slices.Contains(second.Exclude, "far1") {
+		t.Errorf("the second ask avoids %v and excludes %v", second.Avoid, second.Exclude)
+	}
+}
+
+func TestCutOfADomainMakesNobodySuspect(t *testing.T) {
+	crash := func(context.Context, Attempt) (*Answer, error) {
+		return nil, &Failure{End: retry.Broken, Err: syscall.ECONNRESET}
+	}
+	var steps []func(context.Context, Attempt) (*Answer, error)
+	for range 20 {
+		steps = append(steps, crash)
+	}
+	f := newFixture(t, steps...)
+	f.live("e1", "e2")
+	f.dead["e1:1"], f.dead["e2:1"] = true, true // the whole domain refuses
+	f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2"), onEngine("e1"), onEngine("e2"), onEngine("e1"), onEngine("e2")}
+	for range 3 {
+		req := streamRequest(true)
+		req.Fingerprint = 78
+		refusal := f.relay.Run(t.Context(), req, &record{})
+		if refusal == nil || refusal.Code == request.CodeQuarantined {
+			t.Fatalf("got %v", refusal)
+		}
+	}
+	if len(f.script.sent) != 6 {
+		t.Errorf("three requests were sent %d times, each may run twice", len(f.script.sent))
+	}
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -25,6 +25,7 @@
 	runs    int      // attempts that may have run
 	wrote   bool     // some attempt may have run
 	exclude []string // upstreams that were tried
+	missed  []string // failure domains in which no connection could be made
 	sent    []string // of the last attempt, for the log
 
 	after   string // id of the last event passed on
@@ -44,6 +45,7 @@
 	end       retry.End // unless one of the others is set
 	blamed    []string  // IDs of the upstreams at fault
 	at        string    // address of another upstream that is at fault
+	unreached bool      // no connection to it could be made
 	err       error
 	kept      *kept // the upstream's own failure, whole
 }
@@ -109,6 +111,9 @@
 	}, g.coreRequest())
 	g.logAttempt(e, decision)
 	g.exclude = append(g.exclude, e.blamed...)
+	if e.unreached {
+		g.miss(e.blamed[0])
+	}
 	return decision.Refusal, decision.Action == retry.Elsewhere
 }
 
@@ -162,9 +167,28 @@
 // left returns the time until the deadline.
 func (g *run) left() time.Duration { return time.Until(g.req.Deadline) }
 
-// tried returns the upstreams not to take again: those that were tried, and those
-// that failed others lately.
-func (g *run) tried() []string { return slices.Concat(g.exclude, g.relay.avoided()) }
+// avoid returns the upstreams that are taken only when no other is left: those that
+// failed lately, and those of domains in which this request has missed one: when the way
+// there is cut, it is cut to all.
+func (g *run) avoid() []string {
+	ids := g.relay.avoided()
+	if len(g.missed) == 0 {
+		return ids
+	}
+	for _, u := range g.relay.opts.Upstreams().Upstreams {
+		if slices.Contains(g.missed, u.Domain) {
+			ids = append(ids, u.ID)
+		}
+	}
+	return ids
+}
+
+// miss notes that no connection to an upstream could be made.
+func (g *run) miss(id string) {
+	if u, known := g.relay.opts.Upstreams().Get(id); known {
+		g.missed = append(g.missed, u.Domain)
+	}
+}
 
 func (g *run) logAttempt(e ending, d retry.Decision) {
 	entry := g.relay.log.WithFields(logrus.Fields{
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"syscall"
 	"time"
 
@@ -39,9 +40,39 @@
 	g.relay.opts.Suspects.End(r, e.delivered)
 }
 
-// died reports whether nobody listens at an upstream's address any more.
+// died reports whether nobody listens at an upstream's address any more, while another
+// upstream of its failure domain is reached: a cut of the way to the domain may look the
+// same.
 func (g *run) died(ctx context.Context, u fleet.Upstream) bool {
 	ctx, cancel := context.WithTimeout(ctx, reachWait)
 	defer cancel()
-	return errors.Is(g.relay.opts.Reach(ctx, u.Address), syscall.ECONNREFUSED)
+	if !errors.Is(g.relay.opts.Reach(ctx, u.Address), syscall.ECONNREFUSED) {
+		return false
+	}
+	for _, other := range g.neighbours(u) {
+		if g.relay.opts.Reach(ctx, other.Address) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// mostNeighbours is how many upstreams of a failure domain are tried: others may have
+// died as well.
+const mostNeighbours = 3
+
+// neighbours returns a few upstreams of the same failure domain that have not failed
+// lately.
+func (g *run) neighbours(u fleet.Upstream) []fleet.Upstream {
+	var some []fleet.Upstream
+	avoided := g.relay.avoided()
+	for _, other := range g.relay.opts.Upstreams().Upstreams {
+		if other.Domain != u.Domain || other.Address == u.Address || slices.Contains(avoided, other.ID) {
+			continue
+		}
+		if some = append(some, other); len(some) == mostNeighbours {
+			break
+		}
+	}
+	return some
 }
