One wait in place of six copies

The same function stood in bench, claims, follow, keyed, peer and relay, half of them ignoring a wait of zero.

--- a/internal/bench/compare.go
+++ b/internal/bench/compare.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // Comparison is the same load under several placement policies.
@@ -51,7 +52,7 @@
 			return nil, merry.Prependf(err, "set policy %s", policy)
 		}
 		report := func(as []Arrival) *Report {
-			sleep(ctx, o.Rest)
+			wait.For(ctx, o.Rest)
 			r := NewReport(m, s, seed, o.Daemons, o.Send(ctx, as))
 			r.Policy = policy
 			return r
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/cli/caller"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // RunOptions say where a schedule is sent.
@@ -69,7 +70,7 @@
 	sent := 0
 	var wg sync.WaitGroup
 	for i := range arrivals {
-		if !sleep(ctx, time.Until(r.start.Add(arrivals[i].At))) {
+		if !wait.For(ctx, time.Until(r.start.Add(arrivals[i].At))) {
 			break
 		}
 		sent++
@@ -92,7 +93,7 @@
 	res := r.client.Do(ctx, call, nil)
 	if res.Outcome == request.NotRun && res.RetryAfter > 0 {
 		rec.RetryAfter, rec.RefusedIn = res.RetryAfter, res.Total
-		if sleep(ctx, res.RetryAfter) {
+		if wait.For(ctx, res.RetryAfter) {
 			rec.RetriedAt = time.Since(r.start)
 			call.Address = r.opts.Addresses[(a.Seq+1)%len(r.opts.Addresses)]
 			res = r.client.Do(ctx, call, nil)
@@ -131,18 +132,3 @@
 		return r.opts.Verify == nil || r.opts.Verify(prompt, a.AnswerTokens, answer)
 	}
 }
-
-// sleep waits and says whether the context is still going on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/claims/await.go
+++ b/internal/claims/await.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 const (
@@ -62,7 +63,7 @@
 		if err == nil {
 			return chunk
 		}
-		if !sleep(ctx, s.o.RetryEvery) {
+		if !wait.For(ctx, s.o.RetryEvery) {
 			break
 		}
 	}
--- a/internal/claims/batch.go
+++ b/internal/claims/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 	"time"
 )
 
@@ -15,7 +16,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !sleep(ctx, c.pause(last)) {
+		if !wait.For(ctx, c.pause(last)) {
 			return
 		}
 		last = c.o.Now()
--- a/internal/claims/follow.go
+++ b/internal/claims/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/claim"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 const (
@@ -26,7 +27,7 @@
 			continue
 		}
 		c.setAway(err)
-		sleep(ctx, c.o.RetryEvery)
+		wait.For(ctx, c.o.RetryEvery)
 	}
 }
 
@@ -67,25 +68,25 @@
 func (c *combiner) poll(ctx context.Context, replay *claim.Replay) error {
 	readCtx, cancel := context.WithTimeout(ctx, c.o.Poll+c.o.LogTimeout)
 	defer cancel()
-	number, wait := c.beginRead(cancel)
+	number, pause := c.beginRead(cancel)
 	began := time.Now()
-	page, err := c.log.Read(readCtx, c.stream, replay.Next(), pageRecords, wait)
+	page, err := c.log.Read(readCtx, c.stream, replay.Next(), pageRecords, pause)
 	if err != nil {
-		if wait > 0 && readCtx.Err() == context.Canceled {
+		if pause > 0 && readCtx.Err() == context.Canceled {
 			return nil // cut short by fail
 		}
 		return err
 	}
 	c.apply(replay, page, number)
-	if len(page.Records) == 0 && time.Since(began) < wait/2 {
-		sleep(ctx, c.o.BatchEvery) // a log that does not wait must not make us spin
+	if len(page.Records) == 0 && time.Since(began) < pause/2 {
+		wait.For(ctx, c.o.BatchEvery) // a log that does not wait must not make us spin
 	}
 	return nil
 }
 
 // beginRead numbers a read and says how long it may wait. The cancel function is
 // called by fail.
-func (c *combiner) beginRead(cancel context.CancelFunc) (number int64, wait time.Duration) {
+func (c *combiner) beginRead(cancel context.CancelFunc) (number int64, pause time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reads++
--- a/internal/claims/release.go
+++ b/internal/claims/release.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/claim"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 const (
@@ -60,7 +61,7 @@
 			return
 		}
 		for left := r.round(ctx); left > 0; left = r.round(ctx) {
-			if !sleep(ctx, r.s.o.RetryEvery) {
+			if !wait.For(ctx, r.s.o.RetryEvery) {
 				return
 			}
 		}
--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -11,6 +11,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/claim"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 const (
@@ -67,7 +68,7 @@
 // keepMarks appends a mark now and then to the partitions that this host is the
 // first combiner of, so that an idle stream always shows how old it is.
 func (s *Service) keepMarks(ctx context.Context) {
-	for sleep(ctx, s.o.MarkEvery) {
+	for wait.For(ctx, s.o.MarkEvery) {
 		s.answers.sweep()
 		s.givenUp.sweep()
 		for i, c := range s.combiners {
--- a/internal/claims/types.go
+++ b/internal/claims/types.go
@@ -133,15 +133,3 @@
 	o = o.withDefaults()
 	return o.Replay.Window() + 2*o.MarkEvery
 }
-
-// sleep waits and reports false when the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/follow/change.go
+++ b/internal/follow/change.go
@@ -7,6 +7,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // Errors of Change.
@@ -111,7 +112,7 @@
 			return verdict, err
 		}
 		f.logFailure(errors.Join(appendErr, readErr))
-		if !pause(ctx, retry.NextBackOff()) {
+		if !wait.For(ctx, retry.NextBackOff()) {
 			break
 		}
 	}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -166,15 +166,3 @@
 	default:
 	}
 }
-
-// pause waits; it reports false when the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/follow/snapshots.go
+++ b/internal/follow/snapshots.go
@@ -11,6 +11,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 const (
@@ -105,8 +106,8 @@
 // may do so at once; their snapshots are equal. The first look comes soon, or
 // hosts that are replaced often would never get to write one.
 func (f *Follower) snapshotLoop(ctx context.Context) {
-	wait := f.o.SnapshotFirst
-	for ; pause(ctx, jitter(wait)); wait = f.o.SnapshotCheck {
+	pause := f.o.SnapshotFirst
+	for ; wait.For(ctx, jitter(pause)); pause = f.o.SnapshotCheck {
 		if !f.o.Peers.Tailer() {
 			continue
 		}
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/buckthorndock/buckthorndock/internal/platform"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // tailCheck is the time after which a host looks again whether it has to read
@@ -38,7 +39,7 @@
 			return
 		}
 		f.logFailure(err)
-		pause(ctx, retry.NextBackOff())
+		wait.For(ctx, retry.NextBackOff())
 	}
 }
 
@@ -67,9 +68,9 @@
 			if err := f.readOnce(ctx, 0); err != nil {
 				f.logFailure(err)
 			}
-			pause(ctx, jitter(f.o.TailAfter)) // all hosts come here while the log is away
+			wait.For(ctx, jitter(f.o.TailAfter)) // all hosts come here while the log is away
 		default:
-			pause(ctx, tailCheck)
+			wait.For(ctx, tailCheck)
 		}
 	}
 }
@@ -80,12 +81,12 @@
 	err := f.readOnce(ctx, f.o.PollWait)
 	switch {
 	case err == nil && f.Offset() == before && time.Since(start) < emptyReadPause:
-		pause(ctx, emptyReadPause)
+		wait.For(ctx, emptyReadPause)
 	case err == nil:
 		retry.Reset()
 	case ctx.Err() == nil:
 		f.logFailure(err)
-		pause(ctx, retry.NextBackOff())
+		wait.For(ctx, retry.NextBackOff())
 	}
 }
 
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/platform"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // Batch is what one successful read brought.
@@ -74,13 +75,13 @@
 		switch {
 		case err == nil:
 			pause = pauseFirst
-			rest(ctx, f.opts.Pace-time.Since(began))
+			wait.For(ctx, f.opts.Pace-time.Since(began))
 		case errors.Is(err, platform.ErrTrimmed):
 			f.log.Info("stream_trimmed")
 			f.restart()
 		case errors.Is(err, errKicked):
 		case ctx.Err() == nil:
-			rest(ctx, time.Duration((0.5+rand.Float64())*float64(pause)))
+			wait.For(ctx, time.Duration((0.5+rand.Float64())*float64(pause)))
 			pause = min(2*pause, pauseMost)
 		}
 	}
@@ -227,15 +228,3 @@
 func readErrors(stream string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(`buckthorndock_store_read_errors_total{stream="` + stream + `"}`)
 }
-
-func rest(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -6,6 +6,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // Names of the heartbeat service.
@@ -136,7 +137,7 @@
 func (n *Node) followList(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.readList(ctx)
-		pause(ctx, n.jitter(min(n.opts.ListEvery, listEvery(len(n.Members())))))
+		wait.For(ctx, n.jitter(min(n.opts.ListEvery, listEvery(len(n.Members())))))
 	}
 }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // Node is this daemon among its peers. All methods may be called from any
@@ -100,7 +101,7 @@
 	}).Info("peer_started")
 	for ctx.Err() == nil {
 		n.tick()
-		pause(ctx, n.jitter(n.interval()))
+		wait.For(ctx, n.jitter(n.interval()))
 	}
 	n.Close()
 	return nil
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 	"golang.org/x/time/rate"
 )
 
@@ -56,7 +57,7 @@
 		}
 		if err != nil {
 			s.n.log.WithError(err).Warn("peer_accept_failed")
-			pause(ctx, acceptPause)
+			wait.For(ctx, acceptPause)
 			continue
 		}
 		if !s.admit() {
@@ -159,13 +160,3 @@
 	s.mu.Unlock()
 	s.each(func(l *link) { l.close() })
 }
-
-// pause waits, or less when the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -12,6 +12,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // Silence after which a stream is moved to another engine.
@@ -83,7 +84,7 @@
 		if g.left() < 2*pause {
 			return p, request.Refuse(request.CodeQueueFull, retryAfterFailure, "no engine has had room")
 		}
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return p, g.ended(ctx)
 		}
 	}
@@ -97,7 +98,7 @@
 		if refusal != nil {
 			return p, refusal
 		}
-		if !sleep(ctx, p.Wait) {
+		if !wait.For(ctx, p.Wait) {
 			g.relay.opts.Planner.End(g.attemptID())
 			return p, g.ended(ctx)
 		}
@@ -192,21 +193,6 @@
 	return max(time.Duration(gapSilence*float64(g.req.Route.GapObjective)), leastGapSilent)
 }
 
-// sleep waits; it returns false when the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // leaseName names the memory of a part. It must not contain what separates entries
 // of a list of helpers on a wire.
 func leaseName(attempt string, part int) string {
