--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # Each fuzz target for a moment, beyond the corpus that every test run tries.
 FUZZTIME ?= 3000x
 fuzz:
-	@grep -rl '^func Fuzz' --include='*_test.go' internal | while read -r file; do \
+	@grep -rl '^func Fuzz' --include='*_test.go' internal platform | while read -r file; do \
 		for target in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\)(.*/\1/p' $$file); do \
 			$(GO) test ./$$(dirname $$file) -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) || exit 1; \
 		done; \
