--- a/internal/core/booking/book_test.go
+++ b/internal/core/booking/book_test.go
@@ -190,6 +190,28 @@
 	}
 }
 
+func TestFiguresThatAreMissingRefuseNothing(t *testing.T) {
+	b := newBook(3)
+	b.SetServices([]Service{{Name: "llm", Figures: cost.Figures{StepMs: 1, Stride: 10}}})
+	for i, prompt := range []int{1000, 45_000, 900_000} {
+		p := b.Place(ask(fmt.Sprint(i), prompt), start)
+		if p.Verdict != Booked || len(p.Parts) != 1 {
+			t.Errorf("%d tokens: %+v", prompt, p)
+		}
+	}
+}
+
+func TestWriterWithoutAGapObjectiveBearsAnyPart(t *testing.T) {
+	b := newBook(1)
+	a := ask("calm", 5000)
+	a.Gap = 0
+	b.Place(a, start)
+	b.First("calm")
+	if l := b.ordered[0].look(start, 200*time.Millisecond); !l.bearsAll(10 * time.Second) {
+		t.Error("a part of ten seconds harms it")
+	}
+}
+
 func TestRestoreReplacesWhatADaemonBooked(t *testing.T) {
 	b := newBook(4)
 	p := b.Place(ask("old", 5000), start)
--- a/internal/core/booking/engine.go
+++ b/internal/core/booking/engine.go
@@ -104,6 +104,32 @@
 	spare   bool  // kept for short prompts to come
 }
 
+// anyPause is what a writer bears that has no objective for pauses.
+const anyPause = time.Hour
+
+func (e *entry) writer() writer {
+	gap := e.ask.Gap
+	if gap <= 0 {
+		gap = anyPause
+	}
+	return writer{bears: gap, stays: max(staysGaps*gap, staysLeast), value: e.ask.value()}
+}
+
+// unknownSlots is assumed where neither the service nor the upstream says how many
+// requests run at once: few enough for every engine seen so far.
+const unknownSlots = 8
+
+// slots returns how many requests run at once.
+func (e *engine) slots() int {
+	switch {
+	case e.figures.Slots > 0:
+		return e.figures.Slots
+	case e.up.Slots > 0:
+		return e.up.Slots
+	}
+	return unknownSlots
+}
+
 // look works out the load. tight is the shortest gap objective of the service.
 func (e *engine) look(now time.Time, tight time.Duration) load {
 	l := load{engine: e, free: now}
@@ -130,11 +156,7 @@
 	if x.long {
 		l.long++
 	}
-	l.writers = append(l.writers, writer{
-		bears: x.ask.Gap,
-		stays: max(staysGaps*x.ask.Gap, staysLeast),
-		value: x.ask.value(),
-	})
+	l.writers = append(l.writers, x.writer())
 	if x.ask.Gap > 0 && x.ask.Gap <= tight {
 		l.tight++
 	}
--- a/internal/core/booking/long.go
+++ b/internal/core/booking/long.go
@@ -9,8 +9,6 @@
 // Bounds and weights of the choice of engines for a long prompt. Worth is in units of
 // Ask.value.
 const (
-	// mostParts is the first engine and the helpers that its wire takes.
-	mostParts = 17
 	// onTimeShare of the time left is aimed at, for engines may be slower than
 	// their figures.
 	onTimeShare = 0.85
@@ -118,13 +116,15 @@
 	return ReasonSplit
 }
 
+// mostEngines returns how many engines may read one prompt.
+func (t *task) mostEngines() int {
+	return min(len(t.loads), t.service.Figures.MaxHelpers+1)
+}
+
 // cheapest compares all numbers of engines.
 func (t *task) cheapest(read time.Duration) *choice {
 	var best *choice
-	most := min(len(t.loads), mostParts)
-	if t.service.Figures.MaxHelpers > 0 {
-		most = min(most, t.service.Figures.MaxHelpers+1)
-	}
+	most := t.mostEngines()
 	ranked := slices.Clone(t.loads)
 	for n := 1; n <= most; n++ {
 		t.rank(ranked, read/time.Duration(n))
@@ -144,7 +144,7 @@
 		if l.spare {
 			c += spareCost
 		}
-		if l.helping >= l.engine.figures.Slots {
+		if l.helping >= l.engine.slots() {
 			c += overCost
 		}
 		costs[l.engine] = c
@@ -182,7 +182,7 @@
 	first := -1
 	for i := range loads {
 		l := &loads[i]
-		if len(l.writers) >= l.engine.figures.Slots || !t.holds(l, len(loads)) {
+		if len(l.writers) >= l.engine.slots() || !t.holds(l, len(loads)) {
 			continue
 		}
 		if first < 0 || len(l.writers) < len(loads[first].writers) {
@@ -218,7 +218,8 @@
 
 // spread reports whether the prompt needs the memory of several engines.
 func (t *task) spread() bool {
-	return t.ask.need() > int64(memoryShare*float64(t.service.Figures.Memory))
+	memory := t.service.Figures.Memory
+	return memory > 0 && t.ask.need() > int64(memoryShare*float64(memory))
 }
 
 // share returns the tokens of each engine when the memory is spread over n.
@@ -262,10 +263,10 @@
 // noRoom tells a prompt that no engines ever hold, and one that has no time left, from
 // one that has to wait for memory or slots.
 func (t *task) noRoom(read time.Duration) Verdict {
-	most := min(len(t.loads), mostParts)
+	most := t.mostEngines()
 	held := int64(most) * int64(memoryShare*float64(t.service.Figures.Memory))
 	switch {
-	case t.ask.need() > held:
+	case t.service.Figures.Memory > 0 && t.ask.need() > held:
 		return TooLarge
 	case read/time.Duration(most) > t.ask.Left:
 		return TooLate
--- a/internal/core/booking/place.go
+++ b/internal/core/booking/place.go
@@ -83,7 +83,12 @@
 // request and reads its prompt anew.
 const memoryShare = 0.95
 
+// room returns the tokens for which the engine has memory; one whose memory is not
+// known holds any prompt.
 func (l *load) room() int64 {
+	if l.engine.figures.Memory <= 0 {
+		return math.MaxInt64
+	}
 	return int64(memoryShare*float64(l.engine.figures.Memory)) - l.memory
 }
 
@@ -158,7 +163,7 @@
 		}
 	}
 	l := &t.loads[best]
-	if len(l.writers) >= l.engine.figures.Slots+queueMost {
+	if len(l.writers) >= l.engine.slots()+queueMost {
 		return Plan{Verdict: Full}
 	}
 	reason := ReasonPacked
@@ -184,7 +189,7 @@
 	if l.tight == 0 {
 		score += openCost + orderCost*float64(rank)
 	}
-	slots := l.engine.figures.Slots
+	slots := l.engine.slots()
 	switch {
 	case len(l.writers) >= slots:
 		score += overCost * float64(len(l.writers)-slots+1)
--- a/internal/core/cost/cost.go
+++ b/internal/core/cost/cost.go
@@ -33,7 +33,11 @@
 func (f *Figures) Read(tokens int) time.Duration {
 	n := float64(tokens)
 	pairs := n * n / 2 / 1e6
-	return millis(n/max(f.ReadPerMs, 1e-3) + pairs*f.PairsMsPerM)
+	read := 0.0 // where the rate is not published
+	if f.ReadPerMs > 0 {
+		read = n / f.ReadPerMs
+	}
+	return millis(read + pairs*f.PairsMsPerM)
 }
 
 // Part returns the time that each of several engines takes to read its even part
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
@@ -71,3 +72,20 @@
 	// retryAfterMost bounds what the backlog of the engines suggests.
 	retryAfterMost = 2 * time.Second
 )
+
+// Spread of the time that a caller is told to wait: those who were refused together are
+// not to come back together.
+const (
+	spreadLeast = 0.75
+	spreadWidth = 0.5
+)
+
+// spread varies the time after which a refusal's caller comes back.
+func spread(r *request.Refusal) *request.Refusal {
+	if r == nil || r.RetryAfter <= 0 {
+		return r
+	}
+	changed := *r
+	changed.RetryAfter = time.Duration((spreadLeast + spreadWidth*rand.Float64()) * float64(r.RetryAfter))
+	return &changed
+}
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -77,7 +77,7 @@
 			"request": c.ID, "host": c.Host, "path": c.Path, "code": string(refusal.Code), "why": refusal.Message,
 		}).Info("request_refused")
 	}
-	return req, refusal
+	return req, spread(refusal)
 }
 
 func (d *Door) admit(c *Call) (*Request, *request.Refusal) {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -71,7 +71,7 @@
 		case booking.Booked:
 			return p, nil
 		case booking.TooLate:
-			return p, request.Refuse(request.CodeDeadline, min(p.Backlog, retryAfterMost), "the deadline cannot be met at the present load")
+			return p, request.Refuse(request.CodeDeadline, min(max(p.Backlog, retryAfterFailure), retryAfterMost), "the deadline cannot be met at the present load")
 		case booking.TooLarge:
 			return p, request.Refuse(request.CodeNeverPossible, 0, "longer than all engines of the service hold")
 		case booking.NoEngine:
@@ -159,6 +159,7 @@
 		Helpers: p.Parts[1:],
 		Left:    g.left(),
 		After:   g.after,
+		Fresh:   !g.req.Route.Repeatable(),
 	}, g.firstLimit(p), g.gapLimit(), func() { g.relay.opts.Planner.First(id) })
 	g.finish(ctx, to, started, e)
 	if e.delivered || e.gone {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -79,7 +79,7 @@
 	defer cancel()
 	r.earn(req.Service.Name, time.Now())
 	g := &run{relay: r, req: req, sink: sink, after: req.LastEvent}
-	refusal := g.loop(ctx)
+	refusal := spread(g.loop(ctx))
 	g.logEnd(refusal)
 	return refusal
 }
