Silent keepers are asked less and less often

Cause: behind a cut a daemon asked each unreachable keeper again every second, and planned alone for that request; with four candidates none may be on its own side. Ruled out: the membership (it takes five seconds to suspect, by design). Change: the silence of a daemon doubles from one to four seconds; six candidates.

--- a/internal/schedule/flush.go
+++ b/internal/schedule/flush.go
@@ -89,9 +89,4 @@
 			delete(s.heard, host)
 		}
 	}
-	for host, until := range s.down {
-		if now.After(until) {
-			delete(s.down, host)
-		}
-	}
 }
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/avoid"
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
@@ -42,15 +44,18 @@
 	aliveEvery = 500 * time.Millisecond
 	// forgetAfter is the silence after which a daemon's attempts are dropped.
 	forgetAfter = 2500 * time.Millisecond
-	// downFor is how long a daemon that did not answer is not asked.
-	downFor = time.Second
+	// Daemons that did not answer are not asked for a while, doubled while they stay
+	// silent: each question to one behind a cut costs a request its plan by the keeper.
+	downFirst  = time.Second
+	downMost   = 4 * time.Second
+	downForget = 10 * time.Second
 )
 
 // keeperKey is the key whose first live daemon keeps the book.
 const keeperKey = "booking"
 
 // keeperCandidates is how many daemons are looked at for one that answers.
-const keeperCandidates = 4
+const keeperCandidates = 6
 
 // Service is one daemon's part in the schedule. It is safe for concurrent use.
 type Service struct {
@@ -62,10 +67,10 @@
 	open    map[string]*booking.Open // own attempts, without their age
 	began   map[string]time.Time     // of own attempts
 	news    []Event
-	heard   map[string]life      // daemons that ask this one
-	down    map[string]time.Time // daemons that are not asked, until when
-	keeper  string               // host that was asked last; empty: this one
-	restore bool                 // the keeper lacks some of the own attempts
+	heard   map[string]life // daemons that ask this one
+	down    *avoid.Tracker  // daemons that did not answer
+	keeper  string          // host that was asked last; empty: this one
+	restore bool            // the keeper lacks some of the own attempts
 	wake    chan struct{}
 }
 
@@ -85,7 +90,7 @@
 		open:  map[string]*booking.Open{},
 		began: map[string]time.Time{},
 		heard: map[string]life{},
-		down:  map[string]time.Time{},
+		down:  avoid.New(avoid.Options{First: downFirst, Most: downMost, Forget: downForget}),
 		wake:  make(chan struct{}, 1),
 	}
 }
@@ -104,11 +109,12 @@
 
 // keeperNow returns the daemon to ask; ok is false when it is this one.
 func (s *Service) keeperNow(now time.Time) (m membership.Member, ok bool) {
+	silent := s.down.Avoided(now)
 	for _, m := range s.opts.Peers.Rank(keeperKey, keeperCandidates) {
 		if m.Host == s.opts.Host {
 			return m, false
 		}
-		if now.Before(s.down[m.Host]) {
+		if slices.Contains(silent, m.Host) {
 			continue
 		}
 		return m, true
@@ -151,6 +157,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now = time.Now()
+	if err == nil {
+		s.down.Succeeded(keeper.Host, now)
+	}
 	if err != nil {
 		s.lost(ctx, keeper, err, now)
 		p := s.book.Place(a, now)
@@ -185,8 +194,8 @@
 	if ctx.Err() != nil {
 		return // the request has ended; that says nothing of the daemon
 	}
-	s.down[m.Host] = now.Add(downFor)
-	s.log.WithError(err).WithField("keeper", m.Host).Warn("book_keeper_silent")
+	span := s.down.Failed(m.Host, now)
+	s.log.WithError(err).WithFields(logrus.Fields{"keeper": m.Host, "avoid_ms": span.Milliseconds()}).Warn("book_keeper_silent")
 }
 
 func (s *Service) noteOwn(a booking.Ask, p booking.Plan, now time.Time) {
