--- a/internal/core/booking/types.go
+++ b/internal/core/booking/types.go
@@ -7,7 +7,6 @@
 	ID        string // of the attempt, unique in the site
 	Host      string // daemon that sends it
 	Service   string
-	Domain    string        // failure domain of the daemon
 	Prompt    int           // tokens
 	Answer    int           // tokens, at the most
 	Expected  int           // tokens of the answer that are likely
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -145,7 +145,6 @@
 func (p *process) buildRelay() {
 	r := relay.New(relay.Options{
 		Host:      p.cfg.Host,
-		Domain:    p.cfg.Domain,
 		Sender:    p.provider.Sender(p.pool),
 		Planner:   p.schedule,
 		Plain:     p.plain,
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -49,7 +49,6 @@
 		ID:        g.attemptID(),
 		Host:      g.relay.opts.Host,
 		Service:   r.Service.Name,
-		Domain:    g.relay.opts.Domain,
 		Prompt:    r.Prompt,
 		Answer:    r.Answer,
 		Expected:  expected,
@@ -71,7 +70,8 @@
 		case booking.Booked:
 			return p, nil
 		case booking.TooLate:
-			return p, request.Refuse(request.CodeDeadline, min(max(p.Backlog, retryAfterFailure), retryAfterMost), "the deadline cannot be met at the present load")
+			comeBack := min(max(p.Backlog, retryAfterFailure), retryAfterMost)
+			return p, request.Refuse(request.CodeDeadline, comeBack, "the deadline cannot be met at the present load")
 		case booking.TooLarge:
 			return p, request.Refuse(request.CodeNeverPossible, 0, "longer than all engines of the service hold")
 		case booking.NoEngine:
