Streams wait longer before they are moved

Cause: most moves for silence under load left engines that were reading a long part beside them, and had the prompt read anew elsewhere, where it was one more. Ruled out: dead engines, whose connections break or whose probes go unanswered. Change: 1.1 s to the first event and 1.5 s between events at the least, before 0.5 and 1 s; callers leave after two.

--- a/internal/core/booking/engine.go
+++ b/internal/core/booking/engine.go
@@ -81,7 +81,7 @@
 // after which a stream is moved to another engine, where its prompt is read anew.
 const (
 	staysGaps  = 4
-	staysLeast = time.Second
+	staysLeast = 1500 * time.Millisecond
 )
 
 // stallCost is the worth that a writer's place earns in a second: a short prompt's
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -15,17 +15,18 @@
 	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
-// Silence after which a stream is moved to another engine.
+// Silence after which a stream is moved to another engine. A stream that is late has lost
+// what it can lose until its caller leaves, after two seconds at the least, and a move has
+// its prompt read anew: so it comes as late as the other engine needs.
 const (
 	// firstSilence is how often the expected time to the first event may pass,
 	// besides the objective, before an engine counts as silent.
-	firstSilence = 2.0
-	// leastFirstSilent allows for an engine that is somewhat busier than known.
-	leastFirstSilent = 500 * time.Millisecond
+	firstSilence     = 2.0
+	leastFirstSilent = 1100 * time.Millisecond
 	// gapSilence is the same for pauses, in gap objectives: callers leave after
 	// eight.
 	gapSilence     = 4.0
-	leastGapSilent = time.Second
+	leastGapSilent = 1500 * time.Millisecond
 )
 
 // Times between two tries to place a request.
