--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -13,6 +13,10 @@
 // windows.
 const budgetShare = 0.7
 
+// leastRepeats is what a daemon may repeat in a window whatever its part is, so that one
+// with few requests can move one. Two for each of 88 daemons are the usual part there.
+const leastRepeats = 1
+
 // mostAttempts bounds the sends of one request, those that could not connect and that
 // were declined included.
 const mostAttempts = 8
@@ -38,7 +42,8 @@
 		r.budgets[service] = b
 	}
 	b.SetRatio(budgetShare * o.Ratio)
-	b.SetFloor(int(budgetShare * o.Slack / float64(max(o.Hosts, 1))))
+	part := budgetShare * o.Slack / float64(max(o.Hosts, 1))
+	b.SetFloor(max(int(part), leastRepeats))
 	return b
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -249,3 +249,12 @@
 		t.Errorf("three requests were sent %d times, each may run twice", len(f.script.sent))
 	}
 }
+
+func TestDaemonWithoutAPartOfTheSlackRepeatsOnce(t *testing.T) {
+	f := newFixture(t, fail(retry.Declined), fail(retry.Declined), answer(200, "done"))
+	f.relay.opts.Budget = func() BudgetOptions { return BudgetOptions{Window: 10 * time.Second, Hosts: 88} }
+	refusal := f.relay.Run(t.Context(), plainRequest(route.Once, time.Minute), &record{})
+	if refusal == nil || refusal.Outcome != request.NotRun || len(f.script.sent) != 1+leastRepeats {
+		t.Errorf("got %v after %d sends", refusal, len(f.script.sent))
+	}
+}
