A peer that has just read all keys tells all of them, not what changed

Change: who asks from before the peer's own whole read is given all keys, as a whole. Test: TestPeerThatHasJustReadAllDoesNotHideARemoval, seen failing without the change.

--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -337,3 +337,23 @@
 		t.Errorf("%d records since 3, want the newest of the key", n)
 	}
 }
+
+// TestPeerThatHasJustReadAllDoesNotHideARemoval has a tailer that read all keys right
+// after one was removed, so that it has never known of it.
+func TestPeerThatHasJustReadAllDoesNotHideARemoval(t *testing.T) {
+	peers := &fakePeers{hosts: []string{"t1", "x"}, spreads: map[string]*Spread{}}
+	store := &fakeStore{}
+	store.put("gone", "1")
+	store.put("stays", "1")
+	peers.spreads["x"] = NewSpread("x", peers)
+	x, table := newFollower(store, peers.spreads["x"])
+	mustRead(t, x)
+	store.put("gone", "")
+	peers.spreads["t1"] = NewSpread("t1", peers)
+	t1, _ := newFollower(store, peers.spreads["t1"])
+	mustRead(t, t1)
+	mustRead(t, x)
+	if table.get("gone") != "" || table.get("stays") != "1" {
+		t.Errorf("got %v", table.values)
+	}
+}
--- a/internal/keyed/spread.go
+++ b/internal/keyed/spread.go
@@ -93,6 +93,9 @@
 
 // SinceReply has the newest records of the keys that changed, removed ones too.
 type SinceReply struct {
+	// Whole says that the records are all keys: the peer does not know what was removed
+	// since the offset that it was asked for.
+	Whole  bool
 	Next   int64
 	Packed []byte        // the records; empty: none
 	Age    time.Duration // of the peer's last read
@@ -119,8 +122,12 @@
 	}
 	reply.Next = f.copied.next
 	reply.Age = time.Since(f.copied.at)
+	from := req.From
+	if from < f.copied.recentFrom {
+		from, reply.Whole = -1, true
+	}
 	var err error
-	reply.Packed, err = f.packed.get(&f.copied, req.From)
+	reply.Packed, err = f.packed.get(&f.copied, from)
 	return err
 }
 
@@ -145,7 +152,7 @@
 			f.log.WithError(err).WithField("from", m.Host).Warn("peer_copy_undecodable")
 			continue
 		}
-		f.takeFromPeer(next, platform.KeyedPage{Records: records, Next: reply.Next}, began.Add(-reply.Age))
+		f.takeFromPeer(reply.Whole, platform.KeyedPage{Records: records, Next: reply.Next}, began.Add(-reply.Age))
 		return true
 	}
 	return false
@@ -157,9 +164,9 @@
 	return s.peers.Call(ctx, m.Address, ServiceName+".Since", &req, reply)
 }
 
-// takeFromPeer applies a peer's page. What a first one does not list was removed.
-func (f *Follower) takeFromPeer(next int64, page platform.KeyedPage, at time.Time) {
-	if next >= 0 {
+// takeFromPeer applies a peer's page. What a whole one does not list was removed.
+func (f *Follower) takeFromPeer(whole bool, page platform.KeyedPage, at time.Time) {
+	if !whole {
 		f.take(page, at)
 		return
 	}
