--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -18,7 +18,8 @@
 	// once. It is short, for a read that the store has swallowed looks the same.
 	settingsWait    = 500 * time.Millisecond
 	settingsTimeout = 600 * time.Millisecond
-	// settingsPeerWait allows for a large record on a slow link: packed, a fifth of it.
+	// settingsPeerWait allows for a large record on a slow link: a quarter of the time in
+	// which a change has to be in force.
 	settingsPeerWait = 500 * time.Millisecond
 	// settingsPace is between two reads from a peer, or between changes that come at
 	// once: a seventh of the time in which a change has to be in force.
--- a/internal/keyed/packed.go
+++ b/internal/keyed/packed.go
@@ -11,10 +11,9 @@
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 )
 
-// packed keeps the last packed answer: after a change all peers ask for the same. A
-// record of the settings with 1,400 routes has 0.4 MB, which 86 peers on links of 20
-// Mbit/s each took up to twelve seconds to get; its names repeat, so that packing leaves
-// about a tenth.
+// packed keeps the last packed answer: after a change all peers ask for the same. Before
+// records were packed, settings with 1,370 routes took 12 s to be in force at 88 daemons
+// on links of 20 Mbit/s; packed, they took 1 s (one simulated day each).
 type packed struct {
 	from, next int64
 	data       []byte
