Fault soak: daemons as processes under drawn troubles; signals during the start

Change: test/soak with make soak SEED= MINUTES=; store, servers, links and mutants are processes of the test binary, daemons are the built program. Found: 56 seeds of 24 s (1000 to 1013, 1100 to 1113, 1200 to 1213, 1300 to 1313) had two kinds of findings, both from a signal in a daemon's first milliseconds: SIGHUP killed it (seeds 1011, 1101, 1108, 1205, 1212: 'signal: hangup', and it stayed dead), SIGTERM ended it by the signal instead of by its own end. Cause: the handlers were installed after the file was read and, for SIGHUP, only once the file was watched, and taken away before the process had ended. Ruled out: a crash (no panic in the logs, the exit status names the signal). Change: the daemon takes both signals first of all and to its end. Test: the daemon is held at the reading of its file, a pipe, and signalled there; it fails without the change. The soak sends SIGHUP only to a daemon that listens, and allows the end by SIGTERM only for one that does not yet: before main no code of ours can take a signal.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test fuzz race demo bench bench-quick capacity fmt lint generate clean
+.PHONY: all build test fuzz race demo bench bench-quick capacity soak fmt lint generate clean
 
 all: build
 
@@ -36,6 +36,18 @@
 capacity: build
 	$(GO) run ./test/capacity -bin $(BIN)
 
+# Daemons and stand-ins as processes, with troubles drawn from SEED for MINUTES; SEEDS
+# are played one after the other, and LOGS keeps the daemons' logs.
+SEED ?= 0
+SEEDS ?= 1
+MINUTES ?= 1
+DAEMONS ?= 3
+SERVERS ?= 4
+LOGS ?=
+soak:
+	$(GO) test ./test/soak -run 'TestSoak$$' -v -count 1 -timeout 0 -seed $(SEED) -seeds $(SEEDS) \
+		-minutes $(MINUTES) -daemons $(DAEMONS) -servers $(SERVERS) $(if $(LOGS),-logs $(abspath $(LOGS)))
+
 fmt:
 	gofmt -l -w cmd internal test
 
--- a/cmd/buckthorndockd/main.go
+++ b/cmd/buckthorndockd/main.go
@@ -79,6 +79,11 @@
 const logLines = 4096
 
 func runEdge(ctx context.Context, file string) error {
+	// Before all else and to the very end: a signal without a handler kills.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	cfg, err := edge.LoadConfig(file)
 	if err != nil {
 		return err
@@ -89,9 +94,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	return edge.Run(ctx, cfg, platform.Provider{}, log.WithField("host", cfg.Host))
+	return edge.Run(ctx, cfg, platform.Provider{}, reloads, log.WithField("host", cfg.Host))
 }
 
 // errNoConfig is the error of a command line without a daemon file.
--- /dev/null
+++ b/cmd/buckthorndockd/main_test.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// asDaemon makes this test binary the daemon itself.
+const asDaemon = "TEST_AS_DAEMON"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asDaemon) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// daemonFile names addresses of one loopback host that no other test uses; the store
+// does not answer there.
+func daemonFile() string {
+	const most = 250
+	ip := fmt.Sprintf("127.%d.251.1", 1+os.Getpid()%most)
+	return strings.ReplaceAll(`host: h1
+domain: z1
+region: r1
+listen: {callers: "IP:8001", ready: "IP:8002", peers: "IP:8003", metrics: "IP:8004"}
+peer_key: "0123456789012345678901234567890123456789"
+store: "IP:8005"
+log_level: info
+grace_s: 4
+`, "IP", ip)
+}
+
+// TestSignalsDuringTheStartDoNotKill holds the daemon at the reading of its file, which
+// is a pipe, and signals it there.
+func TestSignalsDuringTheStartDoNotKill(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "daemon.yaml")
+	if err := syscall.Mkfifo(file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "edge", "--config", file)
+	cmd.Env = append(os.Environ(), asDaemon+"=1")
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	pipe, err := os.OpenFile(file, os.O_WRONLY, 0) // waits for the daemon to read
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		if err := cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	plain := filepath.Join(t.TempDir(), "plain.yaml") // for the reload, in place of the pipe
+	if err := errors.Join(os.WriteFile(plain, []byte(daemonFile()), 0o600), os.Rename(plain, file)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := pipe.WriteString(daemonFile()); err != nil {
+		t.Error(err)
+	}
+	pipe.Close()
+	if err := cmd.Wait(); err != nil || !strings.Contains(out.String(), "msg=stopped") {
+		t.Errorf("it ended with %v:\n%s", err, out.String())
+	}
+}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -47,6 +48,7 @@
 	started  time.Time
 	live     atomic.Pointer[Config] // cfg with what has changed since the start
 	fileTime time.Time              // of the daemon file when it was last looked at
+	reloads  <-chan os.Signal       // the daemon file has changed
 
 	mu        sync.Mutex
 	upstreams *fleet.List
@@ -194,13 +196,15 @@
 const memoryShare = 0.6
 
 // Run runs the daemon until the context ends, and then until the requests in progress
-// have ended or the grace is over.
-func Run(ctx context.Context, cfg *Config, provider Provider, log *logrus.Entry) error {
+// have ended or the grace is over. Each value of reloads, which may be nil, says that
+// the daemon file has changed.
+func Run(ctx context.Context, cfg *Config, provider Provider, reloads <-chan os.Signal, log *logrus.Entry) error {
 	debug.SetMemoryLimit(int64(memoryShare * cfg.MemoryMB * (1 << 20)))
 	p, err := newProcess(cfg, provider, log)
 	if err != nil {
 		return err
 	}
+	p.reloads = reloads
 	servers, failed, err := p.listen()
 	if err != nil {
 		p.node.Close()
@@ -286,6 +290,7 @@
 
 // listen opens all listeners and serves them. The channel tells of one that failed.
 func (p *process) listen() ([]*http.Server, <-chan error, error) {
+	metrics.GetOrCreateGauge("buckthorndock_requests_in_flight", func() float64 { return float64(p.door.InFlight()) })
 	page := http.NewServeMux()
 	page.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	all := []listener{
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,19 +13,16 @@
 // without a signal.
 const reloadEvery = 2 * time.Second
 
-// watchFile reads the daemon file again when a signal says that it has changed, and
-// now and then.
+// watchFile reads the daemon file again when the reload channel says that it has
+// changed, and now and then.
 func (p *process) watchFile(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(reloadEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hup:
+		case <-p.reloads:
 			p.reload("signal")
 		case <-ticker.C:
 			if p.fileChanged() {
--- /dev/null
+++ b/test/soak/checks_test.go
@@ -0,0 +1,314 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Settings of the site that the checks know.
+const (
+	grace       = 6 * time.Second
+	retryRatio  = 0.2
+	retryWindow = 10 * time.Second
+	retrySlack  = 10
+	maxAttempts = 2
+)
+
+// slack is how much later than promised a thing may come before it counts as a hang.
+// It is far over all that a busy machine adds.
+const slack = 15 * time.Second
+
+// Margins of the checks.
+const (
+	calmBefore = 3 * time.Second // a trouble still counts this long after its end
+	leaveKnown = 3 * time.Second // from a server's word to the last new request to it
+	workEnds   = 3 * time.Second // from a caller's leaving to the end of its work
+)
+
+// span is the time of one trouble of one target.
+type span struct {
+	target, kind string
+	from, to     time.Time // to is zero while it lasts
+}
+
+// run is one run of a request at a server.
+type run struct {
+	server  string
+	at, end time.Time
+	whole   bool
+}
+
+// history is all that callers and servers have seen, and what was done to the site.
+type history struct {
+	mu       sync.Mutex
+	outcomes []outcome
+	runs     map[string][]run
+	spans    []*span
+	left     map[string]time.Time // when a server's leaving was in the store
+	version  int
+	findings []finding
+}
+
+// finding is a broken promise.
+type finding struct{ check, text string }
+
+func (f finding) String() string { return f.check + ": " + f.text }
+
+func newHistory() *history { return &history{runs: map[string][]run{}, left: map[string]time.Time{}} }
+
+func (h *history) add(o outcome) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.outcomes = append(h.outcomes, o)
+}
+
+func (h *history) addRun(r report) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := time.Unix(0, r.At)
+	if r.What == "ran" {
+		h.runs[r.ID] = append(h.runs[r.ID], run{server: r.Server, at: at})
+		return
+	}
+	for i, run := range h.runs[r.ID] {
+		if run.server == r.Server && run.end.IsZero() {
+			h.runs[r.ID][i].end, h.runs[r.ID][i].whole = at, r.Whole
+		}
+	}
+}
+
+func (h *history) publish(version int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.version = version
+}
+
+func (h *history) newest() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.version
+}
+
+func (h *history) leaves(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.left[id] = time.Now()
+}
+
+func (h *history) trouble(target, kind string) *span {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := &span{target: target, kind: kind, from: time.Now()}
+	h.spans = append(h.spans, s)
+	return s
+}
+
+func (h *history) over(s *span) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s.to = time.Now()
+}
+
+func (h *history) find(check, format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.findings = append(h.findings, finding{check, fmt.Sprintf(format, args...)})
+}
+
+// summary counts what happened, so that a reader sees that enough did.
+func (h *history) summary() string {
+	byStatus, runs, repeats, failed, left := map[int]int{}, 0, 0, 0, 0
+	for _, o := range h.outcomes {
+		switch {
+		case o.left:
+			left++
+		case o.failed != nil:
+			failed++
+		default:
+			byStatus[o.status]++
+		}
+		n := len(h.runs[o.id])
+		runs, repeats = runs+n, repeats+max(0, n-1)
+	}
+	return fmt.Sprintf("%d requests (by status %v, %d failed, %d left), %d runs, %d of them repeats",
+		len(h.outcomes), byStatus, failed, left, runs, repeats)
+}
+
+// troubled tells if a trouble that is not planned touched a target that match accepts
+// in a span of time, or shortly before it.
+func (h *history) troubled(from, to time.Time, match func(target string) bool) bool {
+	for _, s := range h.spans {
+		switch s.kind {
+		case stopDaemon, reloadDaemon, rollServer, newSettings:
+			continue
+		}
+		if match(s.target) && s.from.Before(to) && (s.to.IsZero() || s.to.Add(calmBefore).After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
+func is(name string) func(string) bool { return func(target string) bool { return target == name } }
+func anyTarget(string) bool            { return true }
+
+// check appends the promises that the history breaks.
+func (h *history) check() []finding {
+	h.mu.Lock()
+	found := slices.Clone(h.findings)
+	h.mu.Unlock()
+	add := func(check, format string, args ...any) {
+		found = append(found, finding{check, fmt.Sprintf(format, args...)})
+	}
+	for _, o := range h.outcomes {
+		if o.left {
+			h.checkLeft(o, add)
+			continue
+		}
+		h.checkRuns(o, add)
+		h.checkAnswer(o, add)
+		h.checkTime(o, add)
+	}
+	h.checkSettings(add)
+	h.checkLeaving(add)
+	h.checkBudget(add)
+	return found
+}
+
+type adder func(check, format string, args ...any)
+
+func (h *history) checkRuns(o outcome, add adder) {
+	runs := h.runs[o.id]
+	if o.kind == kindOnce && len(runs) > 1 {
+		add("at most once", "%s ran %d times", o.id, len(runs))
+	}
+	if len(runs) > maxAttempts && !h.troubled(o.sent, o.done, anyTarget) {
+		add("no more attempts than allowed", "%s ran %d times", o.id, len(runs))
+	}
+	switch o.status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if len(runs) > 0 {
+			add("what was refused has not run", "%s got %d and ran at %s", o.id, o.status, runs[0].server)
+		}
+	}
+}
+
+func (h *history) checkAnswer(o outcome, add adder) {
+	if o.status == http.StatusOK && o.failed == nil && !o.own {
+		add("the own, whole answer", "%s got another body", o.id)
+	}
+	refused := o.status == http.StatusTooManyRequests || o.status == http.StatusServiceUnavailable
+	if refused && o.retryAfter == "" {
+		add("a refusal says when to come back", "%s got %d", o.id, o.status)
+	}
+	// A stream can be cut by its server; nothing else is cut on a sound daemon.
+	broken := is(o.daemon)
+	if o.kind == kindStream {
+		broken = anyTarget
+	}
+	if o.failed != nil && len(h.runs[o.id]) > 0 && !h.troubled(o.sent, o.done, broken) {
+		add("planned work cuts nothing", "%s: %v", o.id, o.failed)
+	}
+}
+
+func (h *history) checkTime(o outcome, add adder) {
+	if took := o.done.Sub(o.sent); took > callerDeadline+slack/5 && !h.troubled(o.sent, o.done, is(o.daemon)) {
+		add("an answer in time", "%s took %s", o.id, took)
+	}
+}
+
+// checkLeft looks at requests whose callers left: their work ends soon after.
+func (h *history) checkLeft(o outcome, add adder) {
+	for _, r := range h.runs[o.id] {
+		if h.troubled(o.sent, o.done.Add(workEnds), anyTarget) {
+			continue
+		}
+		if r.end.IsZero() || r.end.Sub(o.done) > workEnds {
+			add("work ends when the caller leaves", "%s at %s until %s after", o.id, r.server, r.end.Sub(o.done))
+		}
+	}
+}
+
+// checkSettings: an incarnation that has served a key serves none that the settings
+// with that key had dropped.
+func (h *history) checkSettings(add adder) {
+	type incarnation struct {
+		daemon string
+		start  int
+	}
+	newest := map[incarnation]outcome{}
+	byDone := slices.Clone(h.outcomes)
+	slices.SortFunc(byDone, func(a, b outcome) int { return a.done.Compare(b.done) })
+	for _, o := range byDone {
+		if o.status != http.StatusOK || o.left {
+			continue
+		}
+		who := incarnation{o.daemon, o.incarnation}
+		if seen, ok := newest[who]; ok && o.key < seen.key-1 && o.sent.After(seen.done) {
+			add("settings go forward", "%s served %s with the key of version %d after one of %d", o.daemon, o.id, o.key, seen.key)
+		}
+		if o.key > newest[who].key {
+			newest[who] = o
+		}
+	}
+}
+
+// checkLeaving: a server that leaves gets nothing new once its word is around.
+func (h *history) checkLeaving(add adder) {
+	for _, o := range h.outcomes {
+		for _, r := range h.runs[o.id] {
+			left, ok := h.left[r.server]
+			if !ok || r.at.Before(left.Add(leaveKnown)) || o.sent.Before(left) {
+				continue
+			}
+			if !h.troubled(left.Add(-calmBefore), r.at, anyTarget) {
+				add("nothing new for a server that leaves", "%s ran at %s %s after its word", o.id, r.server, r.at.Sub(left))
+			}
+		}
+	}
+}
+
+// checkBudget: in a window, runs beyond the first of each request stay within the
+// budget that all daemons share.
+func (h *history) checkBudget(add adder) {
+	type event struct {
+		at     time.Time
+		repeat bool
+	}
+	byService := map[string][]event{}
+	for _, o := range h.outcomes {
+		service := "shop"
+		if o.kind == kindStream {
+			service = "llm"
+		}
+		byService[service] = append(byService[service], event{o.sent, false})
+		for i, r := range h.runs[o.id] {
+			if i > 0 {
+				byService[service] = append(byService[service], event{r.at, true})
+			}
+		}
+	}
+	for service, events := range byService {
+		slices.SortFunc(events, func(a, b event) int { return a.at.Compare(b.at) })
+		for i, first := range events {
+			requests, repeats := 0, 0
+			for _, e := range events[i:] {
+				if e.at.Sub(first.at) > retryWindow {
+					break
+				}
+				if e.repeat {
+					repeats++
+				} else {
+					requests++
+				}
+			}
+			if float64(repeats) > retryRatio*float64(requests)+retrySlack {
+				add("repeats stay in the budget", "%s: %d repeats for %d requests", service, repeats, requests)
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/test/soak/plan_test.go
@@ -0,0 +1,234 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// trouble is one thing that is done to the site, drawn or planned.
+type trouble struct {
+	at, lasts time.Duration
+	kind, how string
+	target    int // of the daemons or of the servers
+}
+
+func (tr trouble) String() string {
+	return fmt.Sprintf("%.1fs+%.1fs %s %s %d", tr.at.Seconds(), tr.lasts.Seconds(), tr.kind, tr.how, tr.target)
+}
+
+// Kinds of troubles. A planned one must cut nothing.
+const (
+	killDaemon   = "kill daemon"
+	stopDaemon   = "stop daemon" // planned
+	freezeDaemon = "freeze daemon"
+	reloadDaemon = "reload daemon" // planned
+	killServer   = "kill server"
+	freezeServer = "freeze server"
+	rollServer   = "roll server" // planned
+	newSettings  = "new settings"
+	harmStore    = "harm store"
+	harmEntry    = "harm entry"       // the link before a daemon
+	harmServer   = "harm server link" // the link before a server
+	harmToStore  = "harm store link"  // the link from a daemon to the store
+	killAll      = "kill all daemons"
+)
+
+// weights of the kinds: planned work and new settings come often, for they must harm
+// nobody.
+var weights = []struct {
+	kind   string
+	weight int
+}{
+	{killDaemon, 3}, {stopDaemon, 4}, {freezeDaemon, 3}, {reloadDaemon, 2}, {killServer, 3}, {freezeServer, 3},
+	{rollServer, 4}, {newSettings, 5}, {harmStore, 4}, {harmEntry, 2}, {harmServer, 3}, {harmToStore, 3}, {killAll, 1},
+}
+
+var linkHows = []string{linkSlow, linkResets, linkSilent, linkOneWay}
+
+// Times of troubles: one begins each troubleEvery on average, so about two overlap.
+const (
+	troubleEvery  = 1200 * time.Millisecond
+	shortestTrial = 300 * time.Millisecond
+	longestTrial  = 4 * time.Second
+)
+
+// draw returns the troubles of a seed.
+func draw(seed uint64, length time.Duration, daemons, servers int) []trouble {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	storeHows := make([]string, 0, len(storeFaults))
+	for how := range storeFaults {
+		storeHows = append(storeHows, how)
+	}
+	slices.Sort(storeHows)
+	sum := 0
+	for _, w := range weights {
+		sum += w.weight
+	}
+	var plan []trouble
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() * float64(troubleEvery))
+		if at >= length {
+			return plan
+		}
+		tr := trouble{at: at, lasts: shortestTrial + time.Duration(rng.Int64N(int64(longestTrial-shortestTrial)))}
+		n := rng.IntN(sum)
+		for _, w := range weights {
+			if n -= w.weight; n < 0 {
+				tr.kind = w.kind
+				break
+			}
+		}
+		tr.target = rng.IntN(daemons)
+		switch tr.kind {
+		case killServer, freezeServer, rollServer:
+			tr.target = rng.IntN(servers)
+		case harmServer:
+			tr.target, tr.how = rng.IntN(servers), linkHows[rng.IntN(len(linkHows))]
+		case harmEntry, harmToStore:
+			tr.how = linkHows[rng.IntN(len(linkHows))]
+		case harmStore:
+			tr.how = storeHows[rng.IntN(len(storeHows))]
+		}
+		plan = append(plan, tr)
+	}
+}
+
+// targets says what a trouble is about, as the history's spans name it.
+func (r *rig) targets(tr trouble) []string {
+	switch tr.kind {
+	case killServer, freezeServer, rollServer, harmServer:
+		return []string{r.servers[tr.target].name}
+	case harmStore:
+		return []string{"store"}
+	case newSettings:
+		return []string{"settings"}
+	case killAll:
+		var all []string
+		for _, d := range r.daemons {
+			all = append(all, d.name)
+		}
+		return all
+	}
+	return []string{r.daemons[tr.target].name}
+}
+
+// play does one trouble and returns when it is over.
+func (r *rig) play(tr trouble) {
+	var spans []*span
+	for _, target := range r.targets(tr) {
+		spans = append(spans, r.history.trouble(target, tr.kind))
+	}
+	defer func() {
+		for _, s := range spans {
+			r.history.over(s)
+		}
+	}()
+	switch tr.kind {
+	case killDaemon, stopDaemon, freezeDaemon, reloadDaemon:
+		r.harmDaemon(r.daemons[tr.target], tr)
+	case killAll:
+		for _, d := range r.daemons {
+			d.proc.kill()
+		}
+		time.Sleep(tr.lasts)
+		for _, d := range r.daemons {
+			r.startDaemon(d)
+		}
+	case killServer, freezeServer, rollServer:
+		r.harmServer(r.servers[tr.target], tr)
+	case newSettings:
+		r.publish()
+	case harmStore:
+		r.storeFault(tr.how)
+		time.Sleep(tr.lasts)
+		r.storeFault("")
+	case harmEntry:
+		r.harmLink("front-"+r.daemons[tr.target].name, tr)
+	case harmToStore:
+		r.harmLink("store-"+r.daemons[tr.target].name, tr)
+	case harmServer:
+		r.harmLink(r.servers[tr.target].name, tr)
+	}
+}
+
+func (r *rig) harmLink(name string, tr trouble) {
+	r.tell(r.links, command{Op: "fault", Name: name, How: tr.how})
+	time.Sleep(tr.lasts)
+	r.tell(r.links, command{Op: "fault", Name: name})
+}
+
+func (r *rig) storeFault(how string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeHow = how
+	r.tell(r.store, command{Op: "fault", How: how})
+}
+
+func (r *rig) harmDaemon(d *daemon, tr trouble) {
+	switch tr.kind {
+	case killDaemon:
+		d.proc.kill()
+		time.Sleep(tr.lasts)
+		r.startDaemon(d)
+	case stopDaemon:
+		r.stop(d)
+		time.Sleep(tr.lasts)
+		r.startDaemon(d)
+	case freezeDaemon:
+		d.proc.signal(syscall.SIGSTOP)
+		time.Sleep(tr.lasts)
+		d.proc.signal(syscall.SIGCONT)
+	case reloadDaemon:
+		// In its first milliseconds no code of the daemon runs yet that could take it.
+		r.eventually(recoveryWait, func() bool { return dials(d.front) })
+		d.proc.signal(syscall.SIGHUP)
+		time.Sleep(tr.lasts)
+	}
+}
+
+// stop ends a daemon as planned, and notes one that does not end in its grace. One that
+// does not listen yet has nothing to finish, and may end by the signal.
+func (r *rig) stop(d *daemon) {
+	listened := dials(d.front)
+	d.proc.signal(r.stopSignal)
+	select {
+	case <-d.proc.ended:
+		if d.proc.result != nil && listened {
+			r.history.find("a leaving daemon ends well", "%s: %v", d.name, d.proc.result)
+		}
+	case <-time.After(grace + slack):
+		r.history.find("a leaving daemon ends well", "%s still runs %s after its grace", d.name, slack)
+		d.proc.signal(syscall.SIGCONT)
+		d.proc.kill()
+	}
+}
+
+// Times of a server's planned end: it serves on after it has said that it leaves.
+const servesOn = 5 * time.Second
+
+func (r *rig) harmServer(s *server, tr trouble) {
+	switch tr.kind {
+	case killServer:
+		s.proc.kill()
+		time.Sleep(tr.lasts)
+		r.startServer(s)
+	case freezeServer:
+		s.proc.signal(syscall.SIGSTOP)
+		time.Sleep(tr.lasts)
+		s.proc.signal(syscall.SIGCONT)
+	case rollServer:
+		r.mu.Lock()
+		s.leaving = true
+		if r.storeHow == "" {
+			r.enter(s)
+			r.history.leaves(s.id())
+		}
+		r.mu.Unlock()
+		time.Sleep(servesOn)
+		s.proc.kill()
+		r.startServer(s)
+	}
+}
--- /dev/null
+++ b/test/soak/rig_test.go
@@ -0,0 +1,370 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/platform/standin"
+)
+
+// proc is one process that the test started.
+type proc struct {
+	cmd    *exec.Cmd
+	in     *json.Encoder
+	ended  chan struct{} // closed when it has ended
+	result error         // of its end
+	heard  chan report   // listening reports
+}
+
+func (p *proc) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) } // an ended one needs none
+
+func (p *proc) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// server is one server of a service through its incarnations.
+type server struct {
+	service, name string
+	instance      int
+	proc          *proc
+	address       string // through its link
+	direct        string
+	leaving       bool
+	seq           int
+	beat          time.Time
+	entered       bool // its record is in the store
+}
+
+func (s *server) id() string { return fmt.Sprintf("i-%s-%d", s.name, s.instance) }
+
+// daemon is one daemon through its incarnations.
+type daemon struct {
+	name, file, front, metrics, ready string
+	proc                              *proc
+	address                           string // of its entry, through link and mutant
+	starts                            int
+}
+
+// crasher is the mutant whose daemons crash when they are asked to leave.
+const crasher = "crasher"
+
+// rig is a whole site of processes.
+type rig struct {
+	t       *testing.T
+	ip      string // its first three numbers
+	history *history
+	store   *proc
+	links   *proc
+	mutant  *proc
+	daemons []*daemon
+	dir     string
+	// stopSignal asks a daemon to leave; one that makes it crash is a mutant too.
+	stopSignal syscall.Signal
+
+	mu        sync.Mutex
+	servers   []*server
+	storeHow  string
+	version   int
+	linkAt    map[string]string
+	allEnded  sync.WaitGroup
+	stopBeats chan struct{}
+}
+
+var numRigs atomic.Int64
+
+func newRig(t *testing.T, daemons, servers int, mutantHow string) *rig {
+	const most = 250
+	r := &rig{
+		t: t, history: newHistory(), dir: t.TempDir(), linkAt: map[string]string{}, version: 1, stopBeats: make(chan struct{}),
+		stopSignal: syscall.SIGTERM,
+		ip:         fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%most, 1+numRigs.Add(1)%most),
+	}
+	if mutantHow == crasher {
+		r.stopSignal, mutantHow = syscall.SIGABRT, ""
+	}
+	t.Cleanup(r.end)
+	r.store, r.links = r.spawn("store", "", ""), r.spawn("links", "", "")
+	storeAt := (<-r.store.heard).Address
+	for i := range servers {
+		for _, service := range []string{"shop", "llm"} {
+			r.servers = append(r.servers, &server{service: service, name: fmt.Sprintf("%s%d", service, i)})
+		}
+	}
+	for _, s := range r.servers {
+		r.startServer(s)
+	}
+	r.publish()
+	for i := range daemons {
+		r.addDaemon(i, storeAt, mutantHow)
+	}
+	go r.register()
+	return r
+}
+
+func (r *rig) addDaemon(i int, storeAt, mutantHow string) {
+	ip := fmt.Sprintf("%s%d", r.ip, 10+i)
+	d := &daemon{name: fmt.Sprintf("d%d", i), front: ip + ":8001", ready: ip + ":8002", metrics: ip + ":8004"}
+	d.file = filepath.Join(r.dir, d.name+".yaml")
+	text := fmt.Sprintf(`host: %s
+domain: z%d
+region: r1
+listen: {callers: "%s", ready: "%s", peers: "%s:8003", metrics: "%s"}
+peer_key: "%s"
+store: "%s"
+log_level: info
+memory_mb: 256
+cpu_share: 1
+grace_s: %g
+retry: {ratio: %g, window_s: %g, slack: %d}
+`, d.name, 1+i%2, d.front, d.ready, ip, d.metrics, strings.Repeat("soak", 10), r.link("store-"+d.name, storeAt),
+		grace.Seconds(), retryRatio, retryWindow.Seconds(), retrySlack)
+	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+	to := d.front
+	if mutantHow != "" && i == 0 {
+		r.mutant = r.spawn("mutant", mutantHow, d.front)
+		to = (<-r.mutant.heard).Address
+		r.tellMutant()
+	}
+	d.address = r.link("front-"+d.name, to)
+	r.daemons = append(r.daemons, d)
+	r.startDaemon(d)
+}
+
+// tellMutant lists all servers, by their own addresses.
+func (r *rig) tellMutant() {
+	var list []string
+	for _, s := range r.servers {
+		list = append(list, s.direct+"/"+s.id())
+	}
+	r.tell(r.mutant, command{Op: "servers", List: list})
+}
+
+func (r *rig) tell(p *proc, c command) { _ = p.in.Encode(c) } // its end shows elsewhere
+
+// spawn starts a stand-in.
+func (r *rig) spawn(role, name, to string) *proc {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), roleEnv+"="+role, "SOAK_IP="+r.ip+"1", "SOAK_NAME="+name, "SOAK_TO="+to)
+	cmd.Stderr = os.Stderr
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	p := &proc{cmd: cmd, in: json.NewEncoder(in), ended: make(chan struct{}), heard: make(chan report, 64)}
+	if err := cmd.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	r.allEnded.Add(1)
+	go func() {
+		defer r.allEnded.Done()
+		r.hear(p, out)
+		p.result = cmd.Wait()
+		close(p.ended)
+	}()
+	return p
+}
+
+// hear takes in all that a stand-in reports, to the end of its output.
+func (r *rig) hear(p *proc, out io.Reader) {
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		var rep report
+		if json.Unmarshal(lines.Bytes(), &rep) != nil {
+			continue // a line cut by a kill
+		}
+		switch rep.What {
+		case "listening":
+			p.heard <- rep
+		case "beat":
+			r.heartbeat(rep.Server)
+		default:
+			r.history.addRun(rep)
+		}
+	}
+}
+
+// link returns the address of the named link to an address.
+func (r *rig) link(name, to string) string {
+	r.tell(r.links, command{Op: "link", Name: name, To: to})
+	if r.linkAt[name] == "" {
+		r.linkAt[name] = (<-r.links.heard).Address
+	}
+	return r.linkAt[name]
+}
+
+func (r *rig) startDaemon(d *daemon) {
+	d.starts++
+	logs := io.Discard
+	if *flagLogs != "" {
+		f, err := os.OpenFile(filepath.Join(*flagLogs, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		defer f.Close()
+		logs = f
+	}
+	cmd := exec.Command(daemonBinary, "edge", "--config", d.file)
+	cmd.Stdout, cmd.Stderr = logs, os.Stderr
+	if err := cmd.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	p := &proc{cmd: cmd, ended: make(chan struct{})}
+	r.allEnded.Add(1)
+	go func() {
+		defer r.allEnded.Done()
+		p.result = cmd.Wait()
+		close(p.ended)
+	}()
+	d.proc = p
+}
+
+// startServer starts the next incarnation of a server, at its old address.
+func (r *rig) startServer(s *server) {
+	r.mu.Lock()
+	s.instance++
+	name := s.id()
+	r.mu.Unlock()
+	p := r.spawn("server", name, "")
+	direct := (<-p.heard).Address
+	address := r.link(s.name, direct)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.proc, s.direct, s.address = p, direct, address
+	s.leaving, s.entered, s.seq, s.beat = false, false, 0, time.Now()
+	if r.mutant != nil {
+		r.tellMutant()
+	}
+}
+
+func (r *rig) heartbeat(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.servers {
+		if s.id() == id {
+			s.beat = time.Now()
+		}
+	}
+}
+
+// register plays the servers' records: those that live are written, those that are
+// silent removed, both only while the store takes writes.
+func (r *rig) register() {
+	tick := time.NewTicker(heartbeat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-r.stopBeats:
+			return
+		case <-tick.C:
+		}
+		r.mu.Lock()
+		if how := r.storeHow; how == "" || how == "slow" || how == "trimmed" {
+			for _, s := range r.servers {
+				r.enter(s)
+			}
+		}
+		r.mu.Unlock()
+	}
+}
+
+const lapse = 3 * heartbeat
+
+// enter writes the record of a server; the caller holds the lock.
+func (r *rig) enter(s *server) {
+	live := time.Since(s.beat) < lapse
+	switch {
+	case live:
+		s.seq++
+		s.entered = true
+		r.tell(r.store, command{Op: "put", Stream: standin.Servers, Key: s.id(), Value: standin.Entry(s.service, s.address, s.leaving, s.seq)})
+	case s.entered:
+		s.entered = false
+		r.tell(r.store, command{Op: "put", Stream: standin.Servers, Key: s.id()})
+	}
+}
+
+// key is the key that versions n and n+1 of the settings allow.
+func key(n int) string { return fmt.Sprintf("key-%06d", n) }
+
+// publish writes the next version of the settings.
+func (r *rig) publish() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	r.history.publish(r.version)
+	r.tell(r.store, command{Op: "put", Stream: standin.Settings, Key: standin.SettingsKey, Value: settingsOf(r.version)})
+	return r.version
+}
+
+func settingsOf(version int) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[
+{"name":"once","host":"h","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":4000,"service":"shop"},
+{"name":"again","host":"h","path_prefix":"/again/","kind":"idempotent","timeout_ms":4000,"service":"shop","max_attempts":%d},
+{"name":"stream","host":"h","path_prefix":"/stream/","kind":"streaming","timeout_ms":20000,"target_latency_ms":1000,"gap_target_ms":500,"service":"llm","max_attempts":%d,"resumable":true,"sticky":true}],
+"services":[{"name":"shop"},{"name":"llm","engine":{"slots":16,"kv_capacity_tokens":450000,"stride":46,"step_ms":0.925,"read_per_s":256000.0,"pairs_per_m":0.0917,"hop_ms":0.1,"usual":{"prompt":13229,"answer":1541}}}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"t1","api_keys":[%q,%q]}]}`, version, maxAttempts, maxAttempts, key(version-1), key(version))
+}
+
+// end ends all processes of the rig, each by its own id.
+func (r *rig) end() {
+	close(r.stopBeats)
+	for _, d := range r.daemons {
+		d.proc.signal(syscall.SIGKILL)
+	}
+	r.mu.Lock()
+	all := []*proc{r.store, r.links, r.mutant}
+	for _, s := range r.servers {
+		all = append(all, s.proc)
+	}
+	r.mu.Unlock()
+	for _, p := range all {
+		if p != nil {
+			p.signal(syscall.SIGKILL)
+		}
+	}
+	r.allEnded.Wait()
+}
+
+// get reads a page of a process; an empty text is none.
+func get(address, path string) string {
+	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := client.Get("http://" + address + path)
+	if err != nil {
+		return ""
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil || res.StatusCode != http.StatusOK {
+		return ""
+	}
+	return string(text)
+}
+
+func dials(address string) bool {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err == nil {
+		c.Close()
+	}
+	return err == nil
+}
