--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -171,7 +171,16 @@
 
 // logListChange writes a line for each upstream that came, began to leave or went,
 // and reports whether there was any.
+//
+// The first list has one line: before 999 upstreams, a line for each cost a daemon about
+// 25 ms of processor time at its start (5 s at 202 starts on a day with 101 daemons).
 func (p *process) logListChange(before, after *fleet.Snapshot) bool {
+	if before.At.IsZero() && !after.At.IsZero() {
+		p.log.WithFields(logrus.Fields{
+			"upstreams": len(after.Upstreams), "services": countServices(after), "read_age_ms": time.Since(after.At).Milliseconds(),
+		}).Info("upstreams_listed")
+		return true
+	}
 	changed := false
 	note := func(u fleet.Upstream, what string) {
 		changed = true
@@ -198,6 +207,15 @@
 	return changed
 }
 
+// countServices returns the number of upstreams of each service.
+func countServices(list *fleet.Snapshot) map[string]int {
+	counts := map[string]int{}
+	for _, u := range list.Upstreams {
+		counts[u.Service]++
+	}
+	return counts
+}
+
 // spreadList tells all that choose upstreams of a change.
 func (p *process) spreadList() {
 	p.mu.Lock()
