--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -4,11 +4,8 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
-	"math/rand/v2"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,7 +13,6 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/claim"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
-	"github.com/buckthorndock/buckthorndock/internal/platform"
 )
 
 func ask(key string) Ask {
@@ -31,6 +27,7 @@
 }
 
 // mustHold acquires a key and takes the step before the first byte.
+
 func (s *site) mustHold(host, key string) Result {
 	s.t.Helper()
 	r, err := s.acquire(host, key)
@@ -50,6 +47,7 @@
 }
 
 // records counts the decoded records of a key's partition.
+
 func (l *memLog) records(key string) (claims, releases int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -110,93 +108,16 @@
 	}
 }
 
-func TestAppendFaults(t *testing.T) {
-	for name, c := range map[string]struct {
-		faults []fault
-		claims int // records in the log afterwards
-	}{
-		"no effect":        {[]fault{noEffect, noEffect}, 1},
-		"lost answer":      {[]fault{lostAnswer}, 1},
-		"doubled":          {[]fault{doubled}, 2},
-		"no effect, twice": {[]fault{noEffect, doubled}, 2},
-	} {
-		t.Run(name, func(t *testing.T) {
-			s := newSite(t, "a", "b")
-			s.log.set(func() { s.log.faults = c.faults })
-			r := s.mustHold("b", "k")
-			if claims, _ := s.log.records("k"); claims != c.claims || !r.Permit.Dispatch(time.Now()) {
-				t.Errorf("%d claim records, want %d; permit %v", claims, c.claims, r.Permit.State())
-			}
-			if again, err := s.acquire("a", "k"); err != nil || again.Mine() || again.Offset != r.Offset {
-				t.Errorf("second ask: %+v, %v", again, err)
-			}
-		})
-	}
-}
-
 // TestStormOfFaults: with every other append failing in some way, combiners
+
 // coming and going and keys released, no key is dispatched twice, and each
-// key can be dispatched in the end.
-func TestStormOfFaults(t *testing.T) {
-	const keys, workers, asks = 8, 6, 40
-	s := newSite(t, "a", "b", "c")
-	rng := rand.New(rand.NewPCG(1, 2))
-	for range workers * asks {
-		f := []fault{noEffect, lostAnswer, doubled, fine, fine, fine}[rng.IntN(6)]
-		s.log.faults = append(s.log.faults, f)
-	}
-	var dispatches [keys]atomic.Int64
-	try := func(rng *rand.Rand, host string, n int) {
-		r, err := s.acquire(host, fmt.Sprint(n))
-		switch {
-		case err != nil || !r.Mine():
-		case rng.IntN(2) == 0:
-			s.hosts[host].Release(r)
-		case r.Permit.Dispatch(time.Now()):
-			dispatches[n].Add(1)
-		}
-	}
-	var wg sync.WaitGroup
-	for w := range workers {
-		rng := rand.New(rand.NewPCG(3, uint64(w)))
-		wg.Go(func() {
-			for i := range asks {
-				if w == 0 {
-					s.setDown(s.names[i%2], rng.IntN(2) == 0)
-				}
-				try(rng, s.names[rng.IntN(3)], rng.IntN(keys))
-			}
-		})
-	}
-	wg.Wait()
-	s.log.set(func() { s.log.faults = nil })
-	for n := range dispatches {
-		eventually(t, fmt.Sprintf("key %d dispatched", n), func() bool {
-			try(rng, "c", n)
-			return dispatches[n].Load() > 0
-		})
-		if d := dispatches[n].Load(); d != 1 {
-			t.Errorf("key %d: %d dispatches", n, d)
-		}
-	}
-}
 
-func TestLogAwayRefusesAndRecovers(t *testing.T) {
-	s := newSite(t, "a", "b")
-	s.log.set(func() { s.log.noLog = true })
-	_, err := s.acquire("b", "k")
-	if r := wantCode(t, err, request.CodeKeyUnavailable); r.RetryAfter <= 0 {
-		t.Error("no Retry-After")
-	}
-	s.log.set(func() { s.log.noLog = false })
-	eventually(t, "a claim is held again", func() bool {
-		r, err := s.acquire("b", "k")
-		return err == nil && r.Mine()
-	})
-}
+// key can be dispatched in the end.
 
 // An append whose record cannot be read back in time leaves no right to
+
 // dispatch, and the key comes free by the front's own release.
+
 func TestUndecidedClaimDiesAndIsReleased(t *testing.T) {
 	s := newSite(t, "a", "b")
 	s.log.set(func() { s.log.faults = []fault{blinded} })
@@ -217,23 +138,6 @@
 	}
 }
 
-func TestAppendsFailUntilDeadline(t *testing.T) {
-	s := newSite(t, "a")
-	s.log.set(func() { s.log.faults = make([]fault, 100_000) }) // no effect
-	a := ask("k")
-	a.NotAfter = time.Now().Add(300 * time.Millisecond)
-	_, err := s.hosts["a"].Acquire(context.Background(), a)
-	wantCode(t, err, request.CodeKeyUnavailable)
-	s.log.set(func() { s.log.faults = nil })
-	eventually(t, "another ask holds", func() bool {
-		r, err := s.acquire("a", "k")
-		return err == nil && r.Mine()
-	})
-	if claims, _ := s.log.records("k"); claims != 1 {
-		t.Errorf("%d claim records: one that nobody waits for was appended", claims)
-	}
-}
-
 func TestReleasedKeyIsSuperseded(t *testing.T) {
 	s := newSite(t, "a", "b")
 	first := s.mustHold("a", "k")
@@ -261,19 +165,6 @@
 	}
 }
 
-func TestCombinersFail(t *testing.T) {
-	s := newSite(t, "a", "b", "c", "d")
-	first := s.mustHold("d", "k")
-	for _, name := range []string{"a", "b", "c"} {
-		s.setDown(name, true)
-		r, err := s.acquire("d", "k")
-		if err != nil || r.Mine() || r.Offset != first.Offset {
-			t.Errorf("without %s: %+v, %v", name, r, err)
-		}
-		s.mustHold("d", "without "+name)
-	}
-}
-
 func TestHolderReplaced(t *testing.T) {
 	s := newSite(t, "a", "b")
 	first := s.mustHold("b", "k")
@@ -311,98 +202,10 @@
 }
 
 // A host that starts after a trim cannot know who held the key: it refuses, with
-// records left or without.
-func TestTrimmedWindowRefuses(t *testing.T) {
-	for name, kept := range map[string]int{"some records kept": 1, "all trimmed": 0} {
-		t.Run(name, func(t *testing.T) {
-			s := newSite(t, "a")
-			back := claim.Options{}.Window() + time.Minute
-			s.log.set(func() { s.log.clock = func() time.Time { return time.Now().Add(-back) } })
-			s.mustHold("a", "k")
-			stream := StreamName(claim.Partition("frigolijst", "k"))
-			s.log.set(func() {
-				garbage := platform.Record{Offset: 2, At: s.log.clock(), Data: []byte("garbage")}
-				s.log.streams[stream] = append(s.log.streams[stream], garbage)
-				s.log.first[stream] = int64(3 - kept)
-			})
-			s.start("a", 99)
-			_, err := s.acquire("a", "k")
-			wantCode(t, err, request.CodeKeyUnavailable)
 
-			// Once the hole is older than the window, the key is taken again.
-			s.log.set(func() { s.log.clock = time.Now })
-			s.start("a", 100)
-			s.mustHold("a", "k")
-		})
-	}
-}
+// records left or without.
 
 // A combiner that stopped for want of use replays the window before it answers.
-func TestIdleCombinerReplays(t *testing.T) {
-	s := newSite(t, "a")
-	first := s.mustHold("a", "k")
-	c := s.hosts["a"].combiner("frigolijst", "k")
-	eventually(t, "the combiner stops", func() bool {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return !c.running
-	})
-	r, err := s.acquire("a", "k")
-	if err != nil || r.Mine() || r.Offset != first.Offset {
-		t.Errorf("%+v, %v", r, err)
-	}
-}
-
-func TestWindowStartIsSearched(t *testing.T) {
-	log := newMemLog()
-	start := time.Now().Add(-24 * time.Hour)
-	const count = 3 * searchFrom
-	for i := range count {
-		at := start.Add(time.Duration(i) * 24 * time.Hour / count)
-		log.streams["claims-0"] = append(log.streams["claims-0"], platform.Record{Offset: int64(i + 1), At: at, Data: []byte("x")})
-	}
-	var wg sync.WaitGroup
-	c := newCombiner(Options{}.withDefaults(), log, context.Background(), &wg, 0)
-	replay, err := c.replayWindow(context.Background())
-	if err != nil {
-		t.Fatal(err)
-	}
-	if n := replay.Stats().Undecodable; n > count/100 || n < 100 {
-		t.Errorf("%d records replayed of %d", n, count)
-	}
-	if !replay.Clock().After(replay.CertainFrom()) {
-		t.Error("the window's start leaves verdicts uncertain")
-	}
-}
-
-func TestAnswersAreBounded(t *testing.T) {
-	now := time.Now()
-	a := newAnswers(AnswerOptions{Bytes: 100, OneBytes: 60, Records: 3}, time.Minute, func() time.Time { return now })
-	record := func(i, size int) answerKey {
-		k := answerKey{"c", fmt.Sprint(i), 1}
-		r := a.begin(k)
-		_, _ = r.Write(make([]byte, size))
-		r.Finish(Ending{State: AnswerComplete})
-		return k
-	}
-	state := func(k answerKey) AnswerState {
-		chunk, _ := a.look(k, 0)
-		return chunk.State
-	}
-	first, second, tooLarge := record(1, 50), record(2, 51), record(3, 61)
-	if state(first) != AnswerDropped || state(second) != AnswerRunning || state(tooLarge) != AnswerDropped {
-		t.Errorf("states %v, %v, %v", state(first), state(second), state(tooLarge))
-	}
-	record(4, 1)
-	if state(first) != AnswerMissing || a.bytes != 52 {
-		t.Errorf("oldest outcome %v, %d bytes", state(first), a.bytes)
-	}
-	now = now.Add(time.Minute + 1)
-	a.sweep()
-	if state(second) != AnswerDropped || a.bytes != 0 {
-		t.Errorf("aged answer %v, %d bytes", state(second), a.bytes)
-	}
-}
 
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
@@ -415,6 +218,7 @@
 }
 
 // A peer may read a claim as this host's before this host has read it itself.
+
 func TestAnswerIsNotMissingBeforeTheHolderHasReadItsVerdict(t *testing.T) {
 	a := newAnswers(AnswerOptions{}, time.Minute, time.Now)
 	key := answerKey{"frigolijst", "basket", 7}
@@ -442,6 +246,7 @@
 }
 
 // A caller who was told 'not run' must not be told 'unknown' when it comes back.
+
 func TestClaimGivenUpIsAsGoodAsReleased(t *testing.T) {
 	s := newSite(t, "a", "b")
 	s.log.set(func() { s.log.faults = []fault{blinded} })
@@ -462,18 +267,3 @@
 		return false
 	})
 }
-
-func TestGivenUpIsForgotten(t *testing.T) {
-	now := time.Now()
-	g := newGivenUp(time.Minute, func() time.Time { return now })
-	g.add(claim.ID{1})
-	g.sweep()
-	if !g.has(claim.ID{1}) || g.has(claim.ID{2}) {
-		t.Error("wrong claims known")
-	}
-	now = now.Add(time.Minute + 1)
-	g.sweep()
-	if g.has(claim.ID{1}) {
-		t.Error("known beyond its window")
-	}
-}
