--- a/test/days/run.sh
+++ b/test/days/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Plays all days of this folder on the site files that are named, with the users' bench,
-# and on each the days of seeds.txt that once broke a rule there.
+# on the grown ones also those of grown/, and on each the days of seeds.txt that once broke
+# a rule there.
 #   BENCH=path/to/the/bench test/days/run.sh SITE...
 # Exits 1 when a rule broke on any.
 set -euo pipefail
@@ -19,7 +20,9 @@
 }
 
 for site in "$@"; do
-	for day in test/days/*.toml; do
+	days=(test/days/*.toml)
+	[[ $site != *-grown.toml ]] || days+=(test/days/grown/*.toml)
+	for day in "${days[@]}"; do
 		play "$site" "$day"
 	done
 	while read -r name day seed _; do
