Soak: troubles last as long as asked; starts of a daemon are counted atomically

Cause: the run slept its whole length again after the last trouble had begun, so 24 s took up to 48; and callers read the count of a daemon's starts while it was changed. Ruled out: an effect on what was found so far; the troubles and their times are the same. Change: the run ends at its length, the count is atomic.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -32,8 +32,8 @@
 // outcome is what a caller saw of one request.
 type outcome struct {
 	id, kind, daemon string
-	incarnation      int
-	key              int // version whose key it bore
+	incarnation      int64 // of the daemon
+	key              int   // version whose key it bore
 	sent, done       time.Time
 	status           int
 	retryAfter       string
@@ -111,7 +111,7 @@
 }
 
 func (c *caller) begin(id, kind string, keyOf int) outcome {
-	return outcome{id: id, kind: kind, daemon: c.d.name, incarnation: c.d.starts, key: keyOf, sent: time.Now()}
+	return outcome{id: id, kind: kind, daemon: c.d.name, incarnation: c.d.starts.Load(), key: keyOf, sent: time.Now()}
 }
 
 // send sends one request and notes what came of it.
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -237,7 +237,7 @@
 func (h *history) checkSettings(add adder) {
 	type incarnation struct {
 		daemon string
-		start  int
+		start  int64
 	}
 	newest := map[incarnation]outcome{}
 	byDone := slices.Clone(h.outcomes)
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -56,7 +56,7 @@
 	name, file, front, metrics, ready string
 	proc                              *proc
 	address                           string // of its entry, through link and mutant
-	starts                            int
+	starts                            atomic.Int64
 }
 
 // crasher is the mutant whose daemons crash when they are asked to leave.
@@ -213,7 +213,7 @@
 }
 
 func (r *rig) startDaemon(d *daemon) {
-	d.starts++
+	d.starts.Add(1)
 	logs := io.Discard
 	if *flagLogs != "" {
 		f, err := os.OpenFile(filepath.Join(*flagLogs, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -44,8 +44,9 @@
 			go r.newCaller(d, n, p.seed).run(ctx, &callers)
 		}
 	}
+	end := time.Now().Add(p.length)
 	r.playAll(p.plan, &troubles)
-	time.Sleep(max(0, p.length))
+	time.Sleep(time.Until(end))
 	troubles.Wait()
 	if !r.eventually(p.recovery, func() bool { return r.allServe(p.seed) }) {
 		r.history.find("all serve again after the troubles", "not within %s: %s", p.recovery, r.lastOutcomes())
