A prompt whose engine has not begun it is moved before its memory is idle too long

Change: 5.5 s after the sending, without a first event, the engine of one lease is asked whether the memory is used; if not, or if it cannot be asked three times, the attempt ends as silent and the request goes elsewhere, with 8 s left.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -50,8 +50,8 @@
 
 // broken tells why an attempt has ended without a whole answer.
 func (t *attempt) broken(err error) ending {
-	if errors.Is(context.Cause(t.ctx), errSilent) {
-		return ending{end: retry.Silent, err: errSilent}
+	if cause := context.Cause(t.ctx); errors.Is(cause, errSilent) {
+		return ending{end: retry.Silent, err: cause}
 	}
 	if t.ctx.Err() != nil && !errors.Is(t.ctx.Err(), context.DeadlineExceeded) {
 		return ending{gone: true}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -153,7 +153,16 @@
 		g.relay.failed(failed.blamed, retry.Declined) // reached or not, it gave no memory
 		return *failed
 	}
-	e := g.exchange(ctx, Attempt{
+	sending, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	unread, begun := context.WithCancel(sending)
+	defer begun()
+	go func() {
+		if leases.idle(unread, g.relay.leaseUseBy, leaseLookGap) {
+			cancel(errUnused)
+		}
+	}()
+	e := g.exchange(sending, Attempt{
 		Request: g.req,
 		Number:  g.attempt,
 		To:      to,
@@ -161,7 +170,10 @@
 		Left:    g.left(),
 		After:   g.after,
 		Fresh:   !g.req.Route.Repeatable(),
-	}, g.firstLimit(p), g.gapLimit(), func() { g.relay.opts.Planner.First(id) })
+	}, g.firstLimit(p), g.gapLimit(), func() {
+		begun()
+		g.relay.opts.Planner.First(id)
+	})
 	g.finish(ctx, to, started, e)
 	if e.delivered || e.gone {
 		if e.delivered {
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -28,6 +28,10 @@
 	sent   []Attempt
 	leases map[string]bool
 	orders int
+
+	unused      bool // no lease is used
+	looks       int  // whether one is
+	unreachable int  // looks that fail, the first ones
 }
 
 func (s *script) Send(ctx context.Context, a Attempt) (*Answer, error) {
@@ -56,6 +60,16 @@
 	return nil
 }
 
+func (s *script) Unused(context.Context, booking.Part) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.looks++
+	if s.unreachable >= s.looks {
+		return false, merry.New("scripted")
+	}
+	return s.unused, nil
+}
+
 func (s *script) held() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/relay/leases.go
+++ b/internal/relay/leases.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // Times of the leases of engine memory. A lease ends by itself soon after the daemon
@@ -19,6 +20,18 @@
 	leaseOrder = 400 * time.Millisecond  // for one order
 )
 
+// Times of the look whether memory that was set aside is used. An engine that was sent a
+// request and has not begun it leaves the memory on all others idle, and nobody else may
+// use it meanwhile: the platform allows that for 9 s. A sound one begins at once.
+const (
+	leaseUseBy   = 5500 * time.Millisecond
+	leaseLookGap = 700 * time.Millisecond // until the next look when one got no answer
+	leaseLooks   = 3
+)
+
+// errUnused ends an attempt whose memory is not used: the engine that was asked is stuck.
+var errUnused = merry.Wrap(errSilent, merry.WithMessage("the engine has not begun: leases of it are unused"))
+
 var errNoMemory = merry.Sentinel("the memory could not be reserved")
 
 // leases are those of one attempt.
@@ -90,6 +103,29 @@
 	}
 }
 
+// idle reports, after a while, that a lease is not used yet, or that its engine cannot
+// tell. It returns false as soon as the context ends.
+func (l *leases) idle(ctx context.Context, after, gap time.Duration) bool {
+	if len(l.held) == 0 || !wait.For(ctx, after) {
+		return false
+	}
+	on := l.held[len(l.held)-1]
+	for range leaseLooks {
+		looking, cancel := context.WithTimeout(ctx, leaseOrder)
+		unused, err := l.sender.Unused(looking, on)
+		cancel()
+		if err == nil {
+			l.log.WithFields(logrus.Fields{"upstream": on.Upstream, "lease": on.Lease, "unused": unused}).Info("lease_looked_at")
+			return unused && ctx.Err() == nil
+		}
+		l.log.WithError(err).WithField("upstream", on.Upstream).Info("lease_not_looked_at")
+		if !wait.For(ctx, gap) {
+			return false
+		}
+	}
+	return true
+}
+
 // release gives the memory back. It waits for a renewal under way, which would
 // otherwise set the memory aside anew.
 func (l *leases) release() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,6 +43,8 @@
 type Relay struct {
 	opts Options
 	log  *logrus.Entry
+	// leaseUseBy is when leases have to be used; tests shorten it.
+	leaseUseBy time.Duration
 
 	mu      sync.Mutex
 	avoid   *avoid.Tracker
@@ -64,10 +66,11 @@
 // New returns a Relay.
 func New(o Options) *Relay {
 	return &Relay{
-		opts:    o,
-		log:     o.Log,
-		avoid:   avoid.New(avoid.Options{First: avoidFirst, Most: avoidMost, Forget: avoidForget, CutAt: cutAt}),
-		budgets: map[string]*budget{},
+		opts:       o,
+		leaseUseBy: leaseUseBy,
+		log:        o.Log,
+		avoid:      avoid.New(avoid.Options{First: avoidFirst, Most: avoidMost, Forget: avoidForget, CutAt: cutAt}),
+		budgets:    map[string]*budget{},
 	}
 }
 
