--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -27,7 +27,6 @@
 }
 
 // mustHold acquires a key and takes the step before the first byte.
-
 func (s *site) mustHold(host, key string) Result {
 	s.t.Helper()
 	r, err := s.acquire(host, key)
@@ -47,7 +46,6 @@
 }
 
 // records counts the decoded records of a key's partition.
-
 func (l *memLog) records(key string) (claims, releases int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -108,16 +106,8 @@
 	}
 }
 
-// TestStormOfFaults: with every other append failing in some way, combiners
-
-// coming and going and keys released, no key is dispatched twice, and each
-
-// key can be dispatched in the end.
-
 // An append whose record cannot be read back in time leaves no right to
-
 // dispatch, and the key comes free by the front's own release.
-
 func TestUndecidedClaimDiesAndIsReleased(t *testing.T) {
 	s := newSite(t, "a", "b")
 	s.log.set(func() { s.log.faults = []fault{blinded} })
@@ -201,12 +191,6 @@
 	s.mustHold("a", uuid.Must(uuid.NewV7()).String())
 }
 
-// A host that starts after a trim cannot know who held the key: it refuses, with
-
-// records left or without.
-
-// A combiner that stopped for want of use replays the window before it answers.
-
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
@@ -218,7 +202,6 @@
 }
 
 // A peer may read a claim as this host's before this host has read it itself.
-
 func TestAnswerIsNotMissingBeforeTheHolderHasReadItsVerdict(t *testing.T) {
 	a := newAnswers(AnswerOptions{}, time.Minute, time.Now)
 	key := answerKey{"frigolijst", "basket", 7}
@@ -246,7 +229,6 @@
 }
 
 // A caller who was told 'not run' must not be told 'unknown' when it comes back.
-
 func TestClaimGivenUpIsAsGoodAsReleased(t *testing.T) {
 	s := newSite(t, "a", "b")
 	s.log.set(func() { s.log.faults = []fault{blinded} })
--- a/internal/claims/faults_test.go
+++ b/internal/claims/faults_test.go
@@ -36,6 +36,9 @@
 	}
 }
 
+// TestStormOfFaults: with every other append failing in some way, combiners
+// coming and going and keys released, no key is dispatched twice, and each
+// key can be dispatched in the end.
 func TestStormOfFaults(t *testing.T) {
 	const keys, workers, asks = 8, 6, 40
 	s := newSite(t, "a", "b", "c")
--- a/internal/claims/window_test.go
+++ b/internal/claims/window_test.go
@@ -12,6 +12,8 @@
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 )
 
+// A host that starts after a trim cannot know who held the key: it refuses, with
+// records left or without.
 func TestTrimmedWindowRefuses(t *testing.T) {
 	for name, kept := range map[string]int{"some records kept": 1, "all trimmed": 0} {
 		t.Run(name, func(t *testing.T) {
@@ -37,6 +39,7 @@
 	}
 }
 
+// A combiner that stopped for want of use replays the window before it answers.
 func TestIdleCombinerReplays(t *testing.T) {
 	s := newSite(t, "a")
 	first := s.mustHold("a", "k")
