--- a/internal/relay/leases.go
+++ b/internal/relay/leases.go
@@ -22,7 +22,9 @@
 
 // Times of the look whether memory that was set aside is used. An engine that was sent a
 // request and has not begun it leaves the memory on all others idle, and nobody else may
-// use it meanwhile: the platform allows that for 9 s. A sound one begins at once.
+// use it meanwhile. Today's sites bear that for 9 s, of which looks and the release take up
+// to three and a half; a sound engine begins at once. Without the look, prompts whose
+// engine hung left memory idle for 10 s in three of seven plays of a day with such engines.
 const (
 	leaseUseBy   = 5500 * time.Millisecond
 	leaseLookGap = 700 * time.Millisecond // until the next look when one got no answer
@@ -30,7 +32,7 @@
 )
 
 // errUnused ends an attempt whose memory is not used: the engine that was asked is stuck.
-var errUnused = merry.Wrap(errSilent, merry.WithMessage("the engine has not begun: leases of it are unused"))
+var errUnused = merry.Wrap(errSilent, merry.WithMessage("the engine has not begun: the memory set aside for it is unused"))
 
 var errNoMemory = merry.Sentinel("the memory could not be reserved")
 
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -79,7 +79,7 @@
 	// Reserve sets a part's memory aside on its engine, or renews the lease of it.
 	Reserve(ctx context.Context, on booking.Part, life time.Duration) error
 	Release(ctx context.Context, on booking.Part) error
-	// Unused reports that no request uses the memory of a lease yet.
+	// Unused reports whether no request uses the memory of a lease yet.
 	Unused(ctx context.Context, on booking.Part) (bool, error)
 }
 
