An answer that has begun is neither refused nor yields when it is moved

Ruled out: the change of the settings (they were cut by the plan, on daemons before and after it); servers that broke off (their runs ended after ours). Change: the planner knows that a part of the answer has been passed on; such an attempt is booked wherever it costs least, late or not, and waits for memory where there is none. Tests: the book refuses and yields before the answer has begun and not after; the relay says so to the planner. Both fail without the change (the field is new).

--- a/internal/core/booking/book_test.go
+++ b/internal/core/booking/book_test.go
@@ -136,6 +136,26 @@
 	}
 }
 
+func TestAnswerThatHasBegunIsNeitherRefusedNorYields(t *testing.T) {
+	for name, change := range map[string]func(*Ask){
+		"late in any case":     func(a *Ask) { a.Objective = time.Millisecond },
+		"no time for its read": func(a *Ask) { a.Left = time.Millisecond },
+	} {
+		for _, begun := range []bool{false, true} {
+			b := newBook(2)
+			for i := range 2 {
+				b.Place(ask(fmt.Sprint("busy", i), 150_000), start)
+			}
+			a := ask("a", 150_000)
+			change(&a)
+			a.Begun = begun
+			if p := b.Place(a, start); (p.Verdict == Booked) != begun {
+				t.Errorf("%s, begun %v: %s", name, begun, p.Verdict)
+			}
+		}
+	}
+}
+
 func TestPromptThatEarnsLittleYieldsWhileAllEnginesAreBusy(t *testing.T) {
 	b := newBook(4)
 	for i := range 4 {
--- a/internal/core/booking/long.go
+++ b/internal/core/booking/long.go
@@ -61,13 +61,13 @@
 	}
 	first := best.end().Sub(t.now) + t.pass(&best.loads[0])
 	whole := first + t.service.Figures.Write(t.ask.Expected, len(best.loads[0].writers)+1, best.loads[0].context+t.ask.need())
-	if first > t.ask.Left {
+	switch {
+	case t.ask.Begun: // goes on in any case
+	case first > t.ask.Left:
 		return Plan{Verdict: TooLate, First: first}
-	}
-	if t.shouldYield(best, read, whole) {
+	case t.shouldYield(best, read, whole):
 		return Plan{Verdict: Yield, First: first}
-	}
-	if best.late && best.harm > (1-lateShare)*t.ask.value() {
+	case best.late && best.harm > (1-lateShare)*t.ask.value():
 		return Plan{Verdict: TooLate, First: first}
 	}
 	return Plan{
@@ -268,7 +268,7 @@
 	switch {
 	case t.service.Figures.Memory > 0 && t.ask.need() > held:
 		return TooLarge
-	case read/time.Duration(most) > t.ask.Left:
+	case read/time.Duration(most) > t.ask.Left && !t.ask.Begun:
 		return TooLate
 	}
 	return Full
--- a/internal/core/booking/types.go
+++ b/internal/core/booking/types.go
@@ -15,6 +15,9 @@
 	Left      time.Duration // until the deadline
 	Exclude   []string      // engines that earlier attempts have ruled out
 	Avoid     []string      // engines that the daemon has found failing
+	// Begun: its caller has a part of the answer. It is not refused and does not yield:
+	// that would cut the answer.
+	Begun bool
 }
 
 // need returns the memory in tokens that the request holds at its end.
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -58,6 +58,7 @@
 		Left:      g.left(),
 		Exclude:   g.exclude,
 		Avoid:     g.avoid(),
+		Begun:     g.started,
 	}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -312,3 +312,15 @@
 		t.Errorf("sent %+v", f.script.sent)
 	}
 }
+
+func TestPlannerKnowsThatAnAnswerHasBegun(t *testing.T) {
+	f := newFixture(t, answerFrom(200, brokenBody(firstEvents)), answer(200, lastEvents))
+	f.live("e1", "e2")
+	f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2")}
+	if refusal := f.relay.Run(t.Context(), streamRequest(true), &record{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if asks := f.planner.asks; len(asks) != 2 || asks[0].Begun || !asks[1].Begun {
+		t.Errorf("asked %+v", asks)
+	}
+}
