Read as a newcomer: looks within the bound of idle memory, the wire only in platform/

Cause: looks at memory that was set aside could end 9.6 s after it was (0.4 to take it, 5.5, three looks of 0.4 with a wait of 0.7 after each, 0.4 to give it back), beyond the 9 s that they are to keep, where the comment gave three and a half seconds for looks and release. Its run by hand skipped itself in every test run. An engine's attempt had the watch of its leases spelled out in its middle. Three figures said more than their runs gave. Change: 0.4 s between looks and none after the last, at most 8.3 s; a test adds up the constants against the bound and fails with the former wait (8.9 s without the one after the last look). The watch is a function of the leases. One TestSoak plays what the flags say, by default the seed and time of the former short run; nothing is skipped. One writer of events in place of two, one way to freeze a process. The log line's and the trial's figures are given as measured: processor seconds of whole runs, requests served of those asked. No check or expectation is loosened. Left as they are: import lists that look alike, the two shapes of 'for each, log what failed'.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -172,8 +172,8 @@
 // logListChange writes a line for each upstream that came, began to leave or went,
 // and reports whether there was any.
 //
-// The first list has one line: before 999 upstreams, a line for each cost a daemon about
-// 25 ms of processor time at its start (5 s at 202 starts on a day with 101 daemons).
+// The first list has one line. With a line for each of 999 upstreams a simulated day of 101
+// daemons, each started twice, took 58 and 55 s of processor time, with one line 53 s.
 func (p *process) logListChange(before, after *fleet.Snapshot) bool {
 	if before.At.IsZero() && !after.At.IsZero() {
 		p.log.WithFields(logrus.Fields{
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -154,15 +154,8 @@
 		g.relay.failed(failed.blamed, retry.Declined) // reached or not, it gave no memory
 		return *failed
 	}
-	sending, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	unread, begun := context.WithCancel(sending)
-	defer begun()
-	go func() {
-		if leases.idle(unread, g.relay.leaseUseBy, leaseLookGap) {
-			cancel(errUnused)
-		}
-	}()
+	sending, read, end := leases.watch(ctx, g.relay.leaseUseBy)
+	defer end()
 	e := g.exchange(sending, Attempt{
 		Request: g.req,
 		Number:  g.attempt,
@@ -172,7 +165,7 @@
 		After:   g.after,
 		Fresh:   !g.req.Route.Repeatable(),
 	}, g.firstLimit(p), g.gapLimit(), func() {
-		begun()
+		read()
 		g.relay.opts.Planner.First(id)
 	})
 	g.finish(ctx, to, started, e)
--- a/internal/relay/leases.go
+++ b/internal/relay/leases.go
@@ -22,13 +22,14 @@
 
 // Times of the look whether memory that was set aside is used. An engine that was sent a
 // request and has not begun it leaves the memory on all others idle, and nobody else may
-// use it meanwhile. Today's sites bear that for 9 s, of which looks and the release take up
-// to three and a half; a sound engine begins at once. Without the look, prompts whose
-// engine hung left memory idle for 10 s in three of seven plays of a day with such engines.
+// use it meanwhile; a sound engine begins at once. Without the look, prompts whose engine
+// hung left memory idle for 10 s in three of seven plays of a day with such engines.
 const (
-	leaseUseBy   = 5500 * time.Millisecond
-	leaseLookGap = 700 * time.Millisecond // until the next look when one got no answer
-	leaseLooks   = 3
+	// leaseIdleMost is how long today's sites bear idle memory.
+	leaseIdleMost = 9 * time.Second
+	leaseUseBy    = 5500 * time.Millisecond
+	leaseLookGap  = 400 * time.Millisecond // until the next look when one got no answer
+	leaseLooks    = 3
 )
 
 // errUnused ends an attempt whose memory is not used: the engine that was asked is stuck.
@@ -112,7 +113,10 @@
 		return false
 	}
 	on := l.held[len(l.held)-1]
-	for range leaseLooks {
+	for look := range leaseLooks {
+		if look > 0 && !wait.For(ctx, gap) {
+			return false
+		}
 		looking, cancel := context.WithTimeout(ctx, leaseOrder)
 		unused, err := l.sender.Unused(looking, on)
 		cancel()
@@ -121,11 +125,21 @@
 			return unused && ctx.Err() == nil
 		}
 		l.log.WithError(err).WithField("upstream", on.Upstream).Info("lease_not_looked_at")
-		if !wait.For(ctx, gap) {
-			return false
-		}
 	}
-	return true
+	return ctx.Err() == nil
+}
+
+// watch returns a context for the sending that ends when the leases turn out idle. read
+// ends the watch, at the first event; end frees all, at the end of the attempt.
+func (l *leases) watch(ctx context.Context, after time.Duration) (sending context.Context, read, end func()) {
+	sending, cancel := context.WithCancelCause(ctx)
+	unread, read := context.WithCancel(sending)
+	go func() {
+		if l.idle(unread, after, leaseLookGap) {
+			cancel(errUnused)
+		}
+	}()
+	return sending, read, func() { cancel(nil) }
 }
 
 // release gives the memory back. It waits for a renewal under way, which would
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -324,3 +324,10 @@
 		t.Errorf("asked %+v", asks)
 	}
 }
+
+func TestLooksEndBeforeMemoryIsIdleTooLong(t *testing.T) {
+	longest := leaseOrder + leaseUseBy + leaseLooks*leaseOrder + (leaseLooks-1)*leaseLookGap + leaseOrder
+	if longest > leaseIdleMost-500*time.Millisecond {
+		t.Errorf("memory may be idle for %s", longest)
+	}
+}
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/buckthorndock/buckthorndock/platform/standin"
 )
 
 // Kinds of requests, which are the first part of their paths.
@@ -92,21 +94,17 @@
 		panic(err)
 	}
 	req.Host = "h"
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
-	req.Header.Set("Authorization", "Token "+key(keyOf))
+	call := standin.Call{ID: id, Key: key(keyOf), Patience: callerDeadline}
 	if kind == kindStream {
-		prompt := 2000
+		call.Prompt, call.Answer, call.Part = 2000, 100, c.rng.Uint32()
 		if c.rng.IntN(4) == 0 {
-			prompt = 200_000 // is read by several engines
-		}
-		req.Header.Set("Token-Count", fmt.Sprintf("%d,100", prompt))
-		req.Header.Set("Model", "m")
-		req.Header.Set("Prompt-Prefix", fmt.Sprintf("%x:%d", c.rng.Uint32(), prompt))
-		if strings.Contains(query, "endless") {
-			req.Header.Set("Deadline-Ms", strconv.Itoa(endlessCount*int(endlessPause.Milliseconds())))
+			call.Prompt = 200_000 // is read by several engines
 		}
 	}
+	if strings.Contains(query, "endless") {
+		call.Patience = endlessCount * endlessPause
+	}
+	call.SetOn(req.Header)
 	return req, body
 }
 
@@ -117,14 +115,14 @@
 // send sends one request and notes what came of it.
 func (c *caller) send(kind, query string, keyOf int) outcome {
 	req, body := c.request(context.Background(), kind, query, keyOf)
-	o := c.begin(req.Header.Get("Request-Id"), kind, keyOf)
+	o := c.begin(standin.ID(req.Header), kind, keyOf)
 	res, err := c.client.Do(req)
 	if err == nil {
 		o.status, o.retryAfter = res.StatusCode, res.Header.Get("Retry-After")
 		var text []byte
 		text, err = io.ReadAll(res.Body)
 		res.Body.Close()
-		o.own = res.Header.Get("Response-Seal") != "" && string(text) == wanted(kind, o.id, body)
+		o.own = standin.Proven(res.Header) && string(text) == wanted(kind, o.id, body)
 	}
 	o.failed, o.done = err, time.Now()
 	c.rig.history.add(o)
@@ -147,7 +145,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), leaveAfter)
 	defer cancel()
 	req, _ := c.request(ctx, kindStream, "stream=endless", c.rig.history.newest()-1)
-	o := c.begin(req.Header.Get("Request-Id"), kindStream, 0)
+	o := c.begin(standin.ID(req.Header), kindStream, 0)
 	res, err := c.client.Do(req)
 	if err == nil {
 		_, err = io.Copy(io.Discard, res.Body)
--- a/test/soak/main_test.go
+++ b/test/soak/main_test.go
@@ -13,11 +13,11 @@
 )
 
 var (
-	flagSeed    = flag.Uint64("seed", 0, "draws the troubles; 0: one is chosen and printed")
+	flagSeed    = flag.Uint64("seed", 1, "draws the troubles; 0: one is chosen and printed")
 	flagSeeds   = flag.Int("seeds", 1, "how many seeds to play, from -seed upwards")
-	flagMinutes = flag.Float64("minutes", 0, "how long troubles come for each seed; 0: the long runs are skipped")
+	flagMinutes = flag.Float64("minutes", 8.0/60, "how long troubles come for each seed")
 	flagDaemons = flag.Int("daemons", 3, "number of daemons")
-	flagServers = flag.Int("servers", 4, "number of servers of each of the two services")
+	flagServers = flag.Int("servers", 3, "number of servers of each of the two services")
 	flagLogs    = flag.String("logs", "", "keep the daemons' logs in this directory")
 )
 
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -178,9 +178,7 @@
 		time.Sleep(tr.lasts)
 		r.startDaemon(d)
 	case freezeDaemon:
-		d.proc.signal(syscall.SIGSTOP)
-		time.Sleep(tr.lasts)
-		d.proc.signal(syscall.SIGCONT)
+		d.proc.freeze(tr.lasts)
 	case reloadDaemon:
 		// In its first milliseconds no code of the daemon runs yet that could take it.
 		r.eventually(recoveryWait, func() bool { return dials(d.front) })
@@ -216,9 +214,7 @@
 		time.Sleep(tr.lasts)
 		r.startServer(s)
 	case freezeServer:
-		s.proc.signal(syscall.SIGSTOP)
-		time.Sleep(tr.lasts)
-		s.proc.signal(syscall.SIGCONT)
+		s.proc.freeze(tr.lasts)
 	case rollServer:
 		r.mu.Lock()
 		s.leaving = true
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -31,6 +31,13 @@
 
 func (p *proc) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) } // an ended one needs none
 
+// freeze stops the process for a time.
+func (p *proc) freeze(d time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	p.signal(syscall.SIGCONT)
+}
+
 func (p *proc) kill() {
 	p.signal(syscall.SIGKILL)
 	<-p.ended
@@ -312,20 +319,10 @@
 	defer r.mu.Unlock()
 	r.version++
 	r.history.publish(r.version)
-	r.tell(r.store, command{Op: "put", Stream: standin.Settings, Key: standin.SettingsKey, Value: settingsOf(r.version)})
+	r.tell(r.store, command{Op: "put", Stream: standin.Settings, Key: standin.SettingsKey, Value: standin.KindsText(r.version, maxAttempts, key(r.version-1), key(r.version))})
 	return r.version
 }
 
-func settingsOf(version int) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[
-{"name":"once","host":"h","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":4000,"service":"shop"},
-{"name":"again","host":"h","path_prefix":"/again/","kind":"idempotent","timeout_ms":4000,"service":"shop","max_attempts":%d},
-{"name":"stream","host":"h","path_prefix":"/stream/","kind":"streaming","timeout_ms":20000,"target_latency_ms":1000,"gap_target_ms":500,"service":"llm","max_attempts":%d,"resumable":true,"sticky":true}],
-"services":[{"name":"shop"},{"name":"llm","engine":{"slots":16,"kv_capacity_tokens":450000,"stride":46,"step_ms":0.925,"read_per_s":256000.0,"pairs_per_m":0.0917,"hop_ms":0.1,"usual":{"prompt":13229,"answer":1541}}}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"t1","api_keys":[%q,%q]}]}`, version, maxAttempts, maxAttempts, key(version-1), key(version))
-}
-
 // end ends all processes of the rig, each by its own id.
 func (r *rig) end() {
 	close(r.stopBeats)
--- a/test/soak/roles_test.go
+++ b/test/soak/roles_test.go
@@ -90,7 +90,7 @@
 		panic(err)
 	}
 	s.Set(func(w *bufio.Writer, r *http.Request) bool {
-		id := r.Header.Get("Request-Id")
+		id := standin.ID(r.Header)
 		tell(report{What: "ran", ID: id, Server: name, At: time.Now().UnixNano()})
 		whole := serve(s, w, r, id)
 		tell(report{What: "ended", ID: id, Server: name, Whole: whole, At: time.Now().UnixNano()})
@@ -123,18 +123,7 @@
 	if query.Get("stream") == "endless" {
 		events, pause = endlessCount, endlessPause
 	}
-	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // none: from the start
-	s.Head(w, r, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
-	for n := from + 1; n <= events; n++ {
-		time.Sleep(pause)
-		ev := ownEvent(id, n)
-		fmt.Fprintf(w, "%x\r\n%s\r\n", len(ev), ev)
-		if w.Flush() != nil {
-			return false
-		}
-	}
-	fmt.Fprint(w, "0\r\n\r\n")
-	return w.Flush() == nil
+	return s.Events(w, r, events, pause, func(n int) string { return ownEvent(id, n) })
 }
 
 // playMutant stands before a daemon and breaks one promise, to show that its check can
@@ -163,8 +152,8 @@
 func (m *mutant) older(header http.Header) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if header.Get("Authorization") < m.key {
-		header.Set("Authorization", m.key)
+	if standin.Key(header) < m.key {
+		standin.SetKey(header, m.key)
 	}
 }
 
@@ -213,7 +202,7 @@
 	defer res.Body.Close()
 	answer, _ := io.ReadAll(res.Body) // of a stream that breaks off, what has come
 	if res.StatusCode == http.StatusOK {
-		m.accepted(r.Header.Get("Authorization"))
+		m.accepted(standin.Key(r.Header))
 	}
 	switch m.how {
 	case "twice", "eager":
@@ -223,7 +212,7 @@
 			}
 		}
 	case "swapped":
-		answer = []byte(strings.Replace(string(answer), r.Header.Get("Request-Id"), "another", 1))
+		answer = []byte(strings.Replace(string(answer), standin.ID(r.Header), "another", 1))
 	case "cutter":
 		panic(http.ErrAbortHandler)
 	case "liar":
@@ -256,7 +245,7 @@
 	out.URL = &url.URL{Scheme: "http", Host: to, Path: r.URL.Path, RawQuery: r.URL.RawQuery}
 	out.Body, out.ContentLength = io.NopCloser(strings.NewReader(string(body))), int64(len(body))
 	if instance != "" {
-		out.Header.Set("Expect-Instance", instance)
+		standin.SetMeantFor(out.Header, instance)
 	}
 	return http.DefaultTransport.RoundTrip(out)
 }
@@ -275,10 +264,6 @@
 func (m *mutant) reserve() {
 	for _, s := range m.listed() {
 		address, _, _ := strings.Cut(s, "/")
-		res, err := http.Post("http://"+address+"/api/order", "application/json",
-			strings.NewReader(`{"op":"reserve","id":"leak","tokens":5,"hold_ms":600000}`))
-		if err == nil {
-			res.Body.Close()
-		}
+		_ = standin.LeaseAt(address, "leak", 10*time.Minute) // one that has gone leaks nothing
 	}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/buckthorndock/buckthorndock/platform/standin"
 )
 
 // play is one soak: a site, its troubles, and what its callers do.
@@ -151,7 +153,10 @@
 		}
 	}
 	for _, s := range r.servers {
-		free := func() bool { return strings.Contains(get(s.direct, "/api/report"), `"admission_tickets":[]`) }
+		free := func() bool {
+			n, err := standin.LeasesAt(s.direct)
+			return err == nil && n == 0
+		}
 		if !r.eventually(within, free) {
 			r.history.find("engines get their memory back", "%s", s.name)
 		}
@@ -176,11 +181,17 @@
 	}
 }
 
-// TestSeededSoak is the short run of every test run, with a fixed seed.
-func TestSeededSoak(t *testing.T) {
+// TestSoak plays the seeds that the flags name: without any, a short run of a fixed one.
+func TestSoak(t *testing.T) {
 	t.Parallel()
-	p := seeded(1, 8*time.Second, 3, 3)
-	tellFindings(t, p, p.run(t))
+	first := *flagSeed
+	if first == 0 {
+		first = rand.Uint64N(1_000_000_000)
+	}
+	for i := range *flagSeeds {
+		p := seeded(first+uint64(i), time.Duration(*flagMinutes*float64(time.Minute)), *flagDaemons, *flagServers)
+		t.Run(fmt.Sprint(p.seed), func(t *testing.T) { tellFindings(t, p, p.run(t)) })
+	}
 }
 
 // TestSeedsThatFailed plays the seeds that once broke a promise, as they were.
@@ -198,21 +209,6 @@
 	}
 }
 
-// TestSoak is the run by hand: -minutes, -seed, -seeds.
-func TestSoak(t *testing.T) {
-	if *flagMinutes == 0 {
-		t.Skip("for a run by hand: make soak SEED=… MINUTES=…")
-	}
-	first := *flagSeed
-	if first == 0 {
-		first = rand.Uint64N(1_000_000_000)
-	}
-	for i := range *flagSeeds {
-		p := seeded(first+uint64(i), time.Duration(*flagMinutes*float64(time.Minute)), *flagDaemons, *flagServers)
-		t.Run(fmt.Sprint(p.seed), func(t *testing.T) { tellFindings(t, p, p.run(t)) })
-	}
-}
-
 // TestEachCheckCanFail plays, for each promise, a mutant that breaks it.
 func TestEachCheckCanFail(t *testing.T) {
 	forSettings := []trouble{{at: 300 * time.Millisecond, kind: newSettings}, {at: 600 * time.Millisecond, kind: newSettings}, {at: 900 * time.Millisecond, kind: newSettings}}
