A server's start is a life of its own; no memory for a run whose engine is silent

Cause: a server may start again under its id, with counts that begin anew. The list went by the id and the heartbeat count alone: a restarted server was ignored until its count passed the former one, and "leaving" stuck for good. A finding with it: memory on other engines was renewed for a prompt whose own engine had gone dark, until its connection timed out 4 s later (LEAK). Ruled out: the silence watch (it waits where no move is left), the watch of unused memory (it ends at the first event). Change: fleet.Life, name and start, gives the ID by which all else knows an upstream; entries of earlier lives change nothing; another server at an address ends the life before; what ran there is broken at once, kept connections are closed. Entries that lack a field, have another type, state or address name no server, with one line a key and reason. An engine that only the keeper lists is ruled out instead of planned again at once.

--- a/internal/core/booking/place.go
+++ b/internal/core/booking/place.go
@@ -208,5 +208,6 @@
 }
 
 func part(l *load, reserve int64) Part {
-	return Part{Upstream: l.engine.up.ID, Address: l.engine.up.Address, Reserve: reserve}
+	u := &l.engine.up
+	return Part{Upstream: u.ID, Life: u.Life, Address: u.Address, Reserve: reserve}
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -133,21 +133,12 @@
 func (p *process) applyUpstreams(b keyed.Batch) {
 	changes := make([]fleet.Change, 0, len(b.Records))
 	for _, r := range b.Records {
-		c := fleet.Change{ID: r.Key}
-		if r.Value != nil {
-			u, err := p.provider.DecodeUpstream(r.Key, r.Value)
-			if err != nil {
-				p.log.WithError(err).Error("upstream_unreadable")
-				continue
-			}
-			c.Upstream = u
-		}
-		changes = append(changes, c)
+		changes = append(changes, p.change(r))
 	}
 	p.mu.Lock()
 	before := p.list.Load()
 	if b.Whole {
-		p.upstreams.Replace(upstreamsOf(changes), b.At)
+		p.upstreams.Replace(changes, b.At)
 	} else {
 		p.upstreams.Read(changes, b.At)
 	}
@@ -156,17 +147,34 @@
 	p.mu.Unlock()
 	if p.logListChange(before, after) || !p.serving.Load() {
 		p.spreadList()
+		p.endSuperseded(before, after)
+	}
+}
+
+// change reads a record of the list. One that cannot be read names no upstream.
+func (p *process) change(r platform.KeyedRecord) fleet.Change {
+	if r.Value == nil {
+		return fleet.Change{Name: r.Key}
 	}
+	u, err := p.provider.DecodeUpstream(r.Key, r.Value)
+	if err != nil {
+		p.unreadable.note(p.log, r.Key, err)
+		return fleet.Change{Name: r.Key, Void: true}
+	}
+	return fleet.Change{Name: r.Key, Upstream: u}
 }
 
-func upstreamsOf(changes []fleet.Change) []fleet.Upstream {
-	var all []fleet.Upstream
-	for _, c := range changes {
-		if c.Upstream != nil {
-			all = append(all, *c.Upstream)
+// endSuperseded ends what runs on upstreams whose place others have taken.
+func (p *process) endSuperseded(before, after *fleet.Snapshot) {
+	for _, u := range before.Upstreams {
+		if _, still := after.Get(u.ID); still {
+			continue
+		}
+		if next, over := after.Successor(u); over {
+			p.pool.Drop(u.Address)
+			p.door.Ended(u, next)
 		}
 	}
-	return all
 }
 
 // logListChange writes a line for each upstream that came, began to leave or went,
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -19,9 +19,11 @@
 	list := func(ids ...string) *fleet.Snapshot {
 		l := fleet.New(fleet.Options{})
 		now := time.Now()
-		var all []fleet.Upstream
+		var all []fleet.Change
 		for _, id := range ids {
-			all = append(all, fleet.Upstream{ID: id, Service: "s", Address: "10.0.0.1:" + id})
+			all = append(all, fleet.Change{Name: id, Upstream: &fleet.Upstream{
+				Life: fleet.Life{Name: id}, Service: "s", Address: "10.0.0.1:" + id,
+			}})
 		}
 		l.Replace(all, now)
 		return l.Snapshot()
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -45,6 +45,8 @@
 	serving atomic.Bool // all that choose upstreams know settings and list
 	list    atomic.Pointer[fleet.Snapshot]
 
+	unreadable noted // entries of the list that cannot be read
+
 	started  time.Time
 	live     atomic.Pointer[Config] // cfg with what has changed since the start
 	fileTime time.Time              // of the daemon file when it was last looked at
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -130,6 +130,13 @@
 	p.idle[c.address] = append(kept, c)
 }
 
+// Drop closes the kept connections to an address.
+func (p *Pool) Drop(address string) {
+	for c := p.pop(address); c != nil; c = p.pop(address) {
+		c.Close()
+	}
+}
+
 // Sweep closes the kept connections whose time is over, and with keep those of
 // addresses that it does not name.
 func (p *Pool) Sweep(now time.Time, keep func(address string) bool) {
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -37,6 +37,7 @@
 	t := &attempt{run: g, ctx: ctx, cancel: cancel, onFirst: onFirst}
 	t.watch = g.watchSilence(limit, gap, cancel)
 	defer t.watch.stop()
+	defer g.relay.running.add(a.To.ID, cancel)()
 	answer, err := g.relay.opts.Sender.Send(ctx, a)
 	if err != nil {
 		return t.broken(err)
@@ -50,8 +51,15 @@
 
 // broken tells why an attempt has ended without a whole answer.
 func (t *attempt) broken(err error) ending {
-	if cause := context.Cause(t.ctx); errors.Is(cause, errSilent) {
+	cause := context.Cause(t.ctx)
+	var lost *lostError
+	switch {
+	case errors.Is(cause, errSilent):
 		return ending{end: retry.Silent, err: cause}
+	case errors.As(cause, &lost):
+		return ending{end: retry.Silent, at: lost.part.Address, err: cause}
+	case errors.Is(cause, errLifeOver):
+		return ending{end: retry.Broken, err: cause}
 	}
 	if t.ctx.Err() != nil && !errors.Is(t.ctx.Err(), context.DeadlineExceeded) {
 		return ending{gone: true}
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
 )
@@ -62,6 +63,9 @@
 // Refuse makes the Door refuse all new calls; those in progress go on.
 func (d *Door) Refuse() { d.refusing.Store(true) }
 
+// Ended tells that the life of an upstream is over; see Relay.Ended.
+func (d *Door) Ended(u, successor fleet.Upstream) { d.relay.Ended(u, successor) }
+
 // InFlight returns the number of requests in progress.
 func (d *Door) InFlight() int { return int(d.inFlight.Load()) }
 
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -33,6 +33,7 @@
 const (
 	placeAgain = 50 * time.Millisecond  // for which no engine has room
 	yieldAgain = 100 * time.Millisecond // that is late and lets others go first
+	planAgain  = 5 * time.Millisecond   // whose plan has an engine that the planner alone lists
 )
 
 // attemptID names the attempt in the book. Hosts may get the same request.
@@ -108,10 +109,14 @@
 			return p, nil
 		}
 		g.relay.opts.Planner.End(g.attemptID())
+		if !wait.For(ctx, planAgain) {
+			return p, g.ended(ctx)
+		}
 	}
 }
 
-// allStay reports whether all engines of a plan still take new work.
+// allStay reports whether all engines of a plan still take new work. One that does not is
+// ruled out, for the planner's list may be older than the one here.
 func (g *run) allStay(p booking.Plan) bool {
 	list := g.relay.opts.Upstreams()
 	for _, part := range p.Parts {
@@ -120,6 +125,7 @@
 				"request": g.req.ID, "upstream": part.Upstream, "waited_ms": p.Wait.Milliseconds(),
 				"list_age_ms": time.Since(list.At).Milliseconds(),
 			}).Info("plan_made_anew")
+			g.exclude = append(g.exclude, part.Upstream)
 			return false
 		}
 	}
@@ -137,7 +143,7 @@
 	first := p.Parts[0]
 	to, known := g.relay.opts.Upstreams().Get(first.Upstream)
 	if !known {
-		to = fleet.Upstream{ID: first.Upstream, Service: g.req.Service.Name, Address: first.Address}
+		to = fleet.Upstream{ID: first.Upstream, Life: first.Life, Service: g.req.Service.Name, Address: first.Address}
 	}
 	started, ok := g.start(to)
 	if !ok {
@@ -154,7 +160,7 @@
 		g.relay.failed(failed.blamed, retry.Declined) // reached or not, it gave no memory
 		return *failed
 	}
-	sending, read, end := leases.watch(ctx, g.relay.leaseUseBy)
+	sending, read, end := leases.watch(ctx, g.relay.leaseTimes)
 	defer end()
 	e := g.exchange(sending, Attempt{
 		Request: g.req,
@@ -209,7 +215,12 @@
 
 // lease reserves the memory that a plan spreads over engines.
 func (g *run) lease(ctx context.Context, id string, parts []booking.Part) (*leases, *ending) {
-	l := &leases{sender: g.relay.opts.Sender, log: g.relay.log.WithField("request", g.req.ID)}
+	l := &leases{
+		sender: g.relay.opts.Sender,
+		log:    g.relay.log.WithField("request", g.req.ID),
+		first:  parts[0],
+		over:   g.relay.over,
+	}
 	for i := range parts {
 		if parts[i].Reserve == 0 {
 			continue
@@ -223,6 +234,5 @@
 	if failed := l.take(ctx); failed != "" {
 		return l, &ending{end: retry.NotWritten, blamed: []string{failed}, err: errNoMemory}
 	}
-	go l.renew()
 	return l, nil
 }
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -30,8 +30,11 @@
 	orders int
 
 	unused      bool // no lease is used
-	looks       int  // whether one is
+	looks       int  // at reports
 	unreachable int  // looks that fail, the first ones
+	gone        bool // the engines list no lease
+	born        int64
+	noRenewals  bool // orders fail after the first reservations
 }
 
 func (s *script) Send(ctx context.Context, a Attempt) (*Answer, error) {
@@ -49,6 +52,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.orders++
+	if s.noRenewals && s.leases[on.Lease] {
+		return merry.New("scripted")
+	}
 	s.leases[on.Lease] = true
 	return nil
 }
@@ -60,14 +66,18 @@
 	return nil
 }
 
-func (s *script) Unused(context.Context, booking.Part) (bool, error) {
+func (s *script) Report(_ context.Context, on booking.Part) (Report, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.looks++
 	if s.unreachable >= s.looks {
-		return false, merry.New("scripted")
+		return Report{}, merry.New("scripted")
+	}
+	r := Report{Born: s.born, Leases: map[string]bool{}}
+	if !s.gone {
+		r.Leases[on.Lease] = !s.unused
 	}
-	return s.unused, nil
+	return r, nil
 }
 
 func (s *script) held() int {
@@ -252,10 +262,12 @@
 	return p
 }
 
+func entry(u fleet.Upstream) fleet.Change { return fleet.Change{Name: u.Name, Upstream: &u} }
+
 func (f *fixture) live(ids ...string) {
-	var all []fleet.Upstream
+	var all []fleet.Change
 	for _, id := range ids {
-		all = append(all, fleet.Upstream{ID: id, Service: "llm", Address: id + ":1"})
+		all = append(all, entry(fleet.Upstream{Life: fleet.Life{Name: id}, Service: "llm", Address: id + ":1"}))
 	}
 	f.list.Replace(all, time.Now())
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -41,10 +41,10 @@
 
 // Relay is safe for concurrent use.
 type Relay struct {
-	opts Options
-	log  *logrus.Entry
-	// leaseUseBy is when leases have to be used; tests shorten it.
-	leaseUseBy time.Duration
+	opts       Options
+	log        *logrus.Entry
+	leaseTimes leaseTimes
+	running    running
 
 	mu      sync.Mutex
 	avoid   *avoid.Tracker
@@ -67,7 +67,7 @@
 func New(o Options) *Relay {
 	return &Relay{
 		opts:       o,
-		leaseUseBy: leaseUseBy,
+		leaseTimes: leaseTimes{renew: leaseRenew, useBy: leaseUseBy},
 		log:        o.Log,
 		avoid:      avoid.New(avoid.Options{First: avoidFirst, Most: avoidMost, Forget: avoidForget, CutAt: cutAt}),
 		budgets:    map[string]*budget{},
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -134,7 +134,8 @@
 	f.planner.plans = []booking.Plan{waits, onEngine("e2")}
 	f.planner.onAsk = func(n int) {
 		if n == 0 {
-			f.list.Read([]fleet.Change{{ID: "e1", Upstream: &fleet.Upstream{ID: "e1", Service: "llm", Leaving: true}}}, time.Now())
+			leaving := fleet.Upstream{Life: fleet.Life{Name: "e1"}, Service: "llm", Address: "e1:1", Leaving: true}
+			f.list.Read([]fleet.Change{entry(leaving)}, time.Now())
 		}
 	}
 	if refusal := f.relay.Run(t.Context(), streamRequest(true), &record{}); refusal != nil {
@@ -214,9 +215,11 @@
 
 func TestMissedConnectionPutsItsDomainAsideForTheRequest(t *testing.T) {
 	f := newFixture(t, fail(retry.NotWritten), answer(200, firstEvents))
-	f.list.Replace([]fleet.Upstream{
-		{ID: "far1", Service: "llm", Domain: "far"}, {ID: "far2", Service: "llm", Domain: "far"}, {ID: "near", Service: "llm", Domain: "near"},
-	}, time.Now())
+	var list []fleet.Change
+	for name, domain := range map[string]string{"far1": "far", "far2": "far", "near": "near"} {
+		list = append(list, entry(fleet.Upstream{Life: fleet.Life{Name: name}, Service: "llm", Address: name + ":1", Domain: domain}))
+	}
+	f.list.Replace(list, time.Now())
 	f.planner.plans = []booking.Plan{onEngine("far1"), onEngine("near")}
 	if refusal := f.relay.Run(t.Context(), streamRequest(true), &record{}); refusal != nil {
 		t.Fatal(refusal)
@@ -302,7 +305,7 @@
 	stuck.Parts[1].Reserve = 50
 	stuck.First = time.Hour // silence alone would not end it
 	f.planner.plans = []booking.Plan{stuck, onEngine("e3")}
-	f.relay.leaseUseBy = time.Millisecond
+	f.relay.leaseTimes.useBy = time.Millisecond
 	req := streamRequest(true)
 	req.Route.Objective = time.Hour
 	if refusal := f.relay.Run(t.Context(), req, &record{}); refusal != nil {
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -34,7 +34,7 @@
 // finish notes how the attempt on an upstream ended. One that broke while its process
 // died is evidence against all that ran there.
 func (g *run) finish(ctx context.Context, u fleet.Upstream, r quarantine.Run, e ending) {
-	if e.end == retry.Broken && !e.delivered && !e.gone && g.died(ctx, u) {
+	if e.end == retry.Broken && !e.delivered && !e.gone && (errors.Is(e.err, errLifeOver) || g.died(ctx, u)) {
 		g.relay.opts.Suspects.Died(u.ID, u.ID, time.Now())
 	}
 	g.relay.opts.Suspects.End(r, e.delivered)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -79,8 +79,14 @@
 	// Reserve sets a part's memory aside on its engine, or renews the lease of it.
 	Reserve(ctx context.Context, on booking.Part, life time.Duration) error
 	Release(ctx context.Context, on booking.Part) error
-	// Unused reports whether no request uses the memory of a lease yet.
-	Unused(ctx context.Context, on booking.Part) (bool, error)
+	// Report asks an engine what it holds, as of some hundred milliseconds ago.
+	Report(ctx context.Context, on booking.Part) (Report, error)
+}
+
+// Report is what an engine tells of itself.
+type Report struct {
+	Born   int64           // as in fleet.Life
+	Leases map[string]bool // the leases of its memory, by name: whether a request uses it
 }
 
 // Failure is an attempt that gave no answer to pass on.
--- a/internal/schedule/service_test.go
+++ b/internal/schedule/service_test.go
@@ -68,10 +68,11 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	l := fleet.New(fleet.Options{AwayAfter: time.Hour})
-	var all []fleet.Upstream
+	var all []fleet.Change
 	for i := range 4 {
 		id := fmt.Sprint("e", i)
-		all = append(all, fleet.Upstream{ID: id, Service: "llm", Address: id})
+		u := fleet.Upstream{Life: fleet.Life{Name: id}, Service: "llm", Address: id}
+		all = append(all, fleet.Change{Name: id, Upstream: &u})
 	}
 	l.Replace(all, time.Now())
 	services := []booking.Service{{Name: "llm", TightGap: 200 * time.Millisecond, Figures: cost.Figures{
--- a/test/days/run.sh
+++ b/test/days/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays all days of this folder on the site files that are named, with the users' bench,
+# Plays the days of deploy/days on the site files that are named, with the users' bench,
 # on the grown ones also those of grown/, and on each the days of seeds.txt that once broke
 # a rule there.
 #   BENCH=path/to/the/bench test/days/run.sh SITE...
@@ -20,7 +20,7 @@
 }
 
 for site in "$@"; do
-	days=(test/days/*.toml)
+	days=(deploy/days/*.toml)
 	[[ $site != *-grown.toml ]] || days+=(test/days/grown/*.toml)
 	for day in "${days[@]}"; do
 		play "$site" "$day"
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -93,6 +93,13 @@
 	return h.version
 }
 
+// returns notes that a server starts again under its id.
+func (h *history) returns(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.left, id)
+}
+
 func (h *history) leaves(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"github.com/buckthorndock/buckthorndock/platform/standin"
 )
 
 // trouble is one thing that is done to the site, drawn or planned.
@@ -21,21 +23,26 @@
 
 // Kinds of troubles. A planned one must cut nothing.
 const (
-	killDaemon   = "kill daemon"
-	stopDaemon   = "stop daemon" // planned
-	freezeDaemon = "freeze daemon"
-	reloadDaemon = "reload daemon" // planned
-	killServer   = "kill server"
-	freezeServer = "freeze server"
-	rollServer   = "roll server" // planned
-	newSettings  = "new settings"
-	harmStore    = "harm store"
-	harmEntry    = "harm entry"       // the link before a daemon
-	harmServer   = "harm server link" // the link before a server
-	harmToStore  = "harm store link"  // the link from a daemon to the store
-	killAll      = "kill all daemons"
+	killDaemon    = "kill daemon"
+	stopDaemon    = "stop daemon" // planned
+	freezeDaemon  = "freeze daemon"
+	reloadDaemon  = "reload daemon" // planned
+	killServer    = "kill server"
+	freezeServer  = "freeze server"
+	rollServer    = "roll server" // planned
+	newSettings   = "new settings"
+	harmStore     = "harm store"
+	harmEntry     = "harm entry"       // the link before a daemon
+	harmServer    = "harm server link" // the link before a server
+	harmToStore   = "harm store link"  // the link from a daemon to the store
+	killAll       = "kill all daemons"
+	restartServer = "restart server" // under the id that it has
+	foreignEntry  = "foreign entry"
 )
 
+// Entries of other writers.
+var foreignEntries = []string{"{", "null", `{"service":"shop"}`, `{"service":"shop","address":7}`, "\x00\xff\xfe", `[{"state":"ready"}]`}
+
 // weights of the kinds: planned work and new settings come often, for they must harm
 // nobody.
 var weights = []struct {
@@ -96,10 +103,35 @@
 	}
 }
 
+// Times of restarts and foreign entries. A restart is shorter than the time after which
+// the entry of a silent server is removed.
+const (
+	restartEvery   = 4 * time.Second
+	restartLongest = lapse
+)
+
+// drawRestarts returns restarts of servers under their ids and foreign entries of a seed.
+// They are drawn apart from the other troubles, so that a seed has those as it had before.
+func drawRestarts(seed uint64, length time.Duration, servers int) []trouble {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	var plan []trouble
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() * float64(restartEvery))
+		if at >= length {
+			return plan
+		}
+		tr := trouble{at: at, kind: restartServer, target: rng.IntN(servers), lasts: time.Duration(rng.Int64N(int64(restartLongest)))}
+		if rng.IntN(2) == 0 {
+			tr.kind, tr.how = foreignEntry, foreignEntries[rng.IntN(len(foreignEntries))]
+		}
+		plan = append(plan, tr)
+	}
+}
+
 // targets says what a trouble is about, as the history's spans name it.
 func (r *rig) targets(tr trouble) []string {
 	switch tr.kind {
-	case killServer, freezeServer, rollServer, harmServer:
+	case killServer, freezeServer, rollServer, harmServer, restartServer, foreignEntry:
 		return []string{r.servers[tr.target].name}
 	case harmStore:
 		return []string{"store"}
@@ -137,8 +169,10 @@
 		for _, d := range r.daemons {
 			r.startDaemon(d)
 		}
-	case killServer, freezeServer, rollServer:
+	case killServer, freezeServer, rollServer, restartServer:
 		r.harmServer(r.servers[tr.target], tr)
+	case foreignEntry:
+		r.foreign(r.servers[tr.target], tr.how)
 	case newSettings:
 		r.publish()
 	case harmStore:
@@ -154,6 +188,16 @@
 	}
 }
 
+// foreign puts another writer's entry in the place of a server's, until its next
+// heartbeat, and under a key of its own.
+func (r *rig) foreign(s *server, text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, key := range []string{s.id(), "not-" + s.id()} {
+		r.tell(r.store, command{Op: "put", Stream: standin.Servers, Key: key, Value: text})
+	}
+}
+
 func (r *rig) harmLink(name string, tr trouble) {
 	r.tell(r.links, command{Op: "fault", Name: name, How: tr.how})
 	time.Sleep(tr.lasts)
@@ -213,6 +257,11 @@
 		s.proc.kill()
 		time.Sleep(tr.lasts)
 		r.startServer(s)
+	case restartServer:
+		s.proc.kill()
+		time.Sleep(tr.lasts)
+		r.history.returns(s.id())
+		r.startLife(s)
 	case freezeServer:
 		s.proc.freeze(tr.lasts)
 	case rollServer:
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -52,10 +52,15 @@
 	direct        string
 	leaving       bool
 	seq           int
+	born          int64 // Unix milliseconds
 	beat          time.Time
 	entered       bool // its record is in the store
 }
 
+func (s *server) entry() standin.Entry {
+	return standin.Entry{Service: s.service, Address: s.address, Leaving: s.leaving, Seq: s.seq, Born: s.born}
+}
+
 func (s *server) id() string { return fmt.Sprintf("i-%s-%d", s.name, s.instance) }
 
 // daemon is one daemon through its incarnations.
@@ -245,10 +250,17 @@
 	d.proc = p
 }
 
-// startServer starts the next incarnation of a server, at its old address.
+// startServer starts a server under its next id, at its old address.
 func (r *rig) startServer(s *server) {
 	r.mu.Lock()
 	s.instance++
+	r.mu.Unlock()
+	r.startLife(s)
+}
+
+// startLife starts a server's next life under the id that it has.
+func (r *rig) startLife(s *server) {
+	r.mu.Lock()
 	name := s.id()
 	r.mu.Unlock()
 	p := r.spawn("server", name, "")
@@ -258,6 +270,7 @@
 	defer r.mu.Unlock()
 	s.proc, s.direct, s.address = p, direct, address
 	s.leaving, s.entered, s.seq, s.beat = false, false, 0, time.Now()
+	s.born = s.beat.UnixMilli()
 	if r.mutant != nil {
 		r.tellMutant()
 	}
@@ -303,7 +316,7 @@
 	case live:
 		s.seq++
 		s.entered = true
-		r.tell(r.store, command{Op: "put", Stream: standin.Servers, Key: s.id(), Value: standin.Entry(s.service, s.address, s.leaving, s.seq)})
+		r.tell(r.store, command{Op: "put", Stream: standin.Servers, Key: s.id(), Value: s.entry().Text()})
 	case s.entered:
 		s.entered = false
 		r.tell(r.store, command{Op: "put", Stream: standin.Servers, Key: s.id()})
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -190,6 +192,8 @@
 	}
 	for i := range *flagSeeds {
 		p := seeded(first+uint64(i), time.Duration(*flagMinutes*float64(time.Minute)), *flagDaemons, *flagServers)
+		p.plan = append(p.plan, drawRestarts(p.seed, p.length, 2*p.servers)...)
+		slices.SortFunc(p.plan, func(a, b trouble) int { return cmp.Compare(a.at, b.at) })
 		t.Run(fmt.Sprint(p.seed), func(t *testing.T) { tellFindings(t, p, p.run(t)) })
 	}
 }
