A leaving daemon serves what it can finish; one that starts behind a cut takes an old copy

Ruled out: a lack of processor (0.004 of a core at the most), the balancer's delay (all came later than 2.5 s after the signal), a peer that knew nothing (the one beside it served all the while; its copy was refused as too old). Change: after the first 2.5 s a leaving daemon takes what will have ended within its grace, by the figures of the engines, and goes when none has come for 300 ms. A daemon that knows nothing, and that the store does not answer, takes a peer's copy of any age, those of its failure domain asked first; the copy keeps its age.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -127,7 +127,9 @@
 	if !l.read.IsZero() && now.Sub(l.read) > l.opts.AwayAfter {
 		l.away = now.Add(l.opts.Return)
 	}
-	l.read = now
+	if now.After(l.read) { // a copy of a peer may be older
+		l.read = now
+	}
 	for _, c := range changes {
 		l.apply(c, now)
 	}
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -69,14 +69,32 @@
 
 // Times of a graceful end.
 const (
-	// lameDuck is how long a leaving daemon still takes requests, while the balancer,
-	// which asks once a second and believes the second answer, finds out.
-	lameDuck   = 2500 * time.Millisecond
+	// lameDuck is how long a leaving daemon takes all requests, while the balancer, which
+	// asks once a second and believes the second answer, finds out.
+	lameDuck = 2500 * time.Millisecond
+	// quietFor is the time without a new request after which a leaving daemon is not
+	// needed: where too few others are ready, the balancer sends it more.
+	quietFor   = 300 * time.Millisecond
 	drainCheck = 30 * time.Millisecond
 	// closeMargin is kept free before the end of the grace.
 	closeMargin = 500 * time.Millisecond
 )
 
+// finish waits until no request is in progress and none has come for a while, or until the
+// end.
+func (p *process) finish(end time.Time) {
+	admitted, last := p.door.Admitted(), time.Now()
+	for now := time.Now(); now.Before(end); now = time.Now() {
+		if n := p.door.Admitted(); n != admitted {
+			admitted, last = n, now
+		}
+		if p.door.InFlight() == 0 && now.Sub(last) >= quietFor {
+			return
+		}
+		time.Sleep(drainCheck)
+	}
+}
+
 // drain ends gracefully: the balancer and the peers are told first, requests in
 // progress are finished, then all is closed.
 func (p *process) drain(servers []*http.Server) {
@@ -89,11 +107,10 @@
 		p.log.WithError(err).Warn("leaving_untold")
 	}
 	<-ctx.Done()
-	p.door.Refuse()
+	p.door.LeaveBy(end)
 	p.log.WithField("in_flight", p.door.InFlight()).Info("refusing")
-	for p.door.InFlight() > 0 && time.Now().Before(end) {
-		time.Sleep(drainCheck)
-	}
+	p.finish(end)
+	p.door.LeaveBy(time.Time{})
 	closing, cancelClosing := context.WithDeadline(context.Background(), end)
 	defer cancelClosing()
 	for _, s := range servers {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -13,8 +13,11 @@
 	"github.com/buckthorndock/buckthorndock/internal/peer"
 )
 
-// shareSection is the name under which a daemon tells its share of a core.
-const shareSection = "cpu"
+// Sections that a daemon tells the others.
+const (
+	shareSection  = "cpu"    // its share of a core
+	domainSection = "domain" // its failure domain
+)
 
 // rankLife is how long a ranking is kept: changes of the membership take longer to
 // spread.
@@ -24,10 +27,13 @@
 // a processor come first, in an order that depends on the task. It implements
 // schedule.Peers and keyed.Peers.
 type peers struct {
-	node *peer.Node
+	node   *peer.Node
+	domain string // failure domain of this daemon
 
-	mu    sync.Mutex
-	ranks map[string]ranking
+	mu      sync.Mutex
+	ranks   map[string]ranking
+	domains map[string]string // by host, as of at
+	at      time.Time
 }
 
 type ranking struct {
@@ -35,14 +41,33 @@
 	at      time.Time
 }
 
-func newPeers(node *peer.Node, share float64) (*peers, error) {
+func newPeers(node *peer.Node, share float64, domain string) (*peers, error) {
 	text := strconv.FormatFloat(share, 'g', -1, 64)
 	if err := node.Publish(shareSection, []byte(text)); err != nil {
 		return nil, err
 	}
-	return &peers{node: node, ranks: map[string]ranking{}}, nil
+	if err := node.Publish(domainSection, []byte(domain)); err != nil {
+		return nil, err
+	}
+	return &peers{node: node, domain: domain, ranks: map[string]ranking{}}, nil
+}
+
+// Domain returns the failure domain of a daemon, empty while it is not known.
+func (p *peers) Domain(host string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := time.Now(); p.domains == nil || now.Sub(p.at) > rankLife {
+		p.domains, p.at = map[string]string{}, now
+		for _, s := range p.node.Sections(domainSection) {
+			p.domains[s.Host] = string(s.Data)
+		}
+	}
+	return p.domains[host]
 }
 
+// Near reports whether a daemon is in this one's failure domain.
+func (p *peers) Near(host string) bool { return p.Domain(host) == p.domain }
+
 // Members returns all known daemons.
 func (p *peers) Members() []membership.Member { return p.node.Members() }
 
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -131,7 +131,7 @@
 		return err
 	}
 	p.node = node
-	ranked, err := newPeers(node, p.cfg.CPUShare)
+	ranked, err := newPeers(node, p.cfg.CPUShare, p.cfg.Domain)
 	if err != nil {
 		return err
 	}
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -92,7 +92,8 @@
 // and from the others again when the store does not answer.
 func (f *Follower) read(ctx context.Context) error {
 	s := f.opts.Spread
-	if s != nil && !s.readsStore() && f.readPeer(ctx, s.tailers()) {
+	fresh := mostAge + f.opts.Wait
+	if s != nil && !s.readsStore() && f.readPeer(ctx, s.tailers(), fresh) {
 		return nil
 	}
 	err := f.readStore(ctx)
@@ -100,12 +101,26 @@
 		return err
 	}
 	f.lost(err)
-	if s != nil && f.readPeer(ctx, s.some()) {
+	if s == nil {
+		return err
+	}
+	if f.knowsNothing() {
+		// It has started behind a cut, say: what a peer there goes by is better than no
+		// service.
+		fresh = anyAge
+	}
+	if f.readPeer(ctx, s.some(), fresh) {
 		return nil
 	}
 	return err
 }
 
+func (f *Follower) knowsNothing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copied.at.IsZero()
+}
+
 // errKicked ends a read that is to be begun anew.
 var errKicked = errors.New("the read is begun anew")
 
--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -175,6 +175,7 @@
 type fakePeers struct {
 	hosts   []string // in rank
 	spreads map[string]*Spread
+	near    []string // in the failure domain of the one that reads
 }
 
 func (p *fakePeers) Members() []membership.Member { return p.Rank("", len(p.hosts)) }
@@ -187,6 +188,8 @@
 	return list
 }
 
+func (p *fakePeers) Near(host string) bool { return slices.Contains(p.near, host) }
+
 func (p *fakePeers) Call(_ context.Context, address, _ string, args, reply any) error {
 	s := p.spreads[address]
 	if s == nil {
@@ -357,3 +360,30 @@
 		t.Errorf("got %v", table.values)
 	}
 }
+
+// TestDaemonThatStartsBehindACutTakesAnOldCopy is the pattern of a daemon that starts again
+// while its failure domain is cut off from the store and the others: only one peer there
+// answers, whose copy is as old as the cut.
+func TestDaemonThatStartsBehindACutTakesAnOldCopy(t *testing.T) {
+	hosts := []string{"far1", "far2", "far3", "far4", "far5", "far6", "near", "new"}
+	peers := &fakePeers{hosts: hosts, spreads: map[string]*Spread{}, near: []string{"near", "new"}}
+	store := &fakeStore{}
+	store.put("a", "1")
+	peers.spreads["near"] = NewSpread("near", peers)
+	near, _ := newFollower(store, peers.spreads["near"])
+	mustRead(t, near)
+	near.copied.at = near.copied.at.Add(-time.Hour)
+	store.set(func(s *fakeStore) { s.down = true })
+	fresh, table := newFollower(store, NewSpread("new", peers))
+	mustRead(t, fresh)
+	if table.get("a") != "1" {
+		t.Fatalf("got %v", table.values)
+	}
+	if age := time.Since(fresh.copied.at); age < time.Hour {
+		t.Errorf("the old copy counts as %s old", age)
+	}
+	// One that knows something keeps to what is fresh.
+	if err := fresh.read(t.Context()); err == nil {
+		t.Error("an old copy counts as a read")
+	}
+}
--- a/internal/keyed/spread.go
+++ b/internal/keyed/spread.go
@@ -1,8 +1,11 @@
 package keyed
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +23,8 @@
 	// Rank returns up to n live daemons in an order that all agree on.
 	Rank(key string, n int) []membership.Member
 	Members() []membership.Member
+	// Near reports whether a daemon is in this one's failure domain.
+	Near(host string) bool
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
 
@@ -34,6 +39,8 @@
 	// store: two paces of a tailer and the way. Where reads stay open it is more by
 	// their wait, during which a tailer hears of no change because there is none.
 	mostAge = 900 * time.Millisecond
+	// anyAge takes what a peer knows however old it is.
+	anyAge = time.Duration(math.MaxInt64)
 	// numAsked is how many peers are asked when the store does not answer.
 	numAsked = 3
 )
@@ -73,7 +80,8 @@
 // tailers returns the daemons to ask, in order.
 func (s *Spread) tailers() []membership.Member { return s.peers.Rank(tailerKey, numTailers) }
 
-// some returns a few other daemons that may live.
+// some returns a few other daemons that may live, those of the own failure domain first: a
+// daemon behind a cut reaches no others.
 func (s *Spread) some() []membership.Member {
 	var others []membership.Member
 	for _, m := range s.peers.Members() {
@@ -82,9 +90,20 @@
 		}
 	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	slices.SortStableFunc(others, func(a, b membership.Member) int {
+		return cmp.Compare(s.distance(a), s.distance(b))
+	})
 	return others[:min(numAsked, len(others))]
 }
 
+// distance orders daemons by how far they are.
+func (s *Spread) distance(m membership.Member) int {
+	if s.peers.Near(m.Host) {
+		return 0
+	}
+	return 1
+}
+
 // SinceRequest asks a peer what it knows of a stream from an offset on.
 type SinceRequest struct {
 	Stream string
@@ -131,8 +150,9 @@
 	return err
 }
 
-// readPeer reads from one of the daemons; it returns false when none knows enough.
-func (f *Follower) readPeer(ctx context.Context, from []membership.Member) bool {
+// readPeer reads from one of the daemons what is at most of an age; it returns false when
+// none knows enough.
+func (f *Follower) readPeer(ctx context.Context, from []membership.Member, most time.Duration) bool {
 	s := f.opts.Spread
 	f.mu.Lock()
 	next := f.copied.next
@@ -144,7 +164,7 @@
 		began := time.Now()
 		var reply SinceReply
 		err := s.ask(ctx, m, SinceRequest{Stream: f.opts.Stream, From: next}, f.opts.PeerWait, &reply)
-		if err != nil || reply.Age > mostAge+f.opts.Wait || reply.Next < next {
+		if err != nil || reply.Age > most || reply.Next < next {
 			continue // the next one, or the store, is asked
 		}
 		records, err := unpack(reply.Packed)
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -38,7 +38,8 @@
 	log   *logrus.Entry
 
 	inFlight atomic.Int64
-	refusing atomic.Bool
+	admitted atomic.Int64
+	leaveBy  atomic.Pointer[time.Time] // nil: it stays
 }
 
 // NewDoor returns a Door that refuses all until it has a table.
@@ -60,8 +61,13 @@
 // Table returns the table in use, nil before there is one.
 func (d *Door) Table() *route.Table { return d.table.Load() }
 
-// Refuse makes the Door refuse all new calls; those in progress go on.
-func (d *Door) Refuse() { d.refusing.Store(true) }
+// LeaveBy makes the Door refuse the calls that may not have ended by a time: all that is
+// admitted is to be finished. Others are served on, for a balancer without a better choice
+// still sends them.
+func (d *Door) LeaveBy(at time.Time) { d.leaveBy.Store(&at) }
+
+// Admitted returns how many calls have become requests.
+func (d *Door) Admitted() int64 { return d.admitted.Load() }
 
 // Ended tells that the life of an upstream is over; see Relay.Ended.
 func (d *Door) Ended(u, successor fleet.Upstream) { d.relay.Ended(u, successor) }
@@ -89,9 +95,6 @@
 	if t == nil {
 		return nil, request.Refuse(request.CodeNotReady, notReadyAfter, "no settings yet")
 	}
-	if d.refusing.Load() {
-		return nil, request.Refuse(request.CodeLeaving, retryAfterFailure, "this daemon shuts down")
-	}
 	r := t.Match(c.Host, c.Path)
 	if r == nil {
 		return nil, request.Refuse(request.CodeUnknownTarget, 0, "no route matches")
@@ -100,7 +103,12 @@
 	if customer == nil && t.NeedsKey(r) {
 		return nil, request.Refuse(request.CodeUnauthorized, 0, "the key is unknown")
 	}
-	return d.build(c, t, r, customer), nil
+	req := d.build(c, t, r, customer)
+	if by := d.leaveBy.Load(); by != nil && req.endsBy().After(*by) {
+		return nil, request.Refuse(request.CodeLeaving, retryAfterFailure, "this daemon shuts down")
+	}
+	d.admitted.Add(1)
+	return req, nil
 }
 
 func (d *Door) build(c *Call, t *route.Table, r *route.Route, customer *route.Customer) *Request {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -38,6 +38,29 @@
 	Deadline    time.Time // earlier of the caller's and the route's
 }
 
+// leavingObjectives is how many objectives the first event of a stream is given where its
+// end is foreseen: late ones come within that in all but a few cases.
+const leavingObjectives = 2
+
+// endsBy returns when the request will have ended: at its deadline, or, for a stream whose
+// answer takes less, when that is written at an engine whose slots are all taken.
+func (r *Request) endsBy() time.Time {
+	e := r.Service.Engine
+	if e == nil {
+		return r.Deadline
+	}
+	answer := r.Answer
+	if answer == 0 {
+		answer = e.UsualAnswer
+	}
+	context := int64(e.Slots) * int64(e.UsualPrompt+e.UsualAnswer)
+	takes := leavingObjectives*r.Route.Objective + e.Write(answer, e.Slots, context+int64(r.Prompt))
+	if end := r.Arrived.Add(takes); end.Before(r.Deadline) {
+		return end
+	}
+	return r.Deadline
+}
+
 // Head is the beginning of an upstream's answer.
 type Head struct {
 	Status int
