One belief a daemon on cut failure domains, from looks at several upstreams

Cause: for the first four seconds of a cut two thirds of the short prompts were late: each daemon learnt it engine by engine from 250 ms dials and 1.5 s of silence, went through the keepers behind the cut at 60 ms each, a second apart again and again, and left healed domains alone for up to 5 s. Ruled out: load (calm seconds of the same cut are served as before it), lost news between daemons of one side. Change: core/reach. Answers that fall silent together for 150 ms, a connection that is not made, or a keeper that does not answer lead to a look: three connections at once, 100 ms. All fail: the domain is cut, what can be moved from there is, nothing new goes there, keepers there are passed over, and what has no upstream left is refused at once, with a time to come back that grows with the cut. Looks go on every 200 ms; one that reaches ends the belief and forgives the failures meanwhile.

--- a/internal/core/avoid/avoid_test.go
+++ b/internal/core/avoid/avoid_test.go
@@ -52,25 +52,20 @@
 	}
 }
 
-func TestGroupIsAvoidedWhenSeveralAreUnreachable(t *testing.T) {
-	tr := New(Options{First: 100 * time.Millisecond, Most: time.Second, Forget: 10 * time.Second, CutAt: 3})
-	tr.Unreached("a", "far", start)
-	tr.Unreached("a", "far", start)
-	if tr.Unreached("b", "far", start); tr.Cut("far", start) {
-		t.Fatal("two of a group are taken for all")
-	}
-	if span := tr.Unreached("c", "far", start); span != 100*time.Millisecond || !tr.Cut("far", start) || tr.Cut("near", start) {
-		t.Fatalf("avoided for %v", span)
-	}
-	later := start.Add(150 * time.Millisecond)
-	if tr.Cut("far", later) {
-		t.Error("nobody looks whether the group is back")
+func TestForgivenFailuresAreNoStreak(t *testing.T) {
+	tr := newTracker()
+	tr.Failed("a", start)
+	tr.Failed("b", start.Add(-time.Second))
+	tr.Forgive("a", start)
+	tr.Forgive("b", start)
+	tr.Forgive("unheard", start)
+	if got := tr.Avoided(start.Add(time.Millisecond)); len(got) != 0 {
+		t.Errorf("avoided: %v", got)
 	}
-	if span := tr.Unreached("a", "far", later); span != 200*time.Millisecond {
-		t.Errorf("still cut, avoided for %v", span)
+	if got := tr.Failed("a", start.Add(time.Millisecond)); got != 100*time.Millisecond {
+		t.Errorf("after it was forgiven avoided for %v", got)
 	}
-	tr.Reached("far")
-	if tr.Cut("far", later) {
-		t.Error("a group that was reached is avoided")
+	if got := tr.Failed("b", start.Add(time.Millisecond)); got != 200*time.Millisecond {
+		t.Errorf("an earlier failure is forgiven: avoided for %v", got)
 	}
 }
--- /dev/null
+++ b/internal/core/reach/reach.go
@@ -0,0 +1,129 @@
+package reach
+
+import "time"
+
+// Options configure a Tracker. All must be positive.
+type Options struct {
+	// Quiet is how long a domain in which answers are written may give no sign of life.
+	Quiet time.Duration
+	// Again is the time from one look at a domain to the next, while it stays doubtful or
+	// cut.
+	Again time.Duration
+}
+
+// Look is the result of a look at a domain.
+type Look struct {
+	Began   time.Time
+	Tried   int // connections
+	Reached int // of them made
+}
+
+// Change is what a look changes.
+type Change uint8
+
+// Changes of a belief.
+const (
+	None Change = iota
+	BecameCut
+	BecameReached
+)
+
+// way is what is known of the way to a domain.
+type way struct {
+	heard   time.Time // last sign of life
+	looked  time.Time // when the last look began
+	looking bool
+	cut     time.Time // since when it is cut; zero: it is not
+}
+
+// Tracker has the beliefs of one daemon. It is not safe for concurrent use.
+//
+// Invariant: at most one look at a domain is under way, and a belief changes only by one.
+type Tracker struct {
+	opts Options
+	ways map[string]*way
+}
+
+// New returns a Tracker that believes all ways open.
+func New(o Options) *Tracker { return &Tracker{opts: o, ways: map[string]*way{}} }
+
+func (t *Tracker) way(domain string) *way {
+	w := t.ways[domain]
+	if w == nil {
+		w = &way{}
+		t.ways[domain] = w
+	}
+	return w
+}
+
+// Heard notes a sign of life from a domain.
+func (t *Tracker) Heard(domain string, now time.Time) { t.way(domain).heard = now }
+
+// Doubt notes a reason to look at a domain. It returns true when a look is to begin now;
+// Looked must follow.
+func (t *Tracker) Doubt(domain string, now time.Time) bool {
+	w := t.way(domain)
+	if w.looking || now.Sub(w.looked) < t.opts.Again {
+		return false
+	}
+	w.looking, w.looked = true, now
+	return true
+}
+
+// Due returns the domains to look at now: those that are cut, and those of writing, in
+// which answers are written, that are quiet. Looked must follow for each.
+func (t *Tracker) Due(writing []string, now time.Time) []string {
+	var due []string
+	for domain, w := range t.ways {
+		if !w.cut.IsZero() && t.Doubt(domain, now) {
+			due = append(due, domain)
+		}
+	}
+	for _, domain := range writing {
+		w := t.way(domain)
+		if now.Sub(w.heard) >= t.opts.Quiet && t.Doubt(domain, now) {
+			due = append(due, domain)
+		}
+	}
+	return due
+}
+
+// leastTried is how many connections have to fail in a look: one upstream may be dead.
+const leastTried = 2
+
+// Looked notes the result of a look. One without enough connections changes nothing; where
+// a domain has a single upstream, its death and a cut are not told apart.
+func (t *Tracker) Looked(domain string, l Look, now time.Time) Change {
+	w := t.way(domain)
+	w.looking = false
+	switch {
+	case l.Reached > 0:
+		w.heard = now
+		if w.cut.IsZero() {
+			return None
+		}
+		w.cut = time.Time{}
+		return BecameReached
+	case l.Tried < leastTried || !w.cut.IsZero():
+		return None
+	}
+	w.cut = l.Began
+	return BecameCut
+}
+
+// Void notes that a look has told nothing, as one during which the daemon stood still.
+func (t *Tracker) Void(domain string) { t.way(domain).looking = false }
+
+// Cut reports whether the way to a domain is believed cut.
+func (t *Tracker) Cut(domain string) bool {
+	w := t.ways[domain]
+	return w != nil && !w.cut.IsZero()
+}
+
+// CutFor returns how long the way to a domain has been cut, zero when it is not.
+func (t *Tracker) CutFor(domain string, now time.Time) time.Duration {
+	if !t.Cut(domain) {
+		return 0
+	}
+	return now.Sub(t.ways[domain].cut)
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -172,7 +172,7 @@
 		}
 		if next, over := after.Successor(u); over {
 			p.pool.Drop(u.Address)
-			p.door.Ended(u, next)
+			p.relay.Ended(u, next)
 		}
 	}
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -39,6 +39,7 @@
 	plain    *plainServers
 	suspects *suspects.Tracker
 	pool     *httpwire.Pool
+	relay    *relay.Relay
 	door     *relay.Door
 
 	leaving atomic.Bool
@@ -139,6 +140,8 @@
 		Host:        p.cfg.Host,
 		Incarnation: p.cfg.Incarnation,
 		Peers:       ranked,
+		Behind:      func(host string) bool { return p.relay.DomainCut(ranked.Domain(host)) },
+		Doubt:       func(host string) { p.relay.Doubt(ranked.Domain(host)) },
 		Log:         p.log,
 	})
 	p.spread = keyed.NewSpread(p.cfg.Host, ranked)
@@ -149,7 +152,7 @@
 }
 
 func (p *process) buildRelay() {
-	r := relay.New(relay.Options{
+	p.relay = relay.New(relay.Options{
 		Host:      p.cfg.Host,
 		Sender:    p.provider.Sender(p.pool),
 		Planner:   p.schedule,
@@ -160,7 +163,7 @@
 		Budget:    p.retryBudget,
 		Log:       p.log,
 	})
-	p.door = relay.NewDoor(r, p.log)
+	p.door = relay.NewDoor(p.relay, p.log)
 }
 
 // settleTime is how long after its start a daemon may not know yet how many share the
@@ -245,6 +248,7 @@
 	run("schedule", p.schedule.Run)
 	run("suspects", func(ctx context.Context) error { return p.suspects.Share(ctx, p.node) })
 	run("sweep", p.sweep)
+	run("ways", p.relay.WatchWays)
 	return &wg
 }
 
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -5,10 +5,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/booking"
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
 )
@@ -27,6 +30,23 @@
 	cancel  context.CancelCauseFunc
 	watch   *silence
 	onFirst func()
+	to      fleet.Upstream
+	helpers []booking.Part
+	begun   atomic.Bool // its first event has come
+}
+
+// dependsOn reports whether the attempt needs a failure domain: its upstream is there, or
+// an engine that reads or holds a part of its prompt.
+func (t *attempt) dependsOn(domain string, list *fleet.Snapshot) bool {
+	if t.to.Domain == domain {
+		return true
+	}
+	for _, p := range t.helpers {
+		if u, known := list.Get(p.Upstream); known && u.Domain == domain && (p.Reserve > 0 || !t.begun.Load()) {
+			return true
+		}
+	}
+	return false
 }
 
 // exchange sends an attempt and passes its answer on. limit bounds the silence
@@ -34,15 +54,16 @@
 func (g *run) exchange(ctx context.Context, a Attempt, limit, gap time.Duration, onFirst func()) ending {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	t := &attempt{run: g, ctx: ctx, cancel: cancel, onFirst: onFirst}
+	t := &attempt{run: g, ctx: ctx, cancel: cancel, onFirst: onFirst, to: a.To, helpers: a.Helpers}
 	t.watch = g.watchSilence(limit, gap, cancel)
 	defer t.watch.stop()
-	defer g.relay.running.add(a.To.ID, cancel)()
+	defer g.relay.running.add(t)()
 	answer, err := g.relay.opts.Sender.Send(ctx, a)
 	if err != nil {
 		return t.broken(err)
 	}
 	defer answer.Close()
+	g.relay.ways.heard(a.To.Domain)
 	if g.req.Route.Kind == route.Stream && answer.Status == http.StatusOK {
 		return t.stream(answer)
 	}
@@ -177,6 +198,8 @@
 // markEvent notes the time of an event.
 func (t *attempt) markEvent() {
 	t.markFirst()
+	t.begun.Store(true)
+	t.relay.ways.heard(t.to.Domain)
 	now := time.Now()
 	if !t.latest.IsZero() {
 		t.pause = max(t.pause, now.Sub(t.latest))
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -11,7 +11,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
-	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
 )
@@ -100,9 +99,6 @@
 // Admitted returns how many calls have become requests.
 func (d *Door) Admitted() int64 { return d.admitted.Load() }
 
-// Ended tells that the life of an upstream is over; see Relay.Ended.
-func (d *Door) Ended(u, successor fleet.Upstream) { d.relay.Ended(u, successor) }
-
 // InFlight returns the number of requests in progress.
 func (d *Door) InFlight() int { return int(d.inFlight.Load()) }
 
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -66,6 +66,9 @@
 // place books engines, waiting for room as long as the deadline allows.
 func (g *run) place(ctx context.Context) (booking.Plan, *request.Refusal) {
 	for {
+		if refusal := g.behindCuts(); refusal != nil && !g.started {
+			return booking.Plan{}, refusal
+		}
 		p := g.relay.opts.Planner.Place(ctx, g.ask())
 		g.planned = p
 		g.plan = p.Verdict.String() + "/" + string(p.Reason)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -18,6 +18,9 @@
 
 // tryPlain makes one attempt at a plain service.
 func (g *run) tryPlain(ctx context.Context) ending {
+	if refusal := g.behindCuts(); refusal != nil {
+		return ending{refusal: refusal}
+	}
 	u, done, ok := g.relay.opts.Plain.Pick(g.req.Service.Name, slices.Concat(g.exclude, g.avoid()))
 	if !ok {
 		u, done, ok = g.relay.opts.Plain.Pick(g.req.Service.Name, nil)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,6 +45,7 @@
 	log        *logrus.Entry
 	leaseTimes leaseTimes
 	running    running
+	ways       *ways
 
 	mu      sync.Mutex
 	avoid   *avoid.Tracker
@@ -58,9 +59,6 @@
 	avoidFirst  = 400 * time.Millisecond
 	avoidMost   = 5 * time.Second
 	avoidForget = 15 * time.Second
-	// cutAt unreachable upstreams of a failure domain are taken for a cut: two may die
-	// together.
-	cutAt = 3
 )
 
 // New returns a Relay.
@@ -69,8 +67,9 @@
 		opts:       o,
 		leaseTimes: leaseTimes{renew: leaseRenew, useBy: leaseUseBy},
 		log:        o.Log,
-		avoid:      avoid.New(avoid.Options{First: avoidFirst, Most: avoidMost, Forget: avoidForget, CutAt: cutAt}),
+		avoid:      avoid.New(avoid.Options{First: avoidFirst, Most: avoidMost, Forget: avoidForget}),
 		budgets:    map[string]*budget{},
+		ways:       newWays(),
 	}
 }
 
@@ -96,9 +95,8 @@
 	for _, id := range ids {
 		span := r.avoid.Failed(id, now)
 		fields := logrus.Fields{"upstream": id, "end": end.String(), "avoid_ms": span.Milliseconds()}
-		if u, known := list.Get(id); known && end == retry.NotWritten {
+		if u, known := list.Get(id); known {
 			fields["domain"] = u.Domain
-			fields["avoid_domain_ms"] = r.avoid.Unreached(id, u.Domain, now).Milliseconds()
 		}
 		r.log.WithFields(fields).Info("upstream_avoided")
 	}
@@ -106,13 +104,9 @@
 
 // succeeded notes that an upstream has served a request.
 func (r *Relay) succeeded(id string) {
-	list := r.opts.Upstreams()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.avoid.Succeeded(id, time.Now())
-	if u, known := list.Get(id); known {
-		r.avoid.Reached(u.Domain)
-	}
 }
 
 // avoided returns the upstreams to leave alone now, those of domains that cannot be
@@ -121,10 +115,10 @@
 	now := time.Now()
 	list := r.opts.Upstreams()
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	ids := r.avoid.Avoided(now)
+	r.mu.Unlock()
 	for _, u := range list.Upstreams {
-		if r.avoid.Cut(u.Domain, now) {
+		if r.DomainCut(u.Domain) {
 			ids = append(ids, u.ID)
 		}
 	}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -187,6 +187,7 @@
 func (g *run) miss(id string) {
 	if u, known := g.relay.opts.Upstreams().Get(id); known {
 		g.missed = append(g.missed, u.Domain)
+		g.relay.Doubt(u.Domain)
 	}
 }
 
--- a/internal/relay/running.go
+++ b/internal/relay/running.go
@@ -1,7 +1,7 @@
 package relay
 
 import (
-	"context"
+	"slices"
 	"sync"
 
 	"github.com/ansel1/merry/v2"
@@ -16,53 +16,61 @@
 // they time out, 2 s later.
 var errLifeOver = merry.Sentinel("the upstream that ran it has ended")
 
-// running has the attempts under way by the life of their upstream. The zero value is
-// ready for use, by many goroutines.
+// running has the attempts under way. The zero value is ready for use, by many
+// goroutines.
 type running struct {
-	mu   sync.Mutex
-	next uint64
-	by   map[string]map[uint64]context.CancelCauseFunc
+	mu  sync.Mutex
+	all map[*attempt]bool
 }
 
 // add notes an attempt; the function that it returns forgets it.
-func (r *running) add(upstream string, cancel context.CancelCauseFunc) (remove func()) {
+func (r *running) add(a *attempt) (remove func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.by == nil {
-		r.by = map[string]map[uint64]context.CancelCauseFunc{}
+	if r.all == nil {
+		r.all = map[*attempt]bool{}
 	}
-	if r.by[upstream] == nil {
-		r.by[upstream] = map[uint64]context.CancelCauseFunc{}
-	}
-	id := r.next
-	r.next++
-	r.by[upstream][id] = cancel
+	r.all[a] = true
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		delete(r.by[upstream], id)
-		if len(r.by[upstream]) == 0 {
-			delete(r.by, upstream)
-		}
+		delete(r.all, a)
 	}
 }
 
-// end cancels all attempts on a life and returns how many there were.
-func (r *running) end(upstream string) int {
+// of returns the attempts for which ok holds.
+func (r *running) of(ok func(*attempt) bool) []*attempt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, cancel := range r.by[upstream] {
-		cancel(errLifeOver)
+	var some []*attempt
+	for a := range r.all {
+		if ok(a) {
+			some = append(some, a)
+		}
+	}
+	return some
+}
+
+// writing returns the failure domains from which answers come.
+func (r *running) writing() []string {
+	var domains []string
+	for _, a := range r.of(func(a *attempt) bool { return a.begun.Load() }) {
+		if !slices.Contains(domains, a.to.Domain) {
+			domains = append(domains, a.to.Domain)
+		}
 	}
-	return len(r.by[upstream])
+	return domains
 }
 
 // Ended tells that the life of an upstream is over, as its successor shows: what runs
 // there is broken.
 func (r *Relay) Ended(u, successor fleet.Upstream) {
-	broken := r.running.end(u.ID)
+	broken := r.running.of(func(a *attempt) bool { return a.to.ID == u.ID })
+	for _, a := range broken {
+		a.cancel(errLifeOver)
+	}
 	r.log.WithFields(logrus.Fields{
-		"upstream": u.ID, "address": u.Address, "successor": successor.ID, "broken": broken,
+		"upstream": u.ID, "address": u.Address, "successor": successor.ID, "broken": len(broken),
 	}).Info("upstream_ended")
 }
 
--- a/internal/relay/running_test.go
+++ b/internal/relay/running_test.go
@@ -27,8 +27,8 @@
 	if refusal := f.relay.Run(t.Context(), streamRequest(true), &record{}); refusal != nil {
 		t.Fatal(refusal)
 	}
-	if len(f.script.sent) != 2 || len(f.relay.running.by) != 0 {
-		t.Errorf("%d sends, still noted: %v", len(f.script.sent), f.relay.running.by)
+	if len(f.script.sent) != 2 || len(f.relay.running.all) != 0 {
+		t.Errorf("%d sends, still noted: %v", len(f.script.sent), f.relay.running.all)
 	}
 }
 
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -35,16 +35,25 @@
 }
 
 func (s *silence) over() {
+	if s.move(errSilent) {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped {
-		return
+	if !s.stopped {
+		s.timer.Reset(s.gap)
 	}
-	if s.run.movesLeft() {
-		s.cancel(errSilent)
-		return
+}
+
+// move cancels the attempt if the request may be moved. It returns false when it may not.
+func (s *silence) move(why error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped || !s.run.req.Route.Repeatable() || !s.run.movesLeft() {
+		return false
 	}
-	s.timer.Reset(s.gap)
+	s.cancel(why)
+	return true
 }
 
 // heard notes an event.
--- /dev/null
+++ b/internal/relay/ways.go
@@ -0,0 +1,205 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/core/reach"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+)
+
+// Times of the looks at failure domains. A round trip between domains takes 1 to 3 ms.
+const (
+	// wayQuiet is three of the usual pauses between events, of 50 ms.
+	wayQuiet = 150 * time.Millisecond
+	wayAgain = 200 * time.Millisecond
+	// wayTick is between two looks whether a domain has fallen quiet.
+	wayTick = 50 * time.Millisecond
+	// wayDial bounds a connection of a look.
+	wayDial = 100 * time.Millisecond
+	// wayStill is how long a look may take: a process that stood still meanwhile has
+	// learnt nothing.
+	wayStill = 2 * wayDial
+	// wayTried is how many upstreams are tried in a look.
+	wayTried = 3
+	// waySince is how long before the first failed look failures may have had the same
+	// cause: a stream counts as silent after 1.5 s.
+	waySince = 2 * time.Second
+)
+
+// errCut moves an attempt away from behind a cut.
+var errCut = merry.Wrap(errSilent, merry.WithMessage("the way to the upstream's failure domain is cut"))
+
+// ways are the beliefs on the ways to failure domains; safe for concurrent use.
+type ways struct {
+	mu      sync.Mutex
+	tracker *reach.Tracker
+}
+
+func newWays() *ways {
+	return &ways{tracker: reach.New(reach.Options{Quiet: wayQuiet, Again: wayAgain})}
+}
+
+func (w *ways) heard(domain string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tracker.Heard(domain, time.Now())
+}
+
+func (w *ways) cutFor(domain string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tracker.CutFor(domain, time.Now())
+}
+
+// DomainCut reports whether a failure domain is believed to be cut off from here.
+func (r *Relay) DomainCut(domain string) bool {
+	r.ways.mu.Lock()
+	defer r.ways.mu.Unlock()
+	return r.ways.tracker.Cut(domain)
+}
+
+// Doubt tells of a sign that a failure domain may be cut off. A look follows, unless one
+// was made just now.
+func (r *Relay) Doubt(domain string) {
+	r.ways.mu.Lock()
+	look := domain != "" && r.ways.tracker.Doubt(domain, time.Now())
+	r.ways.mu.Unlock()
+	if look {
+		go r.look(domain)
+	}
+}
+
+// WatchWays looks at failure domains that are quiet or cut until the context ends.
+func (r *Relay) WatchWays(ctx context.Context) error {
+	ticker := time.NewTicker(wayTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			writing := r.running.writing()
+			r.ways.mu.Lock()
+			due := r.ways.tracker.Due(writing, now)
+			r.ways.mu.Unlock()
+			for _, domain := range due {
+				go r.look(domain)
+			}
+		}
+	}
+}
+
+// look tries connections to some upstreams of a domain and takes in what that shows.
+func (r *Relay) look(domain string) {
+	l := reach.Look{Began: time.Now()}
+	targets := r.lookTargets(domain)
+	l.Tried = len(targets)
+	l.Reached = r.dial(targets)
+	now := time.Now()
+	r.ways.mu.Lock()
+	if now.Sub(l.Began) > wayStill {
+		r.ways.tracker.Void(domain)
+		r.ways.mu.Unlock()
+		return
+	}
+	cutFor := r.ways.tracker.CutFor(domain, now)
+	change := r.ways.tracker.Looked(domain, l, now)
+	r.ways.mu.Unlock()
+	log := r.log.WithFields(logrus.Fields{"domain": domain, "tried": l.Tried, "reached": l.Reached})
+	switch change {
+	case reach.BecameCut:
+		log.WithField("moved", r.moveFrom(domain)).Warn("domain_cut")
+	case reach.BecameReached:
+		r.forgive(domain, now.Add(-cutFor-waySince))
+		log.WithField("cut_ms", cutFor.Milliseconds()).Info("domain_reached")
+	}
+}
+
+// lookTargets draws upstreams of a domain.
+func (r *Relay) lookTargets(domain string) []fleet.Upstream {
+	var all []fleet.Upstream
+	for _, u := range r.opts.Upstreams().Upstreams {
+		if u.Domain == domain {
+			all = append(all, u)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(wayTried, len(all))]
+}
+
+// dial returns how many of the upstreams a connection can be made to.
+func (r *Relay) dial(targets []fleet.Upstream) int {
+	ctx, cancel := context.WithTimeout(context.Background(), wayDial)
+	defer cancel()
+	results := make(chan error, len(targets))
+	for _, u := range targets {
+		go func() { results <- r.opts.Reach(ctx, u.Address) }()
+	}
+	reached := 0
+	for range targets {
+		if <-results == nil {
+			reached++
+		}
+	}
+	return reached
+}
+
+// moveFrom moves the attempts that depend on a domain behind a cut, and returns how many
+// were told to.
+func (r *Relay) moveFrom(domain string) int {
+	list := r.opts.Upstreams()
+	behind := r.running.of(func(a *attempt) bool { return a.dependsOn(domain, list) })
+	for _, a := range behind {
+		a.watch.move(errCut)
+	}
+	return len(behind)
+}
+
+// forgive forgets the failures of a domain's upstreams while it was cut.
+func (r *Relay) forgive(domain string, since time.Time) {
+	list := r.opts.Upstreams()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, u := range list.Upstreams {
+		if u.Domain == domain {
+			r.avoid.Forgive(u.ID, since)
+		}
+	}
+}
+
+// Times told to callers whose service is behind cuts: as long as these have lasted, for
+// what has lasted long is likely to last.
+const (
+	retryAfterCut     = time.Second
+	retryAfterCutMost = 4 * time.Second
+)
+
+// unreachable reports whether all upstreams of a service are behind cuts, and for how long
+// at the most the way to one has been cut.
+func (r *Relay) unreachable(service string) (cutFor time.Duration, all bool) {
+	for _, u := range r.opts.Upstreams().Live(service) {
+		d := r.ways.cutFor(u.Domain)
+		if d == 0 {
+			return 0, false
+		}
+		cutFor = max(cutFor, d)
+	}
+	return cutFor, cutFor > 0
+}
+
+// behindCuts refuses a request that no upstream can be reached for; nil: one can.
+func (g *run) behindCuts() *request.Refusal {
+	cutFor, all := g.relay.unreachable(g.req.Service.Name)
+	if !all {
+		return nil
+	}
+	comeBack := min(max(cutFor, retryAfterCut), retryAfterCutMost)
+	return request.Refuse(request.CodeNoUpstream, comeBack, "no upstream of %s can be reached: the ways to their failure domains are cut", g.req.Service.Name)
+}
--- /dev/null
+++ b/internal/relay/ways_test.go
@@ -0,0 +1,167 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/booking"
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/core/retry"
+	"github.com/buckthorndock/buckthorndock/internal/core/route"
+)
+
+// cutSite is a fixture of two failure domains with two upstreams each; the way to one of
+// them can be cut.
+type cutSite struct {
+	*fixture
+	mu  sync.Mutex
+	cut bool
+}
+
+func newCutSite(t *testing.T, steps ...func(context.Context, Attempt) (*Answer, error)) *cutSite {
+	s := &cutSite{fixture: newFixture(t, steps...)}
+	var list []fleet.Change
+	for name, domain := range map[string]string{"far1": "far", "far2": "far", "near1": "near", "near2": "near"} {
+		list = append(list, entry(fleet.Upstream{Life: fleet.Life{Name: name}, Service: "llm", Address: name + ":1", Domain: domain}))
+	}
+	f := s.fixture
+	f.list.Replace(list, time.Now())
+	snapshot := f.list.Snapshot()
+	f.relay.opts.Upstreams = func() *fleet.Snapshot { return snapshot }
+	f.relay.opts.Reach = func(_ context.Context, address string) error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.cut && address[:3] == "far" {
+			return merry.New("no way")
+		}
+		return nil
+	}
+	return s
+}
+
+func (s *cutSite) setCut(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+}
+
+// eventually waits for a belief; the test's timeout bounds it.
+func (s *cutSite) eventually(cut bool) {
+	for s.relay.DomainCut("far") != cut {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestStreamsBehindACutAreMovedAtOnce is the pattern of a failure domain that is cut off
+// while streams come from it: their connections stay open and say nothing.
+func TestStreamsBehindACutAreMovedAtOnce(t *testing.T) {
+	var s *cutSite
+	r, w := io.Pipe()
+	first := func(ctx context.Context, a Attempt) (*Answer, error) {
+		go func() {
+			_, _ = w.Write([]byte(firstEvents))
+			s.setCut(true)
+			<-ctx.Done()
+			w.CloseWithError(ctx.Err())
+		}()
+		return answerFrom(200, r)(ctx, a)
+	}
+	s = newCutSite(t, first, answer(200, lastEvents))
+	go func() { _ = s.relay.WatchWays(t.Context()) }()
+	s.planner.plans = []booking.Plan{onEngine("far1"), onEngine("near1")}
+	sink := &record{}
+	if refusal := s.relay.Run(t.Context(), streamRequest(true), sink); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if got := sink.body.String(); got != firstEvents+lastEvents || s.script.sent[1].After != "2" {
+		t.Errorf("the caller got %q", got)
+	}
+	if !s.relay.DomainCut("far") || s.relay.DomainCut("near") {
+		t.Error("the belief is wrong")
+	}
+	again := slices.Compact(slices.Sorted(slices.Values(s.planner.asks[1].Avoid)))
+	if !slices.Equal(again, []string{"far1", "far2"}) {
+		t.Errorf("the second plan avoids %v", again)
+	}
+	s.setCut(false)
+	s.eventually(false)
+	if ids := s.relay.avoided(); len(ids) != 0 {
+		t.Errorf("after the cut %v are avoided", ids)
+	}
+}
+
+func TestPromptWithAHelperBehindACutIsMoved(t *testing.T) {
+	var s *cutSite
+	s = newCutSite(t, func(ctx context.Context, a Attempt) (*Answer, error) {
+		s.setCut(true)
+		s.relay.Doubt("far")
+		return hang(ctx, a)
+	}, answer(200, firstEvents))
+	plan := onEngine("near1", "far1")
+	plan.First = time.Hour
+	s.planner.plans = []booking.Plan{plan, onEngine("near2")}
+	if refusal := s.relay.Run(t.Context(), streamRequest(true), &record{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if len(s.script.sent) != 2 || s.script.sent[1].To.ID != "near2" {
+		t.Errorf("sent %+v", s.script.sent)
+	}
+}
+
+func TestCallThatMayNotBeRepeatedIsLeftBehindTheCut(t *testing.T) {
+	var s *cutSite
+	s = newCutSite(t, func(ctx context.Context, a Attempt) (*Answer, error) {
+		s.setCut(true)
+		s.relay.Doubt("far")
+		s.eventually(true)
+		return answer(200, "late but whole")(ctx, a)
+	})
+	s.relay.opts.Plain = fakePlain{servers: []string{"far1"}}
+	sink := &record{}
+	if refusal := s.relay.Run(t.Context(), plainRequest(route.Once, time.Minute), sink); refusal != nil || sink.body.String() != "late but whole" {
+		t.Errorf("got %v and %q", refusal, sink.body.String())
+	}
+}
+
+// TestNothingReachableIsRefusedAtOnce is the pattern of a service all of whose upstreams
+// are behind a cut: each try costs its caller time and cannot succeed.
+func TestNothingReachableIsRefusedAtOnce(t *testing.T) {
+	s := newCutSite(t, fail(retry.NotWritten), fail(retry.NotWritten))
+	var list []fleet.Change
+	for _, name := range []string{"far1", "far2"} {
+		list = append(list, entry(fleet.Upstream{Life: fleet.Life{Name: name}, Service: "shop", Address: name + ":1", Domain: "far"}))
+	}
+	s.list.Replace(list, time.Now())
+	snapshot := s.list.Snapshot()
+	s.relay.opts.Upstreams = func() *fleet.Snapshot { return snapshot }
+	s.setCut(true)
+	s.relay.Doubt("far")
+	s.eventually(true)
+	refusal := s.relay.Run(t.Context(), plainRequest(route.Idempotent, time.Minute), &record{})
+	if refusal == nil || refusal.Code != request.CodeNoUpstream || refusal.Outcome != request.NotRun || len(s.script.sent) != 0 {
+		t.Fatalf("got %v after %d sends", refusal, len(s.script.sent))
+	}
+	if refusal.RetryAfter < retryAfterCut/2 {
+		t.Errorf("come back after %s", refusal.RetryAfter)
+	}
+}
+
+func TestLookDuringWhichTheDaemonStoodStillTellsNothing(t *testing.T) {
+	s := newCutSite(t)
+	s.relay.opts.Reach = func(context.Context, string) error {
+		time.Sleep(wayStill + 10*time.Millisecond)
+		return merry.New("timed out")
+	}
+	s.relay.Doubt("far")
+	s.relay.look("far")
+	if s.relay.DomainCut("far") {
+		t.Error("it is believed to be cut off")
+	}
+}
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -26,7 +26,11 @@
 	Host        string
 	Incarnation uint64
 	Peers       Peers
-	Log         *logrus.Entry
+	// Behind reports whether a daemon is believed to be behind a cut; Doubt tells of one
+	// that did not answer. Both may be nil.
+	Behind func(host string) bool
+	Doubt  func(host string)
+	Log    *logrus.Entry
 }
 
 // Times between daemons.
@@ -114,7 +118,7 @@
 		if m.Host == s.opts.Host {
 			return m, false
 		}
-		if slices.Contains(silent, m.Host) {
+		if slices.Contains(silent, m.Host) || s.opts.Behind != nil && s.opts.Behind(m.Host) {
 			continue
 		}
 		return m, true
@@ -133,6 +137,7 @@
 		s.log.WithFields(logrus.Fields{"keeper": host, "former": s.keeper, "open": len(s.open)}).Info("book_keeper_changed")
 		s.keeper = host
 		s.restore = remote
+		s.signal() // the new one is to know at once what is under way
 	}
 	return m, remote
 }
@@ -194,6 +199,9 @@
 	if ctx.Err() != nil {
 		return // the request has ended; that says nothing of the daemon
 	}
+	if s.opts.Doubt != nil {
+		s.opts.Doubt(m.Host)
+	}
 	span := s.down.Failed(m.Host, now)
 	s.log.WithError(err).WithFields(logrus.Fields{"keeper": m.Host, "avoid_ms": span.Milliseconds()}).Warn("book_keeper_silent")
 }
