News do not overtake a daemon's open attempts; calls are held until a daemon is met

An end told with a question overtook the list of open attempts on its way to a new keeper, whose book then kept the attempt for good. And when all daemons start at once, each plans alone for the first 130 ms: long prompts got 12 to 16 engines each, and two thirds of the next 130 short ones were late. Change: a question takes no news along while the list is pending or on its way; attempts expire from the book 1 s after their deadline; a daemon that has just started opens when it knows another one, or after 220 ms. The test of the news fails without the change.

--- a/internal/core/booking/book.go
+++ b/internal/core/booking/book.go
@@ -91,7 +91,7 @@
 		return
 	}
 	b.End(a.ID)
-	x := &entry{ask: a, plan: p, begin: now.Add(p.Wait)}
+	x := &entry{ask: a, plan: p, begin: now.Add(p.Wait), until: now.Add(a.Left + lastsOver)}
 	x.long = len(p.Parts) > 1 || p.Read > b.shortRead(a.Service)
 	x.end = now.Add(p.First)
 	for _, part := range p.Parts {
@@ -133,6 +133,20 @@
 	}
 }
 
+// lastsOver is how long after its deadline an attempt may still stand in the book: its
+// daemon ends it at the deadline and tells so within some 10 ms.
+const lastsOver = time.Second
+
+// Expire drops the attempts that have ended without a word, as when it was lost on the way
+// to another keeper. Each would count as a writer for good.
+func (b *Book) Expire(now time.Time) {
+	for id, x := range b.entries {
+		if now.After(x.until) {
+			b.End(id)
+		}
+	}
+}
+
 // Forget drops what a daemon has booked, for it has gone or tells it anew.
 func (b *Book) Forget(host string) {
 	for id := range b.byHost[host] {
--- a/internal/core/booking/book_test.go
+++ b/internal/core/booking/book_test.go
@@ -324,3 +324,17 @@
 		})
 	}
 }
+
+func TestAttemptWhoseEndIsNeverToldExpires(t *testing.T) {
+	b := newBook(2)
+	a := ask("lost", 5000)
+	b.Place(a, start)
+	b.Expire(start.Add(a.Left))
+	if b.Len() != 1 {
+		t.Error("it expired before its deadline")
+	}
+	b.Expire(start.Add(a.Left + 2*lastsOver))
+	if b.Len() != 0 {
+		t.Error("it is a writer for good")
+	}
+}
--- a/internal/core/booking/engine.go
+++ b/internal/core/booking/engine.go
@@ -32,6 +32,7 @@
 	ask     Ask
 	plan    Plan
 	engines []*engine // of the plan's parts, those that are known
+	until   time.Time // when it has ended in any case
 	begin   time.Time // of reading, as booked
 	end     time.Time // of reading, as booked
 	first   bool      // its first event has come, so its prompt is read
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -233,6 +233,5 @@
 	p.plain.apply(list)
 	if p.door.Table() != nil && !list.At.IsZero() {
 		p.serving.Store(true)
-		p.door.Open()
 	}
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -24,6 +24,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/relay"
 	"github.com/buckthorndock/buckthorndock/internal/schedule"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // process holds the parts of a running daemon.
@@ -249,9 +250,31 @@
 	run("suspects", func(ctx context.Context) error { return p.suspects.Share(ctx, p.node) })
 	run("sweep", p.sweep)
 	run("ways", p.relay.WatchWays)
+	run("opening", p.openWhenJoined)
 	return &wg
 }
 
+// Times of the opening. A daemon meets another one within 150 ms of its start. Until then
+// it plans alone: when all start at once, each gives every long prompt all engines, and
+// hundreds of milliseconds of prompts pile up on each.
+const (
+	joinWait  = 220 * time.Millisecond
+	joinCheck = 10 * time.Millisecond
+)
+
+// openWhenJoined lets held calls in when this daemon can serve and knows another one, or
+// has looked for one long enough.
+func (p *process) openWhenJoined(ctx context.Context) error {
+	for wait.For(ctx, joinCheck) {
+		joined := len(p.node.Members()) > 1
+		if p.serving.Load() && (joined || time.Since(p.started) >= joinWait) {
+			p.door.Open()
+			return nil
+		}
+	}
+	return nil
+}
+
 // sweep closes kept connections that are over and drops lapsed upstreams.
 func (p *process) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepEvery)
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -52,8 +52,9 @@
 }
 
 // Bounds of the wait at a daemon that has just started. It knows settings and upstreams
-// 20 ms after its start if the store answers; callers that meet it before then are served
-// in time, where a refusal would send them to others that have started with it.
+// 20 ms after its start if the store answers, and another daemon after 150 ms; callers that
+// meet it before then are served in time, where a refusal would send them to others that
+// have started with it.
 const (
 	startHold = 250 * time.Millisecond // of one call
 	startSpan = time.Second            // since the start; what takes longer takes long
--- a/internal/schedule/flush.go
+++ b/internal/schedule/flush.go
@@ -36,9 +36,12 @@
 	}
 	if s.restore {
 		open := s.openNow(time.Now())
-		s.restore, s.news = false, nil
+		s.restore, s.restoring, s.news = false, true, nil
 		s.mu.Unlock()
 		err := s.call(ctx, keeper, "Restore", notifyWait, &RestoreRequest{From: s.self(), Open: open}, &RestoreReply{})
+		s.mu.Lock()
+		s.restoring = false
+		s.mu.Unlock()
 		s.afterFlush(ctx, err, false)
 		return
 	}
@@ -82,6 +85,7 @@
 func (s *Service) forgetSilent(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.book.Expire(now)
 	for host, l := range s.heard {
 		if now.Sub(l.at) > forgetAfter {
 			s.log.WithField("from", host).Info("book_of_host_dropped")
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -75,7 +75,9 @@
 	down    *avoid.Tracker  // daemons that did not answer
 	keeper  string          // host that was asked last; empty: this one
 	restore bool            // the keeper lacks some of the own attempts
-	wake    chan struct{}
+	// restoring: the own attempts are on their way to the keeper.
+	restoring bool
+	wake      chan struct{}
 }
 
 // life is what the keeper knows of another daemon.
@@ -149,12 +151,9 @@
 	keeper, remote := s.choose(now)
 	if !remote {
 		defer s.mu.Unlock()
-		p := s.book.Place(a, now)
-		s.noteOwn(a, p, now)
-		return p
+		return s.placeHere(a, now)
 	}
-	news := s.news
-	s.news = nil
+	news := s.takeNews()
 	s.mu.Unlock()
 
 	var reply PlaceReply
@@ -167,9 +166,7 @@
 	}
 	if err != nil {
 		s.lost(ctx, keeper, err, now)
-		p := s.book.Place(a, now)
-		s.noteOwn(a, p, now)
-		return p
+		return s.placeHere(a, now)
 	}
 	if reply.Unknown {
 		s.restore = true
@@ -177,8 +174,7 @@
 	}
 	if reply.Plan.Verdict == booking.NoEngine {
 		// A keeper that has just started may not have the list yet.
-		p := s.book.Place(a, now)
-		s.noteOwn(a, p, now)
+		p := s.placeHere(a, now)
 		s.restore = s.restore || p.Verdict == booking.Booked
 		return p
 	}
@@ -187,6 +183,25 @@
 	return reply.Plan
 }
 
+// placeHere plans by what is known here. The caller holds the lock.
+func (s *Service) placeHere(a booking.Ask, now time.Time) booking.Plan {
+	p := s.book.Place(a, now)
+	s.noteOwn(a, p, now)
+	return p
+}
+
+// takeNews returns what a question to the keeper takes with it: nothing while the keeper is
+// to be told all open attempts, for news that overtakes these would be undone by them. The
+// caller holds the lock.
+func (s *Service) takeNews() []Event {
+	if s.restore || s.restoring {
+		return nil
+	}
+	news := s.news
+	s.news = nil
+	return news
+}
+
 func (s *Service) call(ctx context.Context, to membership.Member, method string, wait time.Duration, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
--- a/internal/schedule/service_test.go
+++ b/internal/schedule/service_test.go
@@ -23,6 +23,8 @@
 	mu    sync.Mutex
 	by    map[string]*Service
 	cut   map[string]bool // hosts that nobody reaches
+	// onRestore is called while a daemon's open attempts are on their way.
+	onRestore func()
 }
 
 // end is one daemon's view of the group.
@@ -52,6 +54,9 @@
 	case ServiceName + ".Notify":
 		return s.RPC().Notify(args.(*NotifyRequest), reply.(*NotifyReply))
 	case ServiceName + ".Restore":
+		if e.onRestore != nil {
+			e.onRestore()
+		}
 		return s.RPC().Restore(args.(*RestoreRequest), reply.(*RestoreReply))
 	}
 	return merry.New("unknown method " + method)
@@ -169,6 +174,24 @@
 	}
 }
 
+// TestNewsDoNotOvertakeWhatIsOpen has an attempt end while the keeper is being told that it
+// is open: the end must reach the keeper after that, or the attempt stays in its book.
+func TestNewsDoNotOvertakeWhatIsOpen(t *testing.T) {
+	g := newGroup("k", "a")
+	g.place(t, "a", "1")
+	g.onRestore = func() {
+		g.by["a"].End("1")
+		g.place(t, "a", "2")
+	}
+	g.by["a"].flush(t.Context(), true) // tells all: the keeper has not heard of it before
+	g.onRestore = nil
+	g.by["a"].flush(t.Context(), true)
+	g.by["a"].flush(t.Context(), true)
+	if n := g.by["k"].booked(); n != 1 {
+		t.Errorf("the keeper knows %d attempts", n)
+	}
+}
+
 func TestSilentDaemonsAreForgotten(t *testing.T) {
 	g := newGroup("k", "a")
 	g.place(t, "a", "1")
