--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -168,7 +168,8 @@
 		s.lost(ctx, keeper, err, now)
 		return s.placeHere(a, now)
 	}
-	if reply.Unknown {
+	if reply.Unknown || s.restoring {
+		// What is on its way does not have this attempt and replaces what the keeper knows.
 		s.restore = true
 		s.signal()
 	}
--- a/internal/schedule/service_test.go
+++ b/internal/schedule/service_test.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/avoid"
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/cost"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
@@ -179,17 +180,26 @@
 func TestNewsDoNotOvertakeWhatIsOpen(t *testing.T) {
 	g := newGroup("k", "a")
 	g.place(t, "a", "1")
+	g.by["a"].flush(t.Context(), true)
+	g.setCut("k", true)
+	g.by["a"].flush(t.Context(), true) // is lost, so that all is to be told again
+	g.setCut("k", false)
+	g.by["a"].down = avoid.New(avoid.Options{})
 	g.onRestore = func() {
 		g.by["a"].End("1")
 		g.place(t, "a", "2")
 	}
-	g.by["a"].flush(t.Context(), true) // tells all: the keeper has not heard of it before
-	g.onRestore = nil
 	g.by["a"].flush(t.Context(), true)
+	g.onRestore = nil
 	g.by["a"].flush(t.Context(), true)
 	if n := g.by["k"].booked(); n != 1 {
 		t.Errorf("the keeper knows %d attempts", n)
 	}
+	g.by["a"].End("2")
+	g.by["a"].flush(t.Context(), true)
+	if n := g.by["k"].booked(); n != 0 {
+		t.Errorf("after all have ended the keeper knows %d attempts", n)
+	}
 }
 
 func TestSilentDaemonsAreForgotten(t *testing.T) {
