No engines are kept spare for short prompts

Cause: two of 18 engines cost more to long prompts, as a reserve for short ones to come. Since short prompts gather on the fullest engines, others fall clear by themselves. Change: the reserve and its cost go.

--- a/internal/core/booking/engine.go
+++ b/internal/core/booking/engine.go
@@ -102,7 +102,6 @@
 	helping int   // parts of others that are read or held here
 	context int64 // tokens of the writers
 	memory  int64 // tokens held or booked
-	spare   bool  // kept for short prompts to come
 }
 
 // anyPause is what a writer bears that has no objective for pauses.
--- a/internal/core/booking/long.go
+++ b/internal/core/booking/long.go
@@ -20,9 +20,6 @@
 	idleCost = 13.0
 	// waitCost orders engines by when they are free, per second.
 	waitCost = 30.0
-	// spareCost keeps engines for short prompts to come: one of them is worth as
-	// much as some short prompts in time.
-	spareCost = 6.0
 	// slowCost prefers the earlier of two ways in time, as a share of the worth for
 	// the whole of the time left.
 	slowCost = 0.2
@@ -141,9 +138,6 @@
 	for i := range loads {
 		l := &loads[i]
 		c := l.harm(part) + waitCost*l.free.Sub(t.now).Seconds()
-		if l.spare {
-			c += spareCost
-		}
 		if l.helping >= l.engine.slots() {
 			c += overCost
 		}
@@ -199,9 +193,6 @@
 		c.harms = c.harms || !l.bearsAll(c.read)
 		c.harm += l.harm(c.read)
 		c.cost += idleCost * c.begin.Sub(l.free).Seconds()
-		if l.spare {
-			c.cost += spareCost
-		}
 	}
 	c.cost += c.harm
 	value := t.ask.value()
--- a/internal/core/booking/place.go
+++ b/internal/core/booking/place.go
@@ -32,7 +32,6 @@
 	if len(t.loads) == 0 {
 		return Plan{Verdict: NoEngine}
 	}
-	t.markSpare()
 	read := t.service.Figures.Read(t.ask.Prompt)
 	var p Plan
 	if read <= t.book.shortRead(t.ask.Service) && t.fitsOne() {
@@ -135,24 +134,8 @@
 	spareSlots = 1
 	// queueMost is how many requests may wait at an engine whose slots are taken.
 	queueMost = 8
-	// spareEngines are kept clear for short prompts to come, as a share of all.
-	spareEngines = 0.08
 )
 
-// markSpare marks the engines that are opened next for short prompts.
-func (t *task) markSpare() {
-	left := int(math.Ceil(spareEngines * float64(len(t.loads))))
-	for i := range t.loads {
-		if left == 0 {
-			return
-		}
-		if t.loads[i].tight == 0 {
-			t.loads[i].spare = true
-			left--
-		}
-	}
-}
-
 func (t *task) planShort(read time.Duration) Plan {
 	best, bestScore, rank := -1, 0.0, 0
 	for i := range t.loads {
