--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -58,9 +58,8 @@
 // keeperKey is the key whose first live daemon keeps the book.
 const keeperKey = "booking"
 
-// keeperCandidates is how many daemons are looked at for one that answers: with half of all
-// dead, one in 60,000 times none of them lives.
-const keeperCandidates = 16
+// keeperCandidates is how many daemons are looked at for one that answers.
+const keeperCandidates = 6
 
 // Service is one daemon's part in the schedule. It is safe for concurrent use.
 type Service struct {
@@ -72,11 +71,10 @@
 	open    map[string]*booking.Open // own attempts, without their age
 	began   map[string]time.Time     // of own attempts
 	news    []Event
-	heard   map[string]life      // daemons that ask this one
-	down    *avoid.Tracker       // daemons that did not answer
-	silent  map[string]time.Time // when they did not, until a later heartbeat of theirs is heard
-	keeper  string               // host that was asked last; empty: this one
-	restore bool                 // the keeper lacks some of the own attempts
+	heard   map[string]life // daemons that ask this one
+	down    *avoid.Tracker  // daemons that did not answer
+	keeper  string          // host that was asked last; empty: this one
+	restore bool            // the keeper lacks some of the own attempts
 	// restoring: the own attempts are on their way to the keeper.
 	restoring bool
 	wake      chan struct{}
@@ -92,15 +90,14 @@
 // New returns a Service with an empty book.
 func New(o Options) *Service {
 	return &Service{
-		opts:   o,
-		log:    o.Log,
-		book:   booking.New(),
-		open:   map[string]*booking.Open{},
-		began:  map[string]time.Time{},
-		heard:  map[string]life{},
-		silent: map[string]time.Time{},
-		down:   avoid.New(avoid.Options{First: downFirst, Most: downMost, Forget: downForget}),
-		wake:   make(chan struct{}, 1),
+		opts:  o,
+		log:   o.Log,
+		book:  booking.New(),
+		open:  map[string]*booking.Open{},
+		began: map[string]time.Time{},
+		heard: map[string]life{},
+		down:  avoid.New(avoid.Options{First: downFirst, Most: downMost, Forget: downForget}),
+		wake:  make(chan struct{}, 1),
 	}
 }
 
@@ -123,7 +120,7 @@
 		if m.Host == s.opts.Host {
 			return m, false
 		}
-		if slices.Contains(silent, m.Host) || s.noBeatSince(m) || s.opts.Behind != nil && s.opts.Behind(m.Host) {
+		if slices.Contains(silent, m.Host) || s.opts.Behind != nil && s.opts.Behind(m.Host) {
 			continue
 		}
 		return m, true
@@ -131,22 +128,6 @@
 	return membership.Member{}, false
 }
 
-// noBeatSince reports whether a daemon did not answer and has given no sign of life since:
-// it is dead or cut off, and each question to it would cost a request its plan. Where half
-// of 77 daemons died at once, those left asked the same six dead ones again every second
-// and planned by up to six books for 2.5 s.
-func (s *Service) noBeatSince(m membership.Member) bool {
-	failed, known := s.silent[m.Host]
-	if !known {
-		return false
-	}
-	if m.LastHeard.After(failed) {
-		delete(s.silent, m.Host)
-		return false
-	}
-	return true
-}
-
 // choose returns the keeper and notes a change of it. The caller holds the lock.
 func (s *Service) choose(now time.Time) (m membership.Member, remote bool) {
 	m, remote = s.keeperNow(now)
@@ -237,7 +218,6 @@
 	if s.opts.Doubt != nil {
 		s.opts.Doubt(m.Host)
 	}
-	s.silent[m.Host] = now
 	span := s.down.Failed(m.Host, now)
 	s.log.WithError(err).WithFields(logrus.Fields{"keeper": m.Host, "avoid_ms": span.Milliseconds()}).Warn("book_keeper_silent")
 }
