A look tries sound upstreams first, and a sign of life meanwhile is no cut

Cause: read as a newcomer, a look at three of many dead upstreams of a domain could take their deaths for a cut and move what runs on the sound ones. Change: upstreams that failed lately are tried last; a look during which the domain gave a sign of life changes nothing.

--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -91,8 +91,9 @@
 // leastTried is how many connections have to fail in a look: one upstream may be dead.
 const leastTried = 2
 
-// Looked notes the result of a look. One without enough connections changes nothing; where
-// a domain has a single upstream, its death and a cut are not told apart.
+// Looked notes the result of a look. One without enough connections changes nothing, for
+// where a domain has a single upstream, its death and a cut are not told apart; neither does
+// one during which the domain gave a sign of life: those that were tried are dead.
 func (t *Tracker) Looked(domain string, l Look, now time.Time) Change {
 	w := t.way(domain)
 	w.looking = false
@@ -104,7 +105,7 @@
 		}
 		w.cut = time.Time{}
 		return BecameReached
-	case l.Tried < leastTried || !w.cut.IsZero():
+	case l.Tried < leastTried || !w.cut.IsZero() || w.heard.After(l.Began):
 		return None
 	}
 	w.cut = l.Began
--- a/internal/core/reach/reach_test.go
+++ b/internal/core/reach/reach_test.go
@@ -88,6 +88,17 @@
 	}
 }
 
+// TestDeadUpstreamsAreNoCut is the pattern of many upstreams of a domain that die at once:
+// a look may try only dead ones, while answers still come from the others.
+func TestDeadUpstreamsAreNoCut(t *testing.T) {
+	tr := newTracker()
+	tr.Doubt("far", at(0))
+	tr.Heard("far", at(40))
+	if got := tr.Looked("far", missed(at(0)), at(100)); got != None || tr.Cut("far") {
+		t.Errorf("change %d", got)
+	}
+}
+
 func TestDoubtsAreBounded(t *testing.T) {
 	tr := newTracker()
 	looks := 0
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -109,15 +109,18 @@
 	r.avoid.Succeeded(id, time.Now())
 }
 
+// failing returns the upstreams that failed lately.
+func (r *Relay) failing() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.avoid.Avoided(time.Now())
+}
+
 // avoided returns the upstreams to leave alone now, those of domains that cannot be
 // reached among them.
 func (r *Relay) avoided() []string {
-	now := time.Now()
-	list := r.opts.Upstreams()
-	r.mu.Lock()
-	ids := r.avoid.Avoided(now)
-	r.mu.Unlock()
-	for _, u := range list.Upstreams {
+	ids := r.failing()
+	for _, u := range r.opts.Upstreams().Upstreams {
 		if r.DomainCut(u.Domain) {
 			ids = append(ids, u.ID)
 		}
--- a/internal/relay/ways.go
+++ b/internal/relay/ways.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -122,15 +123,23 @@
 	}
 }
 
-// lookTargets draws upstreams of a domain.
+// lookTargets draws upstreams of a domain, those that have not failed lately before others.
 func (r *Relay) lookTargets(domain string) []fleet.Upstream {
-	var all []fleet.Upstream
+	var sound, failing []fleet.Upstream
+	avoided := r.failing()
 	for _, u := range r.opts.Upstreams().Upstreams {
-		if u.Domain == domain {
-			all = append(all, u)
+		switch {
+		case u.Domain != domain:
+		case slices.Contains(avoided, u.ID):
+			failing = append(failing, u)
+		default:
+			sound = append(sound, u)
 		}
 	}
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, some := range [][]fleet.Upstream{sound, failing} {
+		rand.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+	}
+	all := append(sound, failing...)
 	return all[:min(wayTried, len(all))]
 }
 
--- a/internal/relay/ways_test.go
+++ b/internal/relay/ways_test.go
@@ -165,3 +165,19 @@
 		t.Error("it is believed to be cut off")
 	}
 }
+
+// TestLooksTrySoundUpstreamsFirst is the pattern of many upstreams of a domain that die at
+// once: a look at those alone would take their deaths for a cut.
+func TestLooksTrySoundUpstreamsFirst(t *testing.T) {
+	f := newFixture(t)
+	f.live("a", "b", "c", "d", "e", "f", "g")
+	dead := []string{"a", "b", "c", "d"}
+	f.relay.failed(dead, retry.NotWritten)
+	for range 20 {
+		for _, u := range f.relay.lookTargets("") {
+			if slices.Contains(dead, u.ID) {
+				t.Fatalf("a look tries %s, which has just failed", u.ID)
+			}
+		}
+	}
+}
