Read as a newcomer: two constants say where they come from

Cause: the time between looks at a domain and the bound of lines on entries that cannot be read had no grounds. Change: comments only. Conclusion: no code differs.

--- a/internal/edge/noted.go
+++ b/internal/edge/noted.go
@@ -11,7 +11,7 @@
 // with every heartbeat, and may use any number of keys.
 const (
 	notedAgain = time.Minute // until the same fault of the same key has another line
-	notedMost  = 256         // lines within that time
+	notedMost  = 256         // lines within that time, about four a second
 )
 
 // noted bounds log lines to one for a key and a reason. The zero value is ready for use,
--- a/internal/relay/ways.go
+++ b/internal/relay/ways.go
@@ -19,6 +19,8 @@
 const (
 	// wayQuiet is three of the usual pauses between events, of 50 ms.
 	wayQuiet = 150 * time.Millisecond
+	// wayAgain is between two looks at a domain: twice the time of one, so that a cut of a
+	// few seconds is left within a tenth of it.
 	wayAgain = 200 * time.Millisecond
 	// wayTick is between two looks whether a domain has fallen quiet.
 	wayTick = 50 * time.Millisecond
