--- a/internal/core/booking/place.go
+++ b/internal/core/booking/place.go
@@ -112,9 +112,10 @@
 	// gatherGain is what each writer of an open engine counts for it: short prompts gather
 	// on the fullest engines, so that the others fall clear within the two seconds of an
 	// answer and can read long prompts without harm. Spread evenly, as few as 20 short
-	// prompts kept six engines of 18 open for good, for which two are enough. It bought
-	// 0.02 to 0.03 of the worth of days of load on three sites, of 16 and more paired
-	// plays each; two and five do nearly as well as three.
+	// prompts kept six engines of 18 open for good, for which two are enough. Against
+	// spreading by two a writer, gathering by two bought 0.020 to 0.026 of the worth of days
+	// of load on three sites, in 16, 12 and 12 paired plays; five did as well, three with
+	// one spare slot 0.007 more, which is near the error.
 	gatherGain = 3.0
 	// longWriterCost keeps them from engines that write long prompts' answers, whose
 	// context slows each step.
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -12,9 +12,10 @@
 	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
-// Times of the opening. A daemon meets another one within 150 ms of its start. Until then
-// it plans alone: when all start at once, each gives every long prompt all engines, and
-// hundreds of milliseconds of prompts pile up on each.
+// Times of the opening. Daemons that start together met within 180 ms in one play, those
+// that start some 100 ms apart within a second. Until then each plans alone: when all start
+// at once, each gives every long prompt nearly all engines, and hundreds of milliseconds of
+// prompts pile up on each engine.
 const (
 	joinWait  = 220 * time.Millisecond
 	joinCheck = 10 * time.Millisecond
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -52,7 +52,7 @@
 }
 
 // Bounds of the wait at a daemon that has just started. It knows settings and upstreams
-// 20 ms after its start if the store answers, and another daemon after 150 ms; callers that
+// 20 ms after its start if the store answers, and soon another daemon; callers that
 // meet it before then are served in time, where a refusal would send them to others that
 // have started with it.
 const (
--- a/test/days/compare/main.go
+++ b/test/days/compare/main.go
@@ -28,7 +28,7 @@
 	first int
 	jobs  int
 	why   string
-	extra []string // options of the bench's run
+	extra []string // further options of each play
 	trees [2]string
 	sites []string
 }
@@ -71,7 +71,7 @@
 	results   [2]result
 }
 
-// result is what the comparison needs of the bench's report.
+// result is what the comparison needs of a play's report.
 type result struct {
 	Worth  float64                    `json:"G"`
 	Served float64                    `json:"served"`
@@ -107,7 +107,7 @@
 	return nil
 }
 
-// build has the bench build each tree once, before several plays want it at the same time.
+// build builds each tree once, before several plays want it at the same time.
 func (o *options) build() error {
 	for _, tree := range o.trees {
 		cmd := exec.Command(o.bench, "build")
