A living server is never lost from the list for the late entry of a dead one

Cause: where starts are not told, the list took the last entry to come for that of the later life. A server that was cut off and started anew behind the cut has a new id at its address; its last heartbeat as the former life arrived after the successor's first, threw the successor out, and lapsed. The successor's entry still stood, but nothing brought it back: a displaced entry was forgotten, and an id whose successor had been seen was let in again. Ruled out: the choice by born where it is told (it was right and stays); the readers and copies between daemons (the records came in the store's order). Where the order is not told both stay listed; the one listed first, also if it went and came back, is avoided, and what answers decides: a 421 for an upstream, or its own answer to what was sent when its rivals were known. A life that was succeeded stays out of plans by lists that are older (Superseded).

--- /dev/null
+++ b/internal/core/fleet/snapshot.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Snapshot is an immutable list, ordered by ID.
+type Snapshot struct {
+	Upstreams []Upstream
+	// Superseded are the IDs of the lives that are over though their entries stand.
+	Superseded []string
+	At         time.Time // of the read that it reflects
+	byID       map[string]int
+}
+
+// Get returns an upstream by its ID.
+func (s *Snapshot) Get(id string) (Upstream, bool) {
+	i, ok := s.byID[id]
+	if !ok {
+		return Upstream{}, false
+	}
+	return s.Upstreams[i], true
+}
+
+// Live returns the upstreams of a service that take new work.
+func (s *Snapshot) Live(service string) []Upstream {
+	var live []Upstream
+	for _, u := range s.Upstreams {
+		if u.Service == service && !u.Leaving {
+			live = append(live, u)
+		}
+	}
+	return live
+}
+
+// Successor returns the upstream that shows that the life of another one, which is not
+// listed any more, is over: a later life of the same server, or another server at its
+// address.
+func (s *Snapshot) Successor(of Upstream) (Upstream, bool) {
+	if _, listed := s.byID[of.ID]; listed {
+		return Upstream{}, false
+	}
+	for _, u := range s.Upstreams {
+		if u.ID != of.ID && (u.Name == of.Name || u.Address == of.Address) {
+			return u, true
+		}
+	}
+	return Upstream{}, false
+}
+
+// Snapshot returns the present list.
+func (l *List) Snapshot() *Snapshot {
+	s := &Snapshot{At: l.read, byID: make(map[string]int, len(l.byName))}
+	byAddress := make(map[string][]*entry, len(l.byName))
+	for _, e := range l.byName {
+		byAddress[e.Address] = append(byAddress[e.Address], e)
+	}
+	for address, all := range byAddress {
+		listed := l.choose(address, all)
+		s.Upstreams = append(s.Upstreams, listed...)
+		if len(listed) == len(all) {
+			continue
+		}
+		for _, e := range all {
+			if !slices.ContainsFunc(listed, func(u Upstream) bool { return u.ID == e.ID }) {
+				s.Superseded = append(s.Superseded, e.ID)
+			}
+		}
+	}
+	slices.SortFunc(s.Upstreams, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	slices.Sort(s.Superseded)
+	for i, u := range s.Upstreams {
+		s.byID[u.ID] = i
+	}
+	return s
+}
+
+// choose returns the upstreams of an address that may live there.
+func (l *List) choose(address string, all []*entry) []Upstream {
+	latest := l.births[address].born
+	all = slices.DeleteFunc(slices.Clone(all), func(e *entry) bool { return e.Born != 0 && e.Born < latest })
+	// What answers showed counts only beside another one: alone, an upstream is tried.
+	if slices.ContainsFunc(all, func(e *entry) bool { return !e.over }) {
+		all = slices.DeleteFunc(all, func(e *entry) bool { return e.over })
+	}
+	listed := make([]Upstream, len(all))
+	for i, e := range all {
+		listed[i] = e.Upstream
+		for _, other := range all {
+			if other != e {
+				listed[i].Rivals = append(listed[i].Rivals, other.ID)
+				listed[i].Displaced = listed[i].Displaced || other.listed > e.listed
+			}
+		}
+	}
+	return listed
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -135,20 +135,14 @@
 	for _, r := range b.Records {
 		changes = append(changes, p.change(r))
 	}
-	p.mu.Lock()
-	before := p.list.Load()
-	if b.Whole {
-		p.upstreams.Replace(changes, b.At)
-	} else {
-		p.upstreams.Read(changes, b.At)
-	}
-	after := p.upstreams.Snapshot()
-	p.list.Store(after)
-	p.mu.Unlock()
-	if p.logListChange(before, after) || !p.serving.Load() {
-		p.spreadList()
-		p.endSuperseded(before, after)
-	}
+	p.changeList(func(l *fleet.List) bool {
+		if b.Whole {
+			l.Replace(changes, b.At)
+		} else {
+			l.Read(changes, b.At)
+		}
+		return true
+	})
 }
 
 // change reads a record of the list. One that cannot be read names no upstream.
--- a/internal/edge/listchange.go
+++ b/internal/edge/listchange.go
@@ -8,6 +8,38 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 )
 
+// changeList changes the list of upstreams, and tells all that go by it if the change,
+// which reports whether there was any, made a difference to them.
+func (p *process) changeList(change func(*fleet.List) bool) {
+	p.mu.Lock()
+	before := p.list.Load()
+	if !change(p.upstreams) {
+		p.mu.Unlock()
+		return
+	}
+	after := p.upstreams.Snapshot()
+	p.list.Store(after)
+	p.mu.Unlock()
+	if p.logListChange(before, after) || !p.serving.Load() {
+		p.spreadList()
+		p.endSuperseded(before, after)
+	}
+}
+
+// identified takes in which of the upstreams at an address answered there.
+func (p *process) identified(u fleet.Upstream, itself bool) {
+	changed := false
+	p.changeList(func(l *fleet.List) bool {
+		changed = l.Identified(u, itself)
+		return changed
+	})
+	if changed {
+		p.log.WithFields(logrus.Fields{
+			"upstream": u.ID, "address": u.Address, "rivals": u.Rivals, "itself": itself,
+		}).Info("upstream_identified")
+	}
+}
+
 // logListChange writes a line for each upstream that came, began to leave or went,
 // and reports whether there was any.
 //
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -150,15 +150,16 @@
 
 func (p *process) buildRelay() {
 	p.relay = relay.New(relay.Options{
-		Host:      p.cfg.Host,
-		Sender:    p.provider.Sender(p.pool),
-		Planner:   p.schedule,
-		Plain:     p.plain,
-		Suspects:  p.suspects,
-		Reach:     p.pool.Reach,
-		Upstreams: p.list.Load,
-		Budget:    p.retryBudget,
-		Log:       p.log,
+		Host:       p.cfg.Host,
+		Sender:     p.provider.Sender(p.pool),
+		Planner:    p.schedule,
+		Plain:      p.plain,
+		Suspects:   p.suspects,
+		Reach:      p.pool.Reach,
+		Upstreams:  p.list.Load,
+		Identified: p.identified,
+		Budget:     p.retryBudget,
+		Log:        p.log,
 	})
 	p.door = relay.NewDoor(p.relay, p.log)
 }
--- a/internal/edge/sweep.go
+++ b/internal/edge/sweep.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 )
 
 // sweep closes kept connections that are over and drops lapsed upstreams.
@@ -29,14 +31,5 @@
 }
 
 func (p *process) expireLapsed(now time.Time) {
-	p.mu.Lock()
-	before := p.list.Load()
-	changed := p.upstreams.Expire(now)
-	if changed {
-		p.list.Store(p.upstreams.Snapshot())
-	}
-	p.mu.Unlock()
-	if changed && p.logListChange(before, p.list.Load()) {
-		p.spreadList()
-	}
+	p.changeList(func(l *fleet.List) bool { return l.Expire(now) })
 }
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -59,6 +59,7 @@
 	defer t.watch.stop()
 	defer g.relay.running.add(t)()
 	answer, err := g.relay.opts.Sender.Send(ctx, a)
+	t.identify(err)
 	if err != nil {
 		return t.broken(err)
 	}
@@ -70,6 +71,21 @@
 	return t.plain(answer)
 }
 
+// identify tells which of the upstreams whose entries name one address lives there, as
+// how an attempt was answered shows.
+func (t *attempt) identify(err error) {
+	if len(t.to.Rivals) == 0 {
+		return
+	}
+	var f *Failure
+	switch {
+	case err == nil:
+		t.relay.opts.Identified(t.to, true)
+	case errors.As(err, &f) && f.Other:
+		t.relay.opts.Identified(t.to, false)
+	}
+}
+
 // broken tells why an attempt has ended without a whole answer.
 func (t *attempt) broken(err error) ending {
 	cause := context.Cause(t.ctx)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -57,7 +58,7 @@
 		Objective: r.Route.Objective - time.Since(r.Arrived),
 		Gap:       r.Route.GapObjective,
 		Left:      g.left(),
-		Exclude:   g.exclude,
+		Exclude:   slices.Concat(g.exclude, g.relay.opts.Upstreams().Superseded),
 		Avoid:     g.avoid(),
 		Begun:     g.started,
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,6 +26,9 @@
 	Reach func(ctx context.Context, address string) error
 	// Upstreams returns the present list.
 	Upstreams func() *fleet.Snapshot
+	// Identified tells whether an upstream that has rivals answered itself, or another
+	// one at its address.
+	Identified func(u fleet.Upstream, itself bool)
 	// Budget returns the site's bound of repeats.
 	Budget func() BudgetOptions
 	Log    *logrus.Entry
@@ -117,11 +120,11 @@
 }
 
 // avoided returns the upstreams to leave alone now, those of domains that cannot be
-// reached among them.
+// reached among them, and those whose address another one most likely has.
 func (r *Relay) avoided() []string {
 	ids := r.failing()
 	for _, u := range r.opts.Upstreams().Upstreams {
-		if r.DomainCut(u.Domain) {
+		if u.Displaced || r.DomainCut(u.Domain) {
 			ids = append(ids, u.ID)
 		}
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
@@ -273,3 +275,55 @@
 		t.Errorf("asked %+v", asks)
 	}
 }
+
+// sharedAddress lists two upstreams whose entries name one address, the later one second.
+func (f *fixture) sharedAddress(earlier, later string) {
+	for _, id := range []string{earlier, later} {
+		u := fleet.Upstream{Life: fleet.Life{Name: id}, Service: "llm", Address: "shared:1"}
+		f.list.Read([]fleet.Change{entry(u)}, time.Now())
+	}
+	f.relay.opts.Identified = func(u fleet.Upstream, itself bool) { f.list.Identified(u, itself) }
+}
+
+func TestAnswerTellsWhichUpstreamHasAnAddress(t *testing.T) {
+	other := func(context.Context, Attempt) (*Answer, error) {
+		return nil, &Failure{End: retry.Declined, Other: true, Err: merry.New("scripted")}
+	}
+	for name, c := range map[string]struct {
+		steps      []func(context.Context, Attempt) (*Answer, error)
+		superseded string
+	}{
+		"it answers itself":   {[]func(context.Context, Attempt) (*Answer, error){answer(200, firstEvents)}, "earlier"},
+		"another one answers": {[]func(context.Context, Attempt) (*Answer, error){other, answer(200, firstEvents)}, "later"},
+	} {
+		f := newFixture(t, c.steps...)
+		f.live("e1")
+		f.sharedAddress("earlier", "later")
+		f.planner.plans = []booking.Plan{onEngine("later"), onEngine("e1")}
+		if refusal := f.relay.Run(t.Context(), streamRequest(true), &record{}); refusal != nil {
+			t.Fatal(name, refusal)
+		}
+		first := f.planner.asks[0]
+		if !slices.Contains(first.Avoid, "earlier") || slices.Contains(first.Avoid, "later") {
+			t.Errorf("%s: the first ask avoids %v", name, first.Avoid)
+		}
+		if got := f.list.Snapshot().Superseded; !slices.Equal(got, []string{c.superseded}) {
+			t.Errorf("%s: superseded %v", name, got)
+		}
+	}
+}
+
+func TestSupersededUpstreamsAreNotAskedFor(t *testing.T) {
+	f := newFixture(t, answer(200, firstEvents))
+	f.live("e1")
+	f.sharedAddress("earlier", "later")
+	later, _ := f.list.Snapshot().Get("later")
+	f.list.Identified(later, true)
+	f.planner.plans = []booking.Plan{onEngine("e1")}
+	if refusal := f.relay.Run(t.Context(), streamRequest(true), &record{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if got := f.planner.asks[0].Exclude; !slices.Contains(got, "earlier") {
+		t.Errorf("the planner, whose list may be older, is not told: %v", got)
+	}
+}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -117,8 +117,10 @@
 	End retry.End
 	// At is the address of the upstream at fault where the answer names another
 	// than the one that was asked.
-	At  string
-	Err error
+	At string
+	// Other says that another upstream answered at the address of the one that was asked.
+	Other bool
+	Err   error
 }
 
 // Error implements error.
