Soak: entries of dead servers come late, and every server that lives gets work

Cause: the list lost living servers, and no check of the soak could see it: a site with one server less still serves. Ruled out: the same check for engines, on few of which short prompts gather. Change: a trouble, drawn apart so that seeds keep their other troubles, starts a server under a new id and lets the entry of the dead one come after it; after the troubles each plain server that lives and is registered has to get work. A mutant shows that the check can fail.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -126,6 +126,20 @@
 	h.findings = append(h.findings, finding{check, fmt.Sprintf(format, args...)})
 }
 
+// idle returns which of the servers have run nothing since a time.
+func (h *history) idle(servers []string, since time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, runs := range h.runs {
+		for _, run := range runs {
+			if run.at.After(since) {
+				servers = slices.DeleteFunc(servers, func(id string) bool { return id == run.server })
+			}
+		}
+	}
+	return servers
+}
+
 // summary counts what happened, so that a reader sees that enough did.
 func (h *history) summary() string {
 	byStatus, runs, repeats, failed, left := map[int]int{}, 0, 0, 0, 0
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -38,6 +38,7 @@
 	killAll       = "kill all daemons"
 	restartServer = "restart server" // under the id that it has
 	foreignEntry  = "foreign entry"
+	lateEntry     = "late entry" // of the server that had the address before
 )
 
 // Entries of other writers.
@@ -128,10 +129,26 @@
 	}
 }
 
+// lateEvery is the mean pause between late entries of dead servers.
+const lateEvery = 6 * time.Second
+
+// drawLateEntries returns late entries of dead servers of a seed, drawn apart as well.
+func drawLateEntries(seed uint64, length time.Duration, servers int) []trouble {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var plan []trouble
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() * float64(lateEvery))
+		if at >= length {
+			return plan
+		}
+		plan = append(plan, trouble{at: at, kind: lateEntry, target: rng.IntN(servers), lasts: lapse})
+	}
+}
+
 // targets says what a trouble is about, as the history's spans name it.
 func (r *rig) targets(tr trouble) []string {
 	switch tr.kind {
-	case killServer, freezeServer, rollServer, harmServer, restartServer, foreignEntry:
+	case killServer, freezeServer, rollServer, harmServer, restartServer, foreignEntry, lateEntry:
 		return []string{r.servers[tr.target].name}
 	case harmStore:
 		return []string{"store"}
@@ -173,6 +190,8 @@
 		r.harmServer(r.servers[tr.target], tr)
 	case foreignEntry:
 		r.foreign(r.servers[tr.target], tr.how)
+	case lateEntry:
+		r.late(r.servers[tr.target], tr.lasts)
 	case newSettings:
 		r.publish()
 	case harmStore:
@@ -198,6 +217,26 @@
 	}
 }
 
+// late kills a server, starts its successor, and lets the entry of the dead one come after
+// that of the successor, for as long as it takes to lapse. Neither tells its start.
+func (r *rig) late(s *server, lasts time.Duration) {
+	s.proc.kill()
+	r.mu.Lock()
+	dead := standin.Entry{Service: s.service, Address: s.address, Seq: s.seq + 1}
+	id := s.id()
+	r.mu.Unlock()
+	r.startServer(s)
+	r.mu.Lock()
+	s.born = 0
+	r.enter(s)
+	r.tell(r.store, command{Op: "put", Stream: standin.Servers, Key: id, Value: dead.Text()})
+	r.mu.Unlock()
+	time.Sleep(lasts)
+	r.mu.Lock()
+	r.tell(r.store, command{Op: "put", Stream: standin.Servers, Key: id})
+	r.mu.Unlock()
+}
+
 func (r *rig) harmLink(name string, tr trouble) {
 	r.tell(r.links, command{Op: "fault", Name: name, How: tr.how})
 	time.Sleep(tr.lasts)
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -276,6 +276,19 @@
 	}
 }
 
+// plainServers returns the ids of the plain servers that live, stay and are registered.
+func (r *rig) plainServers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	for _, s := range r.servers {
+		if s.service == "shop" && s.entered && !s.leaving {
+			ids = append(ids, s.id())
+		}
+	}
+	return ids
+}
+
 func (r *rig) heartbeat(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -55,6 +55,7 @@
 	if !r.eventually(p.recovery, func() bool { return r.allServe(p.seed) }) {
 		r.history.find("all serve again after the troubles", "not within %s: %s", p.recovery, r.lastOutcomes())
 	}
+	r.checkWork(p.recovery)
 	cancel()
 	callers.Wait()
 	r.checkQuiet(p.recovery)
@@ -143,6 +144,16 @@
 	return text.String()
 }
 
+// checkWork: while callers call, each plain server that lives and is registered gets work.
+// Engines are left out, for short prompts gather on few of them.
+func (r *rig) checkWork(within time.Duration) {
+	since := time.Now()
+	idle := func() []string { return r.history.idle(r.plainServers(), since) }
+	if !r.eventually(within, func() bool { return len(idle()) == 0 }) {
+		r.history.find("a server that lives gets work", "none for %v within %s", idle(), within)
+	}
+}
+
 // checkQuiet: with no caller left, the daemons have nothing in progress and the engines
 // hold no memory for them.
 func (r *rig) checkQuiet(within time.Duration) {
@@ -193,6 +204,7 @@
 	for i := range *flagSeeds {
 		p := seeded(first+uint64(i), time.Duration(*flagMinutes*float64(time.Minute)), *flagDaemons, *flagServers)
 		p.plan = append(p.plan, drawRestarts(p.seed, p.length, 2*p.servers)...)
+		p.plan = append(p.plan, drawLateEntries(p.seed, p.length, 2*p.servers)...)
 		slices.SortFunc(p.plan, func(a, b trouble) int { return cmp.Compare(a.at, b.at) })
 		t.Run(fmt.Sprint(p.seed), func(t *testing.T) { tellFindings(t, p, p.run(t)) })
 	}
@@ -235,6 +247,7 @@
 		{"backward", "settings go forward", forSettings},
 		{"leaving", "nothing new for a server that leaves", forLeaving},
 		{"dead", "all serve again after the troubles", nil},
+		{"dead", "a server that lives gets work", nil},
 		{"leaky", "engines get their memory back", nil},
 	} {
 		t.Run(c.mutant+"/"+c.check, func(t *testing.T) {
