Few daemons read the store while it is away

Cause: a daemon read the store itself as soon as the two that read it for all had nothing fresh. Change: a chain of readers, three of all daemons and two of each failure domain; each reads the store only while those before it have nothing fresh. Of the others one in a failure domain draws a try, on average, and what one has read spreads between neighbours. A peer that does not answer is not asked for a second and more; a copy that is old but newer than what is known is taken. Tests: 300 daemons with the store away (each try counted), and with a store that turns all usual readers and a third of the rest away (all know a change after eight tries, few reads); neither passes on the code before. One test goes on: the daemon that was not there counts as silent for a while, so it forgets that before it asks it again.

--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -88,19 +88,30 @@
 	return nil
 }
 
-// read reads once: from other daemons where that is their task, else from the store,
-// and from the others again when the store does not answer.
+// errNothingFresh: the daemons that read the store for all have nothing fresh.
+var errNothingFresh = errors.New("no daemon that was asked has read the store of late")
+
+// read reads once: from the daemons whose task it is to read the store, then from the store
+// where it is the task of this one, and else from any others.
 func (f *Follower) read(ctx context.Context) error {
 	s := f.opts.Spread
 	fresh := mostAge + f.opts.Wait
-	if s != nil && !s.readsStore() && f.readPeer(ctx, s.tailers(), fresh) {
-		return nil
+	err := errNothingFresh
+	reads := s == nil
+	if !reads {
+		before, next := s.readers()
+		if f.readPeer(ctx, before, fresh) {
+			return nil
+		}
+		reads = next || f.knowsNothing() || s.draws()
 	}
-	err := f.readStore(ctx)
-	if err == nil || errors.Is(err, platform.ErrTrimmed) || errors.Is(err, errKicked) || ctx.Err() != nil {
-		return err
+	if reads {
+		err = f.readStore(ctx)
+		if err == nil || errors.Is(err, platform.ErrTrimmed) || errors.Is(err, errKicked) || ctx.Err() != nil {
+			return err
+		}
+		f.lost(err)
 	}
-	f.lost(err)
 	if s == nil {
 		return err
 	}
--- a/internal/keyed/spread.go
+++ b/internal/keyed/spread.go
@@ -3,14 +3,17 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
+	"net/rpc"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/avoid"
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 )
@@ -30,14 +33,20 @@
 
 // Bounds of the spread.
 const (
-	// The first of numTailers daemons reads the store, and the others ask it, then the
-	// next: a read of the store has a price, one of a peer has next to none. The second
-	// reads the store when it misses the first, so that the others do not have to.
-	numTailers = 2
-	tailerKey  = "feed-tailer"
+	// The first of a few readers reads the store for all: a read of the store has a price,
+	// one of a peer has next to none. Each of the others reads it only while those before
+	// it have nothing fresh, as when the store turns them away or they cannot be reached.
+	// Of three daemons drawn among many of which the store turns a third away, all are
+	// turned away once in 27 times, with the two of a failure domain once in 240.
+	siteReaders = 3 // first of all daemons
+	nearReaders = 2 // then the first of each failure domain, for it may be cut off
+	readerKey   = "feed-tailer"
+	// drawnReaders is how many of the other daemons of a failure domain read the store, on
+	// average, at each try in which no reader has anything fresh.
+	drawnReaders = 1
 	// mostAge is the age up to which a peer's knowledge is as good as a read of the
-	// store: two paces of a tailer and the way. Where reads stay open it is more by
-	// their wait, during which a tailer hears of no change because there is none.
+	// store: two paces of a reader and the way. Where reads stay open it is more by
+	// their wait, during which a reader hears of no change because there is none.
 	mostAge = 900 * time.Millisecond
 	// anyAge takes what a peer knows however old it is.
 	anyAge = time.Duration(math.MaxInt64)
@@ -52,11 +61,25 @@
 
 	mu        sync.Mutex
 	followers map[string]*Follower
+	silent    *avoid.Tracker // daemons that did not answer
 }
 
+// Daemons that did not answer are not asked for a while, doubled while they stay silent:
+// each question to one behind a cut takes its whole wait.
+const (
+	silentFirst  = time.Second
+	silentMost   = 4 * time.Second
+	silentForget = 10 * time.Second
+)
+
 // NewSpread returns a Spread of the daemon with the name.
 func NewSpread(host string, peers Peers) *Spread {
-	return &Spread{host: host, peers: peers, followers: map[string]*Follower{}}
+	return &Spread{
+		host:      host,
+		peers:     peers,
+		followers: map[string]*Follower{},
+		silent:    avoid.New(avoid.Options{First: silentFirst, Most: silentMost, Forget: silentForget}),
+	}
 }
 
 func (s *Spread) add(stream string, f *Follower) {
@@ -71,14 +94,38 @@
 	return s.followers[stream]
 }
 
-// readsStore reports whether this daemon reads the store for all.
-func (s *Spread) readsStore() bool {
-	first := s.peers.Rank(tailerKey, 1)
-	return len(first) == 0 || first[0].Host == s.host
+// readers returns the daemons to ask before the store, in order, and whether this daemon
+// is the next one that is to read it.
+func (s *Spread) readers() (before []membership.Member, next bool) {
+	all := s.peers.Rank(readerKey, math.MaxInt)
+	near := 0
+	for i, m := range all {
+		if i >= siteReaders {
+			if near >= nearReaders || !s.peers.Near(m.Host) {
+				continue
+			}
+			near++
+		}
+		if m.Host == s.host {
+			return before, true
+		}
+		before = append(before, m)
+	}
+	return before, len(before) == 0
 }
 
-// tailers returns the daemons to ask, in order.
-func (s *Spread) tailers() []membership.Member { return s.peers.Rank(tailerKey, numTailers) }
+// draws reports whether this daemon is to read the store though it is no reader. All draw
+// while no reader has anything fresh, so that a few try wherever the store can be reached
+// and what one has read spreads from it.
+func (s *Spread) draws() bool {
+	near := 1
+	for _, m := range s.peers.Members() {
+		if m.Host != s.host && m.State != membership.Dead && s.peers.Near(m.Host) {
+			near++
+		}
+	}
+	return rand.IntN(near) < drawnReaders
+}
 
 // some returns a few other daemons that may live, those of the own failure domain first: a
 // daemon behind a cut reaches no others.
@@ -154,17 +201,17 @@
 // none knows enough.
 func (f *Follower) readPeer(ctx context.Context, from []membership.Member, most time.Duration) bool {
 	s := f.opts.Spread
-	f.mu.Lock()
-	next := f.copied.next
-	f.mu.Unlock()
 	for _, m := range from {
-		if m.Host == s.host {
+		if m.Host == s.host || s.isSilent(m.Host) {
 			continue
 		}
+		f.mu.Lock()
+		next := f.copied.next
+		f.mu.Unlock()
 		began := time.Now()
 		var reply SinceReply
 		err := s.ask(ctx, m, SinceRequest{Stream: f.opts.Stream, From: next}, f.opts.PeerWait, &reply)
-		if err != nil || reply.Age > most || reply.Next < next {
+		if err != nil || reply.Next < next || reply.Age > most && !f.knowsLess(reply) {
 			continue // the next one, or the store, is asked
 		}
 		records, err := unpack(reply.Packed)
@@ -173,15 +220,42 @@
 			continue
 		}
 		f.takeFromPeer(reply.Whole, platform.KeyedPage{Records: records, Next: reply.Next}, began.Add(-reply.Age))
-		return true
+		if reply.Age <= most {
+			return true
+		}
 	}
 	return false
 }
 
+// knowsLess reports whether a peer's copy, though it is old, is newer than the one here: it
+// is taken, and a fresh one is looked for nevertheless.
+func (f *Follower) knowsLess(r SinceReply) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.copied.at.IsZero() && r.Next > f.copied.next && time.Since(f.copied.at) > r.Age
+}
+
+func (s *Spread) isSilent(host string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.silent.Avoided(time.Now()), host)
+}
+
 func (s *Spread) ask(ctx context.Context, m membership.Member, req SinceRequest, wait time.Duration, reply *SinceReply) error {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	asked, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	return s.peers.Call(ctx, m.Address, ServiceName+".Since", &req, reply)
+	err := s.peers.Call(asked, m.Address, ServiceName+".Since", &req, reply)
+	var answered rpc.ServerError
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil, errors.As(err, &answered):
+		s.silent.Succeeded(m.Host, now)
+	case ctx.Err() == nil:
+		s.silent.Failed(m.Host, now)
+	}
+	return err
 }
 
 // takeFromPeer applies a peer's page. What a whole one does not list was removed.
