--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -15,6 +15,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/router"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // Times of the loops that feed the router.
@@ -63,14 +64,7 @@
 // on to the router.
 func (p *process) readDigests(ctx context.Context) error {
 	seen := map[digestKey]uint64{} // version last read
-	ticker := time.NewTicker(digestEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return nil
-		}
+	wait.Every(ctx, digestEvery, func(time.Time) {
 		for _, section := range p.node.Sections(owner.Section) {
 			key := digestKey{section.Host, section.Incarnation}
 			if section.Domain != p.cfg.Domain || seen[key] == section.Version {
@@ -79,7 +73,8 @@
 			seen[key] = section.Version
 			p.takeDigest(section)
 		}
-	}
+	})
+	return nil
 }
 
 func (p *process) takeDigest(section membership.SectionView) {
--- a/internal/daemon/listed.go
+++ b/internal/daemon/listed.go
@@ -8,6 +8,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // listedSection carries the upstreams that the platform's list has as leaving.
@@ -34,15 +35,8 @@
 // applyListed tells the domain what this host has read, and the router what any
 // host has.
 func (p *process) applyListed(ctx context.Context) error {
-	ticker := time.NewTicker(listedEvery)
-	defer ticker.Stop()
 	told := "" // nothing is as good as no section
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return nil
-		}
+	wait.Every(ctx, listedEvery, func(time.Time) {
 		told = p.tellListed(told)
 		leaving := map[string]bool{}
 		dead := p.deadHosts()
@@ -55,7 +49,8 @@
 			}
 		}
 		p.router.SetListed(leaving)
-	}
+	})
+	return nil
 }
 
 // tellListed publishes what the last list has as leaving, when that is not what
--- a/internal/edge/sweep.go
+++ b/internal/edge/sweep.go
@@ -5,21 +5,16 @@
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // sweep closes kept connections that are over and drops lapsed upstreams.
 func (p *process) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			p.pool.Sweep(now, p.addressListed())
-			p.expireLapsed(now)
-		}
-	}
+	wait.Every(ctx, sweepEvery, func(now time.Time) {
+		p.pool.Sweep(now, p.addressListed())
+		p.expireLapsed(now)
+	})
+	return nil
 }
 
 func (p *process) addressListed() func(string) bool {
--- a/internal/relay/ways.go
+++ b/internal/relay/ways.go
@@ -13,6 +13,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/reach"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // Times of the looks at failure domains. A round trip between domains takes 1 to 3 ms.
@@ -81,22 +82,16 @@
 
 // WatchWays looks at failure domains that are quiet or cut until the context ends.
 func (r *Relay) WatchWays(ctx context.Context) error {
-	ticker := time.NewTicker(wayTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			writing := r.running.writing()
-			r.ways.mu.Lock()
-			due := r.ways.tracker.Due(writing, now)
-			r.ways.mu.Unlock()
-			for _, domain := range due {
-				go r.look(domain)
-			}
+	wait.Every(ctx, wayTick, func(now time.Time) {
+		writing := r.running.writing()
+		r.ways.mu.Lock()
+		due := r.ways.tracker.Due(writing, now)
+		r.ways.mu.Unlock()
+		for _, domain := range due {
+			go r.look(domain)
 		}
-	}
+	})
+	return nil
 }
 
 // look tries connections to some upstreams of a domain and takes in what that shows.
--- a/internal/suspects/share.go
+++ b/internal/suspects/share.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // Node is what sharing needs of the membership.
@@ -38,16 +39,8 @@
 // domains, for the same request may be sent to any of them, until the context ends.
 func (t *Tracker) Share(ctx context.Context, node Node) error {
 	s := &sharing{tracker: t, node: node, log: t.log, seen: map[life]uint64{}}
-	ticker := time.NewTicker(shareEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			s.exchange()
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	wait.Every(ctx, shareEvery, func(time.Time) { s.exchange() })
+	return nil
 }
 
 func (s *sharing) exchange() {
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,5 +1,5 @@
-// Package wait has the one wait of the shells round the cores: for a time, or less when
-// a context ends.
+// Package wait has the waits of the shells round the cores: for a time, once or again and
+// again, or less when a context ends.
 package wait
 
 import (
@@ -21,3 +21,18 @@
 		return false
 	}
 }
+
+// Every calls do each d, first after d, until the context ends. Calls that a slow one
+// delays are left out.
+func Every(ctx context.Context, d time.Duration, do func(now time.Time)) {
+	ticker := time.NewTicker(d)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			do(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/wait/wait_test.go
+++ b/internal/wait/wait_test.go
@@ -16,3 +16,16 @@
 		t.Error("the end of the context was not seen")
 	}
 }
+
+func TestEveryEndsWithItsContext(t *testing.T) {
+	ctx, end := context.WithCancel(t.Context())
+	calls := 0
+	Every(ctx, time.Millisecond, func(time.Time) {
+		if calls++; calls == 3 {
+			end()
+		}
+	})
+	if calls < 3 {
+		t.Errorf("%d calls", calls)
+	}
+}
