Each daemon tells when the store is lost to it, also one that reads from others

Cause: since few daemons read the store while it is away, those that do not had no line when all that they asked had nothing fresh; their log did not show that a dependency was lost. Ruled out: a line a try; it would be twice a second for each daemon. Change: one line at the loss, with what was seen, and one when anything fresh comes again; failed reads are counted only where the store was read. Before and after: the test of the lines fails before (no line) and passes. Conclusion: kept; no decision changes.

--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -32,7 +32,8 @@
 	Spread   *Spread
 	PeerWait time.Duration // for an answer of a peer
 	Apply    func(Batch)
-	// Regained is called when the store answers again after it was lost; may be nil.
+	// Regained is called when the store, or a reader of it, has something fresh again; may
+	// be nil.
 	Regained func()
 	Log      *logrus.Entry
 }
@@ -41,7 +42,7 @@
 type Follower struct {
 	opts Options
 	log  *logrus.Entry
-	away bool // the store did not answer the last read of it
+	away bool // neither a reader nor the store had anything fresh at the last try
 
 	mu     sync.Mutex
 	copied copied
@@ -101,6 +102,7 @@
 	if !reads {
 		before, next := s.readers()
 		if f.readPeer(ctx, before, fresh) {
+			f.regained()
 			return nil
 		}
 		reads = next || f.knowsNothing() || s.draws()
@@ -110,8 +112,9 @@
 		if err == nil || errors.Is(err, platform.ErrTrimmed) || errors.Is(err, errKicked) || ctx.Err() != nil {
 			return err
 		}
-		f.lost(err)
+		readErrors(f.opts.Stream).Inc()
 	}
+	f.lost(err)
 	if s == nil {
 		return err
 	}
@@ -228,7 +231,6 @@
 }
 
 func (f *Follower) lost(err error) {
-	readErrors(f.opts.Stream).Inc()
 	if f.away {
 		return
 	}
--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/avoid"
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
@@ -467,6 +468,30 @@
 	}
 }
 
+// TestDaemonThatReadsFromOthersTellsOfTheStoresLoss has one that does not read the store.
+func TestDaemonThatReadsFromOthersTellsOfTheStoresLoss(t *testing.T) {
+	const daemons = 300
+	f := newFleet(t, daemons)
+	last := f.peers.hosts[daemons-1]
+	logger, hook := test.NewNullLogger()
+	f.followers[last].log = logrus.NewEntry(logger)
+	f.age()
+	f.set(func(string) bool { return true })
+	for range 3 {
+		_ = f.followers[last].read(t.Context())
+	}
+	f.set(func(string) bool { return false })
+	mustRead(t, f.followers[f.peers.hosts[0]])
+	mustRead(t, f.followers[last])
+	var lines []string
+	for _, e := range hook.AllEntries() {
+		lines = append(lines, e.Message)
+	}
+	if !slices.Equal(lines, []string{"store_lost", "store_regained"}) {
+		t.Errorf("got %v", lines)
+	}
+}
+
 // TestOneThatTheStoreServesIsEnough is the pattern of a store that turns away all that
 // usually read it and a third of the others: what a few of the rest read spreads to all
 // within a second and a half, of tries half a second apart.
