--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -157,11 +157,14 @@
 	defer f.mu.Unlock()
 	n := len(f.asks)
 	f.asks = append(f.asks, a)
-	f.open[a.ID] = true
 	if f.onAsk != nil {
 		f.onAsk(n)
 	}
-	return f.plans[min(n, len(f.plans)-1)]
+	p := f.plans[min(n, len(f.plans)-1)]
+	if p.Verdict == booking.Booked {
+		f.open[a.ID] = true // as the book enters no other
+	}
+	return p
 }
 
 func (f *fakePlanner) First(string) {}
