The last line of a refused request tells the figures that decided it

Ruled out: a line a plan: prompts that wait ask ten times a second.

Change: request_ended has asked, engines, expected_ms, waited_ms and backlog_ms wherever a plan was asked for.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -71,6 +71,7 @@
 			return booking.Plan{}, refusal
 		}
 		p := g.relay.opts.Planner.Place(ctx, g.ask())
+		g.asked++
 		g.planned = p
 		g.plan = p.Verdict.String() + "/" + string(p.Reason)
 		switch p.Verdict {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -31,6 +31,7 @@
 	after   string // id of the last event passed on
 	started bool   // the head has been passed on
 	first   time.Time
+	asked   int    // plans asked for, those that told it to wait among them
 	plan    string // how the last attempt was placed, for the log
 	planned booking.Plan
 	latest  time.Time     // of the last event passed on
@@ -227,7 +228,9 @@
 		fields["first_ms"] = g.first.Sub(g.req.Arrived).Milliseconds()
 		fields["pause_ms"] = g.pause.Milliseconds()
 	}
-	if len(g.planned.Parts) > 0 {
+	if g.asked > 0 { // also where it was refused: these are the reasons
+		fields["asked"] = g.asked
+		fields["engines"] = g.planned.Engines
 		fields["expected_ms"] = g.planned.First.Milliseconds()
 		fields["waited_ms"] = g.planned.Wait.Milliseconds()
 		fields["backlog_ms"] = g.planned.Backlog.Milliseconds()
