Tidy: the model of loads by subject, tests of long prompts in a file of their own

Change: calls have a state; callers, engines and results are three files; tests of long prompts moved to long_test.go, a benchmark to the others.

--- a/internal/core/booking/bench_test.go
+++ b/internal/core/booking/bench_test.go
@@ -42,3 +42,22 @@
 
 func BenchmarkPlaceShort(b *testing.B) { benchPlace(b, 5000) }
 func BenchmarkPlaceLong(b *testing.B)  { benchPlace(b, 300_000) }
+
+func BenchmarkPlaceAmong78(b *testing.B) {
+	for _, prompt := range []int{5000, 210_000} {
+		b.Run(fmt.Sprint(prompt), func(b *testing.B) {
+			book := newBook(78)
+			for i := range 300 {
+				id := fmt.Sprint("w", i)
+				book.Place(ask(id, 5000), start)
+				book.First(id)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				id := fmt.Sprint(i)
+				book.Place(ask(id, prompt), start)
+				book.End(id)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/booking/long_test.go
@@ -0,0 +1,152 @@
+package booking
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestLongPromptIsSplitToBeInTime(t *testing.T) {
+	b := newBook(8)
+	p := b.Place(ask("long", 365_000), start) // 7.5 s on one engine
+	if p.Verdict != Booked || len(p.Parts) < 3 || p.First > 3*time.Second {
+		t.Errorf("got %+v", p)
+	}
+}
+
+func TestLongPartsStayOffEnginesThatWriteForShortPrompts(t *testing.T) {
+	b := newBook(8)
+	short := b.Place(ask("short", 5000), start)
+	b.First("short")
+	long := b.Place(ask("long", 210_000), start)
+	for _, part := range long.Parts {
+		if part.Upstream == short.Parts[0].Upstream {
+			t.Errorf("the short prompt's engine reads a part of %v", long.Read)
+		}
+	}
+	if long.Reason == ReasonHarm || long.Reason == ReasonLate {
+		t.Errorf("reason %s", long.Reason)
+	}
+}
+
+func TestPromptThatIsLateInAnyCaseYields(t *testing.T) {
+	b := newBook(2)
+	if p := b.Place(ask("first", 250_000), start); p.Verdict != Booked {
+		t.Fatalf("got %+v", p)
+	}
+	a := ask("late", 250_000)
+	a.Objective = 100 * time.Millisecond
+	if p := b.Place(a, start); p.Verdict != Yield {
+		t.Errorf("got %s", p.Verdict)
+	}
+	a.Left = 4 * time.Second // no time to yield, and the first one's answer would be late
+	if p := b.Place(a, start); p.Verdict != TooLate {
+		t.Errorf("got %s %s", p.Verdict, p.Reason)
+	}
+	b.End("first") // now it harms nobody
+	if p := b.Place(a, start); p.Verdict != Booked || p.Reason != ReasonLate {
+		t.Errorf("got %s %s", p.Verdict, p.Reason)
+	}
+	a.ID, a.Left = "hopeless", 500*time.Millisecond // both engines together take two seconds
+	if p := b.Place(a, start); p.Verdict != TooLate {
+		t.Errorf("got %s", p.Verdict)
+	}
+}
+
+func TestAnswerThatHasBegunIsNeitherRefusedNorYields(t *testing.T) {
+	for name, change := range map[string]func(*Ask){
+		"late in any case":     func(a *Ask) { a.Objective = time.Millisecond },
+		"no time for its read": func(a *Ask) { a.Left = time.Millisecond },
+	} {
+		for _, begun := range []bool{false, true} {
+			b := newBook(2)
+			for i := range 2 {
+				b.Place(ask(fmt.Sprint("busy", i), 150_000), start)
+			}
+			a := ask("a", 150_000)
+			change(&a)
+			a.Begun = begun
+			if p := b.Place(a, start); (p.Verdict == Booked) != begun {
+				t.Errorf("%s, begun %v: %s", name, begun, p.Verdict)
+			}
+		}
+	}
+}
+
+func TestTheLargestAreNotPutBehindWhileTheyAreInTime(t *testing.T) {
+	b := newBook(4)
+	for i := range 4 {
+		b.Place(ask(fmt.Sprint("busy", i), 210_000), start)
+	}
+	a := ask("huge", 800_000) // 32 s on one engine
+	a.Objective, a.Left = time.Minute, 2*time.Minute
+	p := b.Place(a, start)
+	if p.Verdict != Booked || p.First > time.Duration(onTimeShare*float64(a.Objective)) {
+		t.Errorf("got %s %s, first after %s", p.Verdict, p.Reason, p.First)
+	}
+	b.End("huge")
+	a.Objective = time.Second // late in any case: those in time go first
+	if p := b.Place(a, start); p.Verdict != Yield {
+		t.Errorf("late in any case: %s %s", p.Verdict, p.Reason)
+	}
+}
+
+func TestMemoryIsSpreadOnlyWhenOneEngineDoesNotHoldIt(t *testing.T) {
+	b := newBook(6)
+	whole := b.Place(ask("fits", 300_000), start)
+	for _, part := range whole.Parts {
+		if part.Reserve != 0 {
+			t.Errorf("reserves %d", part.Reserve)
+		}
+	}
+	b.End("fits")
+	spread := b.Place(ask("huge", 900_000), start)
+	sum := spread.Parts[0].Reserve
+	for _, part := range spread.Parts[1:] {
+		sum += part.Reserve
+	}
+	if spread.Parts[0].Reserve != 0 || sum < 900_000-450_000 {
+		t.Errorf("reserves %d with %+v", sum, spread.Parts)
+	}
+	if p := b.Place(ask("never", 9_000_000), start); p.Verdict != TooLarge {
+		t.Errorf("got %s", p.Verdict)
+	}
+}
+
+func TestPromptThatMakesOthersLateWaitsWhileItCan(t *testing.T) {
+	b := newBook(4)
+	var taken []string
+	for i := range 4 { // a writer on each engine
+		short := ask(fmt.Sprint("short", i), 5000)
+		short.Exclude = taken
+		taken = append(taken, b.Place(short, start).Parts[0].Upstream)
+		b.First(short.ID)
+	}
+	a := ask("long", 200_000) // 2.6 s on one engine, 0.65 s on all
+	if p := b.Place(a, start); p.Verdict != Yield {
+		t.Errorf("with %s left: %s %s", a.Objective, p.Verdict, p.Reason)
+	}
+	a.Objective = time.Second // 0.85 s of it are aimed at: now or late
+	if p := b.Place(a, start); p.Verdict != Booked || p.Reason != ReasonHarm {
+		t.Errorf("with %s left: %s %s", a.Objective, p.Verdict, p.Reason)
+	}
+	b.End("long")
+	for i := range 4 {
+		b.End(fmt.Sprint("short", i))
+	}
+	a.Objective = 3 * time.Second
+	if p := b.Place(a, start); p.Verdict != Booked || p.Reason != ReasonSplit {
+		t.Errorf("with nobody else: %s %s", p.Verdict, p.Reason)
+	}
+}
+
+func TestAnswerOfASpreadPromptIsWrittenInTime(t *testing.T) {
+	b := newBook(17)
+	a := ask("largest", 1_000_000) // 2.9 s on all engines; on one, its steps would take 3.5 ms
+	a.Objective, a.Left = time.Second, 8*time.Second
+	other := ask("other", 100_000)
+	b.Place(other, start)
+	if p := b.Place(a, start); p.Verdict != Yield {
+		t.Errorf("got %s, first after %s: there is time to wait and to write", p.Verdict, p.First)
+	}
+}
--- a/internal/core/booking/model_test.go
+++ b/internal/core/booking/model_test.go
@@ -20,6 +20,9 @@
 	// modelYield and modelFull are the pauses of daemons between two tries to place.
 	modelYield = 100 * time.Millisecond
 	modelFull  = 50 * time.Millisecond
+	// leastBack and mostBack bound the time after which a refused caller is told to come back.
+	leastBack = 200 * time.Millisecond
+	mostBack  = 2 * time.Second
 	// modelMoves is how often a stream that pauses is moved.
 	modelMoves = 1
 	// quantum bounds what an engine without writers reads before it looks for new work.
@@ -57,17 +60,27 @@
 	away  int
 }
 
+// callState says where a call is.
+type callState uint8
+
+const (
+	asking callState = iota // for a plan, at askAt
+	booked                  // and sent at sendAt
+	sent
+	ended
+)
+
 // call is one request on its way.
 type call struct {
+	state   callState
 	kind    *kind
 	ask     Ask
 	prompt  int
 	events  int // of its answer
-	sent    int // events so far
+	got     int // events so far
 	arrived time.Duration
-	retryAt time.Duration // when it asks again; zero: not waiting to
+	askAt   time.Duration
 	sendAt  time.Duration
-	booked  bool
 	plan    Plan
 	unread  int // parts
 	first   time.Duration
@@ -75,30 +88,10 @@
 	pause   time.Duration
 	moves   int
 	back    bool // came back after a refusal
-	done    bool
 	refused bool
 	worth   float64 // owed
 }
 
-// share is a part of a prompt on an engine.
-type share struct {
-	call *call
-	left time.Duration // reading time
-	help bool
-}
-
-// unit is one engine.
-type unit struct {
-	id       string
-	waiting  []*share
-	writers  []*call
-	reading  []*share // of the pass
-	busy     time.Duration
-	writing  bool // the pass has writers
-	joiners  []*call
-	pausedBy time.Duration
-}
-
 type model struct {
 	book    *Book
 	rng     *rand.Rand
@@ -107,7 +100,7 @@
 	order   []*unit
 	list    *fleet.Snapshot
 	away    int
-	calls   []*call // not done
+	calls   []*call // not ended
 	all     []*call
 	now     time.Duration
 	n       int
@@ -148,7 +141,7 @@
 		prompt:  int(m.lognormal(k.prompt, k.spread, k.most)),
 		events:  max(int(m.lognormal(k.events, k.spreadOut, 2.5*k.events)), 1),
 		arrived: m.now,
-		retryAt: m.now,
+		askAt:   m.now,
 	}
 	out := float64(c.events * m.figures.Stride)
 	size := (float64(c.prompt) + 10*out) / (k.prompt + 10*k.events*float64(m.figures.Stride))
@@ -160,28 +153,27 @@
 
 // place asks the book for a call.
 func (m *model) place(c *call) {
-	c.retryAt = 0
 	k := c.kind
 	left := c.arrived + k.deadline - m.now
 	if left <= 0 {
-		c.done = true
+		c.state = ended
 		return
 	}
 	answer := c.events * m.figures.Stride * 2 // callers name a bound, not the length
 	a := Ask{
 		ID: fmt.Sprintf("%s/%d/%d", c.ask.ID, c.moves, m.now), Host: "h", Service: "llm", Prompt: c.prompt,
 		Answer: answer, Expected: min(answer, m.figures.UsualAnswer),
-		Objective: k.objective - (m.now - c.arrived), Gap: k.gap, Left: left, Begun: c.sent > 0,
+		Objective: k.objective - (m.now - c.arrived), Gap: k.gap, Left: left, Begun: c.got > 0,
 	}
 	p := m.book.Place(a, start.Add(m.now))
 	c.ask = a
 	switch p.Verdict {
 	case Booked:
-		c.plan, c.booked, c.sendAt = p, true, m.now+p.Wait
+		c.plan, c.state, c.sendAt = p, booked, m.now+p.Wait
 	case Yield:
-		c.retryAt = m.now + modelYield
+		c.askAt = m.now + modelYield
 	case Full:
-		c.retryAt = m.now + modelFull
+		c.askAt = m.now + modelFull
 	default:
 		m.refuse(c, p)
 	}
@@ -190,16 +182,16 @@
 // refuse lets a caller come back once, after the time that it is told.
 func (m *model) refuse(c *call, p Plan) {
 	if c.back {
-		c.done, c.refused = true, true
+		c.state, c.refused = ended, true
 		return
 	}
 	c.back = true
-	c.retryAt = m.now + min(max(p.Backlog, 200*time.Millisecond), 2*time.Second)
+	c.askAt = m.now + min(max(p.Backlog, leastBack), mostBack)
 }
 
 // send puts the parts of a call on their engines.
 func (m *model) send(c *call) {
-	c.booked = false
+	c.state = sent
 	c.unread = len(c.plan.Parts)
 	c.latest = m.now
 	read := m.figures.Read(c.prompt) / time.Duration(len(c.plan.Parts))
@@ -210,113 +202,6 @@
 	}
 }
 
-// runPass begins a pass if an engine has work and none is under way.
-func (m *model) runPass(e *unit) {
-	if e.busy > m.now || len(e.writers)+len(e.waiting)+len(e.joiners) == 0 {
-		return
-	}
-	e.writers = append(e.writers, e.joiners...)
-	e.joiners = nil
-	slices.SortStableFunc(e.waiting, func(a, b *share) int {
-		switch {
-		case a.help == b.help:
-			return 0
-		case a.help:
-			return -1
-		}
-		return 1
-	})
-	bound := quantum
-	if len(e.writers) > 0 {
-		bound = time.Hour // a pass with writers has steps enough for all that waits
-	}
-	var took time.Duration
-	slots := m.figures.Slots - len(e.writers)
-	for _, s := range e.waiting {
-		if took >= bound {
-			break
-		}
-		if !s.help {
-			if slots <= 0 {
-				continue
-			}
-			slots--
-		}
-		part := min(s.left, bound-took)
-		s.left -= part
-		took += part
-		if s.left <= 0 {
-			e.reading = append(e.reading, s)
-		}
-	}
-	for _, s := range e.reading {
-		if !s.help && len(s.call.plan.Parts) == 1 {
-			e.writers = append(e.writers, s.call) // writes in the same pass
-			s.call.unread = 0
-		}
-	}
-	e.writing = len(e.writers) > 0
-	if e.writing {
-		context := 0
-		for _, c := range e.writers {
-			context += (c.prompt + c.sent*m.figures.Stride) / len(c.plan.Parts)
-		}
-		took += time.Duration(m.figures.Stride) * m.figures.Step(len(e.writers), int64(context))
-	}
-	e.busy = m.now + took
-}
-
-// endPass emits events and takes parts out that are read.
-func (m *model) endPass(e *unit) {
-	if e.busy == 0 || e.busy > m.now {
-		return
-	}
-	e.busy = 0
-	for _, s := range e.reading {
-		e.waiting = slices.DeleteFunc(e.waiting, func(x *share) bool { return x == s })
-		if len(s.call.plan.Parts) > 1 {
-			m.partRead(s.call)
-		}
-	}
-	e.reading = e.reading[:0]
-	if !e.writing {
-		return
-	}
-	e.writers = slices.DeleteFunc(e.writers, func(c *call) bool {
-		m.event(c)
-		return c.done
-	})
-}
-
-func (m *model) partRead(c *call) {
-	c.unread--
-	if c.unread == 0 && !c.done {
-		e := m.units[c.plan.Parts[0].Upstream]
-		e.joiners = append(e.joiners, c)
-	}
-}
-
-func (m *model) event(c *call) {
-	if c.done {
-		return
-	}
-	if c.sent == 0 {
-		c.first = m.now
-		m.book.First(c.ask.ID)
-	} else {
-		c.pause = max(c.pause, m.now-c.latest)
-		if c.moves > 0 {
-			m.book.First(c.ask.ID)
-		}
-	}
-	c.sent++
-	c.latest = m.now
-	if c.sent >= c.events {
-		c.done = true
-		m.book.End(c.ask.ID)
-	}
-}
-
 // drop takes a call off its engines.
 func (m *model) drop(c *call) {
 	m.book.End(c.ask.ID)
@@ -333,21 +218,18 @@
 
 // watch moves streams that pause for long and ends those whose callers have left.
 func (m *model) watch(c *call) {
-	if c.booked || c.retryAt > 0 {
-		return
-	}
 	silent := m.now - c.latest
 	k := c.kind
 	if m.now > c.arrived+k.deadline || silent > max(2*time.Second, 4*k.objective, 8*k.gap) {
 		m.drop(c)
-		c.done = true
+		c.state = ended
 		return
 	}
 	limit := max(staysGaps*k.gap, staysLeast)
-	if c.sent > 0 && c.moves < modelMoves && silent > limit {
+	if c.got > 0 && c.moves < modelMoves && silent > limit {
 		m.drop(c)
 		c.moves++
-		c.retryAt = m.now
+		c.state, c.askAt = asking, m.now
 	}
 }
 
@@ -382,81 +264,20 @@
 }
 
 func (m *model) stepCalls() {
-	kept := m.calls[:0]
 	for _, c := range m.calls {
-		switch {
-		case c.done:
-			continue
-		case c.retryAt > 0 || m.now == 0 || c.retryAt == 0 && c.arrived == m.now && !c.booked && c.unread == 0:
-			if m.now >= c.retryAt {
-				m.place(c)
-			}
-		}
-		if c.booked && m.now >= c.sendAt {
-			m.send(c)
-		}
-		m.watch(c)
-		kept = append(kept, c)
+		m.stepCall(c)
 	}
-	m.calls = kept
-}
-
-// tally is what some calls earned.
-type tally struct {
-	n, inTime, late, refused, lost int
-	owed, earned                   float64
+	m.calls = slices.DeleteFunc(m.calls, func(c *call) bool { return c.state == ended })
 }
 
-func (t *tally) add(c *call) {
-	t.n++
-	t.owed += c.worth * c.kind.worth
-	switch {
-	case c.refused:
-		t.refused++
-	case c.sent < c.events:
-		t.lost++
-	case c.first-c.arrived <= c.kind.objective && c.pause <= c.kind.gap:
-		t.inTime++
-		t.earned += c.worth * c.kind.worth
-	default:
-		t.late++
-		t.earned += c.worth * c.kind.late
+func (m *model) stepCall(c *call) {
+	if c.state == asking && m.now >= c.askAt {
+		m.place(c)
 	}
-}
-
-func (t *tally) share() float64 { return t.earned / math.Max(t.owed, 1e-9) }
-
-// result tells how a played load was served.
-type result struct {
-	all, largest tally // largest: the longest tenth of the longest kind
-	kinds        []tally
-	paused       int // in time by their first event, late by a pause
-}
-
-func (m *model) result() result {
-	r := result{kinds: make([]tally, len(kinds))}
-	longest := &kinds[len(kinds)-1]
-	var prompts []int
-	for _, c := range m.all {
-		if c.kind == longest {
-			prompts = append(prompts, c.prompt)
-		}
+	if c.state == booked && m.now >= c.sendAt {
+		m.send(c)
 	}
-	slices.Sort(prompts)
-	bound := prompts[len(prompts)*9/10]
-	for _, c := range m.all {
-		r.all.add(c)
-		for i := range kinds {
-			if c.kind == &kinds[i] {
-				r.kinds[i].add(c)
-			}
-		}
-		if c.kind == longest && c.prompt >= bound {
-			r.largest.add(c)
-		}
-		if c.sent > 0 && c.first-c.arrived <= c.kind.objective && c.pause > c.kind.gap {
-			r.paused++
-		}
+	if c.state == sent {
+		m.watch(c)
 	}
-	return r
 }
