--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -1,7 +1,7 @@
 // Command capacity measures what the control work of a daemon costs: it starts
 // sites of growing size as separate processes, with engines that have nothing to
 // do, and reads processor time, memory and counted bytes of each daemon over a
-// while. The figures are the slopes of docs/CAPACITY.md.
+// while. It measures the product's own interface; docs/CAPACITY.md is about the edge.
 package main
 
 import (
