--- a/internal/schedule/service_test.go
+++ b/internal/schedule/service_test.go
@@ -25,6 +25,7 @@
 	mu    sync.Mutex
 	by    map[string]*Service
 	cut   map[string]bool // hosts that nobody reaches
+	calls map[string]int  // that reached a daemon, by method
 	// cutDomain is cut off from all others; empty: none is.
 	cutDomain string
 	// onRestore is called while a daemon's open attempts are on their way.
@@ -61,6 +62,10 @@
 	if cut {
 		return merry.New("cut")
 	}
+	g := e.group
+	g.mu.Lock()
+	g.calls[method]++
+	g.mu.Unlock()
 	switch method {
 	case ServiceName + ".Place":
 		return s.RPC().Place(args.(*PlaceRequest), reply.(*PlaceReply))
@@ -82,7 +87,13 @@
 }
 
 func newGroup(hosts ...string) *group {
-	g := &group{hosts: hosts, by: map[string]*Service{}, cut: map[string]bool{}}
+	g := &group{hosts: hosts, by: map[string]*Service{}, cut: map[string]bool{}, calls: map[string]int{}}
+	g.startAll(1)
+	return g
+}
+
+// startAll starts all daemons, each with an incarnation that counts up from the first.
+func (g *group) startAll(first uint64) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	l := fleet.New(fleet.Options{AwayAfter: time.Hour})
@@ -96,12 +107,11 @@
 	services := []booking.Service{{Name: "llm", TightGap: 200 * time.Millisecond, Figures: cost.Figures{
 		Slots: 4, Memory: 100_000, Stride: 10, StepMs: 1, ReadPerMs: 256, MaxHelpers: 3,
 	}}}
-	for i, h := range hosts {
-		s := New(Options{Host: h, Incarnation: uint64(i + 1), Peers: end{g, h}, Log: logrus.NewEntry(log)})
+	for i, h := range g.hosts {
+		s := New(Options{Host: h, Incarnation: first + uint64(i), Peers: end{g, h}, Log: logrus.NewEntry(log)})
 		s.Apply(services, l.Snapshot())
 		g.by[h] = s
 	}
-	return g
 }
 
 func (g *group) place(t *testing.T, host, id string) booking.Plan {
@@ -262,3 +272,40 @@
 		t.Errorf("%s asks %q, want to keep the book itself", near[0], keeper)
 	}
 }
+
+// TestAllDaemonsThatStartAtOnceShareABook is the pattern of the death of all daemons: they
+// start at once and their callers come back together. Each prompt is one question to the one
+// keeper, and each daemon tells it what it has open once at the most.
+func TestAllDaemonsThatStartAtOnceShareABook(t *testing.T) {
+	const daemons, prompts = 8, 2 // as many as the engines of the group take
+	var hosts []string
+	for i := range daemons {
+		hosts = append(hosts, fmt.Sprintf("a-%02d", i))
+	}
+	g := newGroup(hosts...)
+	for _, host := range hosts {
+		g.place(t, host, host+"/before")
+	}
+	g.startAll(1000)
+	clear(g.calls)
+	for n := range prompts {
+		for _, host := range hosts {
+			g.place(t, host, fmt.Sprintf("%s/%d", host, n))
+			g.by[host].flush(t.Context(), false)
+		}
+	}
+	if got := g.by[hosts[0]].booked(); got != daemons*prompts {
+		t.Errorf("the keeper's book has %d attempts, want %d", got, daemons*prompts)
+	}
+	for _, host := range hosts[1:] {
+		if keeper := g.by[host].keeper; keeper != hosts[0] {
+			t.Errorf("%s asks %q", host, keeper)
+		}
+	}
+	if got, want := g.calls[ServiceName+".Place"], (daemons-1)*prompts; got != want {
+		t.Errorf("%d questions to the keeper, want %d", got, want)
+	}
+	if got := g.calls[ServiceName+".Restore"]; got > daemons-1 {
+		t.Errorf("%d daemons' open attempts were told, of %d", got, daemons-1)
+	}
+}
