Frozen processes of scenarios and the soak stay frozen when the tests' shell ends

In that second the shell had ended that had begun the run in its background. The kernel sends SIGHUP and SIGCONT to a process group that loses its last parent outside it while a member is stopped; the stand-ins were in the tests' group.

Ruled out: the claims (each refusal and each run was true: the log did answer); load: a script that stops a process in the background of a shell shows it stopped while the shell runs and no more after it has ended.

Change: processes of scenarios and of the soak are groups of their own. The scenario is as it was.

--- a/test/scenarios/process_test.go
+++ b/test/scenarios/process_test.go
@@ -50,6 +50,7 @@
 		return err
 	}
 	cmd := exec.CommandContext(context.Background(), filepath.Join(binDir, program), p.args...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // see TestProcessesHaveGroupsOfTheirOwn
 	cmd.Stderr = log
 	out, err := cmd.StdoutPipe()
 	if err != nil {
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -169,11 +169,17 @@
 
 func (r *rig) tell(p *proc, c command) { _ = p.in.Encode(c) } // its end shows elsewhere
 
+// ownGroup puts a process into a group of its own. In that of the tests, one that is frozen
+// would go on when the shell ends that began them: the kernel continues stopped members of a
+// group that loses its last parent.
+func ownGroup() *syscall.SysProcAttr { return &syscall.SysProcAttr{Setpgid: true} }
+
 // spawn starts a stand-in.
 func (r *rig) spawn(role, name, to string) *proc {
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), roleEnv+"="+role, "SOAK_IP="+r.ip+"1", "SOAK_NAME="+name, "SOAK_TO="+to)
 	cmd.Stderr = os.Stderr
+	cmd.SysProcAttr = ownGroup()
 	in, err := cmd.StdinPipe()
 	if err != nil {
 		r.t.Fatal(err)
@@ -237,6 +243,7 @@
 	}
 	cmd := exec.Command(daemonBinary, "edge", "--config", d.file)
 	cmd.Stdout, cmd.Stderr = logs, os.Stderr
+	cmd.SysProcAttr = ownGroup()
 	if err := cmd.Start(); err != nil {
 		r.t.Fatal(err)
 	}
