An operator's change waits for a host that has just started

Change: a change waits for the host's settings for up to 2 s, then is refused as before. Open: a change that was certainly not appended is still told as undecided where the settings do not come or the log is away.

--- a/internal/follow/change.go
+++ b/internal/follow/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -31,7 +32,7 @@
 // The error is a finding.List when documents are wrong, an error about the
 // change's form, or one of those above.
 func (f *Follower) Change(ctx context.Context, change settings.Change) (settings.Verdict, error) {
-	if !f.Ready() {
+	if !f.waitReady(ctx) {
 		return settings.Verdict{}, ErrNotReady
 	}
 	if err := f.catchUp(ctx); err != nil {
@@ -51,6 +52,26 @@
 	return f.appendUntilDecided(ctx, &change, data)
 }
 
+// A host that has just started has the settings within some 10 ms, on a busy machine within
+// some 100 ms. A change that comes before waits for them: its operator would have to find out
+// that it was never appended.
+const (
+	readyWait = 2 * time.Second
+	readyLook = 10 * time.Millisecond
+)
+
+// waitReady waits until the host has settings, for a while. It returns false when it has none.
+func (f *Follower) waitReady(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	for !f.Ready() {
+		if !wait.For(ctx, readyLook) {
+			return f.Ready()
+		}
+	}
+	return true
+}
+
 // decided looks for a verdict on the change's id.
 func (f *Follower) decided(change *settings.Change) (verdict settings.Verdict, decided bool, err error) {
 	f.mu.Lock()
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -325,3 +325,15 @@
 		}
 	})
 }
+
+// TestChangeWaitsForAHostThatHasJustStarted: an operator's change that comes a moment before
+// the settings are there is decided like any other.
+func TestChangeWaitsForAHostThatHasJustStarted(t *testing.T) {
+	s := newSite(t)
+	h := s.add(false)
+	started := time.AfterFunc(50*time.Millisecond, func() { h.ready.Store(true) })
+	defer started.Stop()
+	if _, err := h.Change(context.Background(), edit("d", "/t", 0, 1)); errors.Is(err, ErrNotReady) {
+		t.Errorf("got %v", err)
+	}
+}
