A move takes its repeat from the budget before it ends the attempt

Cause: a cut or silence moves many attempts of a daemon at once. Each looked whether a repeat was left, was cancelled, and only then the policy took the repeat: with one left and three streams behind a cut, two were ended as "retry budget used up", though their engines might have come back.

Change: the move itself takes the repeat; one that gets none leaves the attempt as it is. The repeat is not taken twice.

--- a/internal/core/retry/policy.go
+++ b/internal/core/retry/policy.go
@@ -51,6 +51,7 @@
 	Resumes      int  // resumes of this attempt so far
 	Runs         int  // attempts so far that may have run, this one included
 	MostRuns     int  // runs that the request may have; zero: the policy's MaxAttempts
+	Paid         bool // the repeat that follows has been taken from the budget already
 }
 
 // mayHaveRun reports whether some upstream may have started the request.
@@ -61,6 +62,9 @@
 
 // spends reports whether another attempt is taken from the budget.
 func (p *Policy) spends(a Attempt) bool {
+	if a.Paid {
+		return false
+	}
 	if p.opts.CountArrivals {
 		return a.End != NotWritten
 	}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -61,11 +61,11 @@
 	return r.budgetOf(service).policy.Next(a, q, time.Now())
 }
 
-// mayRepeat reports whether the budget has a repeat left, without taking it.
-func (r *Relay) mayRepeat(service string) bool {
+// takeRepeat takes a repeat from the budget, if one is left.
+func (r *Relay) takeRepeat(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budgetOf(service).Left() > 0
+	return r.budgetOf(service).TryRetry(time.Now())
 }
 
 // Times told to callers whose request was not run.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -22,6 +22,7 @@
 	sink  Sink
 
 	attempt int
+	paid    bool     // a move has taken the next repeat from the budget; guarded by the attempt's silence
 	runs    int      // attempts that may have run
 	wrote   bool     // some attempt may have run
 	exclude []string // upstreams that were tried
@@ -109,7 +110,9 @@
 		EarlierWrote: earlier,
 		Runs:         g.runs,
 		MostRuns:     g.req.Route.MaxAttempts,
+		Paid:         g.paid,
 	}, g.coreRequest())
+	g.paid = false
 	g.logAttempt(e, decision)
 	g.exclude = append(g.exclude, e.blamed...)
 	if e.unreached {
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -31,7 +31,7 @@
 
 // movesLeft reports whether the request may run once more.
 func (g *run) movesLeft() bool {
-	return g.runs+1 < g.req.Route.MaxAttempts && g.attempt < mostAttempts && g.relay.mayRepeat(g.req.Service.Name)
+	return g.req.Route.Repeatable() && g.runs+1 < g.req.Route.MaxAttempts && g.attempt < mostAttempts
 }
 
 func (s *silence) over() {
@@ -46,12 +46,16 @@
 }
 
 // move cancels the attempt if the request may be moved. It returns false when it may not.
+//
+// The repeat is taken from the budget before: several attempts may be moved at once, and one
+// that is cancelled for a repeat which another took would be lost.
 func (s *silence) move(why error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped || !s.run.req.Route.Repeatable() || !s.run.movesLeft() {
+	if s.stopped || s.run.paid || !s.run.movesLeft() || !s.run.relay.takeRepeat(s.run.req.Service.Name) {
 		return false
 	}
+	s.run.paid = true
 	s.cancel(why)
 	return true
 }
