Writers leave an engine ahead of a long part that makes them late

Change: when a long prompt's reading begins, the keeper tells the daemons of the writers that it makes late, and that another engine saves, to move them. A moved stream asks for the time that is left of the pause it bears, and its engine is not held to have failed. Only to engines that write for more: in the model, emptier ones were the next to read long prompts.

The model counted the pause of a moved stream from its sending and so too short; it counts from the last event now.

--- /dev/null
+++ b/internal/core/booking/displace_test.go
@@ -0,0 +1,124 @@
+package booking
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// writing books short prompts until their engine writes for n of them, and returns it.
+func writing(t *testing.T, b *Book, n int) Part {
+	t.Helper()
+	var on Part
+	for i := range n {
+		id := fmt.Sprint("short", i)
+		p := b.Place(ask(id, 5000), start)
+		b.First(id)
+		if i > 0 && p.Parts[0].Upstream != on.Upstream {
+			t.Fatalf("short prompts are on %s and %s", on.Upstream, p.Parts[0].Upstream)
+		}
+		on = p.Parts[0]
+	}
+	return on
+}
+
+// fuller has another engine than one write for n short prompts.
+func fuller(b *Book, than Part, n int) {
+	for _, e := range b.ordered {
+		if e.up.ID == than.Upstream {
+			continue
+		}
+		for i := range n {
+			id := fmt.Sprint("there", i)
+			b.Note(ask(id, 5000), Plan{Parts: []Part{{Upstream: e.up.ID}}, Read: 20 * time.Millisecond}, start)
+			b.First(id)
+		}
+		return
+	}
+}
+
+// longPart enters a long prompt of which the engine reads a part of the length.
+func longPart(b *Book, on Part, read time.Duration) {
+	p := Plan{Parts: []Part{on}, Read: read, First: read}
+	b.Note(ask("long", 210_000), p, start)
+}
+
+// TestWritersLeaveAheadOfALongPart is the pattern of a long prompt that is read beside the
+// writers of short answers, for no engines are clear for all of it: these would pause for
+// longer than they bear, while engines that read nothing would send their next events in time.
+func TestWritersLeaveAheadOfALongPart(t *testing.T) {
+	b := newBook(8)
+	on := writing(t, b, 3)
+	fuller(b, on, 5)
+	longPart(b, on, 700*time.Millisecond)
+	before := b.Len()
+	list := b.Displace("long", start)
+	if len(list) != 3 || list[0].Host != "h1" {
+		t.Errorf("displaced %+v", list)
+	}
+	if b.Len() != before {
+		t.Errorf("%d attempts in the book, %d before", b.Len(), before)
+	}
+	b.First("long")
+	if list := b.Displace("long", start); len(list) != 0 {
+		t.Errorf("displaced after the part was read: %+v", list)
+	}
+}
+
+func TestWritersThatBearAPartStay(t *testing.T) {
+	b := newBook(8)
+	on := writing(t, b, 3)
+	fuller(b, on, 5)
+	longPart(b, on, 50*time.Millisecond)
+	if list := b.Displace("long", start); len(list) != 0 {
+		t.Errorf("displaced %+v", list)
+	}
+}
+
+// TestWritersStayWhereNothingSavesThem: a move costs a repeat of a small budget, so none is
+// made to an engine on which the answer pauses as well.
+func TestWritersStayWhereNothingSavesThem(t *testing.T) {
+	b := newBook(2)
+	on := writing(t, b, 3)
+	fuller(b, on, 5)
+	longPart(b, on, 700*time.Millisecond)
+	for _, e := range b.ordered {
+		if e.up.ID != on.Upstream {
+			p := Plan{Parts: []Part{{Upstream: e.up.ID}}, Read: time.Second, First: time.Second}
+			b.Note(ask("other", 210_000), p, start)
+		}
+	}
+	if list := b.Displace("long", start); len(list) != 0 {
+		t.Errorf("displaced %+v", list)
+	}
+}
+
+// TestWritersDoNotLeaveForEmptierEngines: these are the next that long prompts are read on,
+// and a request that was moved is not moved again.
+func TestWritersDoNotLeaveForEmptierEngines(t *testing.T) {
+	b := newBook(8)
+	on := writing(t, b, 5)
+	fuller(b, on, 2)
+	longPart(b, on, 700*time.Millisecond)
+	if list := b.Displace("long", start); len(list) != 0 {
+		t.Errorf("displaced %+v", list)
+	}
+}
+
+// TestDisplacedWritersCountForEachOther: the other engine takes only so many more in time.
+func TestDisplacedWritersCountForEachOther(t *testing.T) {
+	const left = 3
+	b := newBook(2)
+	on := writing(t, b, 10)
+	fuller(b, on, figures.Slots-left)
+	longPart(b, on, 700*time.Millisecond)
+	if list := b.Displace("long", start); len(list) == 0 || len(list) > left {
+		t.Errorf("%d displaced to %d places", len(list), left)
+	}
+}
+
+func TestDisplaceKnowsNoSuchAttempt(t *testing.T) {
+	if list := newBook(1).Displace("none", start); list != nil {
+		t.Errorf("displaced %+v", list)
+	}
+}
--- a/internal/core/booking/model_test.go
+++ b/internal/core/booking/model_test.go
@@ -165,6 +165,9 @@
 		Answer: answer, Expected: min(answer, m.figures.UsualAnswer),
 		Objective: k.objective - (m.now - c.arrived), Gap: k.gap, Left: left, Begun: c.got > 0,
 	}
+	if a.Begun {
+		a.Objective = k.gap - (m.now - c.latest)
+	}
 	p := m.book.Place(a, start.Add(m.now))
 	c.ask = a
 	switch p.Verdict {
@@ -193,13 +196,33 @@
 func (m *model) send(c *call) {
 	c.state = sent
 	c.unread = len(c.plan.Parts)
-	c.latest = m.now
+	if c.got == 0 {
+		c.latest = m.now
+	}
 	read := m.figures.Read(c.prompt) / time.Duration(len(c.plan.Parts))
 	for i, p := range c.plan.Parts {
 		s := &share{call: c, left: read, help: i > 0}
 		e := m.units[p.Upstream]
 		e.waiting = append(e.waiting, s)
 	}
+	m.displace(c)
+}
+
+// displace moves the writers that a call makes late, as their daemons do.
+func (m *model) displace(c *call) {
+	for _, d := range m.book.Displace(c.ask.ID, start.Add(m.now)) {
+		for _, w := range m.calls {
+			if w.ask.ID == d.Attempt && w.moves < modelMoves {
+				m.move(w)
+			}
+		}
+	}
+}
+
+func (m *model) move(c *call) {
+	m.drop(c)
+	c.moves++
+	c.state, c.askAt = asking, m.now
 }
 
 // drop takes a call off its engines.
@@ -227,9 +250,7 @@
 	}
 	limit := max(staysGaps*k.gap, staysLeast)
 	if c.got > 0 && c.moves < modelMoves && silent > limit {
-		m.drop(c)
-		c.moves++
-		c.state, c.askAt = asking, m.now
+		m.move(c)
 	}
 }
 
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -140,6 +140,7 @@
 		Peers:       ranked,
 		Behind:      func(host string) bool { return p.relay.DomainCut(ranked.Domain(host)) },
 		Doubt:       func(host string) { p.relay.Doubt(ranked.Domain(host)) },
+		Move:        func(attempts []string) int { return p.relay.Displace(attempts) }, // the relay is built later
 		Log:         p.log,
 	})
 	p.spread = keyed.NewSpread(p.cfg.Host, ranked)
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -26,6 +26,7 @@
 // attempt is one sending under way.
 type attempt struct {
 	*run
+	id      string          // in the book
 	ctx     context.Context // ends with the attempt
 	cancel  context.CancelCauseFunc
 	watch   *silence
@@ -54,7 +55,7 @@
 func (g *run) exchange(ctx context.Context, a Attempt, limit, gap time.Duration, onFirst func()) ending {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	t := &attempt{run: g, ctx: ctx, cancel: cancel, onFirst: onFirst, to: a.To, helpers: a.Helpers}
+	t := &attempt{run: g, id: g.attemptID(), ctx: ctx, cancel: cancel, onFirst: onFirst, to: a.To, helpers: a.Helpers}
 	t.watch = g.watchSilence(limit, gap, cancel)
 	defer t.watch.stop()
 	defer g.relay.running.add(t)()
@@ -91,7 +92,7 @@
 	cause := context.Cause(t.ctx)
 	var lost *lostError
 	switch {
-	case errors.Is(cause, errSilent):
+	case errors.Is(cause, errSilent), errors.Is(cause, errDisplaced):
 		return ending{end: retry.Silent, err: cause}
 	case errors.As(cause, &lost):
 		return ending{end: retry.Silent, at: lost.part.Address, err: cause}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"strings"
@@ -55,7 +56,7 @@
 		Prompt:    r.Prompt,
 		Answer:    r.Answer,
 		Expected:  expected,
-		Objective: r.Route.Objective - time.Since(r.Arrived),
+		Objective: g.eventLeft(),
 		Gap:       r.Route.GapObjective,
 		Left:      g.left(),
 		Exclude:   slices.Concat(g.exclude, g.relay.opts.Upstreams().Superseded),
@@ -188,7 +189,9 @@
 	}
 	e.blamed = g.blame(e, p)
 	e.unreached = e.end == retry.NotWritten
-	g.relay.failed(e.blamed, e.end)
+	if !errors.Is(e.err, errDisplaced) {
+		g.relay.failed(e.blamed, e.end)
+	}
 	return e
 }
 
--- /dev/null
+++ b/internal/schedule/displace.go
@@ -0,0 +1,55 @@
+package schedule
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/booking"
+)
+
+// displaceAt moves the writers that a booked attempt makes late, when its reading begins.
+func (s *Service) displaceAt(attempt string, p booking.Plan) {
+	if p.Verdict == booking.Booked {
+		time.AfterFunc(p.Wait, func() { s.displace(attempt) })
+	}
+}
+
+func (s *Service) displace(attempt string) {
+	s.mu.Lock()
+	byHost := map[string][]string{}
+	for _, d := range s.book.Displace(attempt, time.Now()) {
+		byHost[d.Host] = append(byHost[d.Host], d.Attempt)
+	}
+	s.mu.Unlock()
+	for host, attempts := range byHost {
+		s.log.WithFields(logrus.Fields{"for": attempt, "from": host, "attempts": attempts}).Info("writers_displaced")
+		if host == s.opts.Host {
+			s.move(attempts)
+			continue
+		}
+		go s.tellMove(host, attempts)
+	}
+}
+
+func (s *Service) move(attempts []string) int {
+	if s.opts.Move == nil {
+		return 0
+	}
+	return s.opts.Move(attempts)
+}
+
+// tellMove tells another daemon to move attempts. One that is not reached keeps them where
+// they are, which costs their callers a pause and nothing else.
+func (s *Service) tellMove(host string, attempts []string) {
+	for _, m := range s.opts.Peers.Rank(keeperKey, allMembers) {
+		if m.Host != host {
+			continue
+		}
+		err := s.call(context.Background(), m, "Move", placeWait, &MoveRequest{Attempts: attempts}, &MoveReply{})
+		if err != nil {
+			s.log.WithError(err).WithFields(logrus.Fields{"to": host, "attempts": attempts}).Info("move_not_told")
+		}
+	}
+}
--- /dev/null
+++ b/internal/schedule/displace_test.go
@@ -0,0 +1,72 @@
+package schedule
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/booking"
+)
+
+// TestWritersAreMovedByTheirDaemons is the pattern of a long prompt of one daemon that is read
+// where others write: each of these is told to move its own, and only those.
+func TestWritersAreMovedByTheirDaemons(t *testing.T) {
+	g := newGroup("k", "a", "b")
+	var mu sync.Mutex
+	moved := map[string][]string{}
+	for host, s := range g.by {
+		s.opts.Move = func(attempts []string) int {
+			mu.Lock()
+			defer mu.Unlock()
+			moved[host] = append(moved[host], attempts...)
+			return len(attempts)
+		}
+	}
+	var on booking.Part
+	for _, host := range g.hosts {
+		on = g.place(t, host, "of-"+host).Parts[0]
+		g.by[host].First("of-" + host)
+		g.by[host].flush(t.Context(), false)
+	}
+	keeper := g.by["k"]
+	keeper.mu.Lock()
+	for i := range len(g.hosts) + 2 { // those that leave go where more write
+		a := booking.Ask{ID: fmt.Sprint("x", i), Host: "x", Service: "llm", Gap: 200 * time.Millisecond, Left: time.Minute}
+		keeper.book.Note(a, booking.Plan{Parts: []booking.Part{otherThan(on)}}, time.Now())
+		keeper.book.First(a.ID)
+	}
+	long := booking.Ask{ID: "long", Host: "a", Service: "llm", Prompt: 90_000, Left: time.Minute}
+	keeper.book.Note(long, booking.Plan{Parts: []booking.Part{on}, Read: time.Second, First: time.Second}, time.Now())
+	keeper.mu.Unlock()
+
+	keeper.displace("long")
+	want := []string{"a", "b", "k"}
+	told := func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		var hosts []string
+		for host, attempts := range moved {
+			if len(attempts) != 1 || attempts[0] != "of-"+host {
+				t.Errorf("%s was told to move %v", host, attempts)
+			}
+			hosts = append(hosts, host)
+		}
+		slices.Sort(hosts)
+		return hosts
+	}
+	for len(told()) < len(want) { // the test's timeout bounds it
+		time.Sleep(time.Millisecond)
+	}
+	if got := told(); !slices.Equal(got, want) {
+		t.Errorf("told %v", got)
+	}
+}
+
+func otherThan(p booking.Part) booking.Part {
+	if p.Upstream == "e0" {
+		return booking.Part{Upstream: "e1"}
+	}
+	return booking.Part{Upstream: "e0"}
+}
--- a/internal/schedule/messages.go
+++ b/internal/schedule/messages.go
@@ -52,3 +52,14 @@
 type RestoreReply struct {
 	Taken int // attempts
 }
+
+// MoveRequest tells a daemon to move attempts of its own: long prompts are about to be read
+// where they write.
+type MoveRequest struct {
+	Attempts []string
+}
+
+// MoveReply answers a MoveRequest.
+type MoveReply struct {
+	Moved int // attempts
+}
--- a/internal/schedule/rpc.go
+++ b/internal/schedule/rpc.go
@@ -17,6 +17,7 @@
 	reply.Unknown = !s.hear(req.From, now)
 	s.applyEvents(req.Events)
 	reply.Plan = s.book.Place(req.Ask, now)
+	s.displaceAt(req.Ask.ID, reply.Plan)
 	return nil
 }
 
@@ -63,3 +64,9 @@
 		s.book.First(e.Attempt)
 	}
 }
+
+// Move moves attempts of this daemon.
+func (r *RPC) Move(req *MoveRequest, reply *MoveReply) error {
+	reply.Moved = r.s.move(req.Attempts)
+	return nil
+}
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -33,7 +33,10 @@
 	// that did not answer. Both may be nil.
 	Behind func(host string) bool
 	Doubt  func(host string)
-	Log    *logrus.Entry
+	// Move moves attempts of this daemon to other engines, those that may be, and returns
+	// how many. It may be nil.
+	Move func(attempts []string) int
+	Log  *logrus.Entry
 }
 
 // Times between daemons.
@@ -58,6 +61,9 @@
 	downForget = 10 * time.Second
 )
 
+// allMembers asks for the ranking of all daemons.
+const allMembers = math.MaxInt
+
 // keeperKey is the key whose first live daemon keeps the book.
 const keeperKey = "booking"
 
@@ -125,7 +131,7 @@
 // keeperNow returns the daemon to ask; ok is false when it is this one.
 func (s *Service) keeperNow(now time.Time) (m membership.Member, ok bool) {
 	silent := s.down.Avoided(now)
-	ranked := s.opts.Peers.Rank(keeperKey, math.MaxInt)
+	ranked := s.opts.Peers.Rank(keeperKey, allMembers)
 	for _, m := range membership.FirstAndNear(ranked, keeperCandidates, nearKeeperCandidates, s.opts.Peers.Near) {
 		if m.Host == s.opts.Host {
 			return m, false
@@ -198,6 +204,7 @@
 func (s *Service) placeHere(a booking.Ask, now time.Time) booking.Plan {
 	p := s.book.Place(a, now)
 	s.noteOwn(a, p, now)
+	s.displaceAt(a.ID, p)
 	return p
 }
 
