Answers come from the own failure domain first

Ruled out: faster beliefs on cuts: a draft bears a pause of 250 ms, a look takes 100 ms, and re-reading on another engine 140 ms.

Change: an ask names the failure domain of its daemon. A short prompt opens an engine of it before it takes a far one, unless it would be late there; a long prompt's receiver is a near engine if one of the chosen holds it, and near engines read parts first where the harm is alike.

--- a/internal/core/booking/long.go
+++ b/internal/core/booking/long.go
@@ -26,6 +26,8 @@
 	// yieldLeast is how much longer than expected a late prompt may still take when
 	// it stops yielding to those in time.
 	yieldLeast = 1.5
+	// farCostLong is that of an engine in another failure domain.
+	farCostLong = 1.0
 	// postpone is how much later a prompt that makes others late may be read instead: two of
 	// the pauses after which its daemon asks again.
 	postpone = 200 * time.Millisecond
@@ -128,7 +130,7 @@
 func (t *task) cheapest(read time.Duration) *choice {
 	var best *choice
 	most := t.mostEngines()
-	r := ranking{loads: t.loads, best: make([]candidate, 0, most)}
+	r := ranking{loads: t.loads, far: t.far, best: make([]candidate, 0, most)}
 	for n := 1; n <= most; n++ {
 		if c := t.choose(r.first(n, read/time.Duration(n), t.now), read); c != nil && (best == nil || c.cost < best.cost) {
 			best = c
@@ -144,6 +146,7 @@
 // 0.5 ms (BenchmarkPlaceLong).
 type ranking struct {
 	loads []load
+	far   func(*load) bool
 	best  []candidate // of the present call of first, in order
 	out   []load      // their loads
 }
@@ -160,6 +163,9 @@
 	for i := range r.loads {
 		l := &r.loads[i]
 		c := candidate{l, l.harm(part) + waitCost*l.free.Sub(now).Seconds()}
+		if r.far(l) {
+			c.cost += farCostLong
+		}
 		if l.helping >= l.engine.slots() {
 			c.cost += overCost
 		}
@@ -224,13 +230,22 @@
 		if len(l.writers) >= l.engine.slots() || !t.holds(l, len(loads)) {
 			continue
 		}
-		if first < 0 || len(l.writers) < len(loads[first].writers) {
+		if first < 0 || t.better(l, &loads[first]) {
 			first = i
 		}
 	}
 	return first
 }
 
+// better reports whether one engine is a better receiver than another: the answer comes from
+// there, so the own failure domain goes first.
+func (t *task) better(l, than *load) bool {
+	if far := t.far(l); far != t.far(than) {
+		return !far
+	}
+	return len(l.writers) < len(than.writers)
+}
+
 // weigh works out the cost of a choice.
 func (t *task) weigh(c *choice) {
 	for i := range c.loads {
--- a/internal/core/booking/place.go
+++ b/internal/core/booking/place.go
@@ -123,6 +123,8 @@
 	// lateCost is that of an engine on which the answer will be late, by its first
 	// event or by the pause of a long part that is booked there.
 	lateCost = 600.0
+	// farCost is that of an engine in another failure domain than the daemon.
+	farCost = 100.0
 	// fullCost is that of an engine whose slots are nearly taken.
 	fullCost = 400.0
 	// overCost is that of an engine without a free slot.
@@ -178,6 +180,9 @@
 	if l.tight == 0 {
 		score += openCost + orderCost*float64(rank)
 	}
+	if t.far(l) {
+		score += farCost
+	}
 	slots := l.engine.slots()
 	switch {
 	case len(l.writers) >= slots:
@@ -188,6 +193,9 @@
 	return score
 }
 
+// far reports whether an engine is in another failure domain than the daemon that asks.
+func (t *task) far(l *load) bool { return t.ask.Domain != "" && l.engine.up.Domain != t.ask.Domain }
+
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // pass returns the time of one pass of an engine, after which events are sent.
--- a/internal/core/booking/types.go
+++ b/internal/core/booking/types.go
@@ -10,6 +10,7 @@
 type Ask struct {
 	ID        string // of the attempt, unique in the site
 	Host      string // daemon that sends it
+	Domain    string // failure domain of the daemon, empty if it is not known
 	Service   string
 	Prompt    int           // tokens
 	Answer    int           // tokens, at the most
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -153,6 +153,7 @@
 func (p *process) buildRelay() {
 	p.relay = relay.New(relay.Options{
 		Host:       p.cfg.Host,
+		Domain:     p.cfg.Domain,
 		Sender:     p.provider.Sender(p.pool),
 		Planner:    p.schedule,
 		Plain:      p.plain,
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -52,6 +52,7 @@
 	return booking.Ask{
 		ID:        g.attemptID(),
 		Host:      g.relay.opts.Host,
+		Domain:    g.relay.opts.Domain,
 		Service:   r.Service.Name,
 		Prompt:    r.Prompt,
 		Answer:    r.Answer,
