Comments tell today's reasons only

Cause: constants and types of the book told how their values were found, with worths, pairs and benchmarks, which a reader of the code has no use for.

Change: gatherGain, canPostpone, ranking, the kept loads, valueGrowth, idleCost, the keeper's candidates, fillPartners and a model's test give a reason in the product's terms. No code changed.

Ruled out: nothing to measure.

--- a/internal/core/booking/engine.go
+++ b/internal/core/booking/engine.go
@@ -20,9 +20,8 @@
 	entries []*entry
 
 	// steady is the part of the load that changes with the entries only, and reading are
-	// the entries that change it with time; both hold while tallied. Keeping them brings a
-	// short prompt at 200 busy engines from 0.7 to 0.09 ms of a core (BenchmarkPlaceShort):
-	// 700 such prompts a second would take half of a core of the daemon that keeps the book.
+	// the entries that change it with time; both hold while tallied. To work them out for
+	// each prompt would take the keeper most of a core on a large site.
 	steady  load
 	reading []*entry
 	tight   time.Duration // for which steady was worked out
@@ -70,9 +69,8 @@
 // only helping there.
 func (e *entry) writes(on *engine) bool { return e.plan.Parts[0].Upstream == on.up.ID }
 
-// valueGrowth is the exponent with which the worth of an answer in time grows with
-// its prompt: less than in proportion, as today's users rate short, middle and long
-// prompts (1, 2.4 and 17 for 5, 45 and 210 thousand tokens).
+// valueGrowth is the exponent with which the worth of an answer in time grows with its
+// prompt: callers rate a long prompt higher than a short one, and less than in proportion.
 const valueGrowth = 0.7
 
 // lateShare is the part of an answer's worth that is lost when it is late.
--- a/internal/core/booking/load_test.go
+++ b/internal/core/booking/load_test.go
@@ -88,10 +88,8 @@
 }
 
 // TestTurnFromShortToLongPrompts is the pattern of the first second of a long span: writers
-// of short answers on nearly all engines, and long prompts with seconds to spare. Read at
-// once, three plays of this load made 411 answers pause too long; where those who can wait do,
-// 64. The largest tenth, which needs most engines at once, does not pay for it: it earned
-// 0.79 of its worth, and 0.81 where the spread of its memory counts in the time to write.
+// of short answers on nearly all engines, and long prompts with seconds to spare. Those that
+// can wait do, and the largest tenth, which needs most engines at once, does not pay for it.
 func TestTurnFromShortToLongPrompts(t *testing.T) {
 	paused, largest := 0, 0.0
 	results := modelLoads()[0].play(3)
--- a/internal/core/booking/long.go
+++ b/internal/core/booking/long.go
@@ -15,8 +15,8 @@
 	// sendLead is how much before the engines are free the request is sent, for the
 	// way there.
 	sendLead = 5 * time.Millisecond
-	// idleCost is the worth that a second of an engine earns elsewhere: that of
-	// prompts of about 200,000 tokens, which take three engine seconds.
+	// idleCost is the worth that a second of an engine earns elsewhere, with prompts of
+	// about 200,000 tokens.
 	idleCost = 13.0
 	// waitCost orders engines by when they are free, per second.
 	waitCost = 30.0
@@ -26,7 +26,8 @@
 	// yieldLeast is how much longer than expected a late prompt may still take when
 	// it stops yielding to those in time.
 	yieldLeast = 1.5
-	// farCostLong is that of an engine in another failure domain.
+	// farCostLong is the worth that a part in another failure domain may cost: a cut between
+	// them ends the reading.
 	farCostLong = 1.0
 	// postpone is how much later a prompt that makes others late may be read instead: two of
 	// the pauses after which its daemon asks again.
@@ -87,13 +88,8 @@
 
 // canPostpone reports whether the prompt makes writers late whom it need not: most of them
 // will have ended soon, for an answer to a short prompt takes two seconds, and the prompt
-// itself would still be in time a little later.
-//
-// When a load turns from short prompts to long ones, the first long ones to come found
-// writers on nearly all engines, and each made dozens pause for up to the 1.5 s after which
-// their streams are moved. Waiting for them to end leaves a quarter to a half of these
-// pauses in loads that turn, and earns 0.007 more of the worth in the mean of six loads
-// (BenchmarkTurningLoad).
+// itself would still be in time a little later. It protects the answers under way when a load
+// turns from short prompts to long ones.
 func (t *task) canPostpone(c *choice, first time.Duration) bool {
 	return !c.late && c.harms && float64(first+postpone) < onTimeShare*float64(t.ask.Objective)
 }
@@ -139,11 +135,9 @@
 	return best
 }
 
-// ranking finds the engines on which a part of a length costs the least.
-//
-// It keeps the few best while it goes through all loads once, where sorting all of them
-// for each number of parts took a long prompt 1.1 ms of a core at 200 busy engines, against
-// 0.5 ms (BenchmarkPlaceLong).
+// ranking finds the engines on which a part of a length costs the least. It keeps the few
+// best while it goes through all loads once, for sorting all of them for each number of parts
+// takes the keeper twice the processor time.
 type ranking struct {
 	loads []load
 	far   func(*load) bool
--- a/internal/core/booking/place.go
+++ b/internal/core/booking/place.go
@@ -110,12 +110,8 @@
 	// orderCost opens the engines in the same order everywhere.
 	orderCost = 2.0
 	// gatherGain is what each writer of an open engine counts for it: short prompts gather
-	// on the fullest engines, so that the others fall clear within the two seconds of an
-	// answer and can read long prompts without harm. Spread evenly, as few as 20 short
-	// prompts kept six engines of 18 open for good, for which two are enough. Against
-	// spreading by two a writer, gathering by two bought 0.020 to 0.026 of the worth of days
-	// of load on three sites, in 16, 12 and 12 paired plays; five did as well, three with
-	// one spare slot 0.007 more, which is near the error.
+	// on the fullest engines, so that the others fall clear as their answers end and can
+	// read long prompts without harm.
 	gatherGain = 3.0
 	// longWriterCost keeps them from engines that write long prompts' answers, whose
 	// context slows each step.
@@ -123,7 +119,9 @@
 	// lateCost is that of an engine on which the answer will be late, by its first
 	// event or by the pause of a long part that is booked there.
 	lateCost = 600.0
-	// farCost is that of an engine in another failure domain than the daemon.
+	// farCost is that of an engine in another failure domain than the daemon, whose answers
+	// a cut between them would end. It is more than a full engine there gains over one to be
+	// opened here, and less than being late.
 	farCost = 100.0
 	// fullCost is that of an engine whose slots are nearly taken.
 	fullCost = 400.0
--- a/internal/core/membership/tick.go
+++ b/internal/core/membership/tick.go
@@ -120,10 +120,8 @@
 // the near ones know to what all others do. Where there are not enough of one sort, the
 // other fills the places.
 //
-// Exchanges between failure domains cost more than those inside one. With two far partners
-// of eight, a quarter of the bytes of exchanges leaves a failure domain in place of four
-// fifths, at 300 hosts in five; the oldest news are 3.5 to 4.5 s old, 3.5 s before
-// (BenchmarkNearPartners). A host is suspect after 5 s.
+// Exchanges between failure domains cost more than those inside one, and news still has to
+// reach all hosts before one is suspect.
 func (m *Members) fillPartners(rng *rand.Rand) {
 	var near, far []string
 	for _, e := range m.order {
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -68,9 +68,7 @@
 const keeperKey = "booking"
 
 // Daemons that are looked at for one that answers: the first of all, then the first of the
-// own failure domain. Where a domain of five was cut off, the first six were all behind the
-// cut, and 51 of its daemons planned alone for 3.5 s, each on the same engine first, until
-// the others were suspect.
+// own failure domain, for all of the former may be behind one cut.
 const (
 	keeperCandidates     = 6
 	nearKeeperCandidates = 3
