Comments of the ask and of displacement say what they hold for begun streams

Cause: Ask.Objective was told as the time to the first event; a stream that has begun asks with the time to its next one. Ruled out: nothing.

--- a/internal/core/booking/displace.go
+++ b/internal/core/booking/displace.go
@@ -63,13 +63,13 @@
 
 // saves reports whether a writer's next event comes in time from another engine, and notes
 // its plan there. The other engine has to write for more already: those that write for few
-// are the next to read long prompts, and a request is moved only once.
+// are the next to read long prompts, and most requests may be moved only once.
 func (d *displacing) saves(w *entry, from *engine) bool {
 	l := from.look(d.now, d.service.TightGap)
 	a := w.ask
 	a.ID, a.Begun = "displaced/"+a.ID, true
 	a.Exclude = append(slices.Clone(a.Exclude), from.up.ID)
-	a.Objective = a.Gap - l.pass()/2 // its last event came in the middle of the pass, on the average
+	a.Objective = a.Gap - l.pass()/2 // half a pass has gone since its last event, on the average
 	t := &task{book: d.book, ask: &a, service: d.service, now: d.now}
 	p := t.plan()
 	if p.Verdict != Booked || p.Reason == ReasonOnlyFail || p.Reason == ReasonHarm || p.Reason == ReasonLate {
--- a/internal/core/booking/types.go
+++ b/internal/core/booking/types.go
@@ -15,7 +15,7 @@
 	Prompt    int           // tokens
 	Answer    int           // tokens, at the most
 	Expected  int           // tokens of the answer that are likely
-	Objective time.Duration // left until the first event is late
+	Objective time.Duration // left until the next event is late
 	Gap       time.Duration // longest pause that it bears between two events
 	Left      time.Duration // until the deadline
 	Exclude   []string      // engines that earlier attempts have ruled out
