Writers are displaced only where others bear it

Cause: what is displaced to an engine is read there in one pass, and each writer there pauses for all of it; only the displaced one's own next event was looked at.

Change: a plan of a displaced writer counts only if all who write there bear what is read there with it.

The test fails without it.

--- a/internal/core/booking/displace.go
+++ b/internal/core/booking/displace.go
@@ -80,6 +80,9 @@
 	if p.First+to.pass()/2+pauseMargin > a.Objective || len(to.writers) <= len(l.writers) {
 		return false
 	}
+	if !to.bearsAll(to.current + to.unread + p.Read) {
+		return false // those who write there would pause for it
+	}
 	d.book.Note(a, p, d.now)
 	d.tried = append(d.tried, a.ID)
 	return true
--- a/internal/core/booking/displace_test.go
+++ b/internal/core/booking/displace_test.go
@@ -117,6 +117,31 @@
 	}
 }
 
+// TestDisplacedWritersMakeNoOthersLate is the pattern of a middle prompt, which bears a longer
+// pause, that leaves for an engine of short ones: what is read there in one pass is a pause for
+// all of them.
+func TestDisplacedWritersMakeNoOthersLate(t *testing.T) {
+	for _, reads := range []bool{false, true} {
+		b := newBook(2)
+		a := ask("middle", 24_000)
+		a.Gap = 500 * time.Millisecond
+		on := b.Place(a, start).Parts[0]
+		b.First("middle")
+		fuller(b, on, 5)
+		if reads {
+			other := b.ordered[0].up.ID
+			if other == on.Upstream {
+				other = b.ordered[1].up.ID
+			}
+			b.Note(ask("reads", 20_000), Plan{Parts: []Part{{Upstream: other}}, Read: figures.Read(20_000)}, start)
+		}
+		longPart(b, on, 700*time.Millisecond)
+		if displaced := len(b.Displace("long", start)) > 0; displaced == reads {
+			t.Errorf("another prompt is read there: %v, displaced: %v", reads, displaced)
+		}
+	}
+}
+
 func TestDisplaceKnowsNoSuchAttempt(t *testing.T) {
 	if list := newBook(1).Displace("none", start); list != nil {
 		t.Errorf("displaced %+v", list)
