Displaced streams leave half of the repeats to failures

Cause: displacement took the repeats that streams behind a cut or on a dead engine need; where long prompts are many, most of a daemon's three or four in ten seconds. Without one a displaced stream pauses, a failed one is lost or hangs.

Change: Budget.TrySpare gives a repeat from the half that is not kept; displacement takes from it.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -77,12 +77,24 @@
 	return true
 }
 
+// TrySpare takes one retry of the half that is not kept for failures; it returns false when
+// only that is left.
+func (b *Budget) TrySpare(now time.Time) bool {
+	b.advance(now)
+	if b.Left() <= b.allowed()/2 {
+		return false
+	}
+	return b.TryRetry(now)
+}
+
 // Left returns how many retries the budget still allows, as of the last event.
 func (b *Budget) Left() int {
-	allowed := b.opts.Floor + int(b.opts.Ratio*float64(b.sum.earned))
-	return max(allowed-b.sum.retries, 0)
+	return max(b.allowed()-b.sum.retries, 0)
 }
 
+// allowed returns the retries of the window.
+func (b *Budget) allowed() int { return b.opts.Floor + int(b.opts.Ratio*float64(b.sum.earned)) }
+
 func (b *Budget) index() int { return int(b.tick % numSlots) }
 
 // advance forgets the slots that have left the window. A clock that goes back
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -180,3 +180,24 @@
 		t.Errorf("after two runs: %s", d.Action)
 	}
 }
+
+func TestSpareRetriesLeaveHalfOfTheBudget(t *testing.T) {
+	const floor = 6
+	b := NewBudget(BudgetOptions{Ratio: -1, Window: time.Minute, Floor: floor})
+	now := time.Unix(1_800_000_000, 0)
+	spare := 0
+	for b.TrySpare(now) {
+		spare++
+	}
+	if spare != floor/2 {
+		t.Errorf("%d spare retries of %d", spare, floor)
+	}
+	for range floor - spare {
+		if !b.TryRetry(now) {
+			t.Error("none is left for a failure")
+		}
+	}
+	if b.TryRetry(now) {
+		t.Error("more than the budget")
+	}
+}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -61,11 +62,16 @@
 	return r.budgetOf(service).policy.Next(a, q, time.Now())
 }
 
-// takeRepeat takes a repeat from the budget, if one is left.
-func (r *Relay) takeRepeat(service string) bool {
+// takeRepeat takes a repeat from the budget, if one is left. A displaced stream only pauses
+// without one, so half of the budget is kept for those that would be lost.
+func (r *Relay) takeRepeat(service string, why error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budgetOf(service).TryRetry(time.Now())
+	b := r.budgetOf(service)
+	if errors.Is(why, errDisplaced) {
+		return b.TrySpare(time.Now())
+	}
+	return b.TryRetry(time.Now())
 }
 
 // Times told to callers whose request was not run.
--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -104,3 +106,46 @@
 		t.Errorf("%s until the next event is late", again.Objective)
 	}
 }
+
+// TestDisplacedStreamsLeaveRepeatsToFailures is the pattern of long prompts that follow each
+// other while engines fail: streams that only pause leave half of the repeats to those that
+// would be lost.
+func TestDisplacedStreamsLeaveRepeatsToFailures(t *testing.T) {
+	const streams = 4
+	p := pausing{make(chan struct{})}
+	s := newCutSite(t)
+	for range 2 * streams {
+		s.script.steps = append(s.script.steps, p.answer)
+	}
+	s.relay.opts.Budget = func() BudgetOptions {
+		return BudgetOptions{Window: time.Hour, Slack: (streams + 0.5) / budgetShare, Hosts: 1}
+	}
+	s.planner.plans = []booking.Plan{onEngine("far1")}
+	ends := make(chan *request.Refusal, streams)
+	var names []string
+	for i := range streams {
+		req := streamRequest(true)
+		req.ID = fmt.Sprint("r", i)
+		names = append(names, "h1/"+req.ID+"/1")
+		go func() { ends <- s.relay.Run(t.Context(), req, &record{}) }()
+	}
+	for len(s.relay.running.of(func(a *attempt) bool { return a.begun.Load() })) < streams {
+		time.Sleep(time.Millisecond)
+	}
+	if moved := s.relay.Displace(names); moved != streams/2 {
+		t.Errorf("%d of %d were displaced", moved, streams)
+	}
+	stay := func(a *attempt) bool { return a.begun.Load() && slices.Contains(names, a.id) }
+	for len(s.relay.running.of(stay)) > streams/2 { // the others have left
+		time.Sleep(time.Millisecond)
+	}
+	if moved := s.relay.moveFrom("far"); moved < streams/2 {
+		t.Errorf("%d were moved from behind the cut", moved)
+	}
+	close(p.goOn)
+	for range streams {
+		if refusal := <-ends; refusal != nil {
+			t.Errorf("cut: %v", refusal)
+		}
+	}
+}
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -52,7 +52,7 @@
 func (s *silence) move(why error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped || s.run.paid || !s.run.movesLeft() || !s.run.relay.takeRepeat(s.run.req.Service.Name) {
+	if s.stopped || s.run.paid || !s.run.movesLeft() || !s.run.relay.takeRepeat(s.run.req.Service.Name, why) {
 		return false
 	}
 	s.run.paid = true
