Read as a newcomer: one pass of an engine, the ask beside its time left, tests with one check

Cause: the time of a pass stood in two places of the book; the time left until the next event stood in the file of displacement, though each ask needs it; three tests repeated one check; all tests of schedule had got engines of 16 slots for one that needs room for all writers on an engine.

Change: tally uses load.pass; eventLeft stands before place; nobodyLeaves; the tests of schedule have engines of four slots again, but for that one test, which asks for 16. No decision and no expectation changed.

--- a/internal/core/booking/displace.go
+++ b/internal/core/booking/displace.go
@@ -87,9 +87,3 @@
 	d.tried = append(d.tried, a.ID)
 	return true
 }
-
-// pass returns the time of a pass with the present writers.
-func (l *load) pass() time.Duration {
-	f := l.engine.figures
-	return time.Duration(f.Stride) * f.Step(len(l.writers), l.context)
-}
--- a/internal/core/booking/displace_test.go
+++ b/internal/core/booking/displace_test.go
@@ -43,6 +43,14 @@
 	b.Note(ask("long", 210_000), p, start)
 }
 
+// nobodyLeaves fails when the long part displaces a writer.
+func nobodyLeaves(t *testing.T, b *Book) {
+	t.Helper()
+	if list := b.Displace("long", start); len(list) != 0 {
+		t.Errorf("displaced %+v", list)
+	}
+}
+
 // TestWritersLeaveAheadOfALongPart is the pattern of a long prompt that is read beside the
 // writers of short answers, for no engines are clear for all of it: these would pause for
 // longer than they bear, while engines that read nothing would send their next events in time.
@@ -70,9 +78,7 @@
 	on := writing(t, b, 3)
 	fuller(b, on, 5)
 	longPart(b, on, 50*time.Millisecond)
-	if list := b.Displace("long", start); len(list) != 0 {
-		t.Errorf("displaced %+v", list)
-	}
+	nobodyLeaves(t, b)
 }
 
 // TestWritersStayWhereNothingSavesThem: a move costs a repeat of a small budget, so none is
@@ -88,21 +94,17 @@
 			b.Note(ask("other", 210_000), p, start)
 		}
 	}
-	if list := b.Displace("long", start); len(list) != 0 {
-		t.Errorf("displaced %+v", list)
-	}
+	nobodyLeaves(t, b)
 }
 
 // TestWritersDoNotLeaveForEmptierEngines: these are the next that long prompts are read on,
-// and a request that was moved is not moved again.
+// and most requests may be moved only once.
 func TestWritersDoNotLeaveForEmptierEngines(t *testing.T) {
 	b := newBook(8)
 	on := writing(t, b, 5)
 	fuller(b, on, 2)
 	longPart(b, on, 700*time.Millisecond)
-	if list := b.Displace("long", start); len(list) != 0 {
-		t.Errorf("displaced %+v", list)
-	}
+	nobodyLeaves(t, b)
 }
 
 // TestDisplacedWritersCountForEachOther: the other engine takes only so many more in time.
--- a/internal/core/booking/engine.go
+++ b/internal/core/booking/engine.go
@@ -165,7 +165,7 @@
 			e.reading = append(e.reading, x)
 		}
 	}
-	pass := time.Duration(e.figures.Stride) * e.figures.Step(len(l.writers), l.context)
+	pass := l.pass()
 	for i := range l.writers {
 		l.writers[i].bears -= pass + pauseMargin
 	}
@@ -203,6 +203,12 @@
 	l.current = max(l.current, end.Sub(now))
 }
 
+// pass returns the time of a pass with the present writers.
+func (l *load) pass() time.Duration {
+	f := l.engine.figures
+	return time.Duration(f.Stride) * f.Step(len(l.writers), l.context)
+}
+
 // harm returns the worth that is lost on the engine when a part of the length is
 // read there: that of the writers who do not bear it, and of their places meanwhile.
 func (l *load) harm(part time.Duration) float64 {
--- a/internal/relay/displace.go
+++ b/internal/relay/displace.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
@@ -28,11 +27,3 @@
 	}
 	return moved
 }
-
-// eventLeft returns the time until the next event of a stream is late.
-func (g *run) eventLeft() time.Duration {
-	if g.started {
-		return g.req.Route.GapObjective - time.Since(g.latest)
-	}
-	return g.req.Route.Objective - time.Since(g.req.Arrived)
-}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -66,6 +66,14 @@
 	}
 }
 
+// eventLeft returns the time until the next event of a stream is late.
+func (g *run) eventLeft() time.Duration {
+	if g.started {
+		return g.req.Route.GapObjective - time.Since(g.latest)
+	}
+	return g.req.Route.Objective - time.Since(g.req.Arrived)
+}
+
 // place books engines, waiting for room as long as the deadline allows.
 func (g *run) place(ctx context.Context) (booking.Plan, *request.Refusal) {
 	for {
--- a/internal/schedule/displace_test.go
+++ b/internal/schedule/displace_test.go
@@ -14,6 +14,7 @@
 // where others write: each of these is told to move its own, and only those.
 func TestWritersAreMovedByTheirDaemons(t *testing.T) {
 	g := newGroup("k", "a", "b")
+	g.apply(16) // room for all writers on one engine
 	var mu sync.Mutex
 	moved := map[string][]string{}
 	for host, s := range g.by {
--- a/internal/schedule/service_test.go
+++ b/internal/schedule/service_test.go
@@ -98,6 +98,18 @@
 func (g *group) startAll(first uint64) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	for i, h := range g.hosts {
+		s := New(Options{Host: h, Incarnation: first + uint64(i), Peers: end{g, h}, Log: logrus.NewEntry(log)})
+		g.by[h] = s
+	}
+	g.apply(usualSlots)
+}
+
+// usualSlots is how many requests an engine of the tests runs at once.
+const usualSlots = 4
+
+// apply tells all daemons of engines with a number of slots.
+func (g *group) apply(slots int) {
 	l := fleet.New(fleet.Options{AwayAfter: time.Hour})
 	var all []fleet.Change
 	for i := range 4 {
@@ -107,12 +119,10 @@
 	}
 	l.Replace(all, time.Now())
 	services := []booking.Service{{Name: "llm", TightGap: 200 * time.Millisecond, Figures: cost.Figures{
-		Slots: 16, Memory: 100_000, Stride: 10, StepMs: 1, ReadPerMs: 256, MaxHelpers: 3,
+		Slots: slots, Memory: 100_000, Stride: 10, StepMs: 1, ReadPerMs: 256, MaxHelpers: 3,
 	}}}
-	for i, h := range g.hosts {
-		s := New(Options{Host: h, Incarnation: first + uint64(i), Peers: end{g, h}, Log: logrus.NewEntry(log)})
+	for _, s := range g.by {
 		s.Apply(services, l.Snapshot())
-		g.by[h] = s
 	}
 }
 
