Daemons log the limits that upstreams name in their answers

The binding now reads it from all answers (requests, orders, reports, refusals; not from a server that answered in another's place), a pure tracker keeps it until an answer to a later request names none, and two lines tell it: upstream_limit when it changes, and sent_to_limited for each request that goes to such an upstream, with the limit and the age of that knowledge.

No choice is made of it yet; callers see nothing.

--- /dev/null
+++ b/internal/core/notice/notice_test.go
@@ -0,0 +1,60 @@
+package notice
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func limit(perSecond float64) Notice { return Notice{Limited: true, Limit: perSecond} }
+
+func TestLimitStandsUntilALaterAnswerNamesNone(t *testing.T) {
+	tr := New()
+	if tr.Heard("a", Notice{}, at(0), at(1)) {
+		t.Error("no limit is news")
+	}
+	if !tr.Heard("a", limit(2), at(0), at(10)) {
+		t.Error("a limit is none")
+	}
+	if tr.Heard("a", limit(2), at(11), at(20)) {
+		t.Error("the same limit is news")
+	}
+	if l, ok := tr.LimitOf("a"); !ok || l.PerSecond != 2 || !l.At.Equal(at(20)) {
+		t.Errorf("got %+v", l)
+	}
+	if !tr.Heard("a", Notice{}, at(21), at(30)) {
+		t.Error("the end of a limit is none")
+	}
+	if _, ok := tr.LimitOf("a"); ok {
+		t.Error("the limit stands")
+	}
+}
+
+// TestAnswerToAnEarlierRequestEndsNoLimit has an answer that was written before the limit
+// come after it, on another connection.
+func TestAnswerToAnEarlierRequestEndsNoLimit(t *testing.T) {
+	tr := New()
+	tr.Heard("a", limit(2), at(0), at(10))
+	if tr.Heard("a", Notice{}, at(9), at(12)) {
+		t.Error("it changed the limit")
+	}
+	if _, ok := tr.LimitOf("a"); !ok {
+		t.Error("the limit is gone")
+	}
+}
+
+func TestWhatIsNotListedIsForgotten(t *testing.T) {
+	tr := New()
+	tr.Heard("a", limit(2), at(0), at(1))
+	tr.Heard("b", limit(2), at(0), at(1))
+	tr.Keep(func(id string) bool { return id == "b" })
+	if _, ok := tr.LimitOf("a"); ok {
+		t.Error("a is known")
+	}
+	if _, ok := tr.LimitOf("b"); !ok {
+		t.Error("b is not")
+	}
+}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -36,6 +36,7 @@
 	plain    *plainServers
 	suspects *suspects.Tracker
 	pool     *httpwire.Pool
+	notices  *relay.Notices
 	relay    *relay.Relay
 	door     *relay.Door
 
@@ -151,16 +152,18 @@
 }
 
 func (p *process) buildRelay() {
+	p.notices = relay.NewNotices(p.log)
 	p.relay = relay.New(relay.Options{
 		Host:       p.cfg.Host,
 		Domain:     p.cfg.Domain,
-		Sender:     p.provider.Sender(p.pool),
+		Sender:     p.provider.Sender(p.pool, p.notices.Heard),
 		Planner:    p.schedule,
 		Plain:      p.plain,
 		Suspects:   p.suspects,
 		Reach:      p.pool.Reach,
 		Upstreams:  p.list.Load,
 		Identified: p.identified,
+		Notices:    p.notices,
 		Budget:     p.retryBudget,
 		Log:        p.log,
 	})
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -20,7 +20,8 @@
 	UpstreamsStream() string
 	DecodeTable(value []byte) (route.Spec, error)
 	DecodeUpstream(id string, value []byte) (*fleet.Upstream, error)
-	Sender(pool *httpwire.Pool) relay.Sender
+	// Sender tells heard what the answers say of their upstreams.
+	Sender(pool *httpwire.Pool, heard relay.Heard) relay.Sender
 	// Ingress serves callers; closing reports that they are to use other connections.
 	Ingress(door *relay.Door, closing func() bool) http.Handler
 	Ready(ready func() bool) http.Handler
--- a/internal/edge/sweep.go
+++ b/internal/edge/sweep.go
@@ -8,11 +8,13 @@
 	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
-// sweep closes kept connections that are over and drops lapsed upstreams.
+// sweep closes kept connections that are over, drops lapsed upstreams and forgets what
+// those that have gone have said.
 func (p *process) sweep(ctx context.Context) error {
 	wait.Every(ctx, sweepEvery, func(now time.Time) {
 		p.pool.Sweep(now, p.addressListed())
 		p.expireLapsed(now)
+		p.notices.Keep(p.list.Load())
 	})
 	return nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,8 @@
 	// Identified tells whether an upstream that has rivals answered itself, or another
 	// one at its address.
 	Identified func(u fleet.Upstream, itself bool)
+	// Notices has what upstreams say of themselves; the Sender tells it.
+	Notices *Notices
 	// Budget returns the site's bound of repeats.
 	Budget func() BudgetOptions
 	Log    *logrus.Entry
