Test: servers that name a limit get more from all daemons together (known red)

The stand-ins learn to name a limit, in all their answers; the soak draws such limits, apart from its other troubles so that seeds keep those they had, and checks what servers get from the daemons that they have told: 1.5 times the limit and 5 requests in 4 s, from 3 s after the first word, daemons that were harmed left out. The check can fail: a mutant that sends past the daemon breaks it.

The daemons' own lines show the cause: each hears the limit within 0.7 s and sends 7.7 a second on.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -23,10 +23,13 @@
 
 // Margins of the checks.
 const (
-	lateBy     = 3 * time.Second // an answer after its request's deadline
-	calmBefore = 3 * time.Second // a trouble still counts this long after its end
-	leaveKnown = 3 * time.Second // from a server's word to the last new request to it
-	workEnds   = 3 * time.Second // from a caller's leaving to the end of its work
+	lateBy      = 3 * time.Second        // an answer after its request's deadline
+	calmBefore  = 3 * time.Second        // a trouble still counts this long after its end
+	leaveKnown  = 3 * time.Second        // from a server's word to the last new request to it
+	workEnds    = 3 * time.Second        // from a caller's leaving to the end of its work
+	limitBinds  = 3 * time.Second        // from a server's first word of a limit
+	limitTold   = 500 * time.Millisecond // from an answer with the limit until its daemon is bound
+	limitWindow = 4 * time.Second
 )
 
 // span is the time of one trouble of one target.
@@ -49,10 +52,36 @@
 	runs     map[string][]run
 	spans    []*span
 	left     map[string]time.Time // when a server's leaving was in the store
+	limits   []limit
 	version  int
 	findings []finding
 }
 
+// limit is the time for which a server named a limit.
+type limit struct {
+	server    string
+	perSecond float64
+	from, to  time.Time // to is zero while it lasts
+}
+
+// allowed returns the requests that the server may get in limitWindow.
+func (l limit) allowed() float64 { return 1.5*l.perSecond*limitWindow.Seconds() + 5 }
+
+// addLimit notes that a server has named a limit or taken it back.
+func (h *history) addLimit(r report) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := time.Unix(0, r.At)
+	for i, l := range h.limits {
+		if l.server == r.Server && l.to.IsZero() {
+			h.limits[i].to = at
+		}
+	}
+	if r.Limit > 0 {
+		h.limits = append(h.limits, limit{server: r.Server, perSecond: r.Limit, from: at})
+	}
+}
+
 // finding is a broken promise.
 type finding struct{ check, text string }
 
@@ -164,7 +193,7 @@
 func (h *history) troubled(from, to time.Time, match func(target string) bool) bool {
 	for _, s := range h.spans {
 		switch s.kind {
-		case stopDaemon, reloadDaemon, rollServer, newSettings:
+		case stopDaemon, reloadDaemon, rollServer, newSettings, limitServer:
 			continue
 		}
 		if match(s.target) && s.from.Before(to) && (s.to.IsZero() || s.to.Add(calmBefore).After(from)) {
@@ -197,6 +226,7 @@
 	h.checkSettings(add)
 	h.checkLeaving(add)
 	h.checkBudget(add)
+	h.checkLimits(add)
 	return found
 }
 
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -38,7 +39,8 @@
 	killAll       = "kill all daemons"
 	restartServer = "restart server" // under the id that it has
 	foreignEntry  = "foreign entry"
-	lateEntry     = "late entry" // of the server that had the address before
+	lateEntry     = "late entry"   // of the server that had the address before
+	limitServer   = "limit server" // planned
 )
 
 // Entries of other writers.
@@ -145,10 +147,33 @@
 	}
 }
 
+// Times and sizes of the limits that servers name.
+const (
+	limitEvery = 5 * time.Second
+	limitLasts = 6 * time.Second // over the time from which it binds and the window in which it counts
+)
+
+var limitHows = []string{"0.5", "1.5", "4"} // requests a second
+
+// drawLimits returns limits of servers of a seed, drawn apart as well.
+func drawLimits(seed uint64, length time.Duration, servers int) []trouble {
+	rng := rand.New(rand.NewPCG(seed, 4))
+	var plan []trouble
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() * float64(limitEvery))
+		if at >= length {
+			return plan
+		}
+		how := limitHows[rng.IntN(len(limitHows))]
+		lasts := limitLasts + time.Duration(rng.Int64N(int64(limitLasts)))
+		plan = append(plan, trouble{at: at, kind: limitServer, how: how, target: rng.IntN(servers), lasts: lasts})
+	}
+}
+
 // targets says what a trouble is about, as the history's spans name it.
 func (r *rig) targets(tr trouble) []string {
 	switch tr.kind {
-	case killServer, freezeServer, rollServer, harmServer, restartServer, foreignEntry, lateEntry:
+	case killServer, freezeServer, rollServer, harmServer, restartServer, foreignEntry, lateEntry, limitServer:
 		return []string{r.servers[tr.target].name}
 	case harmStore:
 		return []string{"store"}
@@ -192,6 +217,8 @@
 		r.foreign(r.servers[tr.target], tr.how)
 	case lateEntry:
 		r.late(r.servers[tr.target], tr.lasts)
+	case limitServer:
+		r.limit(r.servers[tr.target], tr)
 	case newSettings:
 		r.publish()
 	case harmStore:
@@ -237,6 +264,17 @@
 	r.mu.Unlock()
 }
 
+// limit has a server name a limit for a time. One that is started anew names none.
+func (r *rig) limit(s *server, tr trouble) {
+	perSecond, err := strconv.ParseFloat(tr.how, 64)
+	if err != nil {
+		panic(err)
+	}
+	r.tell(s.proc, command{Op: "limit", Limit: perSecond})
+	time.Sleep(tr.lasts)
+	r.tell(s.proc, command{Op: "limit"})
+}
+
 func (r *rig) harmLink(name string, tr trouble) {
 	r.tell(r.links, command{Op: "fault", Name: name, How: tr.how})
 	time.Sleep(tr.lasts)
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -215,6 +215,8 @@
 			p.heard <- rep
 		case "beat":
 			r.heartbeat(rep.Server)
+		case "limits":
+			r.history.addLimit(rep)
 		default:
 			r.history.addRun(rep)
 		}
--- a/test/soak/roles_test.go
+++ b/test/soak/roles_test.go
@@ -102,7 +102,10 @@
 			tell(report{What: "beat", Server: name})
 		}
 	}()
-	commands(func(command) {})
+	commands(func(c command) {
+		s.Limit(c.Limit)
+		tell(report{What: "limits", Server: name, Limit: c.Limit, At: time.Now().UnixNano()})
+	})
 }
 
 func serve(s *standin.Server, w *bufio.Writer, r *http.Request, id string) bool {
