The keeper of the book gives the turns at upstreams that name a limit

Cause: what an answer tells of its server was not read, and nothing in the design could have kept a limit of all daemons together: only the retry budget was shared, by fixed parts.

Change: a pure pacer (core/pace) gives turns by the limit as it was last heard. The daemon that keeps the book gives them to all: with its plans for engines, by a question of 1 to 2 ms for plain servers. A daemon tells it each limit that it hears, all of them when the keeper changes. A daemon whose keeper is silent does not know what others send, and leaves upstreams with limits alone; a deputy, asked while others that come before it are silent, gives a quarter. A prompt or call that would be late for its turn is refused at once and told when the next one is.

Why it works: all that is sent to a limited upstream passes one pacer; in the property test one pacer and a deputy beside it, whatever is asked, stay under 1.5 times the limit and 5 in 4 s.

Also weighed, on paper: a fixed part of the limit for each daemon. 59 daemons and a limit of 2 a second give each a turn in 30 s; callers go to the wrong daemon nearly always, while random phases still meet in one window.

--- a/internal/core/booking/book.go
+++ b/internal/core/booking/book.go
@@ -7,6 +7,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/cost"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/core/pace"
 )
 
 // Service is what the book knows of a service of engines.
@@ -23,6 +24,7 @@
 	ordered  []*engine          // in the order of packing
 	entries  map[string]*entry  // by attempt
 	byHost   map[string]map[string]*entry
+	pacer    *pace.Pacer
 }
 
 // New returns an empty book.
@@ -32,9 +34,13 @@
 		engines:  map[string]*engine{},
 		entries:  map[string]*entry{},
 		byHost:   map[string]map[string]*entry{},
+		pacer:    pace.New(),
 	}
 }
 
+// Pacer returns the turns at upstreams with limits, engines or others, that the book gives.
+func (b *Book) Pacer() *pace.Pacer { return b.pacer }
+
 // SetServices replaces what is known of the services.
 func (b *Book) SetServices(services []Service) {
 	clear(b.services)
--- a/internal/core/booking/engine.go
+++ b/internal/core/booking/engine.go
@@ -102,7 +102,8 @@
 // load is the state of an engine at one moment.
 type load struct {
 	engine  *engine
-	free    time.Time     // when all long parts booked here are read
+	turn    time.Time     // the earliest at which a request may be sent here
+	free    time.Time     // when it may be sent to and all long parts booked here are read
 	current time.Duration // left of the long part that is being read
 	coming  time.Duration // the longest long part that is booked and not begun
 	unread  time.Duration // reading time of short prompts not yet read
@@ -154,6 +155,16 @@
 	return l
 }
 
+// lookFrom works out the load where nothing may be sent before a turn.
+func (e *engine) lookFrom(turn, now time.Time, tight time.Duration) load {
+	l := e.look(now, tight)
+	l.turn = turn
+	if turn.After(l.free) {
+		l.free = turn
+	}
+	return l
+}
+
 // tally works out steady and reading.
 func (e *engine) tally(tight time.Duration) {
 	e.steady, e.reading = load{engine: e}, e.reading[:0]
--- /dev/null
+++ b/internal/core/booking/limits_test.go
@@ -0,0 +1,117 @@
+package booking
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/notice"
+	"github.com/buckthorndock/buckthorndock/internal/core/pace"
+)
+
+func (b *Book) hearLimit(engine string, perSecond float64) {
+	b.Pacer().SetShare(pace.Whole)
+	b.Pacer().Hear(notice.Limit{Upstream: engine, Limited: true, PerSecond: perSecond, At: start}, start)
+}
+
+// sends places a prompt every step for a while, each over after a second, and returns when
+// requests go to each engine.
+func sends(b *Book, prompt, count int, step time.Duration) map[string][]time.Time {
+	at := map[string][]time.Time{}
+	for i := range count {
+		now := start.Add(time.Duration(i) * step)
+		p := b.Place(ask(fmt.Sprint(i), prompt), now)
+		if p.Verdict == Booked {
+			to := p.Parts[0].Upstream
+			at[to] = append(at[to], now.Add(p.Wait))
+		}
+		if ended := i - int(time.Second/step); ended >= 0 {
+			b.End(fmt.Sprint(ended))
+		}
+	}
+	return at
+}
+
+// TestEnginesThatNameALimitGetNoMoreOfAnyKindOfPrompt: the keeper of the book plans for all
+// daemons, so its plans alone are what an engine gets.
+func TestEnginesThatNameALimitGetNoMoreOfAnyKindOfPrompt(t *testing.T) {
+	const perSecond, window = 2, 4 * time.Second
+	for _, prompt := range []int{1000, 100_000} {
+		for _, limited := range []int{1, 3} { // of three
+			b := newBook(3)
+			for i := range limited {
+				b.hearLimit(fmt.Sprintf("e%02d", i), perSecond)
+			}
+			for id, times := range sends(b, prompt, 1000, 10*time.Millisecond) {
+				if id >= fmt.Sprintf("e%02d", limited) {
+					continue
+				}
+				for i, from := range times {
+					n := 0
+					for n < len(times)-i && times[i+n].Sub(from) <= window {
+						n++
+					}
+					if float64(n) > 1.5*perSecond*window.Seconds()+5 {
+						t.Fatalf("prompts of %d, %d limited: %s gets %d in %s", prompt, limited, id, n, window)
+					}
+				}
+			}
+		}
+	}
+}
+
+func TestEngineAtItsLimitIsUsedWhereItsTurnIsInTime(t *testing.T) {
+	b := newBook(1)
+	b.hearLimit("e00", 10)
+	p := b.Place(ask("a", 1000), start)
+	if p.Verdict != Booked || p.Wait <= 0 || p.First <= p.Wait {
+		t.Errorf("got %+v", p)
+	}
+	if next := b.Place(ask("b", 1000), start); next.Wait <= p.Wait {
+		t.Errorf("turns after %s and %s", p.Wait, next.Wait)
+	}
+}
+
+// TestPromptThatWouldBeLateForItsTurnIsRefusedAtOnce: where all engines have limits and more
+// comes than they take, a queue of late prompts would make all of them late.
+func TestPromptThatWouldBeLateForItsTurnIsRefusedAtOnce(t *testing.T) {
+	b := newBook(2)
+	b.hearLimit("e00", 2)
+	b.hearLimit("e01", 2)
+	served := 0
+	for i := range 400 {
+		p := b.Place(ask(fmt.Sprint(i), 1000), start.Add(time.Duration(i)*50*time.Millisecond))
+		b.End(fmt.Sprint(i - 40))
+		switch {
+		case p.Verdict == Booked && p.Wait <= 300*time.Millisecond:
+			served++
+		case p.Verdict == Booked:
+			t.Fatalf("waits %s", p.Wait)
+		case p.Verdict != TooLate || p.Backlog <= 0:
+			t.Fatalf("got %+v", p)
+		}
+	}
+	if served < 75 { // of 80 that they take in 20 s
+		t.Errorf("%d served", served)
+	}
+	begun := ask("begun", 1000)
+	begun.Begun = true
+	if p := b.Place(begun, start.Add(20*time.Second)); p.Verdict != Booked {
+		t.Errorf("one whose answer has begun: %+v", p)
+	}
+}
+
+// TestBookThatPlansAloneLeavesEnginesWithLimitsToOthers: it does not know what they send.
+func TestBookThatPlansAloneLeavesEnginesWithLimitsToOthers(t *testing.T) {
+	b := newBook(2)
+	b.hearLimit("e00", 4)
+	for i := range 20 {
+		if p := b.PlaceAlone(ask(fmt.Sprint(i), 1000), start.Add(time.Minute)); p.Verdict != Booked || p.Parts[0].Upstream != "e01" {
+			t.Fatalf("got %+v", p)
+		}
+	}
+	b.hearLimit("e01", 4)
+	if p := b.PlaceAlone(ask("last", 1000), start.Add(time.Minute)); p.Verdict != AtLimit {
+		t.Errorf("got %+v", p)
+	}
+}
--- a/internal/core/booking/load_test.go
+++ b/internal/core/booking/load_test.go
@@ -49,12 +49,18 @@
 	return []phase{{until: 30 * time.Second, rates: []float64{0.4 * 282, 30, 1.6 * 6.9}}}
 }
 
+// steady is a load without turns of a small site.
+func steady() []phase {
+	return []phase{{until: 30 * time.Second, rates: []float64{35, 2.6, 1.07}}}
+}
+
 // modelLoad is a load with the engines that bear it.
 type modelLoad struct {
 	name    string
 	engines int
 	figures cost.Figures
 	phases  []phase
+	limit   float64 // requests a second that each engine takes; zero: it names none
 }
 
 func modelLoads() []modelLoad {
@@ -62,13 +68,15 @@
 	slow.ReadPerMs /= 2
 	slow.PairsMsPerM *= 2
 	return []modelLoad{
-		{"large", 195, largeFigures, turns(1)},
-		{"an eighth of the engines away", 172, largeFigures, turns(1)},
-		{"engines go away", 195, largeFigures, shrinking()},
-		{"small", 26, largeFigures, turns(23.0 / 195)},
-		{"middle", 78, largeFigures, turns(0.95 * 78 / 195)},
-		{"engines half as fast", 195, slow, turns(0.55)},
-		{"many long prompts all the time", 100, largeFigures, steadyLong()},
+		{"large", 195, largeFigures, turns(1), 0},
+		{"an eighth of the engines away", 172, largeFigures, turns(1), 0},
+		{"engines go away", 195, largeFigures, shrinking(), 0},
+		{"small", 26, largeFigures, turns(23.0 / 195), 0},
+		{"middle", 78, largeFigures, turns(0.95 * 78 / 195), 0},
+		{"engines half as fast", 195, slow, turns(0.55), 0},
+		{"many long prompts all the time", 100, largeFigures, steadyLong(), 0},
+		{"limits over the load", 23, largeFigures, steady(), 2.1},
+		{"limits under the load", 23, largeFigures, steady(), 1.5},
 	}
 }
 
@@ -79,6 +87,7 @@
 	for i := range results {
 		wg.Go(func() {
 			m := newModel(uint64(i+1), l.engines, l.figures)
+			m.limit(l.limit)
 			m.run(l.phases)
 			results[i] = m.result()
 		})
--- a/internal/core/booking/model_test.go
+++ b/internal/core/booking/model_test.go
@@ -119,6 +119,15 @@
 	return m
 }
 
+// limit has all engines name a limit, if it is over zero.
+func (m *model) limit(perSecond float64) {
+	for _, u := range m.list.Upstreams {
+		if perSecond > 0 {
+			m.book.hearLimit(u.ID, perSecond)
+		}
+	}
+}
+
 func (m *model) lognormal(mean, sigma, most float64) float64 {
 	return math.Min(mean*math.Exp(sigma*m.rng.NormFloat64()-sigma*sigma/2), most)
 }
--- a/internal/core/booking/place.go
+++ b/internal/core/booking/place.go
@@ -9,27 +9,41 @@
 // task is one ask under way.
 type task struct {
 	book    *Book
+	alone   bool // what others send is not known
+	limited bool // for this, engines with limits were left out
 	ask     *Ask
 	service *Service
 	now     time.Time
 	loads   []load
 }
 
-// Place plans an attempt and enters the plan.
-func (b *Book) Place(a Ask, now time.Time) Plan {
+// Place plans an attempt and enters the plan, as the only book that plans for all.
+func (b *Book) Place(a Ask, now time.Time) Plan { return b.place(a, false, now) }
+
+// PlaceAlone is Place where other books may plan too. It leaves engines with limits to them.
+func (b *Book) PlaceAlone(a Ask, now time.Time) Plan { return b.place(a, true, now) }
+
+func (b *Book) place(a Ask, alone bool, now time.Time) Plan {
 	s := b.services[a.Service]
 	if s == nil {
 		return Plan{Verdict: NoEngine}
 	}
-	t := &task{book: b, ask: &a, service: s, now: now}
+	t := &task{book: b, alone: alone, ask: &a, service: s, now: now}
 	p := t.plan()
 	b.Note(a, p, now)
+	if p.Verdict == Booked {
+		b.pacer.Take(p.Parts[0].Upstream, now.Add(p.Wait))
+	}
 	return p
 }
 
 func (t *task) plan() Plan {
 	onlyFailing := t.look(false)
-	if len(t.loads) == 0 {
+	switch {
+	case len(t.loads) > 0:
+	case t.limited:
+		return Plan{Verdict: AtLimit}
+	default:
 		return Plan{Verdict: NoEngine}
 	}
 	read := t.service.Figures.Read(t.ask.Prompt)
@@ -58,7 +72,12 @@
 		if !all && (slices.Contains(t.ask.Exclude, e.up.ID) || slices.Contains(t.ask.Avoid, e.up.ID)) {
 			continue
 		}
-		t.loads = append(t.loads, e.look(t.now, t.service.TightGap))
+		turn, limited := t.book.pacer.Next(e.up.ID, t.now)
+		if limited && t.alone {
+			t.limited = true
+			continue
+		}
+		t.loads = append(t.loads, e.lookFrom(turn, t.now, t.service.TightGap))
 	}
 	if len(t.loads) > 0 || all {
 		return all
@@ -137,6 +156,10 @@
 	queueMost = 8
 )
 
+// leastPatience is the longest wait for a turn of a prompt that is late already. Whoever
+// would be late for its turn is refused at once: a queue of late ones would make all late.
+const leastPatience = 200 * time.Millisecond
+
 func (t *task) planShort(read time.Duration) Plan {
 	best, bestScore, rank := -1, 0.0, 0
 	for i := range t.loads {
@@ -152,23 +175,32 @@
 		}
 	}
 	l := &t.loads[best]
-	if len(l.writers) >= l.engine.slots()+queueMost {
+	wait := l.turn.Sub(t.now)
+	switch {
+	case len(l.writers) >= l.engine.slots()+queueMost:
 		return Plan{Verdict: Full}
+	case !t.ask.Begun && wait > max(t.ask.Objective, leastPatience):
+		return Plan{Verdict: TooLate, First: t.shortFirst(l, read)}
 	}
 	reason := ReasonPacked
 	if l.tight == 0 {
 		reason = ReasonOpened
 	}
-	return Plan{Reason: reason, Parts: []Part{part(l, 0)}, Read: read, First: t.shortFirst(l, read)}
+	return Plan{Reason: reason, Parts: []Part{part(l, 0)}, Wait: wait, Read: read, First: t.shortFirst(l, read)}
 }
 
 // shortFirst returns the expected time to the first event.
 func (t *task) shortFirst(l *load, read time.Duration) time.Duration {
-	return l.current + l.unread + read + t.pass(l)
+	return t.shortWait(l) + read + t.pass(l)
+}
+
+// shortWait returns the expected time until a short prompt is read.
+func (t *task) shortWait(l *load) time.Duration {
+	return max(l.turn.Sub(t.now), l.current+l.unread)
 }
 
 func (t *task) shortScore(l *load, read time.Duration, rank int) float64 {
-	score := millis(l.current) + millis(l.unread) - gatherGain*float64(len(l.writers)) + longWriterCost*float64(l.long)
+	score := millis(t.shortWait(l)) - gatherGain*float64(len(l.writers)) + longWriterCost*float64(l.long)
 	if float64(t.shortFirst(l, read)) > onTimeShare*float64(t.ask.Objective) {
 		score += lateCost
 	}
--- a/internal/core/booking/types.go
+++ b/internal/core/booking/types.go
@@ -54,12 +54,15 @@
 	TooLarge
 	// Full: every engine has as many requests as it queues.
 	Full
+	// AtLimit: each engine that may be taken has named a limit, and whoever plans does not
+	// know what others send there.
+	AtLimit
 	// Yield: it is late in any case and lets those in time go first, or it has time to wait
 	// for engines on which it makes nobody late; ask again.
 	Yield
 )
 
-var verdictNames = [...]string{"booked", "too_late", "no_engine", "too_large", "full", "yield"}
+var verdictNames = [...]string{"booked", "too_late", "no_engine", "too_large", "full", "at_limit", "yield"}
 
 // String returns the name used in logs and metrics.
 func (v Verdict) String() string {
--- a/internal/core/notice/notice.go
+++ b/internal/core/notice/notice.go
@@ -1,6 +1,10 @@
 package notice
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Notice is what one answer of an upstream says of the upstream itself.
 type Notice struct {
@@ -27,6 +31,9 @@
 // New returns a Tracker that has heard nothing.
 func New() *Tracker { return &Tracker{limits: map[string]Limit{}} }
 
+// Limits returns all limits that were heard, those that were taken back among them.
+func (t *Tracker) Limits() []Limit { return slices.Collect(maps.Values(t.limits)) }
+
 // Heard takes in what an answer says that came now to what was sent at a time. It reports
 // whether the limit of the upstream changed.
 func (t *Tracker) Heard(id string, n Notice, sent, now time.Time) (changed bool) {
--- /dev/null
+++ b/internal/core/pace/pacer.go
@@ -0,0 +1,119 @@
+package pace
+
+import (
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/notice"
+)
+
+// Shares of a limit that one host gives out.
+const (
+	// Whole is for the host that gives the turns to all.
+	Whole = 1.0
+	// Deputy is for one that is asked in its place, perhaps only by some while it still
+	// gives turns to others.
+	Deputy = 0.25
+)
+
+const (
+	// leastPerSecond is given out whatever the limit is: only an answer tells that it has
+	// ended.
+	leastPerSecond = 0.1
+	// burst is how many turns may be given at once after a quiet time.
+	burst = 2
+)
+
+// Pacer gives turns. It is not safe for concurrent use.
+//
+// Invariant: while the limit of an upstream stands, at most burst turns more are given there
+// in any time than the share of the limit allows in it, and none within an interval of the
+// first word of it, for another host may have given some.
+type Pacer struct {
+	share     float64
+	upstreams map[string]*upstream
+}
+
+type upstream struct {
+	limit notice.Limit
+	next  time.Time // the earliest turn; in the past where turns are left
+}
+
+// New returns a Pacer that knows no limits and gives a deputy's share of those it hears.
+func New() *Pacer { return &Pacer{share: Deputy, upstreams: map[string]*upstream{}} }
+
+// SetShare changes the share of the limits that is given out.
+func (p *Pacer) SetShare(share float64) { p.share = share }
+
+// Hear takes in what some host has heard of a limit. Of two words the later one holds.
+func (p *Pacer) Hear(l notice.Limit, now time.Time) {
+	u := p.upstreams[l.Upstream]
+	switch {
+	case u == nil && !l.Limited:
+		return
+	case u == nil:
+		u = &upstream{}
+		p.upstreams[l.Upstream] = u
+	case l.At.Before(u.limit.At):
+		return
+	}
+	began, raised := l.Limited && !u.limit.Limited, l.PerSecond > u.limit.PerSecond
+	u.limit = l
+	soonest := now.Add(p.interval(u))
+	if began || raised && u.next.After(soonest) {
+		u.next = soonest
+	}
+}
+
+// interval returns the time between two turns.
+func (p *Pacer) interval(u *upstream) time.Duration {
+	rate := p.share * max(u.limit.PerSecond, leastPerSecond)
+	return time.Duration(float64(time.Second) / rate)
+}
+
+// Next returns the earliest turn at an upstream; limited is false when it may be sent to at
+// any time.
+func (p *Pacer) Next(id string, now time.Time) (turn time.Time, limited bool) {
+	u := p.upstreams[id]
+	if u == nil || !u.limit.Limited {
+		return now, false
+	}
+	if u.next.Before(now) {
+		return now, true
+	}
+	return u.next, true
+}
+
+// Take takes a turn that is not before the next one.
+func (p *Pacer) Take(id string, turn time.Time) {
+	u := p.upstreams[id]
+	if u == nil {
+		return
+	}
+	interval := p.interval(u)
+	if left := turn.Add(-(burst - 1) * interval); u.next.Before(left) {
+		u.next = left
+	}
+	u.next = u.next.Add(interval)
+}
+
+// Admit takes the next turn if it is within a time, and returns the wait for it.
+func (p *Pacer) Admit(id string, within time.Duration, now time.Time) (wait time.Duration, ok bool) {
+	turn, limited := p.Next(id, now)
+	wait = turn.Sub(now)
+	if wait > within {
+		return wait, false
+	}
+	if limited {
+		p.Take(id, turn)
+	}
+	return wait, true
+}
+
+// Keep forgets the upstreams for which ok does not hold.
+func (p *Pacer) Keep(ok func(id string) bool) {
+	for id := range p.upstreams {
+		if !ok(id) {
+			delete(p.upstreams, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/pace/pacer_test.go
@@ -0,0 +1,135 @@
+package pace
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/notice"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func limit(id string, perSecond float64, ms int) notice.Limit {
+	return notice.Limit{Upstream: id, Limited: true, PerSecond: perSecond, At: at(ms)}
+}
+
+// admitted returns the turns that are given to all who ask every stepMs for a while.
+func admitted(p *Pacer, fromMs, toMs, stepMs int, within time.Duration) []time.Time {
+	var turns []time.Time
+	for ms := fromMs; ms < toMs; ms += stepMs {
+		if wait, ok := p.Admit("a", within, at(ms)); ok {
+			turns = append(turns, at(ms).Add(wait))
+		}
+	}
+	return turns
+}
+
+// most returns the most turns in some span of time.
+func most(turns []time.Time, span time.Duration) int {
+	slices.SortFunc(turns, time.Time.Compare)
+	best := 0
+	for i := range turns {
+		n := 0
+		for n < len(turns)-i && turns[i+n].Sub(turns[i]) <= span {
+			n++
+		}
+		best = max(best, n)
+	}
+	return best
+}
+
+// The bound of a platform that counts what its upstreams get.
+const window = 4 * time.Second
+
+func allowed(perSecond float64) float64 { return 1.5*perSecond*window.Seconds() + 5 }
+
+func TestTurnsStayWithinTheLimitHoweverOftenIsAskedAndHeard(t *testing.T) {
+	p := New()
+	p.SetShare(Whole)
+	var turns []time.Time
+	for ms := 0; ms < 20_000; ms += 100 {
+		p.Hear(limit("a", 2, ms), at(ms))
+		turns = append(turns, admitted(p, ms, ms+100, 1, time.Second)...)
+	}
+	if got := most(turns, window); float64(got) > 2*window.Seconds()+burst {
+		t.Errorf("%d turns in %s", got, window)
+	}
+	if len(turns) < 35 {
+		t.Errorf("%d turns in 20 s at 2 a second", len(turns))
+	}
+	if _, limited := p.Next("b", at(5)); limited {
+		t.Error("another upstream is limited")
+	}
+}
+
+// TestDeputyBesideTheOneThatGivesTurnsStaysWithinTheBound: while hosts disagree on who gives
+// them.
+func TestDeputyBesideTheOneThatGivesTurnsStaysWithinTheBound(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(7))
+	properties.Property("a deputy beside it", prop.ForAll(func(perSecond float64, laterMs, withinMs int) bool {
+		one, other := New(), New()
+		one.SetShare(Whole)
+		one.Hear(limit("a", perSecond, 0), at(0))
+		other.Hear(limit("a", perSecond, 0), at(laterMs))
+		within := time.Duration(withinMs) * time.Millisecond
+		turns := admitted(one, 0, 15_000, 10, within)
+		turns = append(turns, admitted(other, laterMs, 15_000, 10, within)...)
+		return float64(most(turns, window)) <= allowed(perSecond)
+	}, gen.Float64Range(0, 20), gen.IntRange(0, 9000), gen.IntRange(0, 2000)))
+	properties.TestingRun(t)
+}
+
+func TestLaterWordHolds(t *testing.T) {
+	p := New()
+	p.Hear(limit("a", 2, 100), at(100))
+	p.Hear(notice.Limit{Upstream: "a", At: at(50)}, at(120)) // an older word
+	if _, limited := p.Next("a", at(130)); !limited {
+		t.Error("an older word ended the limit")
+	}
+	p.Hear(notice.Limit{Upstream: "a", At: at(200)}, at(200))
+	if turn, limited := p.Next("a", at(210)); limited || !turn.Equal(at(210)) {
+		t.Errorf("the limit stands, next turn %s", turn.Sub(start))
+	}
+	p.Hear(limit("a", 2, 300), at(300))
+	if turn, limited := p.Next("a", at(310)); !limited || !turn.After(at(310)) {
+		t.Error("a turn was given with the first word")
+	}
+}
+
+func TestTurnsThatWereNotTakenAreLeftInPart(t *testing.T) {
+	p := New()
+	p.SetShare(Whole)
+	p.Hear(limit("a", 2, 0), at(0))
+	if turns := admitted(p, 60_000, 60_001, 1, 0); len(turns) != 1 {
+		t.Fatalf("%d turns", len(turns))
+	}
+	if turns := admitted(p, 60_001, 60_400, 1, 0); len(turns) != burst-1 {
+		t.Errorf("%d turns more at once", len(turns))
+	}
+}
+
+func TestHigherLimitShortensTheWait(t *testing.T) {
+	p := New()
+	p.SetShare(Whole)
+	p.Hear(limit("a", 0, 0), at(0)) // takes next to nothing
+	p.Hear(limit("a", 10, 100), at(100))
+	if turn, _ := p.Next("a", at(100)); turn.Sub(at(100)) > 200*time.Millisecond {
+		t.Errorf("the next turn is after %s", turn.Sub(at(100)))
+	}
+}
+
+func TestWhatIsNotListedIsForgotten(t *testing.T) {
+	p := New()
+	p.Hear(limit("a", 2, 0), at(0))
+	p.Keep(func(string) bool { return false })
+	if _, limited := p.Next("a", at(1)); limited {
+		t.Error("it is known")
+	}
+}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -14,6 +14,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+	"github.com/buckthorndock/buckthorndock/internal/core/notice"
 	"github.com/buckthorndock/buckthorndock/internal/httpwire"
 	"github.com/buckthorndock/buckthorndock/internal/keyed"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
@@ -106,6 +107,7 @@
 	p.list.Store(&fleet.Snapshot{})
 	p.live.Store(cfg)
 	p.fileChanged()
+	p.notices = relay.NewNotices(func(l notice.Limit) { p.schedule.Limit(l) }, log) // the schedule is built later
 	if err := p.buildPeers(); err != nil {
 		return nil, err
 	}
@@ -142,6 +144,7 @@
 		Behind:      func(host string) bool { return p.relay.DomainCut(ranked.Domain(host)) },
 		Doubt:       func(host string) { p.relay.Doubt(ranked.Domain(host)) },
 		Move:        func(attempts []string) int { return p.relay.Displace(attempts) }, // the relay is built later
+		Limits:      p.notices.Limits,
 		Log:         p.log,
 	})
 	p.spread = keyed.NewSpread(p.cfg.Host, ranked)
@@ -152,7 +155,6 @@
 }
 
 func (p *process) buildRelay() {
-	p.notices = relay.NewNotices(p.log)
 	p.relay = relay.New(relay.Options{
 		Host:       p.cfg.Host,
 		Domain:     p.cfg.Domain,
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -92,6 +92,8 @@
 			return p, request.Refuse(request.CodeDeadline, comeBack, "the deadline cannot be met at the present load")
 		case booking.TooLarge:
 			return p, request.Refuse(request.CodeNeverPossible, 0, "longer than all engines of the service hold")
+		case booking.AtLimit:
+			return p, request.Refuse(request.CodeQueueFull, retryAfterFailure, "all engines of %s have named limits, and no daemon tells what is left of these", g.req.Service.Name)
 		case booking.NoEngine:
 			return p, request.Refuse(request.CodeNoUpstream, retryAfterNone, "no engine of %s is known to live", g.req.Service.Name)
 		}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/cost"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/core/notice"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
@@ -150,6 +151,8 @@
 	asks  []booking.Ask
 	open  map[string]bool
 	onAsk func(n int)
+	turns map[string]time.Duration // the waits for turns at upstreams; without one, at once
+	gave  []string                 // upstreams at which turns were given
 }
 
 func (f *fakePlanner) Place(_ context.Context, a booking.Ask) booking.Plan {
@@ -169,6 +172,17 @@
 
 func (f *fakePlanner) First(string) {}
 
+func (f *fakePlanner) Admit(_ context.Context, l notice.Limit, within time.Duration) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wait := f.turns[l.Upstream]
+	if wait > within {
+		return wait, false
+	}
+	f.gave = append(f.gave, l.Upstream)
+	return wait, true
+}
+
 func (f *fakePlanner) End(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -214,7 +228,7 @@
 		Sender:   f.script,
 		Planner:  f.planner,
 		Suspects: suspects.New("h1", logrus.NewEntry(log)),
-		Notices:  NewNotices(logrus.NewEntry(log)),
+		Notices:  NewNotices(func(notice.Limit) {}, logrus.NewEntry(log)),
 		Reach: func(_ context.Context, address string) error {
 			if f.dead[address] {
 				return syscall.ECONNREFUSED
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -16,17 +16,24 @@
 
 // Notices is what upstreams have said of themselves. It is safe for concurrent use.
 type Notices struct {
-	log *logrus.Entry
+	spread func(notice.Limit)
+	log    *logrus.Entry
 
 	mu      sync.Mutex
 	tracker *notice.Tracker
+	told    map[string]time.Time // when the limit of an upstream was last spread
 }
 
-// NewNotices returns Notices that have heard nothing.
-func NewNotices(log *logrus.Entry) *Notices {
-	return &Notices{log: log, tracker: notice.New()}
+// NewNotices returns Notices that have heard nothing. spread tells the limits that they hear
+// to those who plan for all.
+func NewNotices(spread func(notice.Limit), log *logrus.Entry) *Notices {
+	return &Notices{spread: spread, log: log, tracker: notice.New(), told: map[string]time.Time{}}
 }
 
+// tellAgain is after how long a limit that stands is spread again, so that a wrong word of
+// its end is soon set right.
+const tellAgain = time.Second
+
 var (
 	limitsNamed  = metrics.GetOrCreateCounter(`buckthorndock_upstream_limit_changes_total`)
 	limitedSends = metrics.GetOrCreateCounter(`buckthorndock_sends_to_limited_total`)
@@ -34,16 +41,36 @@
 
 // Heard implements the type Heard.
 func (n *Notices) Heard(upstream string, said notice.Notice, sent time.Time) {
+	if l, tell := n.hear(upstream, said, sent); tell {
+		n.spread(l)
+	}
+}
+
+// hear returns the limit of the upstream and whether it is to be spread.
+func (n *Notices) hear(upstream string, said notice.Notice, sent time.Time) (l notice.Limit, tell bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	if !n.tracker.Heard(upstream, said, sent, now) {
-		return
+	changed := n.tracker.Heard(upstream, said, sent, now)
+	if changed {
+		limitsNamed.Inc()
+		n.log.WithFields(logrus.Fields{
+			"upstream": upstream, "limited": said.Limited, "limit_per_s": said.Limit, "sent_ms_ago": now.Sub(sent).Milliseconds(),
+		}).Info("upstream_limit")
 	}
-	limitsNamed.Inc()
-	n.log.WithFields(logrus.Fields{
-		"upstream": upstream, "limited": said.Limited, "limit_per_s": said.Limit, "sent_ms_ago": now.Sub(sent).Milliseconds(),
-	}).Info("upstream_limit")
+	l, limited := n.tracker.LimitOf(upstream)
+	tell = changed || limited && now.Sub(n.told[upstream]) >= tellAgain
+	if tell {
+		n.told[upstream] = now
+	}
+	return l, tell
+}
+
+// Limits returns all limits that were heard, those that were taken back among them.
+func (n *Notices) Limits() []notice.Limit {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.tracker.Limits()
 }
 
 // limitOf returns the limit that an upstream has named.
@@ -59,6 +86,9 @@
 	defer n.mu.Unlock()
 	n.tracker.Keep(func(id string) bool {
 		_, listed := list.Get(id)
+		if !listed {
+			delete(n.told, id)
+		}
 		return listed
 	})
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -5,8 +5,12 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // Silence after which a call that may be repeated is moved: a multiple of the
@@ -16,17 +20,68 @@
 	leastPlainSilent = 150 * time.Millisecond
 )
 
+// pick chooses a server that may be sent to now. Where all have named limits, it waits for a
+// turn at one of them, as long as the answer may be in time.
+func (g *run) pick(ctx context.Context) (fleet.Upstream, func(), *request.Refusal) {
+	soonest := retryAfterMost
+	for _, within := range []time.Duration{0, g.eventLeft()} {
+		var full []string // servers that give no turn in time
+		for {
+			u, done, ok := g.pickBut(full)
+			if !ok && len(full) == 0 {
+				return u, nil, request.Refuse(request.CodeNoUpstream, retryAfterNone, "no server of %s is known to live", g.req.Service.Name)
+			}
+			if !ok {
+				break
+			}
+			turn, ok := g.admit(ctx, u, within)
+			if ok && wait.For(ctx, turn) {
+				return u, done, nil
+			}
+			done()
+			if ctx.Err() != nil {
+				return u, nil, g.ended(ctx)
+			}
+			soonest = min(soonest, turn)
+			full = append(full, u.ID)
+		}
+	}
+	comeBack := max(soonest, retryAfterFailure)
+	return fleet.Upstream{}, nil, request.Refuse(request.CodeQueueFull, comeBack, "the limits that all servers of %s have named are used up", g.req.Service.Name)
+}
+
+// pickBut chooses a server, one that fails only where no other is left, and none of some.
+func (g *run) pickBut(none []string) (u fleet.Upstream, done func(), ok bool) {
+	plain, service := g.relay.opts.Plain, g.req.Service.Name
+	u, done, ok = plain.Pick(service, slices.Concat(g.exclude, g.avoid(), none))
+	if ok {
+		return u, done, true
+	}
+	return plain.Pick(service, none)
+}
+
+// admit takes a turn at a server if it has named a limit.
+func (g *run) admit(ctx context.Context, u fleet.Upstream, within time.Duration) (turn time.Duration, ok bool) {
+	l, limited := g.relay.opts.Notices.limitOf(u.ID)
+	if !limited {
+		return 0, true
+	}
+	turn, ok = g.relay.opts.Planner.Admit(ctx, l, within)
+	g.relay.log.WithFields(logrus.Fields{
+		"request": g.req.ID, "upstream": u.ID, "limit_per_s": l.PerSecond, "heard_ms_ago": time.Since(l.At).Milliseconds(),
+		"turn_ms": turn.Milliseconds(), "within_ms": within.Milliseconds(), "taken": ok,
+	}).Info("turn_asked")
+	return turn, ok
+}
+
 // tryPlain makes one attempt at a plain service.
 func (g *run) tryPlain(ctx context.Context) ending {
 	if refusal := g.behindCuts(); refusal != nil {
 		return ending{refusal: refusal}
 	}
-	u, done, ok := g.relay.opts.Plain.Pick(g.req.Service.Name, slices.Concat(g.exclude, g.avoid()))
-	if !ok {
-		u, done, ok = g.relay.opts.Plain.Pick(g.req.Service.Name, nil)
-	}
-	if !ok {
-		return ending{refusal: request.Refuse(request.CodeNoUpstream, retryAfterNone, "no server of %s is known to live", g.req.Service.Name)}
+	u, done, refusal := g.pick(ctx)
+	if refusal != nil {
+		return ending{refusal: refusal}
 	}
 	defer done()
 	started, ok := g.start(u)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -8,6 +8,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/core/notice"
 	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
@@ -134,6 +135,9 @@
 	Place(ctx context.Context, a booking.Ask) booking.Plan
 	First(attempt string) // its first event has come
 	End(attempt string)   // it is over
+	// Admit takes a turn at an upstream that is not booked and has named a limit, if it comes
+	// within a time, and returns the wait for it.
+	Admit(ctx context.Context, l notice.Limit, within time.Duration) (wait time.Duration, ok bool)
 }
 
 // Plain chooses servers of plain services.
--- a/internal/schedule/flush.go
+++ b/internal/schedule/flush.go
@@ -35,10 +35,10 @@
 		return
 	}
 	if s.restore {
-		open := s.openNow(time.Now())
+		open, limits := s.openNow(time.Now()), s.limitsNow(time.Now())
 		s.restore, s.restoring, s.news = false, true, nil
 		s.mu.Unlock()
-		err := s.call(ctx, keeper, "Restore", notifyWait, &RestoreRequest{From: s.self(), Open: open}, &RestoreReply{})
+		err := s.call(ctx, keeper, "Restore", notifyWait, &RestoreRequest{From: s.self(), Open: open, Limits: limits}, &RestoreReply{})
 		s.mu.Lock()
 		s.restoring = false
 		s.mu.Unlock()
@@ -60,7 +60,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
-		keeper, remote := s.keeperNow(time.Now())
+		keeper, remote, _ := s.keeperNow(time.Now())
 		if remote {
 			s.lost(ctx, keeper, err, time.Now())
 		}
--- /dev/null
+++ b/internal/schedule/limits.go
@@ -0,0 +1,73 @@
+package schedule
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/notice"
+)
+
+// A limit binds all daemons together, so the keeper gives the turns: with its plans for
+// engines, by Admit for others. A daemon without a keeper sends nothing to an upstream with a
+// limit, for it does not know what others send.
+
+// Limit tells the keeper what this daemon has heard of an upstream's limit.
+func (s *Service) Limit(l notice.Limit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.book.Pacer().Hear(l, now)
+	told := limitAt(l, now)
+	s.tell(Event{Limit: &told})
+}
+
+func limitAt(l notice.Limit, now time.Time) Limit {
+	return Limit{Upstream: l.Upstream, Limited: l.Limited, PerSecond: l.PerSecond, Age: now.Sub(l.At)}
+}
+
+// limitsNow returns all limits that this daemon has heard.
+func (s *Service) limitsNow(now time.Time) []Limit {
+	if s.opts.Limits == nil {
+		return nil
+	}
+	var all []Limit
+	for _, l := range s.opts.Limits() {
+		all = append(all, limitAt(l, now))
+	}
+	return all
+}
+
+// hearLimit takes in what another daemon has heard of a limit. The caller holds the lock.
+func (s *Service) hearLimit(l *Limit, now time.Time) {
+	s.book.Pacer().Hear(notice.Limit{Upstream: l.Upstream, Limited: l.Limited, PerSecond: l.PerSecond, At: now.Add(-l.Age)}, now)
+}
+
+// noTurn is when to ask again for a turn that nobody gives.
+const noTurn = 200 * time.Millisecond
+
+// Admit takes a turn at an upstream with a limit if it comes within a time, and returns the
+// wait for it.
+func (s *Service) Admit(ctx context.Context, l notice.Limit, within time.Duration) (wait time.Duration, ok bool) {
+	s.mu.Lock()
+	now := time.Now()
+	keeper, remote := s.choose(now)
+	if !remote {
+		defer s.mu.Unlock()
+		if s.alone {
+			return noTurn, false
+		}
+		s.book.Pacer().Hear(l, now)
+		return s.book.Pacer().Admit(l.Upstream, within, now)
+	}
+	s.mu.Unlock()
+	req := &AdmitRequest{From: s.self(), Limit: limitAt(l, now), Within: within}
+	var reply AdmitReply
+	err := s.call(ctx, keeper, "Admit", placeWait, req, &reply)
+	if err == nil {
+		return reply.Wait, reply.OK
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost(ctx, keeper, err, time.Now())
+	return noTurn, false
+}
--- a/internal/schedule/messages.go
+++ b/internal/schedule/messages.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "github.com/buckthorndock/buckthorndock/internal/core/booking"
+import (
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/booking"
+)
 
 // ServiceName is the name under which daemons call each other.
 const ServiceName = "Schedule"
@@ -11,10 +15,19 @@
 	Incarnation uint64
 }
 
-// Event is news of an attempt.
+// Event is news of an attempt, or of an upstream's limit.
 type Event struct {
 	Attempt string
-	Ended   bool // else its first event has come
+	Ended   bool   // else its first event has come
+	Limit   *Limit // with it the rest is empty
+}
+
+// Limit is what a daemon has heard of an upstream's limit.
+type Limit struct {
+	Upstream  string
+	Limited   bool    // false: the upstream has taken it back
+	PerSecond float64 // requests from all daemons together
+	Age       time.Duration
 }
 
 // PlaceRequest asks the keeper of the book for a plan. Events come before it.
@@ -42,10 +55,12 @@
 	Unknown bool // as in PlaceReply
 }
 
-// RestoreRequest tells the keeper all open attempts of the sender.
+// RestoreRequest tells the keeper all open attempts of the sender and all limits that it has
+// heard.
 type RestoreRequest struct {
-	From sender
-	Open []booking.Open
+	From   sender
+	Open   []booking.Open
+	Limits []Limit
 }
 
 // RestoreReply answers a RestoreRequest.
@@ -53,6 +68,19 @@
 	Taken int // attempts
 }
 
+// AdmitRequest asks the keeper for a turn at an upstream with a limit.
+type AdmitRequest struct {
+	From   sender
+	Limit  Limit         // as the sender has heard it
+	Within time.Duration // the longest wait for the turn
+}
+
+// AdmitReply has the turn.
+type AdmitReply struct {
+	OK   bool
+	Wait time.Duration // until the turn, also where it is too long
+}
+
 // MoveRequest tells a daemon to move attempts of its own: long prompts are about to be read
 // where they write.
 type MoveRequest struct {
--- a/internal/schedule/rpc.go
+++ b/internal/schedule/rpc.go
@@ -15,7 +15,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	reply.Unknown = !s.hear(req.From, now)
-	s.applyEvents(req.Events)
+	s.applyEvents(req.Events, now)
 	reply.Plan = s.book.Place(req.Ask, now)
 	s.displaceAt(req.Ask.ID, reply.Plan)
 	return nil
@@ -26,8 +26,9 @@
 	s := r.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply.Unknown = !s.hear(req.From, time.Now())
-	s.applyEvents(req.Events)
+	now := time.Now()
+	reply.Unknown = !s.hear(req.From, now)
+	s.applyEvents(req.Events, now)
 	return nil
 }
 
@@ -39,6 +40,9 @@
 	now := time.Now()
 	s.heard[req.From.Host] = life{incarnation: req.From.Incarnation, at: now, told: true}
 	s.book.Restore(req.From.Host, req.Open, now)
+	for i := range req.Limits {
+		s.hearLimit(&req.Limits[i], now)
+	}
 	reply.Taken = len(req.Open)
 	return nil
 }
@@ -55,16 +59,31 @@
 	return l.told
 }
 
-func (s *Service) applyEvents(events []Event) {
+func (s *Service) applyEvents(events []Event, now time.Time) {
 	for _, e := range events {
-		if e.Ended {
+		switch {
+		case e.Limit != nil:
+			s.hearLimit(e.Limit, now)
+		case e.Ended:
 			s.book.End(e.Attempt)
-			continue
+		default:
+			s.book.First(e.Attempt)
 		}
-		s.book.First(e.Attempt)
 	}
 }
 
+// Admit gives another daemon a turn at an upstream with a limit.
+func (r *RPC) Admit(req *AdmitRequest, reply *AdmitReply) error {
+	s := r.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.hear(req.From, now)
+	s.hearLimit(&req.Limit, now)
+	reply.Wait, reply.OK = s.book.Pacer().Admit(req.Limit.Upstream, req.Within, now)
+	return nil
+}
+
 // Move moves attempts of this daemon.
 func (r *RPC) Move(req *MoveRequest, reply *MoveReply) error {
 	reply.Moved = r.s.move(req.Attempts)
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -13,6 +13,8 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+	"github.com/buckthorndock/buckthorndock/internal/core/notice"
+	"github.com/buckthorndock/buckthorndock/internal/core/pace"
 )
 
 // Peers is what the schedule needs of the other daemons.
@@ -36,7 +38,9 @@
 	// Move moves attempts of this daemon to other engines, those that may be, and returns
 	// how many. It may be nil.
 	Move func(attempts []string) int
-	Log  *logrus.Entry
+	// Limits returns the limits that this daemon has heard. It may be nil.
+	Limits func() []notice.Limit
+	Log    *logrus.Entry
 }
 
 // Times between daemons.
@@ -87,6 +91,7 @@
 	heard   map[string]life // daemons that ask this one
 	down    *avoid.Tracker  // daemons that did not answer
 	keeper  string          // host that was asked last; empty: this one
+	alone   bool            // those that come before this one are silent, and nobody asks it
 	restore bool            // the keeper lacks some of the own attempts
 	// restoring: the own attempts are on their way to the keeper.
 	restoring bool
@@ -120,31 +125,43 @@
 	defer s.mu.Unlock()
 	s.book.SetServices(services)
 	s.book.SetUpstreams(list)
+	s.book.Pacer().Keep(func(id string) bool {
+		_, listed := list.Get(id)
+		return listed
+	})
 }
 
 func (s *Service) self() sender {
 	return sender{Host: s.opts.Host, Incarnation: s.opts.Incarnation}
 }
 
-// keeperNow returns the daemon to ask; ok is false when it is this one.
-func (s *Service) keeperNow(now time.Time) (m membership.Member, ok bool) {
+// keeperNow returns the daemon to ask; ok is false when it is this one. skipped says that
+// others come before it and do not answer.
+func (s *Service) keeperNow(now time.Time) (m membership.Member, ok, skipped bool) {
 	silent := s.down.Avoided(now)
 	ranked := s.opts.Peers.Rank(keeperKey, allMembers)
 	for _, m := range membership.FirstAndNear(ranked, keeperCandidates, nearKeeperCandidates, s.opts.Peers.Near) {
 		if m.Host == s.opts.Host {
-			return m, false
+			return m, false, skipped
 		}
 		if slices.Contains(silent, m.Host) || s.opts.Behind != nil && s.opts.Behind(m.Host) {
+			skipped = true
 			continue
 		}
-		return m, true
+		return m, true, skipped
 	}
-	return membership.Member{}, false
+	return membership.Member{}, false, skipped
 }
 
 // choose returns the keeper and notes a change of it. The caller holds the lock.
 func (s *Service) choose(now time.Time) (m membership.Member, remote bool) {
-	m, remote = s.keeperNow(now)
+	m, remote, skipped := s.keeperNow(now)
+	s.alone = !remote && skipped && len(s.heard) == 0
+	share := pace.Deputy
+	if !remote && !skipped {
+		share = pace.Whole
+	}
+	s.book.Pacer().SetShare(share)
 	host := ""
 	if remote {
 		host = m.Host
@@ -165,7 +182,7 @@
 	keeper, remote := s.choose(now)
 	if !remote {
 		defer s.mu.Unlock()
-		return s.placeHere(a, now)
+		return s.placeHere(a, s.alone, now)
 	}
 	news := s.takeNews()
 	s.mu.Unlock()
@@ -180,7 +197,7 @@
 	}
 	if err != nil {
 		s.lost(ctx, keeper, err, now)
-		return s.placeHere(a, now)
+		return s.placeHere(a, true, now)
 	}
 	if reply.Unknown || s.restoring {
 		// What is on its way does not have this attempt and replaces what the keeper knows.
@@ -189,7 +206,7 @@
 	}
 	if reply.Plan.Verdict == booking.NoEngine {
 		// A keeper that has just started may not have the list yet.
-		p := s.placeHere(a, now)
+		p := s.placeHere(a, true, now)
 		s.restore = s.restore || p.Verdict == booking.Booked
 		return p
 	}
@@ -198,9 +215,14 @@
 	return reply.Plan
 }
 
-// placeHere plans by what is known here. The caller holds the lock.
-func (s *Service) placeHere(a booking.Ask, now time.Time) booking.Plan {
-	p := s.book.Place(a, now)
+// placeHere plans by what is known here; alone says that another daemon may plan for others
+// meanwhile. The caller holds the lock.
+func (s *Service) placeHere(a booking.Ask, alone bool, now time.Time) booking.Plan {
+	place := s.book.Place
+	if alone {
+		place = s.book.PlaceAlone
+	}
+	p := place(a, now)
 	s.noteOwn(a, p, now)
 	s.displaceAt(a.ID, p)
 	return p
--- a/internal/schedule/service_test.go
+++ b/internal/schedule/service_test.go
@@ -71,6 +71,8 @@
 		return s.RPC().Place(args.(*PlaceRequest), reply.(*PlaceReply))
 	case ServiceName + ".Notify":
 		return s.RPC().Notify(args.(*NotifyRequest), reply.(*NotifyReply))
+	case ServiceName + ".Admit":
+		return s.RPC().Admit(args.(*AdmitRequest), reply.(*AdmitReply))
 	case ServiceName + ".Move":
 		return s.RPC().Move(args.(*MoveRequest), reply.(*MoveReply))
 	case ServiceName + ".Restore":
