Daemons log the servers that say they leave, or want nothing for a time

Lines upstream_says_leaving and upstream_backs_off tell when it is heard, sent_to_barred each request that goes there after it.

No choice is made of it yet.

--- a/internal/core/notice/notice.go
+++ b/internal/core/notice/notice.go
@@ -10,6 +10,10 @@
 type Notice struct {
 	Limited bool    // it names a limit
 	Limit   float64 // requests a second that it takes from all hosts together
+	Leaving bool    // it takes no new work
+	// BackOff is for how long it wants nothing from the host that it answers; zero: it does
+	// not say.
+	BackOff time.Duration
 }
 
 // Limit is the limit of one upstream as a host has heard it.
@@ -20,23 +24,49 @@
 	At        time.Time
 }
 
+// Bar says that an upstream is to get nothing from this host.
+type Bar struct {
+	Leaving bool // for good; else until a time
+	Until   time.Time
+	At      time.Time // when it was heard
+}
+
+// Change is what an answer changes of what is known of its upstream.
+type Change struct {
+	Limit   bool
+	Leaving bool // it was not known to leave
+	BackOff bool // it wants nothing for longer than was known
+}
+
 // Tracker has what one host has heard. It is not safe for concurrent use.
 //
-// Invariant: a limit stands until an answer to what was sent after it was heard names none.
-// Answers on different connections may overtake each other.
+// Invariants: a limit stands until an answer to what was sent after it was heard names none,
+// for answers on different connections may overtake each other. An upstream that leaves never
+// comes back: its next life has another ID. A back-off only grows.
 type Tracker struct {
-	limits map[string]Limit
+	limits  map[string]Limit
+	leaving map[string]time.Time // when it was heard
+	backOff map[string]Bar
 }
 
 // New returns a Tracker that has heard nothing.
-func New() *Tracker { return &Tracker{limits: map[string]Limit{}} }
+func New() *Tracker {
+	return &Tracker{limits: map[string]Limit{}, leaving: map[string]time.Time{}, backOff: map[string]Bar{}}
+}
 
 // Limits returns all limits that were heard, those that were taken back among them.
 func (t *Tracker) Limits() []Limit { return slices.Collect(maps.Values(t.limits)) }
 
-// Heard takes in what an answer says that came now to what was sent at a time. It reports
-// whether the limit of the upstream changed.
-func (t *Tracker) Heard(id string, n Notice, sent, now time.Time) (changed bool) {
+// Heard takes in what an answer says that came now to what was sent at a time.
+func (t *Tracker) Heard(id string, n Notice, sent, now time.Time) Change {
+	return Change{
+		Limit:   t.hearLimit(id, n, sent, now),
+		Leaving: n.Leaving && t.hearLeaving(id, now),
+		BackOff: n.BackOff > 0 && t.hearBackOff(id, n.BackOff, now),
+	}
+}
+
+func (t *Tracker) hearLimit(id string, n Notice, sent, now time.Time) (changed bool) {
 	before, known := t.limits[id]
 	if !n.Limited && (!known || sent.Before(before.At)) {
 		return false
@@ -45,17 +75,41 @@
 	return !known || before.Limited != n.Limited || before.PerSecond != n.Limit
 }
 
+func (t *Tracker) hearLeaving(id string, now time.Time) (changed bool) {
+	if _, known := t.leaving[id]; known {
+		return false
+	}
+	t.leaving[id] = now
+	return true
+}
+
+func (t *Tracker) hearBackOff(id string, span time.Duration, now time.Time) (changed bool) {
+	until := now.Add(span)
+	if !until.After(t.backOff[id].Until) {
+		return false
+	}
+	t.backOff[id] = Bar{Until: until, At: now}
+	return true
+}
+
 // LimitOf returns the limit of an upstream; ok is false when none stands.
 func (t *Tracker) LimitOf(id string) (l Limit, ok bool) {
 	l = t.limits[id]
 	return l, l.Limited
 }
 
+// BarOf returns why an upstream is to get nothing now; ok is false when it may.
+func (t *Tracker) BarOf(id string, now time.Time) (b Bar, ok bool) {
+	if at, leaves := t.leaving[id]; leaves {
+		return Bar{Leaving: true, At: at}, true
+	}
+	b, ok = t.backOff[id]
+	return b, ok && now.Before(b.Until)
+}
+
 // Keep forgets the upstreams for which ok does not hold.
 func (t *Tracker) Keep(ok func(id string) bool) {
-	for id := range t.limits {
-		if !ok(id) {
-			delete(t.limits, id)
-		}
-	}
+	maps.DeleteFunc(t.limits, func(id string, _ Limit) bool { return !ok(id) })
+	maps.DeleteFunc(t.leaving, func(id string, _ time.Time) bool { return !ok(id) })
+	maps.DeleteFunc(t.backOff, func(id string, _ Bar) bool { return !ok(id) })
 }
--- a/internal/core/notice/notice_test.go
+++ b/internal/core/notice/notice_test.go
@@ -13,19 +13,19 @@
 
 func TestLimitStandsUntilALaterAnswerNamesNone(t *testing.T) {
 	tr := New()
-	if tr.Heard("a", Notice{}, at(0), at(1)) {
+	if tr.Heard("a", Notice{}, at(0), at(1)).Limit {
 		t.Error("no limit is news")
 	}
-	if !tr.Heard("a", limit(2), at(0), at(10)) {
+	if !tr.Heard("a", limit(2), at(0), at(10)).Limit {
 		t.Error("a limit is none")
 	}
-	if tr.Heard("a", limit(2), at(11), at(20)) {
+	if tr.Heard("a", limit(2), at(11), at(20)).Limit {
 		t.Error("the same limit is news")
 	}
 	if l, ok := tr.LimitOf("a"); !ok || l.PerSecond != 2 || !l.At.Equal(at(20)) {
 		t.Errorf("got %+v", l)
 	}
-	if !tr.Heard("a", Notice{}, at(21), at(30)) {
+	if !tr.Heard("a", Notice{}, at(21), at(30)).Limit {
 		t.Error("the end of a limit is none")
 	}
 	if _, ok := tr.LimitOf("a"); ok {
@@ -38,7 +38,7 @@
 func TestAnswerToAnEarlierRequestEndsNoLimit(t *testing.T) {
 	tr := New()
 	tr.Heard("a", limit(2), at(0), at(10))
-	if tr.Heard("a", Notice{}, at(9), at(12)) {
+	if tr.Heard("a", Notice{}, at(9), at(12)).Limit {
 		t.Error("it changed the limit")
 	}
 	if _, ok := tr.LimitOf("a"); !ok {
@@ -58,3 +58,33 @@
 		t.Error("b is not")
 	}
 }
+
+func TestUpstreamThatLeavesIsBarredForItsLife(t *testing.T) {
+	tr := New()
+	if c := tr.Heard("a", Notice{Leaving: true}, at(0), at(1)); !c.Leaving {
+		t.Error("it is no news")
+	}
+	if c := tr.Heard("a", Notice{}, at(2), at(3)); c != (Change{}) {
+		t.Errorf("an answer without the word changes %+v", c)
+	}
+	if b, ok := tr.BarOf("a", at(1_000_000)); !ok || !b.Leaving || !b.At.Equal(at(1)) {
+		t.Errorf("got %+v, %v", b, ok)
+	}
+	if _, ok := tr.BarOf("b", at(2)); ok {
+		t.Error("another one is barred")
+	}
+}
+
+func TestBackOffEndsAtItsTimeAndOnlyGrows(t *testing.T) {
+	tr := New()
+	tr.Heard("a", Notice{BackOff: 2 * time.Second}, at(0), at(0))
+	if c := tr.Heard("a", Notice{BackOff: time.Second}, at(0), at(500)); c.BackOff {
+		t.Error("a shorter one changes it")
+	}
+	if _, ok := tr.BarOf("a", at(1999)); !ok {
+		t.Error("it is over too early")
+	}
+	if _, ok := tr.BarOf("a", at(2000)); ok {
+		t.Error("it is not over")
+	}
+}
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -36,7 +36,10 @@
 
 var (
 	limitsNamed  = metrics.GetOrCreateCounter(`buckthorndock_upstream_limit_changes_total`)
+	leavingTold  = metrics.GetOrCreateCounter(`buckthorndock_upstreams_leaving_by_answer_total`)
+	backOffsTold = metrics.GetOrCreateCounter(`buckthorndock_upstream_back_offs_total`)
 	limitedSends = metrics.GetOrCreateCounter(`buckthorndock_sends_to_limited_total`)
+	barredSends  = metrics.GetOrCreateCounter(`buckthorndock_sends_to_barred_total`)
 )
 
 // Heard implements the type Heard.
@@ -51,21 +54,40 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	changed := n.tracker.Heard(upstream, said, sent, now)
-	if changed {
-		limitsNamed.Inc()
-		n.log.WithFields(logrus.Fields{
-			"upstream": upstream, "limited": said.Limited, "limit_per_s": said.Limit, "sent_ms_ago": now.Sub(sent).Milliseconds(),
-		}).Info("upstream_limit")
-	}
+	change := n.tracker.Heard(upstream, said, sent, now)
+	n.note(upstream, said, change, now.Sub(sent))
 	l, limited := n.tracker.LimitOf(upstream)
-	tell = changed || limited && now.Sub(n.told[upstream]) >= tellAgain
+	tell = change.Limit || limited && now.Sub(n.told[upstream]) >= tellAgain
 	if tell {
 		n.told[upstream] = now
 	}
 	return l, tell
 }
 
+// note counts and logs what an answer, to what was sent some time ago, has changed.
+func (n *Notices) note(upstream string, said notice.Notice, change notice.Change, age time.Duration) {
+	log := n.log.WithFields(logrus.Fields{"upstream": upstream, "sent_ms_ago": age.Milliseconds()})
+	if change.Limit {
+		limitsNamed.Inc()
+		log.WithFields(logrus.Fields{"limited": said.Limited, "limit_per_s": said.Limit}).Info("upstream_limit")
+	}
+	if change.Leaving {
+		leavingTold.Inc()
+		log.Info("upstream_says_leaving")
+	}
+	if change.BackOff {
+		backOffsTold.Inc()
+		log.WithField("back_off_ms", said.BackOff.Milliseconds()).Info("upstream_backs_off")
+	}
+}
+
+// barOf returns why an upstream is to get nothing now.
+func (n *Notices) barOf(upstream string) (notice.Bar, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.tracker.BarOf(upstream, time.Now())
+}
+
 // Limits returns all limits that were heard, those that were taken back among them.
 func (n *Notices) Limits() []notice.Limit {
 	n.mu.Lock()
@@ -93,15 +115,22 @@
 	})
 }
 
-// noteLimited writes a line for a request that goes to an upstream with a limit.
-func (g *run) noteLimited(to fleet.Upstream) {
-	l, limited := g.relay.opts.Notices.limitOf(to.ID)
-	if !limited {
-		return
-	}
-	limitedSends.Inc()
-	g.relay.log.WithFields(logrus.Fields{
+// noteSend writes a line for a request that goes to an upstream which has named a limit, or
+// wants none.
+func (g *run) noteSend(to fleet.Upstream) {
+	log := g.relay.log.WithFields(logrus.Fields{
 		"request": g.req.ID, "attempt": g.attempt, "upstream": to.ID, "plan": g.plan,
-		"limit_per_s": l.PerSecond, "heard_ms_ago": time.Since(l.At).Milliseconds(),
-	}).Info("sent_to_limited")
+	})
+	if l, limited := g.relay.opts.Notices.limitOf(to.ID); limited {
+		limitedSends.Inc()
+		log.WithFields(logrus.Fields{
+			"limit_per_s": l.PerSecond, "heard_ms_ago": time.Since(l.At).Milliseconds(),
+		}).Info("sent_to_limited")
+	}
+	if b, barred := g.relay.opts.Notices.barOf(to.ID); barred {
+		barredSends.Inc()
+		log.WithFields(logrus.Fields{
+			"leaving": b.Leaving, "heard_ms_ago": time.Since(b.At).Milliseconds(),
+		}).Warn("sent_to_barred")
+	}
 }
