--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -23,13 +23,10 @@
 
 // Margins of the checks.
 const (
-	lateBy      = 3 * time.Second        // an answer after its request's deadline
-	calmBefore  = 3 * time.Second        // a trouble still counts this long after its end
-	leaveKnown  = 3 * time.Second        // from a server's word to the last new request to it
-	workEnds    = 3 * time.Second        // from a caller's leaving to the end of its work
-	limitBinds  = 3 * time.Second        // from a server's first word of a limit
-	limitTold   = 500 * time.Millisecond // from an answer with the limit until its daemon is bound
-	limitWindow = 4 * time.Second
+	lateBy     = 3 * time.Second // an answer after its request's deadline
+	calmBefore = 3 * time.Second // a trouble still counts this long after its end
+	leaveKnown = 3 * time.Second // from a server's word to the last new request to it
+	workEnds   = 3 * time.Second // from a caller's leaving to the end of its work
 )
 
 // span is the time of one trouble of one target.
@@ -53,41 +50,20 @@
 	spans    []*span
 	left     map[string]time.Time // when a server's leaving was in the store
 	limits   []limit
+	said     map[string]time.Time // since when a server's answers say that it leaves
+	turned   []turned
 	version  int
 	findings []finding
 }
 
-// limit is the time for which a server named a limit.
-type limit struct {
-	server    string
-	perSecond float64
-	from, to  time.Time // to is zero while it lasts
-}
-
-// allowed returns the requests that the server may get in limitWindow.
-func (l limit) allowed() float64 { return 1.5*l.perSecond*limitWindow.Seconds() + 5 }
-
-// addLimit notes that a server has named a limit or taken it back.
-func (h *history) addLimit(r report) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	at := time.Unix(0, r.At)
-	for i, l := range h.limits {
-		if l.server == r.Server && l.to.IsZero() {
-			h.limits[i].to = at
-		}
-	}
-	if r.Limit > 0 {
-		h.limits = append(h.limits, limit{server: r.Server, perSecond: r.Limit, from: at})
-	}
-}
-
 // finding is a broken promise.
 type finding struct{ check, text string }
 
 func (f finding) String() string { return f.check + ": " + f.text }
 
-func newHistory() *history { return &history{runs: map[string][]run{}, left: map[string]time.Time{}} }
+func newHistory() *history {
+	return &history{runs: map[string][]run{}, left: map[string]time.Time{}, said: map[string]time.Time{}}
+}
 
 func (h *history) add(o outcome) {
 	h.mu.Lock()
@@ -127,6 +103,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.left, id)
+	delete(h.said, id)
 }
 
 func (h *history) leaves(id string) {
@@ -193,7 +170,7 @@
 func (h *history) troubled(from, to time.Time, match func(target string) bool) bool {
 	for _, s := range h.spans {
 		switch s.kind {
-		case stopDaemon, reloadDaemon, rollServer, newSettings, limitServer:
+		case stopDaemon, reloadDaemon, rollServer, newSettings, limitServer, turnAway:
 			continue
 		}
 		if match(s.target) && s.from.Before(to) && (s.to.IsZero() || s.to.Add(calmBefore).After(from)) {
@@ -227,6 +204,8 @@
 	h.checkLeaving(add)
 	h.checkBudget(add)
 	h.checkLimits(add)
+	h.checkSaid(add)
+	h.checkTurned(add)
 	return found
 }
 
--- a/test/soak/main_test.go
+++ b/test/soak/main_test.go
@@ -63,18 +63,18 @@
 	Value  string   `json:"value,omitempty"`
 	To     string   `json:"to,omitempty"`
 	List   []string `json:"list,omitempty"`
-	Limit  float64  `json:"limit,omitempty"` // requests a second
+	Number float64  `json:"number,omitempty"` // of a limit, requests a second; of a back-off, seconds
 }
 
 // report is what a stand-in tells the test: one line of JSON on its output.
 type report struct {
-	What    string  `json:"what"` // listening, ran, ended, beat or limits
+	What    string  `json:"what"` // listening, ran, ended, beat, limits, leaves or turned
 	Address string  `json:"address,omitempty"`
 	ID      string  `json:"id,omitempty"`
 	Server  string  `json:"server,omitempty"`
 	Whole   bool    `json:"whole,omitempty"`
-	At      int64   `json:"at,omitempty"` // Unix time in ns
-	Limit   float64 `json:"limit,omitempty"`
+	At      int64   `json:"at,omitempty"`     // Unix time in ns
+	Number  float64 `json:"number,omitempty"` // as of the command
 }
 
 var printing sync.Mutex
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -41,6 +41,7 @@
 	foreignEntry  = "foreign entry"
 	lateEntry     = "late entry"   // of the server that had the address before
 	limitServer   = "limit server" // planned
+	turnAway      = "turn away"    // by a server; planned
 )
 
 // Entries of other writers.
@@ -170,10 +171,30 @@
 	}
 }
 
+// turnAwayEvery is the mean pause between servers that turn requests away.
+const turnAwayEvery = 6 * time.Second
+
+var turnAwayHows = []string{"0.7", "2", "5"} // seconds
+
+// drawTurnAways returns servers that turn requests away of a seed, drawn apart as well.
+func drawTurnAways(seed uint64, length time.Duration, servers int) []trouble {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	var plan []trouble
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() * float64(turnAwayEvery))
+		if at >= length {
+			return plan
+		}
+		how := turnAwayHows[rng.IntN(len(turnAwayHows))]
+		lasts := shortestTrial + time.Duration(rng.Int64N(int64(longestTrial)))
+		plan = append(plan, trouble{at: at, kind: turnAway, how: how, target: rng.IntN(servers), lasts: lasts})
+	}
+}
+
 // targets says what a trouble is about, as the history's spans name it.
 func (r *rig) targets(tr trouble) []string {
 	switch tr.kind {
-	case killServer, freezeServer, rollServer, harmServer, restartServer, foreignEntry, lateEntry, limitServer:
+	case killServer, freezeServer, rollServer, harmServer, restartServer, foreignEntry, lateEntry, limitServer, turnAway:
 		return []string{r.servers[tr.target].name}
 	case harmStore:
 		return []string{"store"}
@@ -218,7 +239,9 @@
 	case lateEntry:
 		r.late(r.servers[tr.target], tr.lasts)
 	case limitServer:
-		r.limit(r.servers[tr.target], tr)
+		r.word(r.servers[tr.target], "limit", tr)
+	case turnAway:
+		r.word(r.servers[tr.target], "turn away", tr)
 	case newSettings:
 		r.publish()
 	case harmStore:
@@ -264,15 +287,15 @@
 	r.mu.Unlock()
 }
 
-// limit has a server name a limit for a time. One that is started anew names none.
-func (r *rig) limit(s *server, tr trouble) {
-	perSecond, err := strconv.ParseFloat(tr.how, 64)
+// word has a server's answers say a number for a time. One that is started anew says none.
+func (r *rig) word(s *server, op string, tr trouble) {
+	number, err := strconv.ParseFloat(tr.how, 64)
 	if err != nil {
 		panic(err)
 	}
-	r.tell(s.proc, command{Op: "limit", Limit: perSecond})
+	r.tell(s.proc, command{Op: op, Number: number})
 	time.Sleep(tr.lasts)
-	r.tell(s.proc, command{Op: "limit"})
+	r.tell(s.proc, command{Op: op})
 }
 
 func (r *rig) harmLink(name string, tr trouble) {
@@ -344,6 +367,7 @@
 	case rollServer:
 		r.mu.Lock()
 		s.leaving = true
+		r.tell(s.proc, command{Op: "leave"})
 		if r.storeHow == "" {
 			r.enter(s)
 			r.history.leaves(s.id())
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -218,6 +218,10 @@
 			r.heartbeat(rep.Server)
 		case "limits":
 			r.history.addLimit(rep)
+		case "leaves":
+			r.history.says(rep)
+		case "turned":
+			r.history.addTurned(rep)
 		default:
 			r.history.addRun(rep)
 		}
--- a/test/soak/roles_test.go
+++ b/test/soak/roles_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/platform/standin"
@@ -89,8 +90,14 @@
 	if err != nil {
 		panic(err)
 	}
+	var backOff atomic.Value // seconds, zero: it serves
+	backOff.Store(0.0)
 	s.Set(func(w *bufio.Writer, r *http.Request) bool {
 		id := standin.ID(r.Header)
+		if seconds := backOff.Load().(float64); seconds > 0 {
+			tell(report{What: "turned", ID: id, Server: name, Number: seconds, At: time.Now().UnixNano()})
+			return s.TurnAway(w, r, seconds)
+		}
 		tell(report{What: "ran", ID: id, Server: name, At: time.Now().UnixNano()})
 		whole := serve(s, w, r, id)
 		tell(report{What: "ended", ID: id, Server: name, Whole: whole, At: time.Now().UnixNano()})
@@ -103,8 +110,16 @@
 		}
 	}()
 	commands(func(c command) {
-		s.Limit(c.Limit)
-		tell(report{What: "limits", Server: name, Limit: c.Limit, At: time.Now().UnixNano()})
+		switch c.Op {
+		case "limit":
+			s.Limit(c.Number)
+			tell(report{What: "limits", Server: name, Number: c.Number, At: time.Now().UnixNano()})
+		case "leave":
+			s.Leave()
+			tell(report{What: "leaves", Server: name, At: time.Now().UnixNano()})
+		case "turn away":
+			backOff.Store(c.Number)
+		}
 	})
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -206,6 +206,7 @@
 		p.plan = append(p.plan, drawRestarts(p.seed, p.length, 2*p.servers)...)
 		p.plan = append(p.plan, drawLateEntries(p.seed, p.length, 2*p.servers)...)
 		p.plan = append(p.plan, drawLimits(p.seed, p.length, 2*p.servers)...)
+		p.plan = append(p.plan, drawTurnAways(p.seed, p.length, 2*p.servers)...)
 		slices.SortFunc(p.plan, func(a, b trouble) int { return cmp.Compare(a.at, b.at) })
 		t.Run(fmt.Sprint(p.seed), func(t *testing.T) { tellFindings(t, p, p.run(t)) })
 	}
@@ -230,6 +231,7 @@
 func TestEachCheckCanFail(t *testing.T) {
 	forSettings := []trouble{{at: 300 * time.Millisecond, kind: newSettings}, {at: 600 * time.Millisecond, kind: newSettings}, {at: 900 * time.Millisecond, kind: newSettings}}
 	forLimits := []trouble{{at: 200 * time.Millisecond, kind: limitServer, how: "1.5", lasts: 6 * time.Second}}
+	forTurnAways := []trouble{{at: 200 * time.Millisecond, kind: turnAway, how: "3", lasts: 4 * time.Second}}
 	forLeaving := []trouble{{at: 200 * time.Millisecond, kind: rollServer}}
 	for _, c := range []struct {
 		mutant, check string
@@ -248,6 +250,8 @@
 		{crasher, "a leaving daemon ends well", nil},
 		{"backward", "settings go forward", forSettings},
 		{"leaving", "nothing new for a server that leaves", forLeaving},
+		{"leaving", "nothing new for a server that has said that it leaves", forLeaving},
+		{"leaving", "a server that turns away is left alone", forTurnAways},
 		{"leaving", "a server's limit is kept", forLimits},
 		{"dead", "all serve again after the troubles", nil},
 		{"dead", "a server that lives gets work", nil},
