Upstreams that say they leave, or want nothing for a time, are barred by their own word

Cause: only the store's entry told of a server's leaving, and it comes 12 s late when the store is away; Retry-After of an upstream was not read. Where nothing else was left, servers that had been ruled out were taken all the same. Ruled out: that only the keeper's plans go by an older list, for plain servers, which need no keeper, got as much.

Change: the tracker's word bars an upstream where it is chosen: for plain servers in both picks, for engines by the ask's Barred, which no last resort overrules, and once more before the sending, for a plan may be older. What is heard outlives a gap of a minute in the upstream's entry. Where nothing is left the request is refused at once and told the end of the shortest back-off.

Why it works: each sending passes one of these choices, and the word is kept by the daemon that heard it, whatever store, keeper or peers say.

Weighed: marking the entry of the own list as leaving. It covers leaving alone, not back-offs, and the keeper's list would still have offered the engine every 5 ms until the deadline.

--- a/internal/core/booking/limits_test.go
+++ b/internal/core/booking/limits_test.go
@@ -115,3 +115,24 @@
 		t.Errorf("got %+v", p)
 	}
 }
+
+// TestEngineThatTakesNothingIsNoLastResort guards against plans on engines that have said to
+// the daemon that they leave, or want nothing for a while, when all others fail or are gone.
+func TestEngineThatTakesNothingIsNoLastResort(t *testing.T) {
+	b := newBook(2)
+	a := ask("a", 1000)
+	a.Barred, a.Avoid = []string{"e00"}, []string{"e01"}
+	if p := b.Place(a, start); p.Verdict != Booked || p.Parts[0].Upstream != "e01" {
+		t.Errorf("beside one that fails: %+v", p)
+	}
+	a = ask("b", 1000)
+	a.Barred = []string{"e00", "e01"}
+	if p := b.Place(a, start); p.Verdict != NoEngine {
+		t.Errorf("without another: %+v", p)
+	}
+	long := ask("c", 200_000)
+	long.Barred = []string{"e00"}
+	if p := newBook(2).Place(long, start); p.Verdict != Booked || len(p.Parts) != 1 {
+		t.Errorf("as a helper: %+v", p)
+	}
+}
--- a/internal/core/booking/types.go
+++ b/internal/core/booking/types.go
@@ -20,6 +20,7 @@
 	Left      time.Duration // until the deadline
 	Exclude   []string      // engines that earlier attempts have ruled out
 	Avoid     []string      // engines that the daemon has found failing
+	Barred    []string      // engines that take nothing from the daemon, by their own word
 	// Begun: its caller has a part of the answer. It is not refused and does not yield:
 	// that would cut the answer.
 	Begun bool
--- a/internal/core/notice/notice.go
+++ b/internal/core/notice/notice.go
@@ -47,11 +47,17 @@
 	limits  map[string]Limit
 	leaving map[string]time.Time // when it was heard
 	backOff map[string]Bar
+	gone    map[string]time.Time // since when what is known is of no listed upstream
 }
 
 // New returns a Tracker that has heard nothing.
 func New() *Tracker {
-	return &Tracker{limits: map[string]Limit{}, leaving: map[string]time.Time{}, backOff: map[string]Bar{}}
+	return &Tracker{
+		limits:  map[string]Limit{},
+		leaving: map[string]time.Time{},
+		backOff: map[string]Bar{},
+		gone:    map[string]time.Time{},
+	}
 }
 
 // Limits returns all limits that were heard, those that were taken back among them.
@@ -107,9 +113,45 @@
 	return b, ok && now.Before(b.Until)
 }
 
-// Keep forgets the upstreams for which ok does not hold.
-func (t *Tracker) Keep(ok func(id string) bool) {
-	maps.DeleteFunc(t.limits, func(id string, _ Limit) bool { return !ok(id) })
-	maps.DeleteFunc(t.leaving, func(id string, _ time.Time) bool { return !ok(id) })
-	maps.DeleteFunc(t.backOff, func(id string, _ Bar) bool { return !ok(id) })
+// Barred returns the upstreams that are to get nothing now.
+func (t *Tracker) Barred(now time.Time) []string {
+	ids := slices.Collect(maps.Keys(t.leaving))
+	for id, b := range t.backOff {
+		if _, leaves := t.leaving[id]; !leaves && now.Before(b.Until) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// keptFor is how long what an upstream has said is kept after its entry has gone: it may come
+// back.
+const keptFor = time.Minute
+
+// Keep forgets what upstreams have said that are not listed, after a while.
+func (t *Tracker) Keep(listed func(id string) bool, now time.Time) {
+	for _, id := range t.known() {
+		if listed(id) {
+			delete(t.gone, id)
+			continue
+		}
+		if _, noted := t.gone[id]; !noted {
+			t.gone[id] = now
+		}
+	}
+	for id, since := range t.gone {
+		if now.Sub(since) > keptFor {
+			delete(t.gone, id)
+			delete(t.limits, id)
+			delete(t.leaving, id)
+			delete(t.backOff, id)
+		}
+	}
+}
+
+// known returns all upstreams that have said something, some of them twice.
+func (t *Tracker) known() []string {
+	ids := slices.Collect(maps.Keys(t.limits))
+	ids = slices.AppendSeq(ids, maps.Keys(t.leaving))
+	return slices.AppendSeq(ids, maps.Keys(t.backOff))
 }
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -62,6 +62,7 @@
 		Left:      g.left(),
 		Exclude:   slices.Concat(g.exclude, g.relay.opts.Upstreams().Superseded),
 		Avoid:     g.avoid(),
+		Barred:    g.relay.opts.Notices.barred(),
 		Begun:     g.started,
 	}
 }
@@ -95,7 +96,7 @@
 		case booking.AtLimit:
 			return p, request.Refuse(request.CodeQueueFull, retryAfterFailure, "all engines of %s have named limits, and no daemon tells what is left of these", g.req.Service.Name)
 		case booking.NoEngine:
-			return p, request.Refuse(request.CodeNoUpstream, retryAfterNone, "no engine of %s is known to live", g.req.Service.Name)
+			return p, g.noneTakes("engine")
 		}
 		pause := placeAgain
 		if p.Verdict == booking.Yield {
@@ -132,15 +133,18 @@
 	}
 }
 
-// allStay reports whether all engines of a plan still take new work. One that does not is
-// ruled out, for the planner's list may be older than the one here.
+// allStay reports whether all engines of a plan still take new work, by the list and by their
+// own word. One that does not is ruled out, for the planner's list may be older than the one
+// here.
 func (g *run) allStay(p booking.Plan) bool {
 	list := g.relay.opts.Upstreams()
 	for _, part := range p.Parts {
-		if u, known := list.Get(part.Upstream); !known || u.Leaving {
+		u, known := list.Get(part.Upstream)
+		_, barred := g.relay.opts.Notices.barOf(part.Upstream)
+		if !known || u.Leaving || barred {
 			g.relay.log.WithFields(logrus.Fields{
 				"request": g.req.ID, "upstream": part.Upstream, "waited_ms": p.Wait.Milliseconds(),
-				"list_age_ms": time.Since(list.At).Milliseconds(),
+				"list_age_ms": time.Since(list.At).Milliseconds(), "barred": barred,
 			}).Info("plan_made_anew")
 			g.exclude = append(g.exclude, part.Upstream)
 			return false
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/notice"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
 )
 
 // Heard takes in what an answer of an upstream, to what was sent at a time, says of it.
@@ -88,6 +90,13 @@
 	return n.tracker.BarOf(upstream, time.Now())
 }
 
+// barred returns the upstreams that are to get nothing now.
+func (n *Notices) barred() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.tracker.Barred(time.Now())
+}
+
 // Limits returns all limits that were heard, those that were taken back among them.
 func (n *Notices) Limits() []notice.Limit {
 	n.mu.Lock()
@@ -102,17 +111,37 @@
 	return n.tracker.LimitOf(upstream)
 }
 
-// Keep forgets the upstreams that are not listed.
+// Keep forgets what upstreams have said that are not listed any more.
 func (n *Notices) Keep(list *fleet.Snapshot) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.tracker.Keep(func(id string) bool {
-		_, listed := list.Get(id)
-		if !listed {
-			delete(n.told, id)
+	listed := func(id string) bool {
+		_, ok := list.Get(id)
+		return ok
+	}
+	n.tracker.Keep(listed, time.Now())
+	maps.DeleteFunc(n.told, func(id string, _ time.Time) bool { return !listed(id) })
+}
+
+// noneTakes refuses a request for which no upstream of its service takes work: those that are
+// left have said that they leave or want nothing for a while.
+func (g *run) noneTakes(what string) *request.Refusal {
+	service := g.req.Service.Name
+	comeBack, barred := time.Duration(0), 0
+	for _, u := range g.relay.opts.Upstreams().Live(service) {
+		b, ok := g.relay.opts.Notices.barOf(u.ID)
+		if !ok {
+			continue
 		}
-		return listed
-	})
+		barred++
+		if left := time.Until(b.Until); !b.Leaving && (comeBack == 0 || left < comeBack) {
+			comeBack = left
+		}
+	}
+	if barred == 0 {
+		return request.Refuse(request.CodeNoUpstream, retryAfterNone, "no %s of %s is known to live", what, service)
+	}
+	return request.Refuse(request.CodeNoUpstream, max(comeBack, retryAfterNone), "no %s of %s takes requests now: %d have said so", what, service, barred)
 }
 
 // noteSend writes a line for a request that goes to an upstream which has named a limit, or
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -5,8 +5,10 @@
 	"testing"
 	"time"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/notice"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
 )
 
@@ -79,3 +81,56 @@
 		t.Errorf("told %+v", told)
 	}
 }
+
+// say has upstreams say something in an answer.
+func (f *fixture) say(n notice.Notice, ids ...string) {
+	for _, id := range ids {
+		f.relay.opts.Notices.Heard(id, n, time.Now())
+	}
+}
+
+// TestPlainServerThatTakesNothingIsNoLastResort guards against calls to servers that have
+// said that they leave, or want nothing for a while, when all others fail.
+func TestPlainServerThatTakesNothingIsNoLastResort(t *testing.T) {
+	for _, n := range []notice.Notice{{Leaving: true}, {BackOff: time.Hour}} {
+		f := newFixture(t, fail(retry.Declined), fail(retry.Declined), fail(retry.Declined))
+		f.say(n, "s1", "s2")
+		if got := f.relay.Run(t.Context(), plainRequest(route.Idempotent, time.Minute), &record{}); got == nil {
+			t.Error("served")
+		}
+		for _, id := range f.sentTo() {
+			if id != "s3" {
+				t.Errorf("%+v: sent to %v", n, f.sentTo())
+			}
+		}
+	}
+}
+
+func TestCallThatNoServerTakesIsRefusedAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.say(notice.Notice{Leaving: true}, "s1")
+	f.say(notice.Notice{BackOff: time.Hour}, "s2", "s3")
+	got := f.relay.Run(t.Context(), plainRequest(route.Once, time.Minute), &record{})
+	if got == nil || got.Code != request.CodeNoUpstream || got.Outcome != request.NotRun || got.RetryAfter <= 0 || len(f.script.sent) > 0 {
+		t.Errorf("got %+v after %v", got, f.sentTo())
+	}
+}
+
+// TestPlanIsMadeAnewWhenAnEngineSaysMeanwhileThatItLeaves: the keeper's list and this
+// daemon's may both be older than the answer.
+func TestPlanIsMadeAnewWhenAnEngineSaysMeanwhileThatItLeaves(t *testing.T) {
+	f := newFixture(t, answer(200, "id: 1\ndata: x\n\n"))
+	f.live("e1", "e2")
+	f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2")}
+	f.planner.onAsk = func(n int) {
+		if n == 0 {
+			f.say(notice.Notice{Leaving: true}, "e1")
+		}
+	}
+	if got := f.relay.Run(t.Context(), streamRequest(true), &record{}); got != nil {
+		t.Fatal(got)
+	}
+	if !slices.Equal(f.sentTo(), []string{"e2"}) || !slices.Equal(f.planner.asks[1].Barred, []string{"e1"}) {
+		t.Errorf("sent to %v, then barred %v", f.sentTo(), f.planner.asks[1].Barred)
+	}
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -29,13 +29,13 @@
 		for {
 			u, done, ok := g.pickBut(full)
 			if !ok && len(full) == 0 {
-				return u, nil, request.Refuse(request.CodeNoUpstream, retryAfterNone, "no server of %s is known to live", g.req.Service.Name)
+				return u, nil, g.noneTakes("server")
 			}
 			if !ok {
 				break
 			}
 			turn, ok := g.admit(ctx, u, within)
-			if ok && wait.For(ctx, turn) {
+			if ok && wait.For(ctx, turn) && g.takes(u) {
 				return u, done, nil
 			}
 			done()
@@ -50,9 +50,11 @@
 	return fleet.Upstream{}, nil, request.Refuse(request.CodeQueueFull, comeBack, "the limits that all servers of %s have named are used up", g.req.Service.Name)
 }
 
-// pickBut chooses a server, one that fails only where no other is left, and none of some.
+// pickBut chooses a server, one that fails only where no other is left, and none of some or
+// of those that have said that they take nothing.
 func (g *run) pickBut(none []string) (u fleet.Upstream, done func(), ok bool) {
 	plain, service := g.relay.opts.Plain, g.req.Service.Name
+	none = slices.Concat(none, g.relay.opts.Notices.barred())
 	u, done, ok = plain.Pick(service, slices.Concat(g.exclude, g.avoid(), none))
 	if ok {
 		return u, done, true
@@ -60,6 +62,12 @@
 	return plain.Pick(service, none)
 }
 
+// takes reports whether a server has not said meanwhile that it takes nothing.
+func (g *run) takes(u fleet.Upstream) bool {
+	_, barred := g.relay.opts.Notices.barOf(u.ID)
+	return !barred
+}
+
 // admit takes a turn at a server if it has named a limit.
 func (g *run) admit(ctx context.Context, u fleet.Upstream, within time.Duration) (turn time.Duration, ok bool) {
 	l, limited := g.relay.opts.Notices.limitOf(u.ID)
