Soak: what a server has said ends with its life, also where its id goes on

The daemons' logs show that both cases are allowed: i-shop1-1 got five requests in the back-off of its former life, after the process was killed and started again under its id (upstream_ended, successor of another start), and i-llm1-1 30 in a window of four seconds that spans such a start, 29 of which would have been in bounds for one life. The new process had named no limit and turned nobody away.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -98,12 +98,20 @@
 	return h.version
 }
 
-// returns notes that a server starts again under its id.
+// returns notes that a server starts again under its id: what its former life has said is
+// over.
 func (h *history) returns(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.left, id)
 	delete(h.said, id)
+	now := time.Now()
+	h.endLimit(id, now)
+	for i, t := range h.turned {
+		if t.server == id {
+			h.turned[i].span = min(t.span, now.Sub(t.at))
+		}
+	}
 }
 
 func (h *history) leaves(id string) {
