An engine's refusal of a generation is read as one

Callers of the product's interface whose engine refused a generation (no memory, leaving, overloaded) had it moved with the engine as suspect, or were told that it broke: the generated client returns every status but 200 as an error of its own, so readRefusal was never reached and the code of a refusal never seen. Evidence: a stand-in that answers 503 with a refusal gave "decode response: unexpected status code: 503". Ruled out: a default answer in engine.yaml, which would turn all refusals of the generated API into errors.

Change: the refusal is taken from that error's payload. The transport of dispatches notes the Retry-After of a 503 or 429, which the API's types do not show, and Refused carries it. TestRefusalTellsForHowLongNothingIsWanted fails before (no refusal at all from Generate) and passes after; the scenarios pass.

--- /dev/null
+++ b/internal/core/notice/seconds.go
@@ -0,0 +1,20 @@
+package notice
+
+import (
+	"math"
+	"strconv"
+	"time"
+)
+
+// longestBackOff bounds what an answer may ask for.
+const longestBackOff = time.Hour
+
+// ParseBackOff reads a number of seconds, fractions among them, for which an upstream wants
+// nothing; what is none is zero.
+func ParseBackOff(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(math.Min(seconds, longestBackOff.Seconds()) * float64(time.Second))
+}
--- a/internal/upstream/calls.go
+++ b/internal/upstream/calls.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		return nil, &NotSent{Err: err}
 	}
+	ctx, backOff := withBackOff(ctx)
 	res, err := ec.CallOperation(ctx, engineapi.AnyJSON(body), engineapi.CallOperationParams{
 		Operation:  operation,
 		XRequestID: requestID,
@@ -52,7 +53,9 @@
 		}
 		return r.Result, nil
 	case *engineapi.RefusalStatusCode:
-		return nil, refusedFrom(r)
+		refused := refusedFrom(r)
+		refused.BackOff = *backOff
+		return nil, refused
 	}
 	return nil, unexpected(res)
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -52,7 +52,7 @@
 	shared := &http.Transport{DialContext: obs.CountBytes(obs.PurposeEngines, dialer.DialContext), MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
 	return &Client{
 		opts:     opts,
-		dispatch: &http.Client{Transport: fresh, CheckRedirect: followNone},
+		dispatch: &http.Client{Transport: backOffNoter{fresh}, CheckRedirect: followNone},
 		poll:     &http.Client{Transport: shared, Timeout: opts.PollTimeout},
 		pollPool: shared,
 		workers:  map[string]*engineapi.Client{},
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
 )
@@ -11,6 +12,7 @@
 type Refused struct {
 	Code    string // a code of the engine API
 	Message string
+	BackOff time.Duration // for which the upstream wants nothing from this host; zero: not said
 }
 
 // Error implements error.
@@ -69,6 +71,6 @@
 	return err
 }
 
-func refusedFrom(r *engineapi.RefusalStatusCode) error {
+func refusedFrom(r *engineapi.RefusalStatusCode) *Refused {
 	return &Refused{Code: string(r.Response.Code), Message: r.Response.Message}
 }
--- a/internal/upstream/generate.go
+++ b/internal/upstream/generate.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/ogen-go/ogen/validate"
 
 	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
 )
@@ -48,7 +51,12 @@
 	if err != nil {
 		return nil, &NotSent{Err: err}
 	}
+	ctx, backOff := withBackOff(ctx)
 	res, err := ec.Generate(ctx, req)
+	var refused *validate.UnexpectedStatusCodeError
+	if errors.As(err, &refused) && refused.Payload != nil {
+		return nil, readRefusal(refused.Payload, *backOff)
+	}
 	if err != nil {
 		return nil, classify(err)
 	}
@@ -57,9 +65,6 @@
 		return nil, merry.Errorf("unexpected answer type %T", res)
 	}
 	resp := raw.GetResponse()
-	if resp.StatusCode != http.StatusOK {
-		return nil, readRefusal(resp)
-	}
 	scan := bufio.NewScanner(resp.Body)
 	scan.Buffer(make([]byte, 0, 4096), maxChunkLine)
 	return &Stream{body: resp.Body, scan: scan}, nil
@@ -84,7 +89,7 @@
 // Close ends the connection. It does not cancel the attempt on the engine.
 func (s *Stream) Close() { _ = s.body.Close() }
 
-func readRefusal(resp *http.Response) error {
+func readRefusal(resp *http.Response, backOff time.Duration) error {
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 	if err != nil {
@@ -94,5 +99,5 @@
 	if err := json.Unmarshal(body, &refusal); err != nil {
 		return merry.Errorf("status %d with an undecodable body", resp.StatusCode)
 	}
-	return &Refused{Code: string(refusal.Code), Message: refusal.Message}
+	return &Refused{Code: string(refusal.Code), Message: refusal.Message, BackOff: backOff}
 }
