Upstreams of the product's own interface are left alone for as long as they ask

Change: the front keeps what a refusal asks for, 10 s for one that leaves, and rules these upstreams out of every choice, also of the last resort and of the gate's. The stand-ins learn to turn away.

Looked at and left: the own engine API names no rate for all hosts together; its limits are the customers', which hosts divide (core/admission).

--- a/internal/front/blame.go
+++ b/internal/front/blame.go
@@ -18,6 +18,7 @@
 	}
 	if len(t.gang) < 2 || !errors.Is(res.err, errEngine) {
 		g.s.noteUpstream(t.name(), res.end, res.reachable)
+		g.s.noteRefusal(t.name(), res.err)
 		return []string{t.name()}
 	}
 	faults := make([]error, len(t.gang))
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/placement"
@@ -44,7 +45,7 @@
 }
 
 func (c *serviceCall) place() (placement.Decision, *request.Refusal) {
-	ask := placement.ServiceAsk{Pool: c.job.pool.Name, Exclude: c.exclude, Spill: c.job.routing.Spill}
+	ask := placement.ServiceAsk{Pool: c.job.pool.Name, Exclude: slices.Concat(c.exclude, c.s.barred()), Spill: c.job.routing.Spill}
 	d, err := c.s.opts.Router.PlaceService(ask)
 	if err != nil {
 		return d, request.Refuse(request.CodeInternal, retryElsewhere, "placement failed")
@@ -94,6 +95,7 @@
 		c.wrote = true
 	}
 	c.s.noteUpstream(d.Chosen.Name, end, false)
+	c.s.noteRefusal(d.Chosen.Name, err)
 	decision := c.s.retries.next(a, c.job, time.Now())
 	fields := jobFields(c.job)
 	fields["attempt"] = c.attempt
--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -50,7 +50,7 @@
 	}
 	g.job.first = nil
 	t := newTarget(g.job, g.attempt, *d)
-	if !g.tryStart(t) {
+	if g.s.isBarred(t.name()) || !g.tryStart(t) {
 		g.s.opts.Router.Finished(t.placement.ID, placement.End{})
 		return nil
 	}
@@ -115,7 +115,7 @@
 	}
 	blocked := g.s.blocked(g.job)
 	ask := router.Ask(g.job.req, g.job.pool.Name, g.job.routing)
-	ask.Exclude = slices.Concat(g.exclude, blocked)
+	ask.Exclude = slices.Concat(g.exclude, blocked, g.s.barred())
 	d, err := g.s.opts.Router.Place(ask)
 	if err != nil {
 		return nil, &noPlace{refusal: request.Refuse(request.CodeInternal, retryElsewhere, "placement failed")}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -60,6 +60,7 @@
 	log     *logrus.Entry
 	retries *retries
 	waiting *waiting
+	notices *notices
 	handler http.Handler
 
 	leaving  atomic.Bool // not ready for the balancer
@@ -72,7 +73,7 @@
 
 // NewServer returns a Server; Handler serves it.
 func NewServer(opts Options) (*Server, error) {
-	s := &Server{opts: opts, log: opts.Log, retries: newRetries(), waiting: newWaiting()}
+	s := &Server{opts: opts, log: opts.Log, retries: newRetries(), waiting: newWaiting(), notices: newNotices()}
 	api, err := callerapi.NewServer(s, s, s,
 		callerapi.WithErrorHandler(s.handleAPIError),
 		callerapi.WithNotFound(s.handleNotFound),
--- a/internal/standin/base.go
+++ b/internal/standin/base.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -180,6 +181,11 @@
 		b.failure(w, http.StatusInternalServerError, "refused")
 		return true
 	}
+	if x, hit := b.faults.strike(FaultTurnAway, r.URL.Path); hit {
+		w.Header().Set("Retry-After", strconv.FormatFloat(float64(x.Ms)/1000, 'f', 3, 64))
+		b.failure(w, http.StatusServiceUnavailable, "turned away")
+		return true
+	}
 	if r.URL.Path == generatePath {
 		return false // the engine puts garbage into the stream itself
 	}
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -19,6 +19,7 @@
 	FaultSilent        FaultKind = "silent"         // connections open now go silent for good
 	FaultDropAnswer    FaultKind = "drop_answer"    // do what is asked, then close without an answer
 	FaultRefuse        FaultKind = "refuse"         // 500, overloaded
+	FaultTurnAway      FaultKind = "turn_away"      // 503, overloaded, wants nothing for Ms
 	FaultSlow          FaultKind = "slow"           // Ms before each call
 	FaultOutage        FaultKind = "outage"         // every call fails with 503
 	FaultGarbage       FaultKind = "garbage"        // answers are not JSON
@@ -33,7 +34,7 @@
 )
 
 var faultKinds = []FaultKind{
-	FaultDie, FaultFreeze, FaultSilent, FaultDropAnswer, FaultRefuse, FaultSlow, FaultOutage,
+	FaultDie, FaultFreeze, FaultSilent, FaultDropAnswer, FaultRefuse, FaultTurnAway, FaultSlow, FaultOutage,
 	FaultGarbage, FaultDuplicate, FaultGapEvents, FaultLateEvents, FaultLoadLag,
 	FaultCrossChunks, FaultTruncate, FaultIgnoreFencing, FaultLeaving,
 }
