A call asks at three servers for a turn, and one that has begun waits for the keeper

Read for the size of the plan: where all servers of a plain service have named limits that are used up, each call asked the keeper about every one of them, twice. With 25 servers that is 50 questions a call, all to one daemon. A call now asks at three, then leaves all that have named limits; servers without one are still found. A stream that has begun is not cut where its daemon is without a keeper for a moment and all engines have limits: it asks again.

TestCallAsksForFewTurns fails before (100 questions), passes after.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -94,7 +94,9 @@
 		case booking.TooLarge:
 			return p, request.Refuse(request.CodeNeverPossible, 0, "longer than all engines of the service hold")
 		case booking.AtLimit:
-			return p, request.Refuse(request.CodeQueueFull, retryAfterFailure, "all engines of %s have named limits, and no daemon tells what is left of these", g.req.Service.Name)
+			if !g.started { // else it waits for a daemon that tells
+				return p, request.Refuse(request.CodeQueueFull, retryAfterFailure, "all engines of %s have named limits, and no daemon tells what is left of these", g.req.Service.Name)
+			}
 		case booking.NoEngine:
 			return p, g.noneTakes("engine")
 		}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -153,6 +153,7 @@
 	onAsk func(n int)
 	turns map[string]time.Duration // the waits for turns at upstreams; without one, at once
 	gave  []string                 // upstreams at which turns were given
+	asked int                      // for turns
 }
 
 func (f *fakePlanner) Place(_ context.Context, a booking.Ask) booking.Plan {
@@ -175,6 +176,7 @@
 func (f *fakePlanner) Admit(_ context.Context, l notice.Limit, within time.Duration) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.asked++
 	wait := f.turns[l.Upstream]
 	if wait > within {
 		return wait, false
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -83,6 +83,17 @@
 	}
 }
 
+// limited returns the upstreams whose limits stand.
+func (n *Notices) limited() []string {
+	var ids []string
+	for _, l := range n.Limits() {
+		if l.Limited {
+			ids = append(ids, l.Upstream)
+		}
+	}
+	return ids
+}
+
 // barOf returns why an upstream is to get nothing now.
 func (n *Notices) barOf(upstream string) (notice.Bar, bool) {
 	n.mu.Lock()
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -63,6 +64,26 @@
 	}
 }
 
+// TestCallAsksForFewTurns: each question goes to the daemon that gives the turns of all.
+func TestCallAsksForFewTurns(t *testing.T) {
+	f := newFixture(t)
+	many := make([]string, 50)
+	for i := range many {
+		many[i] = fmt.Sprint("s", i)
+	}
+	f.relay.opts.Plain = fakePlain{servers: many}
+	f.limit(time.Hour, many...)
+	f.relay.Run(t.Context(), plainRequest(route.Once, time.Minute), &record{})
+	if f.planner.asked == 0 || f.planner.asked > 2*mostAsked {
+		t.Errorf("%d questions", f.planner.asked)
+	}
+	f.script.steps = append(f.script.steps, answer(200, "a"))
+	f.relay.opts.Plain = fakePlain{servers: append(many, "free")}
+	if got := f.relay.Run(t.Context(), plainRequest(route.Once, time.Minute), &record{}); got != nil {
+		t.Errorf("the server without a limit is not found: %v", got)
+	}
+}
+
 func TestLimitsAreSpreadWhenTheyChangeAndNowAndThen(t *testing.T) {
 	var told []notice.Limit
 	f := newFixture(t)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -20,6 +20,10 @@
 	leastPlainSilent = 150 * time.Millisecond
 )
 
+// mostAsked is at how many servers a call asks for a turn before it leaves all that have
+// named limits: each question goes to one daemon for all.
+const mostAsked = 3
+
 // pick chooses a server that may be sent to now. Where all have named limits, it waits for a
 // turn at one of them, as long as the answer may be in time.
 func (g *run) pick(ctx context.Context) (fleet.Upstream, func(), *request.Refusal) {
@@ -44,6 +48,9 @@
 			}
 			soonest = min(soonest, turn)
 			full = append(full, u.ID)
+			if len(full) == mostAsked {
+				full = append(full, g.relay.opts.Notices.limited()...)
+			}
 		}
 	}
 	comeBack := max(soonest, retryAfterFailure)
