--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -114,38 +114,41 @@
 	restartLongest = lapse
 )
 
-// drawRestarts returns restarts of servers under their ids and foreign entries of a seed.
-// They are drawn apart from the other troubles, so that a seed has those as it had before.
-func drawRestarts(seed uint64, length time.Duration, servers int) []trouble {
-	rng := rand.New(rand.NewPCG(seed, 2))
+// drawEach returns troubles that begin every so often on average, each as next draws it. Each
+// stream of a seed is drawn apart from the others, so that a new kind changes none of these.
+func drawEach(seed, stream uint64, every, length time.Duration, next func(rng *rand.Rand) trouble) []trouble {
+	rng := rand.New(rand.NewPCG(seed, stream))
 	var plan []trouble
 	for at := time.Duration(0); ; {
-		at += time.Duration(rng.ExpFloat64() * float64(restartEvery))
+		at += time.Duration(rng.ExpFloat64() * float64(every))
 		if at >= length {
 			return plan
 		}
-		tr := trouble{at: at, kind: restartServer, target: rng.IntN(servers), lasts: time.Duration(rng.Int64N(int64(restartLongest)))}
+		tr := next(rng)
+		tr.at = at
+		plan = append(plan, tr)
+	}
+}
+
+// drawRestarts returns restarts of servers under their ids and foreign entries.
+func drawRestarts(seed uint64, length time.Duration, servers int) []trouble {
+	return drawEach(seed, 2, restartEvery, length, func(rng *rand.Rand) trouble {
+		tr := trouble{kind: restartServer, target: rng.IntN(servers), lasts: time.Duration(rng.Int64N(int64(restartLongest)))}
 		if rng.IntN(2) == 0 {
 			tr.kind, tr.how = foreignEntry, foreignEntries[rng.IntN(len(foreignEntries))]
 		}
-		plan = append(plan, tr)
-	}
+		return tr
+	})
 }
 
 // lateEvery is the mean pause between late entries of dead servers.
 const lateEvery = 6 * time.Second
 
-// drawLateEntries returns late entries of dead servers of a seed, drawn apart as well.
+// drawLateEntries returns late entries of dead servers.
 func drawLateEntries(seed uint64, length time.Duration, servers int) []trouble {
-	rng := rand.New(rand.NewPCG(seed, 3))
-	var plan []trouble
-	for at := time.Duration(0); ; {
-		at += time.Duration(rng.ExpFloat64() * float64(lateEvery))
-		if at >= length {
-			return plan
-		}
-		plan = append(plan, trouble{at: at, kind: lateEntry, target: rng.IntN(servers), lasts: lapse})
-	}
+	return drawEach(seed, 3, lateEvery, length, func(rng *rand.Rand) trouble {
+		return trouble{kind: lateEntry, target: rng.IntN(servers), lasts: lapse}
+	})
 }
 
 // Times and sizes of the limits that servers name.
@@ -156,19 +159,13 @@
 
 var limitHows = []string{"0.5", "1.5", "4"} // requests a second
 
-// drawLimits returns limits of servers of a seed, drawn apart as well.
+// drawLimits returns limits of servers.
 func drawLimits(seed uint64, length time.Duration, servers int) []trouble {
-	rng := rand.New(rand.NewPCG(seed, 4))
-	var plan []trouble
-	for at := time.Duration(0); ; {
-		at += time.Duration(rng.ExpFloat64() * float64(limitEvery))
-		if at >= length {
-			return plan
-		}
+	return drawEach(seed, 4, limitEvery, length, func(rng *rand.Rand) trouble {
 		how := limitHows[rng.IntN(len(limitHows))]
 		lasts := limitLasts + time.Duration(rng.Int64N(int64(limitLasts)))
-		plan = append(plan, trouble{at: at, kind: limitServer, how: how, target: rng.IntN(servers), lasts: lasts})
-	}
+		return trouble{kind: limitServer, how: how, target: rng.IntN(servers), lasts: lasts}
+	})
 }
 
 // turnAwayEvery is the mean pause between servers that turn requests away.
@@ -176,19 +173,13 @@
 
 var turnAwayHows = []string{"0.7", "2", "5"} // seconds
 
-// drawTurnAways returns servers that turn requests away of a seed, drawn apart as well.
+// drawTurnAways returns servers that turn requests away.
 func drawTurnAways(seed uint64, length time.Duration, servers int) []trouble {
-	rng := rand.New(rand.NewPCG(seed, 5))
-	var plan []trouble
-	for at := time.Duration(0); ; {
-		at += time.Duration(rng.ExpFloat64() * float64(turnAwayEvery))
-		if at >= length {
-			return plan
-		}
+	return drawEach(seed, 5, turnAwayEvery, length, func(rng *rand.Rand) trouble {
 		how := turnAwayHows[rng.IntN(len(turnAwayHows))]
 		lasts := shortestTrial + time.Duration(rng.Int64N(int64(longestTrial)))
-		plan = append(plan, trouble{at: at, kind: turnAway, how: how, target: rng.IntN(servers), lasts: lasts})
-	}
+		return trouble{kind: turnAway, how: how, target: rng.IntN(servers), lasts: lasts}
+	})
 }
 
 // targets says what a trouble is about, as the history's spans name it.
