Only the answer of a request that ran takes a limit back

Read for what an answer may leave out: the answers to orders and reports, and refusals, need not name what the answers to requests do, and one of these without the header ended a limit for all daemons. Now they may name a limit and end none; one ends by an answer to a request that ran and was sent after the limit was heard. Nobody has seen it break: the stand-ins and the users' record do not show such answers. TestAnswerThatMayLeaveItOutEndsNoLimit fails before, passes after; the other tests of the tracker say now which answers ran.

--- a/internal/core/notice/notice.go
+++ b/internal/core/notice/notice.go
@@ -10,7 +10,10 @@
 type Notice struct {
 	Limited bool    // it names a limit
 	Limit   float64 // requests a second that it takes from all hosts together
-	Leaving bool    // it takes no new work
+	// Ran says that the upstream ran what it answers. Only such an answer takes a limit back:
+	// others may leave out what it has to say.
+	Ran     bool
+	Leaving bool // it takes no new work
 	// BackOff is for how long it wants nothing from the host that it answers; zero: it does
 	// not say.
 	BackOff time.Duration
@@ -40,8 +43,8 @@
 
 // Tracker has what one host has heard. It is not safe for concurrent use.
 //
-// Invariants: a limit stands until an answer to what was sent after it was heard names none,
-// for answers on different connections may overtake each other. An upstream that leaves never
+// Invariants: a limit stands until an answer to what was sent after it was heard, and ran, names
+// none, for answers on different connections may overtake each other. An upstream that leaves never
 // comes back: its next life has another ID. A back-off only grows.
 type Tracker struct {
 	limits  map[string]Limit
@@ -74,7 +77,7 @@
 
 func (t *Tracker) hearLimit(id string, n Notice, sent, now time.Time) (changed bool) {
 	before, known := t.limits[id]
-	if !n.Limited && (!known || sent.Before(before.At)) {
+	if !n.Limited && (!known || !n.Ran || sent.Before(before.At)) {
 		return false
 	}
 	t.limits[id] = Limit{Upstream: id, Limited: n.Limited, PerSecond: n.Limit, At: now}
--- a/internal/core/notice/notice_test.go
+++ b/internal/core/notice/notice_test.go
@@ -14,7 +14,7 @@
 
 func TestLimitStandsUntilALaterAnswerNamesNone(t *testing.T) {
 	tr := New()
-	if tr.Heard("a", Notice{}, at(0), at(1)).Limit {
+	if tr.Heard("a", Notice{Ran: true}, at(0), at(1)).Limit {
 		t.Error("no limit is news")
 	}
 	if !tr.Heard("a", limit(2), at(0), at(10)).Limit {
@@ -26,7 +26,7 @@
 	if l, ok := tr.LimitOf("a"); !ok || l.PerSecond != 2 || !l.At.Equal(at(20)) {
 		t.Errorf("got %+v", l)
 	}
-	if !tr.Heard("a", Notice{}, at(21), at(30)).Limit {
+	if !tr.Heard("a", Notice{Ran: true}, at(21), at(30)).Limit {
 		t.Error("the end of a limit is none")
 	}
 	if _, ok := tr.LimitOf("a"); ok {
@@ -39,7 +39,20 @@
 func TestAnswerToAnEarlierRequestEndsNoLimit(t *testing.T) {
 	tr := New()
 	tr.Heard("a", limit(2), at(0), at(10))
-	if tr.Heard("a", Notice{}, at(9), at(12)).Limit {
+	if tr.Heard("a", Notice{Ran: true}, at(9), at(12)).Limit {
+		t.Error("it changed the limit")
+	}
+	if _, ok := tr.LimitOf("a"); !ok {
+		t.Error("the limit is gone")
+	}
+}
+
+// TestAnswerThatMayLeaveItOutEndsNoLimit: the answers to orders, and refusals, are not those
+// of a request that ran.
+func TestAnswerThatMayLeaveItOutEndsNoLimit(t *testing.T) {
+	tr := New()
+	tr.Heard("a", limit(2), at(0), at(10))
+	if tr.Heard("a", Notice{}, at(20), at(30)).Limit {
 		t.Error("it changed the limit")
 	}
 	if _, ok := tr.LimitOf("a"); !ok {
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -97,7 +97,7 @@
 	}
 	n.told["a"] = sent.Add(-tellAgain)
 	n.Heard("a", notice.Notice{Limited: true, Limit: 2}, sent)
-	n.Heard("a", notice.Notice{}, time.Now())
+	n.Heard("a", notice.Notice{Ran: true}, time.Now())
 	if len(told) != 3 || told[2].Limited || told[2].Upstream != "a" {
 		t.Errorf("told %+v", told)
 	}
