The keeper keeps a limit over a gap in its upstream's entry; plans tell a late turn

A keeper whose list lost an upstream for a moment forgot its limit, though each daemon keeps what it has heard for a minute: until the next answer more could be sent than was named. The pacer keeps limits of unlisted upstreams for a minute after they were heard (TestLimitOutlivesAGapInTheEntryOfItsUpstream fails before). A prompt that is refused for its turn has plan=too_late/limit in its line, which told the load only.

--- a/internal/core/booking/limits_test.go
+++ b/internal/core/booking/limits_test.go
@@ -87,7 +87,7 @@
 			served++
 		case p.Verdict == Booked:
 			t.Fatalf("waits %s", p.Wait)
-		case p.Verdict != TooLate || p.Backlog <= 0:
+		case p.Verdict != TooLate || p.Reason != ReasonLimit || p.Backlog <= 0:
 			t.Fatalf("got %+v", p)
 		}
 	}
--- a/internal/core/booking/place.go
+++ b/internal/core/booking/place.go
@@ -180,7 +180,7 @@
 	case len(l.writers) >= l.engine.slots()+queueMost:
 		return Plan{Verdict: Full}
 	case !t.ask.Begun && wait > max(t.ask.Objective, leastPatience):
-		return Plan{Verdict: TooLate, First: t.shortFirst(l, read)}
+		return Plan{Verdict: TooLate, Reason: ReasonLimit, First: t.shortFirst(l, read)}
 	}
 	reason := ReasonPacked
 	if l.tight == 0 {
--- a/internal/core/booking/types.go
+++ b/internal/core/booking/types.go
@@ -85,6 +85,7 @@
 	ReasonHarm     Reason = "harm"      // in parts that make some late, which costs less than being late
 	ReasonLate     Reason = "late"      // it will be late
 	ReasonOnlyFail Reason = "only_fail" // only failing engines are left
+	ReasonLimit    Reason = "limit"     // its turn at an engine with a limit comes too late
 )
 
 // Plan is the answer to an Ask. It has all that a log line needs.
--- a/internal/core/pace/pacer.go
+++ b/internal/core/pace/pacer.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"maps"
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/notice"
@@ -109,11 +110,13 @@
 	return wait, true
 }
 
-// Keep forgets the upstreams for which ok does not hold.
-func (p *Pacer) Keep(ok func(id string) bool) {
-	for id := range p.upstreams {
-		if !ok(id) {
-			delete(p.upstreams, id)
-		}
-	}
+// keptFor is how long a limit of an upstream that is not listed is kept after it was heard:
+// the upstream may come back.
+const keptFor = time.Minute
+
+// Keep forgets the limits of upstreams that are not listed, after a while.
+func (p *Pacer) Keep(listed func(id string) bool, now time.Time) {
+	maps.DeleteFunc(p.upstreams, func(id string, u *upstream) bool {
+		return !listed(id) && now.Sub(u.limit.At) > keptFor
+	})
 }
--- a/internal/core/pace/pacer_test.go
+++ b/internal/core/pace/pacer_test.go
@@ -125,11 +125,16 @@
 	}
 }
 
-func TestWhatIsNotListedIsForgotten(t *testing.T) {
+func TestLimitOutlivesAGapInTheEntryOfItsUpstream(t *testing.T) {
 	p := New()
 	p.Hear(limit("a", 2, 0), at(0))
-	p.Keep(func(string) bool { return false })
-	if _, limited := p.Next("a", at(1)); limited {
-		t.Error("it is known")
+	none := func(string) bool { return false }
+	p.Keep(none, at(30_000))
+	if _, limited := p.Next("a", at(30_001)); !limited {
+		t.Error("forgotten too early")
+	}
+	p.Keep(none, at(61_000))
+	if _, limited := p.Next("a", at(61_001)); limited {
+		t.Error("kept for good")
 	}
 }
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -128,7 +128,7 @@
 	s.book.Pacer().Keep(func(id string) bool {
 		_, listed := list.Get(id)
 		return listed
-	})
+	}, time.Now())
 }
 
 func (s *Service) self() sender {
