A server that has started again under its id keeps what it has said before it was listed

Found by the soak (0.25 minutes, three daemons, three servers each): an engine got four requests of one daemon in the five seconds for which it had asked that daemon for peace.

Cause, from the daemon's log: the engine had started again under its id and turned a request away 0.7 s later; the store told of the start only 2.7 s after it. Until then its answers are heard under the ID of its former life, and the next life came to the list without a word. Ruled out: a word of the former process, which had ended before; a freeze or restart of the daemon.

Change: when a life takes the place of the former one of its name, what was heard since its start is its own, before anything chooses it. TestBackOffOfAServerThatHasJustStartedAgainHolds (the store hangs, a server of each service starts again and turns away) fails without it, 27 requests of one daemon in 5 s, 2 allowed, and passes with it.

Open: the start is told by the server's clock and compared with the daemon's; a step between them of over the time since the start gives the wrong life.

--- a/internal/core/notice/notice.go
+++ b/internal/core/notice/notice.go
@@ -101,6 +101,21 @@
 	return true
 }
 
+// Inherit gives an upstream's next life what was heard under the ID of the former one since the
+// next began: the registry tells of a start later than the first answers after it.
+func (t *Tracker) Inherit(next, former string, began time.Time) {
+	if l := t.limits[former]; l.Limited && !l.At.Before(began) {
+		l.Upstream = next
+		t.limits[next] = l
+	}
+	if at, leaves := t.leaving[former]; leaves && !at.Before(began) {
+		t.leaving[next] = at
+	}
+	if b, backsOff := t.backOff[former]; backsOff && !b.At.Before(began) {
+		t.backOff[next] = b
+	}
+}
+
 // LimitOf returns the limit of an upstream; ok is false when none stands.
 func (t *Tracker) LimitOf(id string) (l Limit, ok bool) {
 	l = t.limits[id]
--- a/internal/core/notice/notice_test.go
+++ b/internal/core/notice/notice_test.go
@@ -108,3 +108,23 @@
 		t.Error("it is not over")
 	}
 }
+
+// TestNextLifeInheritsWhatItSaidBeforeItWasListed guards against requests to a server in its
+// back-off, or above its limit, that has started again under its id: its first answers are
+// heard under the ID of its former life.
+func TestNextLifeInheritsWhatItSaidBeforeItWasListed(t *testing.T) {
+	tr := New()
+	tr.Heard("a@1", Notice{Leaving: true}, at(0), at(500)) // by the former life
+	tr.Heard("a@1", Notice{BackOff: 5 * time.Second, Limited: true, Limit: 2}, at(1500), at(1500))
+	tr.Inherit("a@2", "a@1", at(1000))
+	if b, ok := tr.BarOf("a@2", at(2000)); !ok || b.Leaving || !b.Until.Equal(at(6500)) {
+		t.Errorf("got %+v, %v", b, ok)
+	}
+	if l, ok := tr.LimitOf("a@2"); !ok || l.Upstream != "a@2" || l.PerSecond != 2 {
+		t.Errorf("got %+v, %v", l, ok)
+	}
+	tr.Inherit("a@3", "a@2", at(3000))
+	if _, ok := tr.BarOf("a@3", at(3000)); ok {
+		t.Error("a life is barred for what its former one said")
+	}
+}
--- a/internal/edge/listchange.go
+++ b/internal/edge/listchange.go
@@ -21,6 +21,7 @@
 	p.list.Store(after)
 	p.mu.Unlock()
 	if p.logListChange(before, after) || !p.serving.Load() {
+		p.inheritNotices(before, after)
 		p.spreadList()
 		p.endSuperseded(before, after)
 	}
@@ -87,6 +88,16 @@
 	return counts
 }
 
+// inheritNotices gives servers that have started again what they have said since, before
+// anything chooses them.
+func (p *process) inheritNotices(before, after *fleet.Snapshot) {
+	for _, u := range before.Upstreams {
+		if next, over := after.Successor(u); over && next.Name == u.Name {
+			p.notices.Inherit(next, u)
+		}
+	}
+}
+
 // endSuperseded ends what runs on upstreams whose place others have taken.
 func (p *process) endSuperseded(before, after *fleet.Snapshot) {
 	for _, u := range before.Upstreams {
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -122,6 +122,17 @@
 	return n.tracker.LimitOf(upstream)
 }
 
+// Inherit gives the next life of an upstream what it has said before it was listed.
+func (n *Notices) Inherit(next, former fleet.Upstream) {
+	n.mu.Lock()
+	n.tracker.Inherit(next.ID, former.ID, time.UnixMilli(next.Born))
+	l, limited := n.tracker.LimitOf(next.ID)
+	n.mu.Unlock()
+	if limited {
+		n.spread(l)
+	}
+}
+
 // Keep forgets what upstreams have said that are not listed any more.
 func (n *Notices) Keep(list *fleet.Snapshot) {
 	n.mu.Lock()
--- a/test/soak/words_test.go
+++ b/test/soak/words_test.go
@@ -219,3 +219,18 @@
 	}
 	tellFindings(t, p, p.run(t))
 }
+
+// TestBackOffOfAServerThatHasJustStartedAgainHolds guards against requests in the back-off of
+// a server that has started again under its id, and turned away before the store told of it.
+func TestBackOffOfAServerThatHasJustStartedAgainHolds(t *testing.T) {
+	t.Parallel()
+	p := play{seed: 1, length: 7 * time.Second, daemons: 3, servers: 3, recovery: recoveryWait}
+	p.plan = []trouble{{at: 100 * time.Millisecond, kind: harmStore, how: "hangs", lasts: 2 * time.Second}}
+	for target := range 2 { // one of each service
+		p.plan = append(p.plan, trouble{at: 200 * time.Millisecond, kind: restartServer, target: target, lasts: 100 * time.Millisecond})
+	}
+	for target := range 2 {
+		p.plan = append(p.plan, trouble{at: time.Second, kind: turnAway, how: "5", target: target, lasts: 500 * time.Millisecond})
+	}
+	tellFindings(t, p, p.run(t))
+}
