Answers without news build no log line

Read for what each answer costs: the fields of the lines about notices were built for every answer and every send, and thrown away. Cause of no failure; the lines that are written stay the same.

--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -68,6 +68,9 @@
 
 // note counts and logs what an answer, to what was sent some time ago, has changed.
 func (n *Notices) note(upstream string, said notice.Notice, change notice.Change, age time.Duration) {
+	if change == (notice.Change{}) {
+		return
+	}
 	log := n.log.WithFields(logrus.Fields{"upstream": upstream, "sent_ms_ago": age.Milliseconds()})
 	if change.Limit {
 		limitsNamed.Inc()
@@ -169,16 +172,21 @@
 // noteSend writes a line for a request that goes to an upstream which has named a limit, or
 // wants none.
 func (g *run) noteSend(to fleet.Upstream) {
+	l, limited := g.relay.opts.Notices.limitOf(to.ID)
+	b, barred := g.relay.opts.Notices.barOf(to.ID)
+	if !limited && !barred {
+		return
+	}
 	log := g.relay.log.WithFields(logrus.Fields{
 		"request": g.req.ID, "attempt": g.attempt, "upstream": to.ID, "plan": g.plan,
 	})
-	if l, limited := g.relay.opts.Notices.limitOf(to.ID); limited {
+	if limited {
 		limitedSends.Inc()
 		log.WithFields(logrus.Fields{
 			"limit_per_s": l.PerSecond, "heard_ms_ago": time.Since(l.At).Milliseconds(),
 		}).Info("sent_to_limited")
 	}
-	if b, barred := g.relay.opts.Notices.barOf(to.ID); barred {
+	if barred {
 		barredSends.Inc()
 		log.WithFields(logrus.Fields{
 			"leaving": b.Leaving, "heard_ms_ago": time.Since(b.At).Milliseconds(),
