--- a/internal/core/booking/engine.go
+++ b/internal/core/booking/engine.go
@@ -102,7 +102,7 @@
 // load is the state of an engine at one moment.
 type load struct {
 	engine  *engine
-	turn    time.Time     // the earliest at which a request may be sent here
+	turn    time.Duration // until a request may be sent here
 	free    time.Time     // when it may be sent to and all long parts booked here are read
 	current time.Duration // left of the long part that is being read
 	coming  time.Duration // the longest long part that is booked and not begun
@@ -155,14 +155,12 @@
 	return l
 }
 
-// lookFrom works out the load where nothing may be sent before a turn.
-func (e *engine) lookFrom(turn, now time.Time, tight time.Duration) load {
-	l := e.look(now, tight)
-	l.turn = turn
+// await has nothing sent before a turn.
+func (l *load) await(turn, now time.Time) {
+	l.turn = turn.Sub(now)
 	if turn.After(l.free) {
 		l.free = turn
 	}
-	return l
 }
 
 // tally works out steady and reading.
--- a/internal/core/booking/place.go
+++ b/internal/core/booking/place.go
@@ -77,7 +77,10 @@
 			t.limited = true
 			continue
 		}
-		t.loads = append(t.loads, e.lookFrom(turn, t.now, t.service.TightGap))
+		t.loads = append(t.loads, e.look(t.now, t.service.TightGap))
+		if limited {
+			t.loads[len(t.loads)-1].await(turn, t.now)
+		}
 	}
 	if len(t.loads) > 0 || all {
 		return all
@@ -175,7 +178,7 @@
 		}
 	}
 	l := &t.loads[best]
-	wait := l.turn.Sub(t.now)
+	wait := l.turn
 	switch {
 	case len(l.writers) >= l.engine.slots()+queueMost:
 		return Plan{Verdict: Full}
@@ -196,7 +199,7 @@
 
 // shortWait returns the expected time until a short prompt is read.
 func (t *task) shortWait(l *load) time.Duration {
-	return max(l.turn.Sub(t.now), l.current+l.unread)
+	return max(l.turn, l.current+l.unread)
 }
 
 func (t *task) shortScore(l *load, read time.Duration, rank int) float64 {
