Cold servers get no more than they bear from all daemons together

Cause: cold_remaining_ms of an entry was decoded and thrown away, Cold-Ms of answers and the services' cold_start_s and cold_per_s were not read at all. Nothing bounds the rate of all daemons at one server that has named no limit.

Change: core/fleet keeps until when an upstream is cold, aged by the clock; an upstream of a failure domain that can be reached again is doubted: it counts as cold until its second heartbeat after says otherwise. core/pace gives turns at cold upstreams as at those that have named a limit, with an end. What a daemon hears in an answer it tells the keeper; a question for a turn tells it too.

Weighed: (1) turns by the keeper, taken: at 17 requests a second one each 59 ms, a deputy a quarter, a daemon whose keeper is silent none: 1.25 L + 4 in a second at the most, of 1.5 L + 5. (2) A fixed share for each daemon, which needs no keeper: at 88 daemons one request in 5.2 s each; most calls come to a daemon without one (worked out). (3) Leaving cold servers alone for their time: where a whole domain returns, a third of the engines more seconds away. Who waits: those whose turn is within their objective; all others are refused at once with the time of the next turn.

A first form set all turns after the end of the cold time to that end; the burst test found the burst (24 at one moment), so turns stay spaced beyond it.

--- a/internal/core/fleet/list.go
+++ b/internal/core/fleet/list.go
@@ -25,6 +25,10 @@
 	listed int       // rises with each life that is listed for the first time
 	until  time.Time // it has lapsed and is used until then; zero: it stands
 	over   bool      // an answer has shown that another one has its address
+	// coldUntil is when it is warm again; in the past where it is.
+	coldUntil time.Time
+	// believeFrom is the heartbeat from which its word ends a doubt of its warmth.
+	believeFrom int64
 }
 
 // ended is the last entry of a life that is not listed any more.
@@ -124,16 +128,18 @@
 func (l *List) put(u Upstream, now time.Time) {
 	before, known := l.lastOf(u)
 	u.ID = u.Life.ID()
+	fresh := l.isFresh(u)
 	switch {
 	case !known || laterLife(u, before.Upstream):
 		l.count++
-		before = entry{listed: l.count}
+		before, fresh = entry{listed: l.count}, true
 	case u.Born != 0 && u.Born < before.Born, u.Beat < before.Beat:
 		return
 	default:
 		u.ID, u.Life = before.ID, before.Life
 		u.Leaving = u.Leaving || before.Leaving
 	}
+	before.takeCold(&u, fresh, now)
 	before.Upstream, before.until = u, time.Time{}
 	l.byName[u.Name] = &before
 	delete(l.ended, u.Name)
@@ -142,6 +148,12 @@
 	}
 }
 
+// isFresh reports whether an entry was written after the one that stands.
+func (l *List) isFresh(u Upstream) bool {
+	e, stands := l.byName[u.Name]
+	return !stands || !e.until.IsZero() || u.Beat != e.Beat
+}
+
 // lastOf returns the last entry of the server that an entry is of. Of a life whose start
 // was not told and whose entry went, only its place among the others is remembered: its
 // counts may start anew.
--- a/internal/core/fleet/snapshot.go
+++ b/internal/core/fleet/snapshot.go
@@ -88,6 +88,7 @@
 	listed := make([]Upstream, len(all))
 	for i, e := range all {
 		listed[i] = e.Upstream
+		listed[i].ColdUntil = e.coldUntil
 		for _, other := range all {
 			if other != e {
 				listed[i].Rivals = append(listed[i].Rivals, other.ID)
--- a/internal/core/fleet/upstream.go
+++ b/internal/core/fleet/upstream.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "strconv"
+import (
+	"strconv"
+	"time"
+)
 
 // Life names one life of a server: it may start again under the name that it had, and
 // holds and knows nothing of before then.
@@ -27,6 +30,10 @@
 	Slots   int    // requests that run at once
 	Leaving bool   // takes no new work
 	Beat    int64  // rises with each heartbeat of this life
+	// Cold is for how long its entry says that it bears few requests a second.
+	Cold time.Duration
+	// ColdUntil is when it is warm again, by all that is known; in the past where it is.
+	ColdUntil time.Time
 	// Rivals are the IDs of the other upstreams whose entries stand at the address, while
 	// it is not known which of them lives there; see List.Identified.
 	Rivals []string
--- a/internal/core/notice/notice.go
+++ b/internal/core/notice/notice.go
@@ -17,6 +17,7 @@
 	// BackOff is for how long it wants nothing from the host that it answers; zero: it does
 	// not say.
 	BackOff time.Duration
+	Cold    time.Duration // for which it bears few requests a second; zero: it does not say
 }
 
 // Limit is the limit of one upstream as a host has heard it.
--- /dev/null
+++ b/internal/core/pace/cold_test.go
@@ -0,0 +1,89 @@
+package pace
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+func cold(id string, perSecond float64, fromMs, forMs int) Cold {
+	return Cold{Upstream: id, PerSecond: perSecond, Until: at(fromMs + forMs)}
+}
+
+// allowedCold is what a platform lets a cold upstream have in any second.
+func allowedCold(perSecond float64) float64 { return 1.5*perSecond + 5 }
+
+// TestColdUpstreamGetsFewRequestsUnderABurst guards against a server that comes back and is
+// killed by the load that waited for it, also while two hosts give turns for a time.
+func TestColdUpstreamGetsFewRequestsUnderABurst(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(11))
+	properties.Property("two keepers for a time", prop.ForAll(func(perSecond float64, laterMs, withinMs int) bool {
+		one, other := New(), New()
+		one.SetShare(Whole)
+		one.Cool(cold("a", perSecond, 0, 4000), at(0))
+		other.Cool(cold("a", perSecond, 0, 4000), at(laterMs))
+		within := time.Duration(withinMs) * time.Millisecond
+		turns := admitted(one, 0, 4000, 1, within)
+		turns = append(turns, admitted(other, laterMs, 4000, 1, within)...)
+		var whileCold []time.Time
+		for _, turn := range turns {
+			if turn.Before(at(4000)) {
+				whileCold = append(whileCold, turn)
+			}
+		}
+		return float64(most(whileCold, time.Second)) <= allowedCold(perSecond)
+	}, gen.Float64Range(0, 40), gen.IntRange(0, 3000), gen.IntRange(0, 2000)))
+	properties.TestingRun(t)
+}
+
+func TestColdEndsByItself(t *testing.T) {
+	p := New()
+	p.SetShare(Whole)
+	p.Cool(cold("a", 1, 0, 500), at(0))
+	if _, limited := p.Next("a", at(499)); !limited {
+		t.Error("it is taken for warm")
+	}
+	if turn, limited := p.Next("a", at(500)); limited || !turn.Equal(at(500)) {
+		t.Errorf("warm, and the next turn is at %s", turn.Sub(start))
+	}
+}
+
+// TestColdAgainIsBoundedAnew: an upstream may become cold at any moment of its life.
+func TestColdAgainIsBoundedAnew(t *testing.T) {
+	p := New()
+	p.SetShare(Whole)
+	p.Cool(cold("a", 2, 0, 1000), at(0))
+	p.Cool(cold("a", 2, 5000, 1000), at(5000))
+	if turn, limited := p.Next("a", at(5001)); !limited || turn.Before(at(5500)) {
+		t.Errorf("the next turn is at %s, limited %t", turn.Sub(start), limited)
+	}
+	p.Cool(Cold{Upstream: "a", PerSecond: 2, Until: at(5100)}, at(5200)) // it is warm, it says
+	if _, limited := p.Next("a", at(5201)); limited {
+		t.Error("its word that it is warm is not taken")
+	}
+}
+
+// TestLowerOfTwoLimitsHolds: a cold upstream that has named a limit keeps both.
+func TestLowerOfTwoLimitsHolds(t *testing.T) {
+	for _, c := range []struct{ named, cold float64 }{{10, 2}, {2, 10}} {
+		p := New()
+		p.SetShare(Whole)
+		p.Hear(limit("a", c.named, 0), at(0))
+		p.Cool(cold("a", c.cold, 0, 10_000), at(0))
+		if got := most(admitted(p, 0, 9000, 5, time.Second), window); float64(got) > 2*window.Seconds()+burst {
+			t.Errorf("named %g, cold %g: %d turns in %s", c.named, c.cold, got, window)
+		}
+	}
+}
+
+func TestColdOfAnUpstreamThatHasGoneIsForgotten(t *testing.T) {
+	p := New()
+	p.Cool(cold("a", 2, 0, 1000), at(0))
+	p.Keep(func(string) bool { return true }, at(70_000))
+	if len(p.upstreams) > 0 {
+		t.Error("it is kept for good")
+	}
+}
--- a/internal/core/pace/pacer.go
+++ b/internal/core/pace/pacer.go
@@ -26,9 +26,9 @@
 
 // Pacer gives turns. It is not safe for concurrent use.
 //
-// Invariant: while the limit of an upstream stands, at most burst turns more are given there
-// in any time than the share of the limit allows in it, and none within an interval of the
-// first word of it, for another host may have given some.
+// Invariant: while the limit of an upstream stands, or it is cold, at most burst turns more are
+// given there in any time than the share of the limit allows in it, and none within an interval
+// of the first word of it, for another host may have given some.
 type Pacer struct {
 	share     float64
 	upstreams map[string]*upstream
@@ -36,9 +36,17 @@
 
 type upstream struct {
 	limit notice.Limit
+	cold  Cold
 	next  time.Time // the earliest turn; in the past where turns are left
 }
 
+// Cold is the limit of an upstream that is cold: it ends by itself.
+type Cold struct {
+	Upstream  string  // ID of the life
+	PerSecond float64 // requests from all hosts together
+	Until     time.Time
+}
+
 // New returns a Pacer that knows no limits and gives a deputy's share of those it hears.
 func New() *Pacer { return &Pacer{share: Deputy, upstreams: map[string]*upstream{}} }
 
@@ -59,15 +67,53 @@
 	}
 	began, raised := l.Limited && !u.limit.Limited, l.PerSecond > u.limit.PerSecond
 	u.limit = l
-	soonest := now.Add(p.interval(u))
+	soonest := now.Add(p.interval(u, now))
 	if began || raised && u.next.After(soonest) {
 		u.next = soonest
 	}
 }
 
+// Cool takes in that an upstream is cold, and until when; a time that has passed says that it
+// is warm. Turns that it was given while it was taken for warm are not known, so the next one
+// is after an interval.
+func (p *Pacer) Cool(c Cold, now time.Time) {
+	u := p.upstreams[c.Upstream]
+	if u == nil {
+		if !c.Until.After(now) {
+			return
+		}
+		u = &upstream{}
+		p.upstreams[c.Upstream] = u
+	}
+	began := c.Until.After(now) && !u.cold.Until.After(now)
+	u.cold = c
+	if soonest := now.Add(p.interval(u, now)); began && u.next.Before(soonest) {
+		u.next = soonest
+	}
+}
+
+// ColdOf returns until when an upstream is cold; ok is false when it is not.
+func (p *Pacer) ColdOf(id string, now time.Time) (c Cold, ok bool) {
+	u := p.upstreams[id]
+	if u == nil || !now.Before(u.cold.Until) {
+		return Cold{}, false
+	}
+	return u.cold, true
+}
+
+// limited reports whether an upstream takes a bounded number of requests at a time.
+func (u *upstream) limited(at time.Time) bool { return u.limit.Limited || at.Before(u.cold.Until) }
+
 // interval returns the time between two turns.
-func (p *Pacer) interval(u *upstream) time.Duration {
-	rate := p.share * max(u.limit.PerSecond, leastPerSecond)
+func (p *Pacer) interval(u *upstream, at time.Time) time.Duration {
+	perSecond := u.limit.PerSecond
+	switch {
+	case !u.limit.Limited: // turns that were given while it is cold may be after it
+		perSecond = u.cold.PerSecond
+	case at.Before(u.cold.Until):
+		perSecond = min(perSecond, u.cold.PerSecond)
+	}
+	rate := p.share * max(perSecond, leastPerSecond)
 	return time.Duration(float64(time.Second) / rate)
 }
 
@@ -75,7 +121,7 @@
 // any time.
 func (p *Pacer) Next(id string, now time.Time) (turn time.Time, limited bool) {
 	u := p.upstreams[id]
-	if u == nil || !u.limit.Limited {
+	if u == nil || !u.limited(now) {
 		return now, false
 	}
 	if u.next.Before(now) {
@@ -90,7 +136,7 @@
 	if u == nil {
 		return
 	}
-	interval := p.interval(u)
+	interval := p.interval(u, turn)
 	if left := turn.Add(-(burst - 1) * interval); u.next.Before(left) {
 		u.next = left
 	}
@@ -117,6 +163,7 @@
 // Keep forgets the limits of upstreams that are not listed, after a while.
 func (p *Pacer) Keep(listed func(id string) bool, now time.Time) {
 	maps.DeleteFunc(p.upstreams, func(id string, u *upstream) bool {
-		return !listed(id) && now.Sub(u.limit.At) > keptFor
+		over := !u.limited(now) || !listed(id)
+		return over && now.Sub(u.limit.At) > keptFor && now.Sub(u.cold.Until) > keptFor
 	})
 }
--- a/internal/core/route/types.go
+++ b/internal/core/route/types.go
@@ -78,6 +78,10 @@
 	HealthPath     string
 	MaxConnections int           // of all callers together to one upstream; zero: no bound known
 	Engine         *cost.Figures // nil for a plain service
+	// ColdFor is how long a server stays cold after its start; zero: never. Meanwhile it
+	// takes ColdPerSecond requests from all callers together.
+	ColdFor       time.Duration
+	ColdPerSecond float64
 }
 
 // Customer is the owner of a key.
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -96,6 +96,7 @@
 	}
 	p.mu.Lock()
 	p.services = bookServices(spec)
+	p.coldFigures = coldFigures(spec)
 	p.mu.Unlock()
 	p.spreadList()
 	log.Info("settings_applied")
@@ -161,9 +162,9 @@
 // spreadList tells all that choose upstreams of a change.
 func (p *process) spreadList() {
 	p.mu.Lock()
-	services, list := p.services, p.list.Load()
+	services, figures, list := p.services, p.coldFigures, p.list.Load()
 	p.mu.Unlock()
-	p.schedule.Apply(services, list)
+	p.schedule.Apply(services, list, coldOf(list, figures))
 	p.plain.apply(list)
 	if p.door.Table() != nil && !list.At.IsZero() {
 		p.serving.Store(true)
--- a/internal/edge/listchange.go
+++ b/internal/edge/listchange.go
@@ -20,7 +20,9 @@
 	after := p.upstreams.Snapshot()
 	p.list.Store(after)
 	p.mu.Unlock()
-	if p.logListChange(before, after) || !p.serving.Load() {
+	changed := p.logListChange(before, after)
+	changed = p.logCold(before, after) || changed
+	if changed || !p.serving.Load() {
 		p.inheritNotices(before, after)
 		p.spreadList()
 		p.endSuperseded(before, after)
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -52,9 +52,10 @@
 	fileTime time.Time              // of the daemon file when it was last looked at
 	reloads  <-chan os.Signal       // the daemon file has changed
 
-	mu        sync.Mutex
-	upstreams *fleet.List
-	services  []booking.Service
+	mu          sync.Mutex
+	upstreams   *fleet.List
+	services    []booking.Service
+	coldFigures map[string]coldFigure // by service
 }
 
 // Times of the connections to upstreams. Round trips take 1 to 2 ms, so these find a
@@ -107,7 +108,10 @@
 	p.list.Store(&fleet.Snapshot{})
 	p.live.Store(cfg)
 	p.fileChanged()
-	p.notices = relay.NewNotices(func(l notice.Limit) { p.schedule.Limit(l) }, log) // the schedule is built later
+	p.notices = relay.NewNotices(relay.Spread{
+		Limit: func(l notice.Limit) { p.schedule.Limit(l) }, // the schedule is built later
+		Cold:  p.heardCold,
+	}, log)
 	if err := p.buildPeers(); err != nil {
 		return nil, err
 	}
@@ -165,6 +169,7 @@
 		Reach:      p.pool.Reach,
 		Upstreams:  p.list.Load,
 		Identified: p.identified,
+		Reached:    p.doubtWarmth,
 		Notices:    p.notices,
 		Budget:     p.retryBudget,
 		Log:        p.log,
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -16,9 +16,16 @@
 // Heard takes in what an answer of an upstream, to what was sent at a time, says of it.
 type Heard func(upstream string, n notice.Notice, sent time.Time)
 
+// Spread tells what upstreams say to those who plan for all daemons.
+type Spread struct {
+	Limit func(notice.Limit)
+	// Cold tells for how long an upstream says that it stays cold. It may be nil.
+	Cold func(upstream string, left time.Duration)
+}
+
 // Notices is what upstreams have said of themselves. It is safe for concurrent use.
 type Notices struct {
-	spread func(notice.Limit)
+	spread Spread
 	log    *logrus.Entry
 
 	mu      sync.Mutex
@@ -26,9 +33,8 @@
 	told    map[string]time.Time // when the limit of an upstream was last spread
 }
 
-// NewNotices returns Notices that have heard nothing. spread tells the limits that they hear
-// to those who plan for all.
-func NewNotices(spread func(notice.Limit), log *logrus.Entry) *Notices {
+// NewNotices returns Notices that have heard nothing.
+func NewNotices(spread Spread, log *logrus.Entry) *Notices {
 	return &Notices{spread: spread, log: log, tracker: notice.New(), told: map[string]time.Time{}}
 }
 
@@ -47,7 +53,10 @@
 // Heard implements the type Heard.
 func (n *Notices) Heard(upstream string, said notice.Notice, sent time.Time) {
 	if l, tell := n.hear(upstream, said, sent); tell {
-		n.spread(l)
+		n.spread.Limit(l)
+	}
+	if said.Cold > 0 && n.spread.Cold != nil {
+		n.spread.Cold(upstream, said.Cold)
 	}
 }
 
@@ -132,7 +141,7 @@
 	l, limited := n.tracker.LimitOf(next.ID)
 	n.mu.Unlock()
 	if limited {
-		n.spread(l)
+		n.spread.Limit(l)
 	}
 }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -49,12 +49,24 @@
 			soonest = min(soonest, turn)
 			full = append(full, u.ID)
 			if len(full) == mostAsked {
-				full = append(full, g.relay.opts.Notices.limited()...)
+				full = append(full, g.limited()...)
 			}
 		}
 	}
 	comeBack := max(soonest, retryAfterFailure)
-	return fleet.Upstream{}, nil, request.Refuse(request.CodeQueueFull, comeBack, "the limits that all servers of %s have named are used up", g.req.Service.Name)
+	return fleet.Upstream{}, nil, request.Refuse(request.CodeQueueFull, comeBack, "the limits of all servers of %s, named or of cold ones, are used up", g.req.Service.Name)
+}
+
+// limited returns the servers that take a bounded number of requests a second.
+func (g *run) limited() []string {
+	ids := g.relay.opts.Notices.limited()
+	now := time.Now()
+	for _, u := range g.relay.opts.Upstreams().Live(g.req.Service.Name) {
+		if u.ColdUntil.After(now) {
+			ids = append(ids, u.ID)
+		}
+	}
+	return ids
 }
 
 // pickBut chooses a server, one that fails only where no other is left, and none of some or
@@ -75,17 +87,23 @@
 	return !barred
 }
 
-// admit takes a turn at a server if it has named a limit.
+// admit takes a turn at a server if it has named a limit or is cold.
 func (g *run) admit(ctx context.Context, u fleet.Upstream, within time.Duration) (turn time.Duration, ok bool) {
 	l, limited := g.relay.opts.Notices.limitOf(u.ID)
-	if !limited {
+	coldFor := max(time.Until(u.ColdUntil), 0)
+	if !limited && coldFor == 0 {
 		return 0, true
 	}
+	l.Upstream = u.ID
 	turn, ok = g.relay.opts.Planner.Admit(ctx, l, within)
-	g.relay.log.WithFields(logrus.Fields{
-		"request": g.req.ID, "upstream": u.ID, "limit_per_s": l.PerSecond, "heard_ms_ago": time.Since(l.At).Milliseconds(),
+	fields := logrus.Fields{
+		"request": g.req.ID, "upstream": u.ID, "cold_ms": coldFor.Milliseconds(),
 		"turn_ms": turn.Milliseconds(), "within_ms": within.Milliseconds(), "taken": ok,
-	}).Info("turn_asked")
+	}
+	if limited {
+		fields["limit_per_s"], fields["heard_ms_ago"] = l.PerSecond, time.Since(l.At).Milliseconds()
+	}
+	g.relay.log.WithFields(fields).Info("turn_asked")
 	return turn, ok
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,9 @@
 	// Identified tells whether an upstream that has rivals answered itself, or another
 	// one at its address.
 	Identified func(u fleet.Upstream, itself bool)
+	// Reached tells that a failure domain which was cut off can be reached again; nil: nobody
+	// is to know.
+	Reached func(domain string)
 	// Notices has what upstreams say of themselves; the Sender tells it.
 	Notices *Notices
 	// Budget returns the site's bound of repeats.
--- a/internal/relay/ways.go
+++ b/internal/relay/ways.go
@@ -116,6 +116,9 @@
 		log.WithField("moved", r.moveFrom(domain)).Warn("domain_cut")
 	case reach.BecameReached:
 		r.forgive(domain, now.Add(-cutFor-waySince))
+		if r.opts.Reached != nil {
+			r.opts.Reached(domain)
+		}
 		log.WithField("cut_ms", cutFor.Milliseconds()).Info("domain_reached")
 	}
 }
--- a/internal/schedule/limits.go
+++ b/internal/schedule/limits.go
@@ -5,11 +5,12 @@
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/notice"
+	"github.com/buckthorndock/buckthorndock/internal/core/pace"
 )
 
-// A limit binds all daemons together, so the keeper gives the turns: with its plans for
-// engines, by Admit for others. A daemon without a keeper sends nothing to an upstream with a
-// limit, for it does not know what others send.
+// A limit binds all daemons together, that of a cold upstream too, so the keeper gives the
+// turns: with its plans for engines, by Admit for others. A daemon without a keeper sends
+// nothing to an upstream with a limit, for it does not know what others send.
 
 // Limit tells the keeper what this daemon has heard of an upstream's limit.
 func (s *Service) Limit(l notice.Limit) {
@@ -42,11 +43,34 @@
 	s.book.Pacer().Hear(notice.Limit{Upstream: l.Upstream, Limited: l.Limited, PerSecond: l.PerSecond, At: now.Add(-l.Age)}, now)
 }
 
+// Cool tells the keeper that an upstream has said it is cold.
+func (s *Service) Cool(c pace.Cold) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.book.Pacer().Cool(c, now)
+	s.tell(Event{Cold: coldAt(c, now)})
+}
+
+func coldAt(c pace.Cold, now time.Time) *Cold {
+	return &Cold{Upstream: c.Upstream, PerSecond: c.PerSecond, Left: c.Until.Sub(now)}
+}
+
+// hearCold takes in what another daemon knows of a cold upstream: of two words on how long it
+// stays so, the longer one holds. The caller holds the lock.
+func (s *Service) hearCold(c *Cold, now time.Time) {
+	until := now.Add(c.Left)
+	if known, ok := s.book.Pacer().ColdOf(c.Upstream, now); ok && known.Until.After(until) {
+		return
+	}
+	s.book.Pacer().Cool(pace.Cold{Upstream: c.Upstream, PerSecond: c.PerSecond, Until: until}, now)
+}
+
 // noTurn is when to ask again for a turn that nobody gives.
 const noTurn = 200 * time.Millisecond
 
-// Admit takes a turn at an upstream with a limit if it comes within a time, and returns the
-// wait for it.
+// Admit takes a turn at an upstream with a limit, or a cold one, if it comes within a time, and
+// returns the wait for it.
 func (s *Service) Admit(ctx context.Context, l notice.Limit, within time.Duration) (wait time.Duration, ok bool) {
 	s.mu.Lock()
 	now := time.Now()
@@ -59,8 +83,11 @@
 		s.book.Pacer().Hear(l, now)
 		return s.book.Pacer().Admit(l.Upstream, within, now)
 	}
-	s.mu.Unlock()
 	req := &AdmitRequest{From: s.self(), Limit: limitAt(l, now), Within: within}
+	if c, cold := s.book.Pacer().ColdOf(l.Upstream, now); cold {
+		req.Cold = coldAt(c, now)
+	}
+	s.mu.Unlock()
 	var reply AdmitReply
 	err := s.call(ctx, keeper, "Admit", placeWait, req, &reply)
 	if err == nil {
--- a/internal/schedule/messages.go
+++ b/internal/schedule/messages.go
@@ -15,11 +15,19 @@
 	Incarnation uint64
 }
 
-// Event is news of an attempt, or of an upstream's limit.
+// Event is news of an attempt, or of an upstream: its limit, or that it is cold.
 type Event struct {
 	Attempt string
 	Ended   bool   // else its first event has come
 	Limit   *Limit // with it the rest is empty
+	Cold    *Cold  // with it the rest is empty
+}
+
+// Cold is what a daemon knows of an upstream that bears few requests a second for a time.
+type Cold struct {
+	Upstream  string
+	PerSecond float64 // requests from all daemons together
+	Left      time.Duration
 }
 
 // Limit is what a daemon has heard of an upstream's limit.
@@ -68,10 +76,11 @@
 	Taken int // attempts
 }
 
-// AdmitRequest asks the keeper for a turn at an upstream with a limit.
+// AdmitRequest asks the keeper for a turn at an upstream with a limit, or a cold one.
 type AdmitRequest struct {
 	From   sender
 	Limit  Limit         // as the sender has heard it
+	Cold   *Cold         // nil: the upstream is not cold, as far as the sender knows
 	Within time.Duration // the longest wait for the turn
 }
 
--- a/internal/schedule/rpc.go
+++ b/internal/schedule/rpc.go
@@ -64,6 +64,8 @@
 		switch {
 		case e.Limit != nil:
 			s.hearLimit(e.Limit, now)
+		case e.Cold != nil:
+			s.hearCold(e.Cold, now)
 		case e.Ended:
 			s.book.End(e.Attempt)
 		default:
@@ -80,6 +82,9 @@
 	now := time.Now()
 	s.hear(req.From, now)
 	s.hearLimit(&req.Limit, now)
+	if req.Cold != nil {
+		s.hearCold(req.Cold, now)
+	}
 	reply.Wait, reply.OK = s.book.Pacer().Admit(req.Limit.Upstream, req.Within, now)
 	return nil
 }
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -88,11 +88,12 @@
 	open    map[string]*booking.Open // own attempts, without their age
 	began   map[string]time.Time     // of own attempts
 	news    []Event
-	heard   map[string]life // daemons that ask this one
-	down    *avoid.Tracker  // daemons that did not answer
-	keeper  string          // host that was asked last; empty: this one
-	alone   bool            // those that come before this one are silent, and nobody asks it
-	restore bool            // the keeper lacks some of the own attempts
+	heard   map[string]life      // daemons that ask this one
+	cold    map[string]time.Time // until when upstreams are cold by the list, where it has said so
+	down    *avoid.Tracker       // daemons that did not answer
+	keeper  string               // host that was asked last; empty: this one
+	alone   bool                 // those that come before this one are silent, and nobody asks it
+	restore bool                 // the keeper lacks some of the own attempts
 	// restoring: the own attempts are on their way to the keeper.
 	restoring bool
 	wake      chan struct{}
@@ -114,21 +115,32 @@
 		open:  map[string]*booking.Open{},
 		began: map[string]time.Time{},
 		heard: map[string]life{},
+		cold:  map[string]time.Time{},
 		down:  avoid.New(avoid.Options{First: downFirst, Most: downMost, Forget: downForget}),
 		wake:  make(chan struct{}, 1),
 	}
 }
 
-// Apply takes in the services and the list of upstreams.
-func (s *Service) Apply(services []booking.Service, list *fleet.Snapshot) {
+// Apply takes in the services, the list of upstreams, and which of these are cold.
+func (s *Service) Apply(services []booking.Service, list *fleet.Snapshot, cold []pace.Cold) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.book.SetServices(services)
 	s.book.SetUpstreams(list)
+	now := time.Now()
+	for _, c := range cold {
+		if !c.Until.Equal(s.cold[c.Upstream]) {
+			s.book.Pacer().Cool(c, now)
+		}
+		s.cold[c.Upstream] = c.Until
+	}
 	s.book.Pacer().Keep(func(id string) bool {
 		_, listed := list.Get(id)
+		if !listed {
+			delete(s.cold, id)
+		}
 		return listed
-	}, time.Now())
+	}, now)
 }
 
 func (s *Service) self() sender {
--- a/internal/schedule/service_test.go
+++ b/internal/schedule/service_test.go
@@ -124,7 +124,7 @@
 		Slots: slots, Memory: 100_000, Stride: 10, StepMs: 1, ReadPerMs: 256, MaxHelpers: 3,
 	}}}
 	for _, s := range g.by {
-		s.Apply(services, l.Snapshot())
+		s.Apply(services, l.Snapshot(), nil)
 	}
 }
 
@@ -253,7 +253,7 @@
 
 func TestKeeperWithoutAListDoesNotRefuse(t *testing.T) {
 	g := newGroup("k", "a")
-	g.by["k"].Apply(nil, &fleet.Snapshot{})
+	g.by["k"].Apply(nil, &fleet.Snapshot{}, nil)
 	g.place(t, "a", "1")
 }
 
