Evacuated failure domains get nothing new, until the operators take it back

Cause: the records op/evacuate/ZONE reach every daemon by the stream that has the settings, and applySettings looked at the one key of the settings alone.

Ruled out: lateness. Probes of all daemons went there 5 s after, and nothing in the code had the word.

Change: an evacuation is a notion of the product. core/fleet keeps which failure domains are evacuated (Evacuations), as the store's records say: it stands until a read says that it was taken back, over an outage of the store, a forgotten history and a daemon's restart, for all records of the stream travel as one keyed state. A domain that comes back counts as cold until its servers say otherwise. With all domains evacuated a request is refused at once, not run, with a time to come back. What runs ends in its own time. platform/ translates the key and checks the record; one that cannot be read, or of an unknown domain, is logged with its key.

Weighed: an evacuated upstream as one that leaves. A life that leaves never comes back, by the list's invariant; an evacuation ends. Moving what runs there: a stream that is moved is read anew, for nothing, as its server stays.

--- a/internal/core/booking/cold_test.go
+++ b/internal/core/booking/cold_test.go
@@ -4,9 +4,49 @@
 	"testing"
 	"time"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/pace"
 )
 
+// evacuate marks engines of a book as those of an evacuated failure domain.
+func (b *Book) evacuate(ids ...string) {
+	list := &fleet.Snapshot{}
+	for _, e := range b.ordered {
+		u := e.up
+		for _, id := range ids {
+			u.Evacuated = u.Evacuated || u.ID == id
+		}
+		list.Upstreams = append(list.Upstreams, u)
+	}
+	b.SetUpstreams(list)
+}
+
+// TestEvacuatedEnginesGetNothing: not as helpers of long prompts, and not as the last resort
+// where all others are ruled out.
+func TestEvacuatedEnginesGetNothing(t *testing.T) {
+	for _, prompt := range []int{1000, 100_000, 800_000} {
+		b := newBook(4)
+		b.evacuate("e00", "e02")
+		a := ask("a", prompt)
+		a.Objective, a.Left = time.Minute, time.Hour
+		a.Exclude = []string{"e01"}
+		p := b.Place(a, start)
+		if p.Verdict != Booked && p.Verdict != TooLarge {
+			t.Fatalf("prompt of %d: %+v", prompt, p)
+		}
+		for _, part := range p.Parts {
+			if part.Upstream == "e00" || part.Upstream == "e02" {
+				t.Errorf("prompt of %d: a part on %s", prompt, part.Upstream)
+			}
+		}
+	}
+	b := newBook(2)
+	b.evacuate("e00", "e01")
+	if p := b.Place(ask("a", 1000), start); p.Verdict != NoEngine {
+		t.Errorf("all are evacuated: %+v", p)
+	}
+}
+
 // TestDomainThatReturnsColdGetsItsLoadInSteps: engines come back together, cold, under more
 // than they bear. Each gets what it bears and no more, and is used for it.
 func TestDomainThatReturnsColdGetsItsLoadInSteps(t *testing.T) {
--- a/internal/core/booking/place.go
+++ b/internal/core/booking/place.go
@@ -66,7 +66,7 @@
 func (t *task) look(all bool) (onlyFailing bool) {
 	t.loads = t.loads[:0]
 	for _, e := range t.book.ordered {
-		if e.up.Service != t.ask.Service || e.up.Leaving || slices.Contains(t.ask.Barred, e.up.ID) {
+		if e.up.Service != t.ask.Service || !e.up.TakesWork() || slices.Contains(t.ask.Barred, e.up.ID) {
 			continue
 		}
 		if !all && (slices.Contains(t.ask.Exclude, e.up.ID) || slices.Contains(t.ask.Avoid, e.up.ID)) {
--- a/internal/core/fleet/list.go
+++ b/internal/core/fleet/list.go
@@ -63,11 +63,19 @@
 	count  int              // lives listed so far
 	read   time.Time        // last successful read; zero: never
 	away   time.Time        // until then removals count as lapses
+
+	evacuated map[string]bool // failure domains
 }
 
 // New returns an empty list.
 func New(o Options) *List {
-	return &List{opts: o, byName: map[string]*entry{}, ended: map[string]ended{}, births: map[string]birth{}}
+	return &List{
+		opts:      o,
+		byName:    map[string]*entry{},
+		ended:     map[string]ended{},
+		births:    map[string]birth{},
+		evacuated: map[string]bool{},
+	}
 }
 
 // Read notes a successful read of the store at now, with the changes it brought in
--- a/internal/core/fleet/snapshot.go
+++ b/internal/core/fleet/snapshot.go
@@ -28,7 +28,7 @@
 func (s *Snapshot) Live(service string) []Upstream {
 	var live []Upstream
 	for _, u := range s.Upstreams {
-		if u.Service == service && !u.Leaving {
+		if u.Service == service && u.TakesWork() {
 			live = append(live, u)
 		}
 	}
@@ -89,6 +89,7 @@
 	for i, e := range all {
 		listed[i] = e.Upstream
 		listed[i].ColdUntil = e.coldUntil
+		listed[i].Evacuated = l.evacuated[e.Domain]
 		for _, other := range all {
 			if other != e {
 				listed[i].Rivals = append(listed[i].Rivals, other.ID)
--- a/internal/core/fleet/upstream.go
+++ b/internal/core/fleet/upstream.go
@@ -34,6 +34,8 @@
 	Cold time.Duration
 	// ColdUntil is when it is warm again, by all that is known; in the past where it is.
 	ColdUntil time.Time
+	// Evacuated says that operators want nothing new sent to its failure domain.
+	Evacuated bool
 	// Rivals are the IDs of the other upstreams whose entries stand at the address, while
 	// it is not known which of them lives there; see List.Identified.
 	Rivals []string
@@ -42,6 +44,9 @@
 	Displaced bool
 }
 
+// TakesWork reports whether the upstream may get new work, by the store's records.
+func (u *Upstream) TakesWork() bool { return !u.Leaving && !u.Evacuated }
+
 // Change is one record of the store about a server.
 type Change struct {
 	Name     string
--- /dev/null
+++ b/internal/edge/evacuations.go
@@ -0,0 +1,64 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/keyed"
+)
+
+// applyEvacuations takes in which failure domains operators want nothing new sent to.
+func (p *process) applyEvacuations(b keyed.Batch) {
+	var wishes []fleet.Wish
+	var unreadable []string
+	for _, r := range b.Records {
+		domain, is := p.provider.EvacuationOf(r.Key)
+		if !is {
+			continue
+		}
+		if r.Value != nil {
+			if err := p.provider.CheckEvacuation(domain, r.Value); err != nil {
+				p.log.WithError(err).WithFields(logrus.Fields{"key": r.Key, "offset": r.Offset}).Error("evacuation_unreadable")
+				unreadable = append(unreadable, domain)
+				continue
+			}
+		}
+		wishes = append(wishes, fleet.Wish{Domain: domain, Begin: r.Value != nil})
+	}
+	p.mu.Lock()
+	begun, ended := p.evacuations.Read(wishes, b.Whole, unreadable)
+	p.mu.Unlock()
+	for _, domain := range begun {
+		p.evacuate(domain, true, b.At)
+	}
+	for _, domain := range ended {
+		p.evacuate(domain, false, b.At)
+	}
+}
+
+// evacuate begins or ends the evacuation of a failure domain, as was read at a time.
+func (p *process) evacuate(domain string, begin bool, read time.Time) {
+	upstreams := 0
+	for _, u := range p.list.Load().Upstreams {
+		if u.Domain == domain {
+			upstreams++
+		}
+	}
+	log := p.log.WithFields(logrus.Fields{
+		"domain": domain, "upstreams": upstreams, "read_age_ms": time.Since(read).Milliseconds(),
+	})
+	switch {
+	case !begin:
+		log.Info("evacuation_ended")
+	case upstreams == 0:
+		log.Warn("evacuation_of_unknown_domain") // it may still come to have upstreams
+	default:
+		log.Info("evacuation_begun")
+	}
+	p.changeList(func(l *fleet.List) bool {
+		l.SetEvacuated(domain, begin, p.coldFor, time.Now())
+		return true
+	})
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -70,6 +70,7 @@
 }
 
 func (p *process) applySettings(b keyed.Batch) {
+	p.applyEvacuations(b)
 	for _, r := range b.Records {
 		if r.Key != p.provider.SettingsKey() || r.Value == nil {
 			continue
--- a/internal/edge/listchange.go
+++ b/internal/edge/listchange.go
@@ -21,7 +21,7 @@
 	p.list.Store(after)
 	p.mu.Unlock()
 	changed := p.logListChange(before, after)
-	changed = p.logCold(before, after) || changed
+	changed = p.logCold(before, after) || changed || evacuationsDiffer(before, after)
 	if changed || !p.serving.Load() {
 		p.inheritNotices(before, after)
 		p.spreadList()
@@ -81,6 +81,16 @@
 	return changed
 }
 
+// evacuationsDiffer reports whether an upstream has come to be evacuated, or is so no more.
+func evacuationsDiffer(before, after *fleet.Snapshot) bool {
+	for _, u := range after.Upstreams {
+		if old, known := before.Get(u.ID); known && old.Evacuated != u.Evacuated {
+			return true
+		}
+	}
+	return false
+}
+
 // countServices returns the number of upstreams of each service.
 func countServices(list *fleet.Snapshot) map[string]int {
 	counts := map[string]int{}
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -56,9 +56,11 @@
 		p.pools[pool] = true
 	}
 	for _, u := range list.Upstreams {
-		if u.Leaving {
-			p.view.SetState(u.ID, placement.Leaving)
+		state := placement.Live
+		if !u.TakesWork() {
+			state = placement.Leaving
 		}
+		p.view.SetState(u.ID, state)
 	}
 	delete(domains, p.domain)
 	p.domains = p.domains[:0]
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -56,6 +56,7 @@
 	upstreams   *fleet.List
 	services    []booking.Service
 	coldFigures map[string]coldFigure // by service
+	evacuations fleet.Evacuations
 }
 
 // Times of the connections to upstreams. Round trips take 1 to 2 ms, so these find a
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -19,6 +19,10 @@
 	SettingsKey() string
 	UpstreamsStream() string
 	DecodeTable(value []byte) (route.Spec, error)
+	// EvacuationOf returns the failure domain that a key of the settings stream is about;
+	// ok is false for a key of another kind. CheckEvacuation checks the record of it.
+	EvacuationOf(key string) (domain string, ok bool)
+	CheckEvacuation(domain string, value []byte) error
 	DecodeUpstream(id string, value []byte) (*fleet.Upstream, error)
 	// Sender tells heard what the answers say of their upstreams.
 	Sender(pool *httpwire.Pool, heard relay.Heard) relay.Sender
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -143,7 +143,7 @@
 	for _, part := range p.Parts {
 		u, known := list.Get(part.Upstream)
 		_, barred := g.relay.opts.Notices.barOf(part.Upstream)
-		if !known || u.Leaving || barred {
+		if !known || !u.TakesWork() || barred {
 			g.relay.log.WithFields(logrus.Fields{
 				"request": g.req.ID, "upstream": part.Upstream, "waited_ms": p.Wait.Milliseconds(),
 				"list_age_ms": time.Since(list.At).Milliseconds(), "barred": barred,
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -154,6 +154,8 @@
 	turns map[string]time.Duration // the waits for turns at upstreams; without one, at once
 	gave  []string                 // upstreams at which turns were given
 	asked int                      // for turns
+	// onAdmit is called when a turn at an upstream is asked for.
+	onAdmit func(upstream string)
 }
 
 func (f *fakePlanner) Place(_ context.Context, a booking.Ask) booking.Plan {
@@ -174,6 +176,9 @@
 func (f *fakePlanner) First(string) {}
 
 func (f *fakePlanner) Admit(_ context.Context, l notice.Limit, within time.Duration) (time.Duration, bool) {
+	if f.onAdmit != nil {
+		f.onAdmit(l.Upstream)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked++
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -158,11 +158,18 @@
 }
 
 // noneTakes refuses a request for which no upstream of its service takes work: those that are
-// left have said that they leave or want nothing for a while.
+// left are evacuated, or have said that they leave or want nothing for a while.
 func (g *run) noneTakes(what string) *request.Refusal {
 	service := g.req.Service.Name
-	comeBack, barred := time.Duration(0), 0
-	for _, u := range g.relay.opts.Upstreams().Live(service) {
+	comeBack, barred, evacuated := time.Duration(0), 0, 0
+	for _, u := range g.relay.opts.Upstreams().Upstreams {
+		if u.Service != service || u.Leaving {
+			continue
+		}
+		if u.Evacuated {
+			evacuated++
+			continue
+		}
 		b, ok := g.relay.opts.Notices.barOf(u.ID)
 		if !ok {
 			continue
@@ -172,10 +179,10 @@
 			comeBack = left
 		}
 	}
-	if barred == 0 {
+	if barred+evacuated == 0 {
 		return request.Refuse(request.CodeNoUpstream, retryAfterNone, "no %s of %s is known to live", what, service)
 	}
-	return request.Refuse(request.CodeNoUpstream, max(comeBack, retryAfterNone), "no %s of %s takes requests now: %d have said so", what, service, barred)
+	return request.Refuse(request.CodeNoUpstream, max(comeBack, retryAfterNone), "no %s of %s takes requests now: %d have said so, %d are evacuated", what, service, barred, evacuated)
 }
 
 // noteSend writes a line for a request that goes to an upstream which has named a limit, or
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/notice"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
@@ -155,3 +156,48 @@
 		t.Errorf("sent to %v, then barred %v", f.sentTo(), f.planner.asks[1].Barred)
 	}
 }
+
+// TestCallDoesNotGoToADomainThatIsEvacuatedWhileItWaits guards against a send that was decided
+// before the evacuation was heard: the call waits for a turn meanwhile.
+func TestCallDoesNotGoToADomainThatIsEvacuatedWhileItWaits(t *testing.T) {
+	f := newFixture(t, answer(200, "a"))
+	f.listPlain("s1", "s2")
+	f.limit(20*time.Millisecond, "s1", "s2", "s3")
+	f.planner.onAdmit = func(upstream string) {
+		if upstream == "s1" {
+			f.evacuate("of-s1")
+		}
+	}
+	got := f.relay.Run(t.Context(), plainRequest(route.Once, time.Minute), &record{})
+	if got != nil || slices.Contains(f.sentTo(), "s1") {
+		t.Errorf("got %v, sent to %v", got, f.sentTo())
+	}
+}
+
+// TestRequestWithAllDomainsEvacuatedIsRefusedAtOnce: truly not run, and with a time to come
+// back.
+func TestRequestWithAllDomainsEvacuatedIsRefusedAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.listPlain("s1", "s2")
+	f.evacuate("of-s1")
+	f.evacuate("of-s2")
+	f.relay.opts.Plain = fakePlain{}
+	got := f.relay.Run(t.Context(), plainRequest(route.Idempotent, time.Minute), &record{})
+	if got == nil || got.Code != request.CodeNoUpstream || got.Outcome != request.NotRun || got.RetryAfter <= 0 || len(f.script.sent) > 0 {
+		t.Errorf("got %+v after %v", got, f.sentTo())
+	}
+}
+
+// listPlain lists servers of the plain service, each in a failure domain of its own.
+func (f *fixture) listPlain(ids ...string) {
+	var all []fleet.Change
+	for _, id := range ids {
+		u := fleet.Upstream{Life: fleet.Life{Name: id}, Service: plainRequest(route.Once, 0).Service.Name, Address: id, Domain: "of-" + id}
+		all = append(all, fleet.Change{Name: id, Upstream: &u})
+	}
+	f.list.Read(all, time.Now())
+}
+
+func (f *fixture) evacuate(domain string) {
+	f.list.SetEvacuated(domain, true, nil, time.Now())
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -81,10 +81,12 @@
 	return plain.Pick(service, none)
 }
 
-// takes reports whether a server has not said meanwhile that it takes nothing.
+// takes reports whether a server has not come to take no new work since it was chosen, by the
+// list or by its own word.
 func (g *run) takes(u fleet.Upstream) bool {
+	now, listed := g.relay.opts.Upstreams().Get(u.ID)
 	_, barred := g.relay.opts.Notices.barOf(u.ID)
-	return !barred
+	return !barred && (!listed || now.TakesWork())
 }
 
 // admit takes a turn at a server if it has named a limit or is cold.
