An operator's command evacuates a failure domain of the product's own interface

What callers saw: an operator could take out single upstreams by their settings, each by an edit of its pool, and no failure domain as a whole.

Change: `buckthorndock evacuate DOMAIN`, `--undo`. The wish is the settings document /evacuations/DOMAIN, so it is agreed, kept and spread as all settings are, and only operators of that path may write it. Compile marks the upstreams of the domain; the router takes them as leaving, model orders leave them out, status shows the domains.

Weighed: a list in the root document. Two operators who evacuate two domains would conflict, and the command would have to edit a text with an operator's comments.

Test: scenario evacuate (from both daemons, with the log away, over a restart, all domains evacuated, taken back). Without the router's part it fails: "runs e1 4: got 5".

--- a/internal/api/callerapi/oas_json_gen.go
+++ b/internal/api/callerapi/oas_json_gen.go
@@ -3429,6 +3429,16 @@
 		e.FieldStart("queued")
 		e.Int(s.Queued)
 	}
+	{
+		if s.Evacuated != nil {
+			e.FieldStart("evacuated")
+			e.ArrStart()
+			for _, elem := range s.Evacuated {
+				e.Str(elem)
+			}
+			e.ArrEnd()
+		}
+	}
 	{
 		e.FieldStart("peers")
 		e.ArrStart()
@@ -3447,7 +3457,7 @@
 	}
 }
 
-var jsonFieldsNameOfStatus = [11]string{
+var jsonFieldsNameOfStatus = [12]string{
 	0:  "host",
 	1:  "domain",
 	2:  "incarnation",
@@ -3457,8 +3467,9 @@
 	6:  "settings_lag_s",
 	7:  "in_flight",
 	8:  "queued",
-	9:  "peers",
-	10: "upstreams",
+	9:  "evacuated",
+	10: "peers",
+	11: "upstreams",
 }
 
 // Decode decodes Status from json.
@@ -3578,8 +3589,27 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"queued\"")
 			}
+		case "evacuated":
+			if err := func() error {
+				s.Evacuated = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Evacuated = append(s.Evacuated, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"evacuated\"")
+			}
 		case "peers":
-			requiredBitSet[1] |= 1 << 1
+			requiredBitSet[1] |= 1 << 2
 			if err := func() error {
 				s.Peers = make([]PeerStatus, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -3597,7 +3627,7 @@
 				return errors.Wrap(err, "decode field \"peers\"")
 			}
 		case "upstreams":
-			requiredBitSet[1] |= 1 << 2
+			requiredBitSet[1] |= 1 << 3
 			if err := func() error {
 				s.Upstreams = make([]UpstreamStatus, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -3625,7 +3655,7 @@
 	var failures []validate.FieldError
 	for i, mask := range [2]uint8{
 		0b11111111,
-		0b00000111,
+		0b00001101,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/internal/api/callerapi/oas_schemas_gen.go
+++ b/internal/api/callerapi/oas_schemas_gen.go
@@ -1518,17 +1518,19 @@
 
 // Ref: #/components/schemas/Status
 type Status struct {
-	Host           string           `json:"host"`
-	Domain         string           `json:"domain"`
-	Incarnation    string           `json:"incarnation"`
-	State          string           `json:"state"`
-	SettingsOffset int64            `json:"settings_offset"`
-	SettingsDigest string           `json:"settings_digest"`
-	SettingsLagS   float64          `json:"settings_lag_s"`
-	InFlight       int              `json:"in_flight"`
-	Queued         int              `json:"queued"`
-	Peers          []PeerStatus     `json:"peers"`
-	Upstreams      []UpstreamStatus `json:"upstreams"`
+	Host           string  `json:"host"`
+	Domain         string  `json:"domain"`
+	Incarnation    string  `json:"incarnation"`
+	State          string  `json:"state"`
+	SettingsOffset int64   `json:"settings_offset"`
+	SettingsDigest string  `json:"settings_digest"`
+	SettingsLagS   float64 `json:"settings_lag_s"`
+	InFlight       int     `json:"in_flight"`
+	Queued         int     `json:"queued"`
+	// Failure domains whose upstreams get nothing new.
+	Evacuated []string         `json:"evacuated"`
+	Peers     []PeerStatus     `json:"peers"`
+	Upstreams []UpstreamStatus `json:"upstreams"`
 }
 
 // GetHost returns the value of Host.
@@ -1576,6 +1578,11 @@
 	return s.Queued
 }
 
+// GetEvacuated returns the value of Evacuated.
+func (s *Status) GetEvacuated() []string {
+	return s.Evacuated
+}
+
 // GetPeers returns the value of Peers.
 func (s *Status) GetPeers() []PeerStatus {
 	return s.Peers
@@ -1631,6 +1638,11 @@
 	s.Queued = val
 }
 
+// SetEvacuated sets the value of Evacuated.
+func (s *Status) SetEvacuated(val []string) {
+	s.Evacuated = val
+}
+
 // SetPeers sets the value of Peers.
 func (s *Status) SetPeers(val []PeerStatus) {
 	s.Peers = val
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -89,6 +89,7 @@
 			newCheck(),
 			newSettings(),
 			newStatus(),
+			newEvacuate(),
 			newCall(),
 			newExplain(),
 			newBench(),
--- a/internal/cli/settings_apply.go
+++ b/internal/cli/settings_apply.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/buckthorndock/buckthorndock/internal/api/callerapi"
+	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 )
 
 // versionsFile holds the versions of the documents of a directory as they were
@@ -35,7 +36,7 @@
 func treeFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: flagAt, Usage: "settings `PATH` that the directory stands for", Value: "/"},
-		&cli.BoolFlag{Name: flagPrune, Usage: "delete the documents at and under that path which the directory does not have"},
+		&cli.BoolFlag{Name: flagPrune, Usage: "delete the documents at and under that path which the directory does not have, but for evacuations"},
 	}
 }
 
@@ -165,7 +166,7 @@
 		return edits
 	}
 	for _, d := range view.Documents {
-		if !wanted[d.Path] {
+		if !wanted[d.Path] && !settings.IsEvacuation(d.Path) {
 			edits = append(edits, callerapi.SettingsEdit{Path: d.Path, Base: bases[d.Path]})
 		}
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -86,6 +87,9 @@
 	fmt.Fprintf(w, "%s: host %s, domain %s, %s\n", address, s.Host, s.Domain, s.State)
 	fmt.Fprintf(w, "settings: offset %d, digest %s, %.1f s behind\n", s.SettingsOffset, s.SettingsDigest, s.SettingsLagS)
 	fmt.Fprintf(w, "requests: %d in flight, %d queued\n", s.InFlight, s.Queued)
+	if len(s.Evacuated) > 0 {
+		fmt.Fprintf(w, "evacuated: %s\n", strings.Join(s.Evacuated, ", "))
+	}
 	if len(s.Peers) > 0 {
 		rows := [][]string{{"PEER", "DOMAIN", "ADDRESS", "STATE", "HEARTBEAT AGE"}}
 		for _, p := range s.Peers {
--- a/internal/core/settings/check.go
+++ b/internal/core/settings/check.go
@@ -36,6 +36,9 @@
 	c.pools(doc.Pools)
 	c.models(doc.Models)
 	c.services(doc.Services)
+	if c.present("evacuate") && path != EvacuationPath(doc.Evacuate) {
+		c.addf("evacuate", "may stand only in the document at %s", EvacuationPath(doc.Evacuate))
+	}
 }
 
 // addf adds a finding, one a key: a value of the wrong type is not also missing.
--- a/internal/core/settings/compile.go
+++ b/internal/core/settings/compile.go
@@ -23,6 +23,7 @@
 	c := newCompiler(sources)
 	c.each(c.addTokenHolders)
 	c.each(c.addPools)
+	c.each(c.evacuate)
 	c.each(c.addModels)
 	c.each(c.addServices)
 	c.each(c.checkDeadlines)
@@ -204,6 +205,25 @@
 	pool.Upstreams = append(pool.Upstreams, view)
 }
 
+// evacuate marks the upstreams of a failure domain.
+func (c *compiler) evacuate(s Source) {
+	domain := s.Document.Evacuate
+	if domain == "" {
+		return
+	}
+	known := false
+	for _, u := range c.snapshot.upstreams {
+		if u.Domain == domain {
+			u.Evacuated, known = true, true
+		}
+	}
+	if !known {
+		c.addf(s, "evacuate", "no upstream is in the failure domain %q", domain)
+		return
+	}
+	c.snapshot.evacuated = append(c.snapshot.evacuated, domain)
+}
+
 func (c *compiler) addModels(s Source) {
 	for i, m := range s.Document.Models {
 		key := fmt.Sprintf("models[%d]", i)
--- a/internal/core/settings/schema.go
+++ b/internal/core/settings/schema.go
@@ -13,6 +13,9 @@
 	Pools     []Pool     `yaml:"pools,omitempty"`
 	Models    []Model    `yaml:"models,omitempty"`
 	Services  []Service  `yaml:"services,omitempty"`
+	// Evacuate is a failure domain whose upstreams get nothing new; only at its
+	// EvacuationPath.
+	Evacuate string `yaml:"evacuate,omitempty"`
 
 	lines map[string]int // of each key that the text has, for findings
 }
--- a/internal/core/settings/snapshot.go
+++ b/internal/core/settings/snapshot.go
@@ -21,6 +21,7 @@
 	upstreams map[string]*UpstreamView
 	models    map[string]*ModelView
 	services  map[string]*ServiceView
+	evacuated []string // failure domains, by name
 
 	customerList []*CustomerView // the lists are by name
 	poolList     []*PoolView
@@ -46,6 +47,7 @@
 	s.upstreamList = sortedByName(s.upstreams, func(v *UpstreamView) string { return v.Name })
 	s.modelList = sortedByName(s.models, func(v *ModelView) string { return v.Name })
 	s.serviceList = sortedByName(s.services, func(v *ServiceView) string { return v.Name })
+	slices.Sort(s.evacuated)
 	for _, p := range s.poolList {
 		slices.SortFunc(p.Models, func(a, b *ModelView) int { return cmp.Compare(a.Name, b.Name) })
 	}
@@ -110,6 +112,10 @@
 // Upstreams returns all upstreams by name. The slice must not be changed.
 func (s *Snapshot) Upstreams() []*UpstreamView { return s.upstreamList }
 
+// Evacuated returns the failure domains whose upstreams are to get nothing new, by name. The
+// slice must not be changed.
+func (s *Snapshot) Evacuated() []string { return s.evacuated }
+
 // RoutingAt returns the routing in force at a path.
 func (s *Snapshot) RoutingAt(path string) Routing { return s.tree.at(path).routing }
 
--- a/internal/core/settings/view.go
+++ b/internal/core/settings/view.go
@@ -58,7 +58,9 @@
 	Address string // IP:port
 	Domain  string // failure domain
 	Leaving bool   // the settings want no new work on it
-	Pool    *PoolView
+	// Evacuated says that operators want nothing new sent to its failure domain.
+	Evacuated bool
+	Pool      *PoolView
 }
 
 // ModelView is a model with the pool that serves it. It is immutable.
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -22,7 +22,7 @@
 }
 
 // orderPools returns the engine pools of this failure domain with what the
-// settings want of their engines.
+// settings want of their engines, but for evacuated ones.
 func (p *process) orderPools() []owner.OrderPool {
 	var pools []owner.OrderPool
 	for _, pool := range p.follower.Current().Pools() {
@@ -36,7 +36,7 @@
 			Desired:       desiredOf(pool),
 		}
 		for _, u := range pool.Upstreams {
-			if u.Domain == p.cfg.Domain {
+			if u.Domain == p.cfg.Domain && !u.Evacuated {
 				op.Engines = append(op.Engines, owner.Engine{Name: u.Name, Address: u.Address, Pool: pool.Name})
 			}
 		}
--- a/internal/front/operator.go
+++ b/internal/front/operator.go
@@ -48,6 +48,7 @@
 		Queued:         s.Queued(),
 		Peers:          []callerapi.PeerStatus{},
 		Upstreams:      []callerapi.UpstreamStatus{},
+		Evacuated:      s.opts.Settings.Current().Evacuated(),
 	}
 	now := time.Now()
 	for _, m := range s.opts.Operator.Members() {
--- a/internal/router/leaving.go
+++ b/internal/router/leaving.go
@@ -79,7 +79,7 @@
 // applyLeaving takes what the settings say of a pool. The caller holds mu.
 func (r *Router) applyLeaving(p *settings.PoolView) {
 	for _, u := range p.Upstreams {
-		r.leaving.settings[u.Name] = u.Leaving
+		r.leaving.settings[u.Name] = u.Leaving || u.Evacuated
 		r.settleLeaving(r.view.Engine(u.Name))
 	}
 }
