The soak evacuates failure domains and cools servers; a turn that was missed is no turn

Two checks with a mutant each: nothing new for an evacuated domain from a daemon that the wish could reach, and no more than 1.5 x 5 + 5 requests in a second at a cold server, from all daemons, harmed or not.

By reading: a daemon that stands still while its requests wait for their turns sends all of them at once when it goes on. A wait that ended over 250 ms late asks for another turn, on both paths.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -121,11 +121,12 @@
 		if refusal != nil {
 			return p, refusal
 		}
+		planned := time.Now()
 		if !wait.For(ctx, p.Wait) {
 			g.relay.opts.Planner.End(g.attemptID())
 			return p, g.ended(ctx)
 		}
-		if g.allStay(p) {
+		if !missedTurn(planned, p.Wait) && g.allStay(p) {
 			return p, nil
 		}
 		g.relay.opts.Planner.End(g.attemptID())
@@ -135,6 +136,13 @@
 	}
 }
 
+// turnOver is how much later than its turn a request may be sent. One that is later has been
+// held up by its daemon, which others were not: all that it held would go at once.
+const turnOver = 250 * time.Millisecond
+
+// missedTurn reports whether a wait that was begun at a time has lasted for too long.
+func missedTurn(begun time.Time, wait time.Duration) bool { return time.Since(begun)-wait > turnOver }
+
 // allStay reports whether all engines of a plan still take new work, by the list and by their
 // own word. One that does not is ruled out, for the planner's list may be older than the one
 // here.
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -201,3 +201,13 @@
 func (f *fixture) evacuate(domain string) {
 	f.list.SetEvacuated(domain, true, nil, time.Now())
 }
+
+// TestRequestHeldUpBeyondItsTurnTakesAnother guards against a daemon that stood still: all that
+// waited there would reach a cold or limited server at once.
+func TestRequestHeldUpBeyondItsTurnTakesAnother(t *testing.T) {
+	for late, want := range map[time.Duration]bool{0: false, turnOver / 2: false, 2 * turnOver: true} {
+		if got := missedTurn(time.Now().Add(-time.Second-late), time.Second); got != want {
+			t.Errorf("%s after its turn: %t", late, got)
+		}
+	}
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -39,7 +39,8 @@
 				break
 			}
 			turn, ok := g.admit(ctx, u, within)
-			if ok && wait.For(ctx, turn) && g.takes(u) {
+			asked := time.Now()
+			if ok && wait.For(ctx, turn) && !missedTurn(asked, turn) && g.takes(u) {
 				return u, done, nil
 			}
 			done()
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -44,16 +44,19 @@
 
 // history is all that callers and servers have seen, and what was done to the site.
 type history struct {
-	mu       sync.Mutex
-	outcomes []outcome
-	runs     map[string][]run
-	spans    []*span
-	left     map[string]time.Time // when a server's leaving was in the store
-	limits   []limit
-	said     map[string]time.Time // since when a server's answers say that it leaves
-	turned   []turned
-	version  int
-	findings []finding
+	mu        sync.Mutex
+	outcomes  []outcome
+	runs      map[string][]run
+	spans     []*span
+	left      map[string]time.Time // when a server's leaving was in the store
+	limits    []limit
+	said      map[string]time.Time // since when a server's answers say that it leaves
+	turned    []turned
+	domains   map[string]string // failure domain of each server
+	evacuated []evacuation
+	colds     []coldTime
+	version   int
+	findings  []finding
 }
 
 // finding is a broken promise.
@@ -62,7 +65,7 @@
 func (f finding) String() string { return f.check + ": " + f.text }
 
 func newHistory() *history {
-	return &history{runs: map[string][]run{}, left: map[string]time.Time{}, said: map[string]time.Time{}}
+	return &history{runs: map[string][]run{}, left: map[string]time.Time{}, said: map[string]time.Time{}, domains: map[string]string{}}
 }
 
 func (h *history) add(o outcome) {
@@ -107,6 +110,7 @@
 	delete(h.said, id)
 	now := time.Now()
 	h.endLimit(id, now)
+	h.warm(id, now)
 	for i, t := range h.turned {
 		if t.server == id {
 			h.turned[i].span = min(t.span, now.Sub(t.at))
@@ -178,7 +182,7 @@
 func (h *history) troubled(from, to time.Time, match func(target string) bool) bool {
 	for _, s := range h.spans {
 		switch s.kind {
-		case stopDaemon, reloadDaemon, rollServer, newSettings, limitServer, turnAway:
+		case stopDaemon, reloadDaemon, rollServer, newSettings, limitServer, turnAway, evacuateDomain, coolServer:
 			continue
 		}
 		if match(s.target) && s.from.Before(to) && (s.to.IsZero() || s.to.Add(calmBefore).After(from)) {
@@ -214,6 +218,8 @@
 	h.checkLimits(add)
 	h.checkSaid(add)
 	h.checkTurned(add)
+	h.checkEvacuated(add)
+	h.checkCold(add)
 	return found
 }
 
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -42,6 +42,9 @@
 	lateEntry     = "late entry"   // of the server that had the address before
 	limitServer   = "limit server" // planned
 	turnAway      = "turn away"    // by a server; planned
+	// Planned work of operators, and of a server that tells of it.
+	evacuateDomain = "evacuate domain"
+	coolServer     = "cool server"
 )
 
 // Entries of other writers.
@@ -185,12 +188,14 @@
 // targets says what a trouble is about, as the history's spans name it.
 func (r *rig) targets(tr trouble) []string {
 	switch tr.kind {
-	case killServer, freezeServer, rollServer, harmServer, restartServer, foreignEntry, lateEntry, limitServer, turnAway:
+	case killServer, freezeServer, rollServer, harmServer, restartServer, foreignEntry, lateEntry, limitServer, turnAway, coolServer:
 		return []string{r.servers[tr.target].name}
 	case harmStore:
 		return []string{"store"}
 	case newSettings:
 		return []string{"settings"}
+	case evacuateDomain:
+		return []string{tr.how}
 	case killAll:
 		var all []string
 		for _, d := range r.daemons {
@@ -235,6 +240,10 @@
 		r.word(r.servers[tr.target], "turn away", tr)
 	case newSettings:
 		r.publish()
+	case evacuateDomain:
+		r.evacuate(tr)
+	case coolServer:
+		r.cool(r.servers[tr.target], tr.lasts)
 	case harmStore:
 		r.storeFault(tr.how)
 		time.Sleep(tr.lasts)
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -46,6 +46,7 @@
 // server is one server of a service through its incarnations.
 type server struct {
 	service, name string
+	domain        string // failure domain
 	instance      int
 	proc          *proc
 	address       string // through its link
@@ -54,11 +55,15 @@
 	seq           int
 	born          int64 // Unix milliseconds
 	beat          time.Time
-	entered       bool // its record is in the store
+	cold          time.Time // until when it is
+	entered       bool      // its record is in the store
 }
 
 func (s *server) entry() standin.Entry {
-	return standin.Entry{Service: s.service, Address: s.address, Leaving: s.leaving, Seq: s.seq, Born: s.born}
+	return standin.Entry{
+		Service: s.service, Address: s.address, Leaving: s.leaving, Seq: s.seq, Born: s.born,
+		Domain: s.domain, Cold: max(time.Until(s.cold), 0),
+	}
 }
 
 func (s *server) id() string { return fmt.Sprintf("i-%s-%d", s.name, s.instance) }
@@ -98,7 +103,8 @@
 
 var numRigs atomic.Int64
 
-func newRig(t *testing.T, daemons, servers int, mutantHow string) *rig {
+func newRig(t *testing.T, p play) *rig {
+	mutantHow := p.mutant
 	const most = 250
 	r := &rig{
 		t: t, history: newHistory(), dir: t.TempDir(), linkAt: map[string]string{}, version: 1, stopBeats: make(chan struct{}),
@@ -111,16 +117,18 @@
 	t.Cleanup(r.end)
 	r.store, r.links = r.spawn("store", "", ""), r.spawn("links", "", "")
 	storeAt := (<-r.store.heard).Address
-	for i := range servers {
+	for i := range p.servers {
 		for _, service := range []string{"shop", "llm"} {
-			r.servers = append(r.servers, &server{service: service, name: fmt.Sprintf("%s%d", service, i)})
+			r.servers = append(r.servers, &server{
+				service: service, name: fmt.Sprintf("%s%d", service, i), domain: domainName(i % max(p.domains, 1)),
+			})
 		}
 	}
 	for _, s := range r.servers {
 		r.startServer(s)
 	}
 	r.publish()
-	for i := range daemons {
+	for i := range p.daemons {
 		r.addDaemon(i, storeAt, mutantHow)
 	}
 	go r.register()
@@ -132,7 +140,7 @@
 	d := &daemon{name: fmt.Sprintf("d%d", i), front: ip + ":8001", ready: ip + ":8002", metrics: ip + ":8004"}
 	d.file = filepath.Join(r.dir, d.name+".yaml")
 	text := fmt.Sprintf(`host: %s
-domain: z%d
+domain: %s
 region: r1
 listen: {callers: "%s", ready: "%s", peers: "%s:8003", metrics: "%s"}
 peer_key: "%s"
@@ -143,7 +151,7 @@
 cpu_share: 1
 grace_s: %g
 retry: {ratio: %g, window_s: %g, slack: %d}
-`, d.name, 1+i%2, d.front, d.ready, ip, d.metrics, strings.Repeat("soak", 10), r.ip, r.ip, r.link("store-"+d.name, storeAt),
+`, d.name, domainName(i%2), d.front, d.ready, ip, d.metrics, strings.Repeat("soak", 10), r.ip, r.ip, r.link("store-"+d.name, storeAt),
 		grace.Seconds(), retryRatio, retryWindow.Seconds(), retrySlack)
 	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		r.t.Fatal(err)
@@ -220,6 +228,8 @@
 			r.history.addLimit(rep)
 		case "leaves":
 			r.history.says(rep)
+		case "cold":
+			r.history.addCold(rep)
 		case "turned":
 			r.history.addTurned(rep)
 		default:
@@ -283,7 +293,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s.proc, s.direct, s.address = p, direct, address
-	s.leaving, s.entered, s.seq, s.beat = false, false, 0, time.Now()
+	s.leaving, s.entered, s.seq, s.beat, s.cold = false, false, 0, time.Now(), time.Time{}
+	r.history.lives(name, s.domain)
 	s.born = s.beat.UnixMilli()
 	if r.mutant != nil {
 		r.tellMutant()
--- a/test/soak/roles_test.go
+++ b/test/soak/roles_test.go
@@ -119,6 +119,9 @@
 			tell(report{What: "leaves", Server: name, At: time.Now().UnixNano()})
 		case "turn away":
 			backOff.Store(c.Number)
+		case "cool":
+			s.Cool(time.Duration(c.Number * float64(time.Second)))
+			tell(report{What: "cold", Server: name, Number: c.Number, At: time.Now().UnixNano()})
 		}
 	})
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -21,6 +21,7 @@
 	plan             []trouble
 	length           time.Duration
 	daemons, servers int
+	domains          int // failure domains of the servers; zero: one
 	mutant           string
 	recovery         time.Duration // from the last trouble's end until all serve again
 }
@@ -32,7 +33,7 @@
 
 // run plays it and returns the promises that were broken.
 func (p play) run(t *testing.T) []finding {
-	r := newRig(t, p.daemons, p.servers, p.mutant)
+	r := newRig(t, p)
 	if !r.eventually(recoveryWait, r.allListen) {
 		t.Fatal("the daemons do not come up")
 	}
@@ -207,6 +208,9 @@
 		p.plan = append(p.plan, drawLateEntries(p.seed, p.length, 2*p.servers)...)
 		p.plan = append(p.plan, drawLimits(p.seed, p.length, 2*p.servers)...)
 		p.plan = append(p.plan, drawTurnAways(p.seed, p.length, 2*p.servers)...)
+		p.plan = append(p.plan, drawEvacuations(p.seed, p.length)...)
+		p.plan = append(p.plan, drawColds(p.seed, p.length, 2*p.servers)...)
+		p.domains = mostDomains
 		slices.SortFunc(p.plan, func(a, b trouble) int { return cmp.Compare(a.at, b.at) })
 		t.Run(fmt.Sprint(p.seed), func(t *testing.T) { tellFindings(t, p, p.run(t)) })
 	}
@@ -232,6 +236,8 @@
 	forSettings := []trouble{{at: 300 * time.Millisecond, kind: newSettings}, {at: 600 * time.Millisecond, kind: newSettings}, {at: 900 * time.Millisecond, kind: newSettings}}
 	forLimits := []trouble{{at: 200 * time.Millisecond, kind: limitServer, how: "1.5", lasts: 6 * time.Second}}
 	forTurnAways := []trouble{{at: 200 * time.Millisecond, kind: turnAway, how: "3", lasts: 4 * time.Second}}
+	forEvacuations := []trouble{{at: 200 * time.Millisecond, kind: evacuateDomain, how: domainName(0), lasts: 4 * time.Second}}
+	forColds := []trouble{{at: 200 * time.Millisecond, kind: coolServer, lasts: 4 * time.Second}}
 	forLeaving := []trouble{{at: 200 * time.Millisecond, kind: rollServer}}
 	for _, c := range []struct {
 		mutant, check string
@@ -253,6 +259,8 @@
 		{"leaving", "nothing new for a server that has said that it leaves", forLeaving},
 		{"leaving", "a server that turns away is left alone", forTurnAways},
 		{"leaving", "a server's limit is kept", forLimits},
+		{"leaving", "nothing new for an evacuated failure domain", forEvacuations},
+		{"leaving", "a cold server gets what it bears", forColds},
 		{"dead", "all serve again after the troubles", nil},
 		{"dead", "a server that lives gets work", nil},
 		{"leaky", "engines get their memory back", nil},
