Bodies of requests and large answers share a bound of the daemon's memory

What callers saw: nothing yet. A daemon that holds more than its memory is killed, with all that it serves.

Cause: each body is held until its request ends, and up to 256 KiB of each answer while a caller does not read; nothing bounded their sum.

Change: relay.Bodies gives out a quarter of memory_mb; a body beyond it is refused at once, not run, with a time to come back. A large answer that finds no room is passed on as it comes, which costs it a second try after its upstream's failure. Bodies of unknown length are counted as they come.

TestBodiesOfSlowRequestsStayBounded needs no process.

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -172,6 +172,7 @@
 		Identified: p.identified,
 		Reached:    p.doubtWarmth,
 		Notices:    p.notices,
+		Bodies:     relay.NewBodies(int64(bodiesShare * p.cfg.MemoryMB * (1 << 20))),
 		Budget:     p.retryBudget,
 		Log:        p.log,
 	})
@@ -208,6 +209,10 @@
 	return !p.leaving.Load() && p.serving.Load()
 }
 
+// bodiesShare is the part of the process's memory that bodies of requests and large answers
+// may take.
+const bodiesShare = 0.25
+
 // memoryShare is the part of the process's memory that the garbage collector aims to
 // stay under; the rest is for the kernel's buffers and the moment between two runs.
 const memoryShare = 0.6
--- /dev/null
+++ b/internal/relay/bodies_test.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/iotest"
+)
+
+// TestBodiesOfSlowRequestsStayBounded guards against a daemon whose memory grows with the
+// requests that wait for slow callers and upstreams: their bodies are held until they end.
+func TestBodiesOfSlowRequestsStayBounded(t *testing.T) {
+	const size, most = 1000, 10_500
+	b := NewBodies(most)
+	text := strings.Repeat("x", size)
+	var free []func()
+	held := 0
+	for range 50 {
+		body, done, err := b.Read(strings.NewReader(text), size, 0)
+		switch {
+		case errors.Is(err, ErrBodiesFull):
+			done()
+		case err != nil || len(body) != size:
+			t.Fatalf("%d bytes, %v", len(body), err)
+		default:
+			held += len(body)
+			free = append(free, done)
+		}
+	}
+	if held > most || held < most-size {
+		t.Errorf("%d bytes are held", held)
+	}
+	for _, done := range free {
+		done()
+	}
+	if n := b.held.Load(); n != 0 {
+		t.Errorf("%d bytes are left", n)
+	}
+}
+
+// TestBodyOfUnknownLengthIsCountedAsItComes: a caller that sends in chunks tells no length.
+func TestBodyOfUnknownLengthIsCountedAsItComes(t *testing.T) {
+	for _, size := range []int{0, 1, firstRead - 1, firstRead, firstRead + 1, 10 * firstRead} {
+		want := bytes.Repeat([]byte("y"), size)
+		b := NewBodies(100 * firstRead)
+		got, free, err := b.Read(iotest.HalfReader(bytes.NewReader(want)), -1, 0)
+		if err != nil || !bytes.Equal(got, want) || b.held.Load() < int64(size) {
+			t.Errorf("%d bytes: got %d, %v, %d held", size, len(got), err, b.held.Load())
+		}
+		free()
+		if n := b.held.Load(); n != 0 {
+			t.Errorf("%d bytes: %d are left", size, n)
+		}
+		if _, free, err = b.Read(bytes.NewReader(want), -1, firstRead); size > 2*firstRead && !errors.Is(err, ErrBodyTooLarge) {
+			t.Errorf("%d bytes over the limit: %v", size, err)
+		}
+		free()
+	}
+}
+
+func TestBodyThatIsNotWholeIsNone(t *testing.T) {
+	b := NewBodies(1000)
+	if _, free, err := b.Read(strings.NewReader("abc"), 5, 0); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("got %v", err)
+	} else {
+		free()
+	}
+	if _, free, err := b.Read(strings.NewReader("abc"), 3, 2); !errors.Is(err, ErrBodyTooLarge) {
+		t.Errorf("got %v", err)
+	} else {
+		free()
+	}
+	if n := b.held.Load(); n != 0 {
+		t.Errorf("%d bytes are left", n)
+	}
+}
+
+func TestBodiesAreCountedByManyAtOnce(t *testing.T) {
+	b := NewBodies(500)
+	var all sync.WaitGroup
+	for range 100 {
+		all.Go(func() {
+			_, free, _ := b.Read(strings.NewReader(strings.Repeat("z", 100)), 100, 0)
+			free()
+		})
+	}
+	all.Wait()
+	if n := b.held.Load(); n != 0 {
+		t.Errorf("%d bytes are left", n)
+	}
+}
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -112,7 +112,13 @@
 
 // plain passes on an answer that is no stream.
 func (t *attempt) plain(answer *Answer) ending {
-	whole, rest, err := readWhole(answer.Body)
+	whole, rest, err := readWhole(answer.Body, copyBytes)
+	if bodies := t.relay.opts.Bodies; rest != nil && bodies.take(wholeBytes) {
+		defer bodies.give(wholeBytes)
+		var more []byte
+		more, rest, err = readWhole(rest, wholeBytes-copyBytes)
+		whole = append(whole, more...)
+	}
 	if err != nil {
 		return t.broken(err)
 	}
@@ -140,11 +146,11 @@
 
 var errFaulted = merry.Sentinel("the upstream failed the request")
 
-// readWhole reads a body up to wholeBytes; rest has what follows, nil when nothing
+// readWhole reads a body up to a number of bytes; rest has what follows, nil when nothing
 // does.
-func readWhole(body io.Reader) (whole []byte, rest io.Reader, err error) {
-	whole, err = io.ReadAll(io.LimitReader(body, wholeBytes))
-	if err != nil || len(whole) < wholeBytes {
+func readWhole(body io.Reader, most int) (whole []byte, rest io.Reader, err error) {
+	whole, err = io.ReadAll(io.LimitReader(body, int64(most)))
+	if err != nil || len(whole) < most {
 		return whole, nil, err
 	}
 	return whole, body, nil
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -172,6 +174,25 @@
 	return req
 }
 
+// ReadBody takes in the body of an admitted request, whose length is -1 where it is not told.
+// The function that it returns is called when the request has ended.
+func (d *Door) ReadBody(req *Request, body io.Reader, length int64) (free func(), refusal *request.Refusal) {
+	limit := d.Table().Limits().BodyBytes
+	data, free, err := d.relay.opts.Bodies.Read(body, length, limit)
+	switch {
+	case errors.Is(err, ErrBodyTooLarge):
+		// A caller that still sends when its connection is closed does not see the answer.
+		_, _ = io.CopyN(io.Discard, body, limit)
+		refusal = request.Refuse(request.CodeTooLarge, 0, "the body is over %d bytes", limit)
+	case errors.Is(err, ErrBodiesFull):
+		refusal = request.Refuse(request.CodeQueueFull, retryAfterFailure, "no memory is left for the body")
+	case err != nil:
+		refusal = request.Refuse(request.CodeBadRequest, 0, "the body cannot be read")
+	}
+	req.Body = data
+	return free, refusal
+}
+
 // Serve takes an admitted request with its body to its end; see Relay.Run.
 func (d *Door) Serve(ctx context.Context, req *Request, sink Sink) *request.Refusal {
 	d.inFlight.Add(1)
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -236,6 +236,7 @@
 		Planner:  f.planner,
 		Suspects: suspects.New("h1", logrus.NewEntry(log)),
 		Notices:  NewNotices(Spread{Limit: func(notice.Limit) {}}, logrus.NewEntry(log)),
+		Bodies:   NewBodies(1 << 30),
 		Reach: func(_ context.Context, address string) error {
 			if f.dead[address] {
 				return syscall.ECONNREFUSED
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,6 +34,8 @@
 	Reached func(domain string)
 	// Notices has what upstreams say of themselves; the Sender tells it.
 	Notices *Notices
+	// Bodies bounds what is held for slow callers and upstreams.
+	Bodies *Bodies
 	// Budget returns the site's bound of repeats.
 	Budget func() BudgetOptions
 	Log    *logrus.Entry
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -147,12 +147,12 @@
 seeds: ["%s10:8003", "%s11:8003"]
 store: "%s"
 log_level: info
-memory_mb: 256
+memory_mb: %d
 cpu_share: 1
 grace_s: %g
 retry: {ratio: %g, window_s: %g, slack: %d}
 `, d.name, domainName(i%2), d.front, d.ready, ip, d.metrics, strings.Repeat("soak", 10), r.ip, r.ip, r.link("store-"+d.name, storeAt),
-		grace.Seconds(), retryRatio, retryWindow.Seconds(), retrySlack)
+		memoryMB, grace.Seconds(), retryRatio, retryWindow.Seconds(), retrySlack)
 	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		r.t.Fatal(err)
 	}
