News of settings and upstreams go down a tree in each failure domain

What callers would see at 985 daemons: answers from daemons whose settings and list are old, and prices for bytes that cross failure domains.

Each answer of the list had the heartbeats of all upstreams since the asker's last question, 330 records at 1,000 upstreams, packed anew for each offset that somebody asked from. Work of that daemon and bytes grow with daemons times upstreams. And 2 N reads of the store when N daemons start.

Change: - The daemons of a failure domain form a tree by rank, eight children each; its root asks the readers. Behind its parent each has the parent's parents and the readers to ask, so the tree repairs itself. A daemon answers a constant number. - An answer without news waits for the next read, so news go through a level as fast as a message, and a question brings one answer a read of the store. - A record that differs from the one before it in its heartbeat alone is no news (platform/ says so); it is kept by who reads the store. - A daemon that knows nothing asks the others and leaves the store to the readers for two seconds, unless a caller waits at its door: then it reads at once.

Weighed: pushing news to children (a daemon would have to know them, and a lost push shows only in a poll); random exchanges (log n steps of half a second, each record to each daemon several times); a longer pace for all (a constant).

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -31,6 +31,13 @@
 	upstreamsTimeout = 600 * time.Millisecond
 	// upstreamsPeerWait is many round trips, of 1 to 2 ms.
 	upstreamsPeerWait = 150 * time.Millisecond
+	// peerHold is how long a peer without news holds its answer back: somewhat over the time
+	// between two reads of the store, so that an answer comes with each of these.
+	peerHold = 600 * time.Millisecond
+	peerPace = 100 * time.Millisecond
+	// startPatience is how long a daemon that knows nothing, and that nobody calls, leaves the
+	// store to others: daemons that start together have met by then.
+	startPatience = 2 * time.Second
 	// storeAwayAfter is the time without a read from which entries may have lapsed
 	// because of the store.
 	storeAwayAfter = 1500 * time.Millisecond
@@ -47,6 +54,10 @@
 		Wait:     settingsWait,
 		Timeout:  settingsTimeout,
 		PeerWait: settingsPeerWait,
+		PeerHold: peerHold,
+		PeerPace: peerPace,
+		Patience: p.patience(),
+		Demand:   p.door.Wanted(),
 		Spread:   p.spread,
 		Apply:    p.applySettings,
 		Log:      p.log,
@@ -62,6 +73,11 @@
 		Pace:     upstreamsPace,
 		Timeout:  upstreamsTimeout,
 		PeerWait: upstreamsPeerWait,
+		PeerHold: peerHold,
+		PeerPace: peerPace,
+		Patience: p.patience(),
+		Demand:   p.door.Wanted(),
+		News:     func(before, after []byte) bool { return !p.provider.SameUpstream(before, after) },
 		Spread:   p.spread,
 		Regained: regained,
 		Apply:    p.applyUpstreams,
@@ -69,6 +85,17 @@
 	})
 }
 
+// patience returns how long this daemon leaves the store to others: not at all where it knows
+// of none.
+func (p *process) patience() time.Duration {
+	for _, seed := range p.cfg.Seeds {
+		if seed != p.cfg.Listen.Peers {
+			return startPatience
+		}
+	}
+	return 0
+}
+
 func (p *process) applySettings(b keyed.Batch) {
 	p.applyEvacuations(b)
 	for _, r := range b.Records {
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -23,6 +23,9 @@
 	// ok is false for a key of another kind. CheckEvacuation checks the record of it.
 	EvacuationOf(key string) (domain string, ok bool)
 	CheckEvacuation(domain string, value []byte) error
+	// SameUpstream reports whether two records of one upstream differ in nothing but the
+	// number of its heartbeat.
+	SameUpstream(before, after []byte) bool
 	DecodeUpstream(id string, value []byte) (*fleet.Upstream, error)
 	// Sender tells heard what the answers say of their upstreams.
 	Sender(pool *httpwire.Pool, heard relay.Heard) relay.Sender
--- a/internal/keyed/copied.go
+++ b/internal/keyed/copied.go
@@ -23,24 +23,28 @@
 	records map[string]platform.KeyedRecord
 	at      time.Time // of the newest successful read
 
-	// recent has all records from an offset on, in their order. The newest of a key may
-	// be one that was written late and says less than the one before it, so a reader
+	// recent has the records from an offset on that are news, in their order. The newest of a
+	// key may be one that was written late and says less than the one before it, so a reader
 	// needs both.
 	recent     []platform.KeyedRecord
 	recentFrom int64
 }
 
-// add takes a page in and returns its records that are newer than what is known.
-func (c *copied) add(page platform.KeyedPage) []platform.KeyedRecord {
+// add takes a page in and returns its records that are newer than what is known. news tells
+// which of them others need to know, by the values of a key before and after; nil: all.
+func (c *copied) add(page platform.KeyedPage, news func(before, after []byte) bool) []platform.KeyedRecord {
 	fresh := make([]platform.KeyedRecord, 0, len(page.Records))
 	for _, r := range page.Records {
-		if before, known := c.records[r.Key]; known && r.Offset <= before.Offset {
+		before, known := c.records[r.Key]
+		if known && r.Offset <= before.Offset {
 			continue
 		}
 		c.records[r.Key] = r
 		fresh = append(fresh, r)
+		if news == nil || before.Value == nil || r.Value == nil || news(before.Value, r.Value) {
+			c.recent = append(c.recent, r)
+		}
 	}
-	c.recent = append(c.recent, fresh...)
 	if over := len(c.recent) - mostRecent; over > 0 {
 		c.recentFrom = c.recent[over-1].Offset + 1
 		c.recent = slices.Delete(c.recent, 0, over)
@@ -62,7 +66,7 @@
 		}
 	}
 	c.next = page.Next
-	c.add(page)
+	c.add(page, nil)
 	c.recent, c.recentFrom = nil, page.Next
 }
 
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -28,9 +28,19 @@
 	Pace    time.Duration // between the starts of two reads
 	Wait    time.Duration // that a read of the store stays open for a first record
 	Timeout time.Duration // of a read, besides Wait
+	// News tells whether others need to know of a key's new value; nil: of each.
+	News func(before, after []byte) bool
 	// Spread reads from other daemons in place of the store; nil: never.
 	Spread   *Spread
-	PeerWait time.Duration // for an answer of a peer
+	PeerWait time.Duration // for an answer of a peer, besides PeerHold
+	// PeerHold is how long a peer that has nothing new may hold its answer back.
+	PeerHold time.Duration
+	PeerPace time.Duration // between the starts of two reads from peers
+	// Patience is how long a Follower that knows nothing leaves the store to those whose task
+	// it is to read it, for all may have started at once. It ends with Demand, closed when
+	// somebody waits for what it is to know; nil: never.
+	Patience time.Duration
+	Demand   <-chan struct{}
 	Apply    func(Batch)
 	// Regained is called when the store, or a reader of it, has something fresh again; may
 	// be nil.
@@ -40,19 +50,22 @@
 
 // Follower follows one stream.
 type Follower struct {
-	opts Options
-	log  *logrus.Entry
-	away bool // neither a reader nor the store had anything fresh at the last try
+	opts     Options
+	log      *logrus.Entry
+	began    time.Time
+	away     bool // neither a reader nor the store had anything fresh at the last try
+	fromPeer bool // the last read was
 
 	mu     sync.Mutex
 	copied copied
 	packed packed
 	kick   context.CancelFunc // ends the read under way
+	done   chan struct{}      // closed and replaced with each read that succeeds
 }
 
 // New returns a Follower that has read nothing.
 func New(o Options) *Follower {
-	f := &Follower{opts: o, log: o.Log.WithField("stream", o.Stream)}
+	f := &Follower{opts: o, log: o.Log.WithField("stream", o.Stream), began: time.Now(), done: make(chan struct{})}
 	f.copied = copied{next: -1, records: map[string]platform.KeyedRecord{}}
 	if o.Spread != nil {
 		o.Spread.add(o.Stream, f)
@@ -76,57 +89,115 @@
 		switch {
 		case err == nil:
 			pause = pauseFirst
-			wait.For(ctx, f.opts.Pace-time.Since(began))
+			pace := f.opts.Pace
+			if f.fromPeer {
+				pace = f.opts.PeerPace
+			}
+			wait.For(ctx, pace-time.Since(began))
 		case errors.Is(err, platform.ErrTrimmed):
 			f.log.Info("stream_trimmed")
 			f.restart()
 		case errors.Is(err, errKicked):
 		case ctx.Err() == nil:
-			wait.For(ctx, time.Duration((0.5+rand.Float64())*float64(pause)))
+			f.pause(ctx, time.Duration((0.5+rand.Float64())*float64(pause)))
 			pause = min(2*pause, pauseMost)
 		}
 	}
 	return nil
 }
 
+// pause waits, until somebody begins to wait for what is to be known.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	if f.opts.Demand == nil || f.demanded() {
+		wait.For(ctx, d)
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.opts.Demand:
+	case <-ctx.Done():
+	}
+}
+
 // errNothingFresh: the daemons that read the store for all have nothing fresh.
 var errNothingFresh = errors.New("no daemon that was asked has read the store of late")
 
-// read reads once: from the daemons whose task it is to read the store, then from the store
-// where it is the task of this one, and else from any others.
+// read reads once: from the daemons that are to be asked first, then from the store where it
+// is the task of this one, and else from any others.
 func (f *Follower) read(ctx context.Context) error {
 	s := f.opts.Spread
+	if s == nil {
+		return f.readStoreOr(ctx, nil)
+	}
 	fresh := mostAge + f.opts.Wait
-	err := errNothingFresh
-	reads := s == nil
-	if !reads {
-		before, next := s.readers()
-		if f.readPeer(ctx, before, fresh) {
-			f.regained()
-			return nil
-		}
-		reads = next || f.knowsNothing() || s.draws()
+	from := s.sources()
+	if f.readPeer(ctx, from.before, fresh+from.late()) {
+		f.regained()
+		return nil
 	}
-	if reads {
-		err = f.readStore(ctx)
-		if err == nil || errors.Is(err, platform.ErrTrimmed) || errors.Is(err, errKicked) || ctx.Err() != nil {
-			return err
-		}
-		readErrors(f.opts.Stream).Inc()
+	if f.knowsNothing() && f.readPeer(ctx, s.some(), fresh+from.late()) {
+		return nil
 	}
-	f.lost(err)
-	if s == nil {
+	if f.reads(from.reader) {
+		return f.readStoreOr(ctx, func() bool { return f.readOthers(ctx, fresh) })
+	}
+	if !f.knowsNothing() {
+		f.lost(errNothingFresh)
+	}
+	if f.readOthers(ctx, fresh) {
+		return nil
+	}
+	return errNothingFresh
+}
+
+// reads reports whether this daemon is to read the store now.
+func (f *Follower) reads(reader bool) bool {
+	nothing := f.knowsNothing()
+	waited := time.Since(f.began)
+	switch {
+	case !nothing || f.demanded():
+	case waited < f.opts.Patience:
+		return false
+	case waited < 2*f.opts.Patience:
+		return reader
+	}
+	return reader || nothing || f.opts.Spread.draws()
+}
+
+// demanded reports whether somebody waits for what the Follower is to know.
+func (f *Follower) demanded() bool {
+	select {
+	case <-f.opts.Demand:
+		return true
+	default:
+		return false
+	}
+}
+
+// readStoreOr reads the store, and does something else when it does not answer.
+func (f *Follower) readStoreOr(ctx context.Context, other func() bool) error {
+	err := f.readStore(ctx)
+	if err == nil || errors.Is(err, platform.ErrTrimmed) || errors.Is(err, errKicked) || ctx.Err() != nil {
 		return err
 	}
+	readErrors(f.opts.Stream).Inc()
+	f.lost(err)
+	if other != nil && other() {
+		return nil
+	}
+	return err
+}
+
+// readOthers reads from any daemons what is fresh.
+func (f *Follower) readOthers(ctx context.Context, fresh time.Duration) bool {
 	if f.knowsNothing() {
 		// It has started behind a cut, say: what a peer there goes by is better than no
 		// service.
 		fresh = anyAge
 	}
-	if f.readPeer(ctx, s.some(), fresh) {
-		return nil
-	}
-	return err
+	return f.readPeer(ctx, f.opts.Spread.some(), fresh)
 }
 
 func (f *Follower) knowsNothing() bool {
@@ -149,6 +220,7 @@
 }
 
 func (f *Follower) readStore(ctx context.Context) error {
+	f.fromPeer = false
 	began := time.Now()
 	outer := ctx
 	ctx, cancel := context.WithTimeout(ctx, f.opts.Timeout+f.opts.Wait)
@@ -196,9 +268,16 @@
 func (f *Follower) take(page platform.KeyedPage, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	fresh := f.copied.add(page)
+	fresh := f.copied.add(page, f.opts.News)
 	f.copied.at = later(f.copied.at, at)
 	f.opts.Apply(Batch{Records: fresh, At: at})
+	f.tell()
+}
+
+// tell answers the peers that wait for the next read. The caller holds the lock.
+func (f *Follower) tell() {
+	close(f.done)
+	f.done = make(chan struct{})
 }
 
 // takeWhole applies a page with all keys. A copy that is older than what was read
@@ -213,6 +292,7 @@
 	f.copied.replace(page)
 	f.copied.at = later(f.copied.at, at)
 	f.opts.Apply(Batch{Whole: true, Records: page.Records, At: at})
+	f.tell()
 	return nil
 }
 
--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -177,6 +177,8 @@
 	hosts   []string // in rank
 	spreads map[string]*Spread
 	near    []string // in the failure domain of the one that reads
+	asked   map[string]int
+	bytes   map[string]int // of records, that each has answered
 }
 
 func (p *fakePeers) Members() []membership.Member { return p.Rank("", len(p.hosts)) }
@@ -196,7 +198,13 @@
 	if s == nil {
 		return merry.New("not there")
 	}
-	return s.RPC().Since(args.(*SinceRequest), reply.(*SinceReply))
+	answer := reply.(*SinceReply)
+	err := s.RPC().Since(args.(*SinceRequest), answer)
+	if p.asked != nil {
+		p.asked[address]++
+		p.bytes[address] += len(answer.Packed)
+	}
+	return err
 }
 
 func TestOthersReadFromTailersAndTailersFromThoseWhoAreServed(t *testing.T) {
@@ -333,7 +341,7 @@
 	c := copied{next: -1, records: map[string]platform.KeyedRecord{}}
 	c.replace(platform.KeyedPage{Next: 0})
 	for i := range int64(mostRecent + 10) {
-		c.add(platform.KeyedPage{Next: i + 1, Records: []platform.KeyedRecord{{Offset: i, Key: "k", Value: []byte("v")}}})
+		c.add(platform.KeyedPage{Next: i + 1, Records: []platform.KeyedRecord{{Offset: i, Key: "k", Value: []byte("v")}}}, nil)
 	}
 	if n := len(c.since(15)); n != mostRecent-5 {
 		t.Errorf("%d records since 15", n)
--- a/internal/keyed/spread.go
+++ b/internal/keyed/spread.go
@@ -1,11 +1,8 @@
 package keyed
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"math"
-	"math/rand/v2"
 	"net/rpc"
 	"slices"
 	"sync"
@@ -31,29 +28,6 @@
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
 
-// Bounds of the spread.
-const (
-	// The first of a few readers reads the store for all: a read of the store has a price,
-	// one of a peer has next to none. Each of the others reads it only while those before
-	// it have nothing fresh, as when the store turns them away or they cannot be reached.
-	// Of three daemons drawn among many of which the store turns a third away, all are
-	// turned away once in 27 times, with the two of a failure domain once in 240.
-	siteReaders = 3 // first of all daemons
-	nearReaders = 2 // then the first of each failure domain, for it may be cut off
-	readerKey   = "feed-tailer"
-	// drawnReaders is how many of the other daemons of a failure domain read the store, on
-	// average, at each try in which no reader has anything fresh.
-	drawnReaders = 1
-	// mostAge is the age up to which a peer's knowledge is as good as a read of the
-	// store: two paces of a reader and the way. Where reads stay open it is more by
-	// their wait, during which a reader hears of no change because there is none.
-	mostAge = 900 * time.Millisecond
-	// anyAge takes what a peer knows however old it is.
-	anyAge = time.Duration(math.MaxInt64)
-	// numAsked is how many peers are asked when the store does not answer.
-	numAsked = 3
-)
-
 // Spread lets daemons read streams from each other. It is safe for concurrent use.
 type Spread struct {
 	host  string
@@ -94,60 +68,11 @@
 	return s.followers[stream]
 }
 
-// readers returns the daemons to ask before the store, in order, and whether this daemon
-// is the next one that is to read it.
-func (s *Spread) readers() (before []membership.Member, next bool) {
-	ranked := s.peers.Rank(readerKey, math.MaxInt)
-	for _, m := range membership.FirstAndNear(ranked, siteReaders, nearReaders, s.peers.Near) {
-		if m.Host == s.host {
-			return before, true
-		}
-		before = append(before, m)
-	}
-	return before, len(before) == 0
-}
-
-// draws reports whether this daemon is to read the store though it is no reader. All draw
-// while no reader has anything fresh, so that a few try wherever the store can be reached
-// and what one has read spreads from it.
-func (s *Spread) draws() bool {
-	near := 1
-	for _, m := range s.peers.Members() {
-		if m.Host != s.host && m.State != membership.Dead && s.peers.Near(m.Host) {
-			near++
-		}
-	}
-	return rand.IntN(near) < drawnReaders
-}
-
-// some returns a few other daemons that may live, those of the own failure domain first: a
-// daemon behind a cut reaches no others.
-func (s *Spread) some() []membership.Member {
-	var others []membership.Member
-	for _, m := range s.peers.Members() {
-		if m.Host != s.host && m.State != membership.Dead {
-			others = append(others, m)
-		}
-	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	slices.SortStableFunc(others, func(a, b membership.Member) int {
-		return cmp.Compare(s.distance(a), s.distance(b))
-	})
-	return others[:min(numAsked, len(others))]
-}
-
-// distance orders daemons by how far they are.
-func (s *Spread) distance(m membership.Member) int {
-	if s.peers.Near(m.Host) {
-		return 0
-	}
-	return 1
-}
-
 // SinceRequest asks a peer what it knows of a stream from an offset on.
 type SinceRequest struct {
 	Stream string
-	From   int64 // -1: all keys
+	From   int64         // -1: all keys
+	Hold   time.Duration // that the answer may be held back while there is nothing new
 }
 
 // SinceReply has the newest records of the keys that changed, removed ones too.
@@ -158,6 +83,7 @@
 	Next   int64
 	Packed []byte        // the records; empty: none
 	Age    time.Duration // of the peer's last read
+	Held   time.Duration // that the answer was held back
 }
 
 // RPC has the methods that other daemons call.
@@ -174,6 +100,7 @@
 	if f == nil {
 		return merry.Wrap(errNothing, merry.AppendMessage(req.Stream))
 	}
+	reply.Held = f.hold(req)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.copied.at.IsZero() || f.copied.next < 0 {
@@ -190,6 +117,29 @@
 	return err
 }
 
+// mostHold bounds for how long an answer is held back.
+const mostHold = 2 * time.Second
+
+// hold waits for the next read that succeeds, while there is nothing new for a peer, and returns
+// for how long.
+func (f *Follower) hold(req *SinceRequest) time.Duration {
+	f.mu.Lock()
+	done := f.done
+	news := f.copied.at.IsZero() || req.From < f.copied.recentFrom || len(f.copied.since(req.From)) > 0
+	f.mu.Unlock()
+	if news || req.Hold <= 0 {
+		return 0
+	}
+	began := time.Now()
+	timer := time.NewTimer(min(req.Hold, mostHold))
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+	return time.Since(began)
+}
+
 // readPeer reads from one of the daemons what is at most of an age; it returns false when
 // none knows enough.
 func (f *Follower) readPeer(ctx context.Context, from []membership.Member, most time.Duration) bool {
@@ -203,7 +153,8 @@
 		f.mu.Unlock()
 		began := time.Now()
 		var reply SinceReply
-		err := s.ask(ctx, m, SinceRequest{Stream: f.opts.Stream, From: next}, f.opts.PeerWait, &reply)
+		req := SinceRequest{Stream: f.opts.Stream, From: next, Hold: f.opts.PeerHold}
+		err := s.ask(ctx, m, req, f.opts.PeerWait+f.opts.PeerHold, &reply)
 		if err != nil || reply.Next < next || reply.Age > most && !f.knowsLess(reply) {
 			continue // the next one, or the store, is asked
 		}
@@ -212,8 +163,9 @@
 			f.log.WithError(err).WithField("from", m.Host).Warn("peer_copy_undecodable")
 			continue
 		}
-		f.takeFromPeer(reply.Whole, platform.KeyedPage{Records: records, Next: reply.Next}, began.Add(-reply.Age))
+		f.takeFromPeer(reply.Whole, platform.KeyedPage{Records: records, Next: reply.Next}, began.Add(reply.Held-reply.Age))
 		if reply.Age <= most {
+			f.fromPeer = true
 			return true
 		}
 	}
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -46,11 +46,14 @@
 	begun time.Time
 	opens sync.Once
 	open  chan struct{} // closed when the daemon can serve
+
+	wants  sync.Once
+	wanted chan struct{} // closed when a call waits for it
 }
 
 // NewDoor returns a Door that refuses all until it has a table.
 func NewDoor(r *Relay, log *logrus.Entry) *Door {
-	return &Door{relay: r, log: log, begun: time.Now(), open: make(chan struct{})}
+	return &Door{relay: r, log: log, begun: time.Now(), open: make(chan struct{}), wanted: make(chan struct{})}
 }
 
 // Bounds of the wait at a daemon that has just started. It knows settings and upstreams
@@ -65,8 +68,17 @@
 // Open tells that the daemon can serve.
 func (d *Door) Open() { d.opens.Do(func() { close(d.open) }) }
 
+// Wanted returns a channel that is closed when a call has come before the daemon could serve.
+func (d *Door) Wanted() <-chan struct{} { return d.wanted }
+
 // Await waits a moment until a daemon that has just started can serve.
 func (d *Door) Await(ctx context.Context) {
+	select {
+	case <-d.open:
+		return
+	default:
+		d.wants.Do(func() { close(d.wanted) })
+	}
 	left := min(startHold, startSpan-time.Since(d.begun))
 	if left <= 0 {
 		return
