Hosts of a large domain beat and exchange in proportion more rarely

Cause: each exchange named all hosts, twice a second: 44 B/s a daemon for each daemon known (docs/CAPACITY.md), 43 KB/s at 985, twice that at 1,970, a quarter of it across failure domains.

Change: beyond 100 hosts of a domain, beats, exchanges and limits of silence stretch with the hosts, the limits also with the logarithm: news take more steps. What a host sends stays as at 100. What must not wait is told at once: leaves, as before, and new hosts with what they publish (a new host may come first in a ranking); many at once are left to exchanges, which are as frequent as in a small domain until they have met.

What gets slower is the belief that a silent host is dead: 8 s at 100 hosts, 117 s at 985 (worked out). Nothing waits for it: whoever asks a dead daemon finds out by the question, and leaves it alone.

Weighed: groups by failure domain with gateways (the package has them): still grows with the domain, 217 hosts now; digests of what changed only (all beats change between two exchanges, so it is no less); pings in turn with spread suspicions: constant bytes and constant time to the belief, but every false suspicion of a cut domain goes round, and sections need a spread of their own. Left for when the belief is needed sooner.

Tests fail with the stretch off: TestBytesOfAHostDoNotGrowWithTheRegion (3,508 B/s at 100 hosts, 6,655 at 200), TestNewHostOfALargeRegionIsKnownToAllAtOnce (47 of 200 do not know it after 2 s). TestSilenceOfLivingHosts..., TestDeadHostIsSeenByAll and TestManyHostsThatStartTogetherMeetSoon hold the rest.

--- a/internal/core/membership/exchange.go
+++ b/internal/core/membership/exchange.go
@@ -162,16 +162,17 @@
 	m.newlyLeft = append(m.newlyLeft, m.self)
 }
 
-// Forwards returns the pushes that pass on the leaves learned since the last
-// call: to a few hosts of the own domain, and from a gateway to one host of each
-// other domain when the leaving host is of the own one.
+// Forwards returns the pushes that pass on what was learned since the last call and must not
+// wait for exchanges: leaves and new hosts. They go to a few hosts of the own domain, those of
+// leaves from a gateway also to one host of each other domain when the leaving host is of the
+// own one.
 func (m *Members) Forwards(rng *rand.Rand) []Outgoing {
+	out := m.newForwards(rng)
 	if len(m.newlyLeft) == 0 {
-		return nil
+		return out
 	}
 	left := m.newlyLeft
 	m.newlyLeft = nil
-	var out []Outgoing
 	for _, address := range m.someLocal(rng, leaveFanout) {
 		out = append(out, m.leavePush(address, m.self.id.Domain, left))
 	}
@@ -186,6 +187,37 @@
 	return out
 }
 
+// newForwards passes on the new hosts of the own domain whose sections are known. A host that
+// others do not know may come before all they know in a ranking.
+func (m *Members) newForwards(rng *rand.Rand) []Outgoing {
+	var told, waiting []*entry
+	for _, e := range m.newlyMet {
+		switch {
+		case m.byHost[e.id.Host] != e || !m.local(e):
+		case e.version == 0:
+			waiting = append(waiting, e)
+		default:
+			told = append(told, e)
+		}
+	}
+	m.newlyMet = waiting
+	if len(told)+len(waiting) > mostNewTold {
+		m.newlyMet, told = nil, nil
+	}
+	if len(told) == 0 || m.stretch() == 1 {
+		return nil // exchanges are soon enough
+	}
+	var out []Outgoing
+	for _, address := range m.someLocal(rng, leaveFanout) {
+		w := m.writer(m.self.id.Domain)
+		for _, e := range told {
+			w.tell(e, 0, false)
+		}
+		out = append(out, Outgoing{Address: address, Push: &Push{From: m.self.id, News: w.delta}})
+	}
+	return out
+}
+
 func (m *Members) leavePush(address, domain string, left []*entry) Outgoing {
 	p := &Push{From: m.self.id}
 	for _, e := range left {
@@ -294,6 +326,7 @@
 }
 
 func (m *Members) apply(d *Delta, from string) {
+	defer m.noteGrowth(len(m.order))
 	for i, key := range d.Keys {
 		e := m.byKey[key]
 		if e == nil || !m.accepts(e, from) || d.Versions[i] <= e.version {
--- a/internal/core/membership/members.go
+++ b/internal/core/membership/members.go
@@ -99,6 +99,8 @@
 	listed     map[string]bool     // by host: leaving, as the list last said
 	superseded bool
 
+	locals      int       // known hosts of the own domain, the own one among them
+	grew        time.Time // when many hosts were last told of for the first time
 	clock       time.Time // newest time seen
 	nextBeat    time.Time
 	nextProbe   time.Time
@@ -108,6 +110,7 @@
 	turn        int             // of partners
 	domains     map[string]bool // other domains that were heard of
 	newlyLeft   []*entry
+	newlyMet    []*entry
 }
 
 // New returns a state machine that knows only its own host.
@@ -223,7 +226,9 @@
 }
 
 func (m *Members) limits(e *entry) (suspect, dead time.Duration) {
-	suspect, dead = m.cfg.SuspectAfter, m.cfg.DeadAfter
+	factor := m.silenceFactor()
+	suspect = time.Duration(factor * float64(m.cfg.SuspectAfter))
+	dead = time.Duration(factor * float64(m.cfg.DeadAfter))
 	if e.id.Domain != m.self.id.Domain {
 		suspect *= time.Duration(m.cfg.RemoteFactor)
 		dead *= time.Duration(m.cfg.RemoteFactor)
@@ -239,7 +244,7 @@
 	if gap <= 0 {
 		return
 	}
-	if pause := gap - m.cfg.SuspectAfter/2; pause > 0 {
+	if pause := gap - m.mostQuiet(); pause > 0 {
 		for _, e := range m.order {
 			e.heard = e.heard.Add(pause)
 		}
@@ -248,6 +253,9 @@
 	m.self.heard = now
 }
 
+// mostQuiet is the longest time between two inputs of a process that is not paused.
+func (m *Members) mostQuiet() time.Duration { return m.stretched(m.cfg.SuspectAfter / 2) }
+
 // put makes an entry the newest of its host.
 func (m *Members) put(id Identity, heard time.Time) *entry {
 	if old := m.byHost[id.Host]; old != nil {
@@ -264,6 +272,9 @@
 	m.order = slices.Insert(m.order, at, e)
 	m.byHost[id.Host] = e
 	m.byKey[e.key] = e
+	if id.Domain == m.cfg.Self.Domain {
+		m.locals++
+	}
 	m.noteDomain(id.Domain)
 	return e
 }
@@ -291,6 +302,9 @@
 	m.order = slices.Delete(m.order, at, at+1)
 	delete(m.byHost, e.id.Host)
 	delete(m.byKey, e.key)
+	if m.local(e) {
+		m.locals--
+	}
 }
 
 func compareHost(e *entry, host string) int {
@@ -312,6 +326,9 @@
 		return e
 	}
 	fresh := m.put(id, heard)
+	if e == nil {
+		m.newlyMet = append(m.newlyMet, fresh)
+	}
 	// The list may have told of the host before it was heard of. Of a host that
 	// was known the list's word is about the former incarnation.
 	fresh.listedLeaving = e == nil && m.listed[id.Host]
--- a/internal/core/membership/sim_test.go
+++ b/internal/core/membership/sim_test.go
@@ -19,6 +19,7 @@
 	now   time.Time
 	rng   *rand.Rand
 	hosts []*Members
+	next  map[*Members]time.Time     // tick of each host
 	at    map[string]*Members        // by address; absent: nobody listens
 	cut   func(from, to string) bool // by domain
 	// cutHosts cuts single ways; nil: none.
@@ -52,11 +53,12 @@
 
 func newSite(t testing.TB, seed uint64) *site {
 	return &site{
-		t:   t,
-		now: epoch,
-		rng: rand.New(rand.NewPCG(seed, 1)),
-		at:  make(map[string]*Members),
-		cut: func(string, string) bool { return false },
+		t:    t,
+		now:  epoch,
+		rng:  rand.New(rand.NewPCG(seed, 1)),
+		at:   make(map[string]*Members),
+		next: make(map[*Members]time.Time),
+		cut:  func(string, string) bool { return false },
 	}
 }
 
@@ -90,8 +92,9 @@
 	for end := s.now.Add(d); s.now.Before(end); {
 		s.now = s.now.Add(tickEvery)
 		for _, m := range s.hosts {
-			if s.at[m.Self().Address] == m {
+			if s.at[m.Self().Address] == m && !s.now.Before(s.next[m]) {
 				s.send(m, m.Tick(s.now, s.rng))
+				s.next[m] = s.now.Add(time.Duration(float64(tickEvery) * m.Pace()))
 			}
 		}
 	}
--- a/internal/core/membership/tick.go
+++ b/internal/core/membership/tick.go
@@ -16,7 +16,8 @@
 }
 
 const (
-	leaveFanout  = 3 // hosts that each host passes a leave on to
+	leaveFanout  = 3 // hosts that each host passes a leave, or a new host, on to
+	mostNewTold  = 8 // new hosts that are passed on at once; more of them are left to exchanges
 	aloneProbes  = 3 // addresses tried in a tick while no other host is known
 	failureQuiet = 30 * time.Second
 )
@@ -28,7 +29,7 @@
 func (m *Members) Tick(now time.Time, rng *rand.Rand) []Outgoing {
 	m.advance(now)
 	if !now.Before(m.nextBeat) {
-		m.nextBeat = now.Add(m.cfg.Beat)
+		m.nextBeat = now.Add(m.stretched(m.cfg.Beat))
 		m.self.beat()
 		m.forget()
 	}
@@ -105,7 +106,7 @@
 		return e == nil || !m.reachable(e)
 	})
 	if len(m.partners) > 1 && !m.clock.Before(m.nextRotate) {
-		m.nextRotate = m.clock.Add(m.cfg.RotateEvery)
+		m.nextRotate = m.clock.Add(m.stretched(m.cfg.RotateEvery))
 		m.partners = m.partners[1:]
 	}
 	m.fillPartners(rng)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -126,7 +126,10 @@
 		}
 	}
 	part := max(min(hosts, fullDomain), fullDomain/mostOften)
-	return n.opts.Interval * time.Duration(part) / fullDomain
+	n.mu.Lock()
+	pace := n.members.Pace()
+	n.mu.Unlock()
+	return time.Duration(float64(n.opts.Interval) * pace * float64(part) / fullDomain)
 }
 
 // Close ends the listener, all connections and the background work, but does
