The keeper hears only of daemons with work, and no request tries a silent one again

And each daemon tried a keeper that had not answered again after 1, 2 and 4 seconds with a caller's request, 60 ms each: where a daemon gets a request in five seconds, that is each of its requests, for as long as the membership takes to believe that the keeper is dead.

Change: signs of life only while the keeper has attempts of the daemon; it keeps a daemon's life for a minute without any, so that the next plan needs no restore. A silent daemon is asked again in the background, and no request asks it before it has answered.

In service_test.go the tracker of silent daemons is replaced by its new type; what the test checks is as it was.

--- a/internal/core/booking/book.go
+++ b/internal/core/booking/book.go
@@ -161,6 +161,9 @@
 	}
 }
 
+// Has reports whether a daemon has attempts in the book.
+func (b *Book) Has(host string) bool { return len(b.byHost[host]) > 0 }
+
 // Forget drops what a daemon has booked, for it has gone or tells it anew.
 func (b *Book) Forget(host string) {
 	for id := range b.byHost[host] {
--- a/internal/schedule/flush.go
+++ b/internal/schedule/flush.go
@@ -17,6 +17,7 @@
 			return nil
 		case <-alive.C:
 			s.forgetSilent(time.Now())
+			s.askSilent(ctx)
 			s.flush(ctx, true)
 		case <-s.wake:
 			time.Sleep(flushEvery)
@@ -25,7 +26,8 @@
 	}
 }
 
-// flush sends what is new. With always it also sends a sign of life.
+// flush sends what is new. With always it also sends a sign of life, where the keeper has
+// attempts of this daemon: what all send that have none would grow with the daemons.
 func (s *Service) flush(ctx context.Context, always bool) {
 	s.mu.Lock()
 	keeper, remote := s.choose(time.Now())
@@ -45,10 +47,10 @@
 		s.afterFlush(ctx, err, false)
 		return
 	}
-	news := s.news
+	news, open := s.news, len(s.open)
 	s.news = nil
 	s.mu.Unlock()
-	if len(news) == 0 && !always {
+	if len(news) == 0 && (!always || open == 0) {
 		return
 	}
 	var reply NotifyReply
@@ -60,7 +62,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
-		keeper, remote, _ := s.keeperNow(time.Now())
+		keeper, remote, _ := s.keeperNow()
 		if remote {
 			s.lost(ctx, keeper, err, time.Now())
 		}
@@ -87,10 +89,14 @@
 	defer s.mu.Unlock()
 	s.book.Expire(now)
 	for host, l := range s.heard {
-		if now.Sub(l.at) > forgetAfter {
+		silent := now.Sub(l.at)
+		switch {
+		case silent > forgetAfter && s.book.Has(host):
 			s.log.WithField("from", host).Info("book_of_host_dropped")
 			s.book.Forget(host)
 			delete(s.heard, host)
+		case silent > lifeKept:
+			delete(s.heard, host)
 		}
 	}
 }
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/buckthorndock/buckthorndock/internal/core/avoid"
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
@@ -58,11 +56,11 @@
 	aliveEvery = 500 * time.Millisecond
 	// forgetAfter is the silence after which a daemon's attempts are dropped.
 	forgetAfter = 2500 * time.Millisecond
-	// Daemons that did not answer are not asked for a while, doubled while they stay
-	// silent: each question to one behind a cut costs a request its plan by the keeper.
-	downFirst  = time.Second
-	downMost   = 4 * time.Second
-	downForget = 10 * time.Second
+	// lifeKept is the silence after which a daemon without open attempts is forgotten: it tells
+	// nothing while it has none.
+	lifeKept = time.Minute
+	// askedLately is how long after a question this daemon counts as one that others ask.
+	askedLately = 10 * time.Second
 )
 
 // allMembers asks for the ranking of all daemons.
@@ -90,10 +88,10 @@
 	news    []Event
 	heard   map[string]life      // daemons that ask this one
 	cold    map[string]time.Time // until when upstreams are cold by the list, where it has said so
-	down    *avoid.Tracker       // daemons that did not answer
-	keeper  string               // host that was asked last; empty: this one
-	alone   bool                 // those that come before this one are silent, and nobody asks it
-	restore bool                 // the keeper lacks some of the own attempts
+	down    *silence
+	keeper  string // host that was asked last; empty: this one
+	alone   bool   // those that come before this one are silent, and nobody asks it
+	restore bool   // the keeper lacks some of the own attempts
 	// restoring: the own attempts are on their way to the keeper.
 	restoring bool
 	wake      chan struct{}
@@ -116,7 +114,7 @@
 		began: map[string]time.Time{},
 		heard: map[string]life{},
 		cold:  map[string]time.Time{},
-		down:  avoid.New(avoid.Options{First: downFirst, Most: downMost, Forget: downForget}),
+		down:  newSilence(),
 		wake:  make(chan struct{}, 1),
 	}
 }
@@ -147,16 +145,32 @@
 	return sender{Host: s.opts.Host, Incarnation: s.opts.Incarnation}
 }
 
+// candidates returns the daemons that may keep the book, in order.
+func (s *Service) candidates() []membership.Member {
+	ranked := s.opts.Peers.Rank(keeperKey, allMembers)
+	return membership.FirstAndNear(ranked, keeperCandidates, nearKeeperCandidates, s.opts.Peers.Near)
+}
+
+func (s *Service) behind(host string) bool { return s.opts.Behind != nil && s.opts.Behind(host) }
+
+// isAsked reports whether others have asked this daemon of late. The caller holds the lock.
+func (s *Service) isAsked(now time.Time) bool {
+	for _, l := range s.heard {
+		if now.Sub(l.at) < askedLately {
+			return true
+		}
+	}
+	return false
+}
+
 // keeperNow returns the daemon to ask; ok is false when it is this one. skipped says that
 // others come before it and do not answer.
-func (s *Service) keeperNow(now time.Time) (m membership.Member, ok, skipped bool) {
-	silent := s.down.Avoided(now)
-	ranked := s.opts.Peers.Rank(keeperKey, allMembers)
-	for _, m := range membership.FirstAndNear(ranked, keeperCandidates, nearKeeperCandidates, s.opts.Peers.Near) {
+func (s *Service) keeperNow() (m membership.Member, ok, skipped bool) {
+	for _, m := range s.candidates() {
 		if m.Host == s.opts.Host {
 			return m, false, skipped
 		}
-		if slices.Contains(silent, m.Host) || s.opts.Behind != nil && s.opts.Behind(m.Host) {
+		if s.down.hosts[m.Host] || s.behind(m.Host) {
 			skipped = true
 			continue
 		}
@@ -167,8 +181,8 @@
 
 // choose returns the keeper and notes a change of it. The caller holds the lock.
 func (s *Service) choose(now time.Time) (m membership.Member, remote bool) {
-	m, remote, skipped := s.keeperNow(now)
-	s.alone = !remote && skipped && len(s.heard) == 0
+	m, remote, skipped := s.keeperNow()
+	s.alone = !remote && skipped && !s.isAsked(now)
 	share := pace.Deputy
 	if !remote && !skipped {
 		share = pace.Whole
@@ -205,7 +219,7 @@
 	defer s.mu.Unlock()
 	now = time.Now()
 	if err == nil {
-		s.down.Succeeded(keeper.Host, now)
+		s.down.answered(keeper.Host, now)
 	}
 	if err != nil {
 		s.lost(ctx, keeper, err, now)
@@ -267,7 +281,7 @@
 	if s.opts.Doubt != nil {
 		s.opts.Doubt(m.Host)
 	}
-	span := s.down.Failed(m.Host, now)
+	span := s.down.failed(m.Host, now)
 	s.log.WithError(err).WithFields(logrus.Fields{"keeper": m.Host, "avoid_ms": span.Milliseconds()}).Warn("book_keeper_silent")
 }
 
--- a/internal/schedule/service_test.go
+++ b/internal/schedule/service_test.go
@@ -12,7 +12,6 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
-	"github.com/buckthorndock/buckthorndock/internal/core/avoid"
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/cost"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
@@ -220,7 +219,7 @@
 	g.setCut("k", true)
 	g.by["a"].flush(t.Context(), true) // is lost, so that all is to be told again
 	g.setCut("k", false)
-	g.by["a"].down = avoid.New(avoid.Options{})
+	g.by["a"].down = newSilence()
 	g.onRestore = func() {
 		g.by["a"].End("1")
 		g.place(t, "a", "2")
