Rankings are worked out when the members change; connections of daemons follow the files

Cause (by reading): each daemon ranked all daemons again every 100 ms, for two tasks, as often as it read settings and list: hashes and a sort of 985, ten times a second in each of 985. And a daemon took 1,024 connections of others at the most, whatever its files: the one that keeps the book is asked by all.

Change: a ranking and the failure domains of the daemons hold while the node's list is the same, for a second. What a daemon that starts is told of others fits one message at a thousand daemons (256 KiB for 32).

Test: TestRankingIsKeptWhileTheMembersAreTheSame.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -33,6 +33,7 @@
 
 	LogLevel string  `yaml:"log_level"`
 	MemoryMB float64 `yaml:"memory_mb"` // that the process may use
+	MaxFiles int     `yaml:"max_files"` // that the process may have open
 	// CPUShare is the part of a core that the process may use. Tasks for all daemons
 	// go to those with more.
 	CPUShare float64 `yaml:"cpu_share"`
@@ -50,6 +51,7 @@
 const (
 	defaultGraceS   = 8
 	defaultMemoryMB = 256
+	defaultMaxFiles = 4096
 	defaultCPUShare = 1
 	defaultRatio    = 0.2
 	defaultWindowS  = 10
@@ -72,6 +74,7 @@
 		File:     file,
 		GraceS:   defaultGraceS,
 		MemoryMB: defaultMemoryMB,
+		MaxFiles: defaultMaxFiles,
 		CPUShare: defaultCPUShare,
 	}
 	cfg.Retry.Ratio, cfg.Retry.WindowS = defaultRatio, defaultWindowS
@@ -113,6 +116,7 @@
 	}
 	positive := map[string]float64{
 		"grace_s": c.GraceS, "memory_mb": c.MemoryMB, "retry.window_s": c.Retry.WindowS, "cpu_share": c.CPUShare,
+		"max_files": float64(c.MaxFiles),
 	}
 	for key, value := range positive {
 		if !(value > 0) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -19,9 +19,9 @@
 	domainSection = "domain" // its failure domain
 )
 
-// rankLife is how long a ranking is kept: changes of the membership take longer to
-// spread.
-const rankLife = 100 * time.Millisecond
+// rankLife is how long a ranking is kept while the members are the same: what a daemon
+// publishes may still come.
+const rankLife = time.Second
 
 // peers ranks the daemons for tasks that one of them does for all: those with more of
 // a processor come first, in an order that depends on the task. It implements
@@ -32,13 +32,31 @@
 
 	mu      sync.Mutex
 	ranks   map[string]ranking
-	domains map[string]string // by host, as of at
-	at      time.Time
+	domains map[string]string // by host
+	asOf    version           // of domains
 }
 
 type ranking struct {
 	members []membership.Member
-	at      time.Time
+	asOf    version
+}
+
+// version says of which members something was worked out, and when.
+type version struct {
+	first *membership.Member // of the node's list, which is replaced whole
+	at    time.Time
+}
+
+// holds reports whether what was worked out holds for the members now.
+func (v version) holds(members []membership.Member, now time.Time) bool {
+	return len(members) > 0 && v.first == &members[0] && now.Sub(v.at) < rankLife
+}
+
+func versionOf(members []membership.Member, now time.Time) version {
+	if len(members) == 0 {
+		return version{}
+	}
+	return version{&members[0], now}
 }
 
 func newPeers(node *peer.Node, share float64, domain string) (*peers, error) {
@@ -56,8 +74,9 @@
 func (p *peers) Domain(host string) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now := time.Now(); p.domains == nil || now.Sub(p.at) > rankLife {
-		p.domains, p.at = map[string]string{}, now
+	members := p.node.Members()
+	if now := time.Now(); !p.asOf.holds(members, now) {
+		p.domains, p.asOf = make(map[string]string, len(members)), versionOf(members, now)
 		for _, s := range p.node.Sections(domainSection) {
 			p.domains[s.Host] = string(s.Data)
 		}
@@ -81,20 +100,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	members := p.node.Members()
 	r := p.ranks[task]
-	if r.members == nil || now.Sub(r.at) > rankLife {
-		r = ranking{members: p.rank(task), at: now}
+	if !r.asOf.holds(members, now) {
+		r = ranking{members: p.rank(task, members), asOf: versionOf(members, now)}
 		p.ranks[task] = r
 	}
 	return r.members[:min(n, len(r.members))]
 }
 
-func (p *peers) rank(task string) []membership.Member {
+func (p *peers) rank(task string, all []membership.Member) []membership.Member {
 	classes := map[string]int{}
 	for _, s := range p.node.Sections(shareSection) {
 		classes[s.Host] = shareClass(string(s.Data))
 	}
-	members := p.node.Rank(task, len(p.node.Members()))
+	members := membership.Rank(task, all, len(all))
 	slices.SortStableFunc(members, func(a, b membership.Member) int {
 		return cmp.Compare(classes[b.Host], classes[a.Host])
 	})
--- /dev/null
+++ b/internal/edge/peers_test.go
@@ -0,0 +1,25 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+)
+
+// TestRankingIsKeptWhileTheMembersAreTheSame guards against a ranking of all daemons ten times
+// a second in each of them: the node's list is replaced whole when it changes.
+func TestRankingIsKeptWhileTheMembersAreTheSame(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	members := make([]membership.Member, 3)
+	v := versionOf(members, now)
+	if !v.holds(members, now.Add(rankLife/2)) {
+		t.Error("it is worked out again for the same members")
+	}
+	if v.holds(members, now.Add(rankLife)) {
+		t.Error("what the members publish meanwhile is not looked at")
+	}
+	if v.holds(make([]membership.Member, 3), now) || v.holds(nil, now) || versionOf(nil, now).holds(nil, now) {
+		t.Error("it holds for other members")
+	}
+}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -80,6 +80,8 @@
 	DeadAfter:  8 * time.Second,
 	ProbeEvery: time.Second,
 	NearBy:     domainSection,
+	// All that a daemon which has just started is to know of a thousand others.
+	MaxDeltaBytes: 256 << 10,
 }
 
 func newProcess(cfg *Config, provider Provider, log *logrus.Entry) (*process, error) {
@@ -120,6 +122,10 @@
 	return p, nil
 }
 
+// peerFiles is the part of the process's files, one in so many, that connections of other
+// daemons may take: all of them ask the one that keeps the book.
+const peerFiles = 2
+
 func (p *process) buildPeers() error {
 	node, err := peer.New(peer.Options{
 		Host:        p.cfg.Host,
@@ -132,6 +138,7 @@
 		Membership:  membershipConfig,
 		BackoffMax:  time.Second,
 		DialTimeout: dialTimeout,
+		MaxConns:    p.cfg.MaxFiles / peerFiles,
 		Logger:      p.log,
 	})
 	if err != nil {
