Repeats of all daemons stay within the slack, however many daemons there are

Cause: a daemon's part of the retry budget was rounded up to one repeat in a window.

Change: one for each while the slack has as many, else a fraction of the daemons, drawn by their names, has one. A daemon that has just started and does not know how many share the slack keeps its one, as before.

Test: TestRepeatsOfAllDaemonsStayWithinTheSlack, at 1 to 3,940 daemons; with parts rounded up 1,970 daemons have 1,970 of 1,000.

--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -15,9 +15,23 @@
 const budgetShare = 0.7
 
 // leastRepeats is what a daemon may repeat in a window whatever its part is, so that one
-// with few requests can move one.
+// with few requests can move one. Where there are more daemons than that allows, some have none.
 const leastRepeats = 1
 
+// floor returns the repeats in a window that this daemon may make besides a share of its
+// requests. Those of all daemons together stay within the slack, where it is known.
+func (r *Relay) floor(o BudgetOptions) int {
+	hosts := float64(max(o.Hosts, 1))
+	part := budgetShare * o.Slack / hosts
+	if part >= leastRepeats {
+		return int(part)
+	}
+	if o.Slack == 0 || hosts*leastRepeats <= o.Slack {
+		return leastRepeats
+	}
+	return int(part + r.draw)
+}
+
 // mostAttempts bounds the sends of one request, those that could not connect and that
 // were declined included.
 const mostAttempts = 8
@@ -43,8 +57,7 @@
 		r.budgets[service] = b
 	}
 	b.SetRatio(budgetShare * o.Ratio)
-	part := budgetShare * o.Slack / float64(max(o.Hosts, 1))
-	b.SetFloor(max(int(part), leastRepeats))
+	b.SetFloor(r.floor(o))
 	return b
 }
 
--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -149,3 +149,26 @@
 		}
 	}
 }
+
+// TestRepeatsOfAllDaemonsStayWithinTheSlack guards against parts that are rounded up: with more
+// daemons than the slack has repeats, one for each is too many.
+func TestRepeatsOfAllDaemonsStayWithinTheSlack(t *testing.T) {
+	const slack = 1000
+	for _, hosts := range []int{1, 10, 100, 500, 985, 1970, 3940} {
+		all, none := 0, 0
+		for i := range hosts {
+			r := &Relay{draw: drawOf(fmt.Sprint("host-", i))}
+			n := r.floor(BudgetOptions{Slack: slack, Hosts: hosts})
+			all += n
+			if n == 0 {
+				none++
+			}
+		}
+		if all > slack || hosts <= slack && none > 0 {
+			t.Errorf("%d daemons: %d repeats of %d, %d have none", hosts, all, slack, none)
+		}
+		if all < slack/2 {
+			t.Errorf("%d daemons: only %d repeats of %d", hosts, all, slack)
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/avoid"
@@ -56,6 +57,7 @@
 	leaseTimes leaseTimes
 	running    running
 	ways       *ways
+	draw       float64 // in [0, 1), another one for each daemon
 
 	mu      sync.Mutex
 	avoid   *avoid.Tracker
@@ -80,9 +82,16 @@
 		avoid:      avoid.New(avoid.Options{First: avoidFirst, Most: avoidMost, Forget: avoidForget}),
 		budgets:    map[string]*budget{},
 		ways:       newWays(),
+		draw:       drawOf(o.Host),
 	}
 }
 
+// drawOf returns a number in [0, 1) that is spread evenly over the names of daemons.
+func drawOf(host string) float64 {
+	const bits = 53 // of a float64's fraction
+	return float64(xxhash.Sum64String(host)>>(64-bits)) / (1 << bits)
+}
+
 // Run takes a request to its end. It returns nil when the answer was delivered
 // whole; else what the caller is to be told, or, where part of an answer has been
 // passed on, why it was cut short.
