A refusal that an upstream has given holds, also when the attempt was ended by it

What callers saw: a call that may not be repeated got 502 (it may have run) though the server had promised that it had not, when the entry of a dead server stood beside that of its successor.

Cause: the 421 identifies who lives at the address, the list drops the dead one, and what runs on the dead one is ended: the attempt itself, before its answer is looked at. Found by a test of the platform's site whose list was read at once; in the usual order of reads its entries of the dead were not read in time, so it passed without them.

Change: an upstream's refusal goes before all other reasons for the attempt's end.

Test: TestCallThatFindsOutThatAnUpstreamHasEndedIsNotLost ("outcome_lost (unknown)" before).

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -92,7 +92,11 @@
 func (t *attempt) broken(err error) ending {
 	cause := context.Cause(t.ctx)
 	var lost *lostError
+	var f *Failure
+	told := errors.As(err, &f)
 	switch {
+	case told && f.End == retry.Declined: // its word holds whatever has become of it since
+		return ending{end: f.End, at: f.At, err: f.Err}
 	case errors.Is(cause, errSilent), errors.Is(cause, errDisplaced):
 		return ending{end: retry.Silent, err: cause}
 	case errors.As(cause, &lost):
@@ -103,8 +107,7 @@
 	if t.ctx.Err() != nil && !errors.Is(t.ctx.Err(), context.DeadlineExceeded) {
 		return ending{gone: true}
 	}
-	var f *Failure
-	if errors.As(err, &f) {
+	if told {
 		return ending{end: f.End, at: f.At, err: f.Err}
 	}
 	return ending{end: retry.Broken, err: err}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -327,3 +327,20 @@
 		t.Errorf("the planner, whose list may be older, is not told: %v", got)
 	}
 }
+
+// TestCallThatFindsOutThatAnUpstreamHasEndedIsNotLost guards against a call whose own answer, a
+// refusal by another upstream at the address, ends the attempt before the answer is looked at:
+// its caller would be told that it may have run.
+func TestCallThatFindsOutThatAnUpstreamHasEndedIsNotLost(t *testing.T) {
+	other := func(context.Context, Attempt) (*Answer, error) {
+		return nil, &Failure{End: retry.Declined, Other: true, Err: merry.New("scripted")}
+	}
+	f := newFixture(t, other, answer(200, firstEvents))
+	f.live("e1")
+	f.sharedAddress("earlier", "later")
+	f.relay.opts.Identified = func(u fleet.Upstream, _ bool) { f.relay.Ended(u, fleet.Upstream{ID: "earlier"}) }
+	f.planner.plans = []booking.Plan{onEngine("later"), onEngine("e1")}
+	if refusal := f.relay.Run(t.Context(), streamRequest(false), &record{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+}
