--- a/internal/core/fleet/cold.go
+++ b/internal/core/fleet/cold.go
@@ -13,6 +13,7 @@
 		if e.Domain != domain {
 			continue
 		}
+		l.changes++
 		e.coldUntil = later(e.coldUntil, now.Add(coldFor(e.Service)))
 		e.believeFrom = e.Beat + beatsToBelieve
 	}
@@ -29,6 +30,7 @@
 		if until.Sub(e.coldUntil) < coldSlack {
 			return false
 		}
+		l.changes++
 		e.coldUntil = until
 		e.believeFrom = e.Beat + beatsToBelieve
 		return true
--- a/internal/core/fleet/evacuation.go
+++ b/internal/core/fleet/evacuation.go
@@ -60,6 +60,7 @@
 // a domain that comes back may have become cold meanwhile: each counts as cold, for the time
 // that coldFor gives its service, until it says otherwise.
 func (l *List) SetEvacuated(domain string, evacuated bool, coldFor func(service string) time.Duration, now time.Time) {
+	l.changes++
 	if evacuated {
 		l.evacuated[domain] = true
 		return
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -175,3 +176,51 @@
 		}
 	}
 }
+
+// TestHeartbeatsLeaveTheSnapshotAsItIs guards against work for each read of the list that grows
+// with all upstreams: heartbeats alone change nothing that a snapshot shows.
+func TestHeartbeatsLeaveTheSnapshotAsItIs(t *testing.T) {
+	l := newList()
+	l.Read([]Change{up("a", 1), up("b", 1)}, start)
+	first := l.Snapshot()
+	l.Read([]Change{up("a", 2), up("b", 2)}, start.Add(time.Second))
+	beaten := l.Snapshot()
+	if !beaten.SameAs(first) || !beaten.At.Equal(start.Add(time.Second)) {
+		t.Errorf("heartbeats have changed it, or its time is %s", beaten.At.Sub(start))
+	}
+	l.Read([]Change{up("a", 1)}, start.Add(time.Second)) // late
+	if !l.Snapshot().SameAs(first) {
+		t.Error("a late heartbeat has changed it")
+	}
+	leaving, moved := up("a", 3), up("b", 3)
+	leaving.Upstream.Leaving, moved.Upstream.Address = true, "c:1"
+	for name, c := range map[string]Change{"it leaves": leaving, "it moves": moved, "it has gone": {Name: "b"}, "a new one": up("d", 1)} {
+		before := l.Snapshot()
+		l.Read([]Change{c}, start.Add(time.Second))
+		if l.Snapshot().SameAs(before) {
+			t.Errorf("%s: nothing has changed", name)
+		}
+	}
+}
+
+// BenchmarkHeartbeats is a read of the list in which a third of the upstreams have beaten.
+func BenchmarkHeartbeats(b *testing.B) {
+	for _, upstreams := range []int{500, 1000, 2000} {
+		b.Run(strconv.Itoa(upstreams), func(b *testing.B) {
+			l := newList()
+			var all []Change
+			for i := range upstreams {
+				all = append(all, up(strconv.Itoa(i), 1))
+			}
+			l.Read(all, start)
+			for beat := int64(2); b.Loop(); beat++ {
+				some := make([]Change, 0, upstreams/3)
+				for i := range upstreams / 3 {
+					some = append(some, up(strconv.Itoa(i), beat))
+				}
+				l.Read(some, start)
+				l.Snapshot()
+			}
+		})
+	}
+}
--- a/internal/core/fleet/list.go
+++ b/internal/core/fleet/list.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"reflect"
 	"slices"
 	"time"
 )
@@ -65,6 +66,10 @@
 	away   time.Time        // until then removals count as lapses
 
 	evacuated map[string]bool // failure domains
+
+	changes int       // of what snapshots show
+	last    *Snapshot // as of shown
+	shown   int       // of changes
 }
 
 // New returns an empty list.
@@ -127,6 +132,7 @@
 }
 
 func (l *List) drop(e *entry, now time.Time) {
+	l.changes++
 	delete(l.byName, e.Name)
 	l.ended[e.Name] = ended{*e, now}
 }
@@ -147,11 +153,18 @@
 		u.ID, u.Life = before.ID, before.Life
 		u.Leaving = u.Leaving || before.Leaving
 	}
-	before.takeCold(&u, fresh, now)
-	before.Upstream, before.until = u, time.Time{}
-	l.byName[u.Name] = &before
+	after := before
+	after.takeCold(&u, fresh, now)
+	after.Upstream, after.until = u, time.Time{}
+	if !known || !after.showsAs(&before) || l.byName[u.Name] == nil {
+		l.changes++
+	}
+	l.byName[u.Name] = &after
 	delete(l.ended, u.Name)
 	if u.Born != 0 && u.Born >= l.births[u.Address].born {
+		if u.Born > l.births[u.Address].born {
+			l.changes++
+		}
 		l.births[u.Address] = birth{u.Born, now}
 	}
 }
@@ -162,6 +175,15 @@
 	return !stands || !e.until.IsZero() || u.Beat != e.Beat
 }
 
+// showsAs reports whether a snapshot shows the same for an entry as for another one: the
+// number of its heartbeat is not looked at.
+func (e *entry) showsAs(other *entry) bool {
+	a, b := e.Upstream, other.Upstream
+	a.Beat, a.Cold, a.Rivals = b.Beat, b.Cold, nil
+	b.Rivals = nil
+	return reflect.DeepEqual(a, b) && e.coldUntil.Equal(other.coldUntil) && e.listed == other.listed && e.over == other.over
+}
+
 // lastOf returns the last entry of the server that an entry is of. Of a life whose start
 // was not told and whose entry went, only its place among the others is remembered: its
 // counts may start anew.
@@ -206,6 +228,7 @@
 	for _, e := range l.byName {
 		if len(u.Rivals) > 0 && !e.over && slices.Contains(over, e.ID) {
 			e.over, changed = true, true
+			l.changes++
 		}
 	}
 	return changed
@@ -227,6 +250,7 @@
 	}
 	for address, b := range l.births {
 		if now.Sub(b.at) > endedKept {
+			l.changes++
 			delete(l.births, address)
 		}
 	}
--- a/internal/core/fleet/snapshot.go
+++ b/internal/core/fleet/snapshot.go
@@ -13,6 +13,12 @@
 	Superseded []string
 	At         time.Time // of the read that it reflects
 	byID       map[string]int
+	change     int // of the list, which it shows
+}
+
+// SameAs reports whether two snapshots of one list show the same, but for their times.
+func (s *Snapshot) SameAs(other *Snapshot) bool {
+	return s.byID != nil && other.byID != nil && s.change == other.change
 }
 
 // Get returns an upstream by its ID.
@@ -52,7 +58,16 @@
 
 // Snapshot returns the present list.
 func (l *List) Snapshot() *Snapshot {
-	s := &Snapshot{At: l.read, byID: make(map[string]int, len(l.byName))}
+	if l.last == nil || l.shown != l.changes {
+		l.last, l.shown = l.snapshot(), l.changes
+	}
+	s := *l.last
+	s.At = l.read
+	return &s
+}
+
+func (l *List) snapshot() *Snapshot {
+	s := &Snapshot{byID: make(map[string]int, len(l.byName)), change: l.changes}
 	byAddress := make(map[string][]*entry, len(l.byName))
 	for _, e := range l.byName {
 		byAddress[e.Address] = append(byAddress[e.Address], e)
--- a/internal/edge/listchange.go
+++ b/internal/edge/listchange.go
@@ -20,6 +20,9 @@
 	after := p.upstreams.Snapshot()
 	p.list.Store(after)
 	p.mu.Unlock()
+	if after.SameAs(before) && p.serving.Load() {
+		return
+	}
 	changed := p.logListChange(before, after)
 	changed = p.logCold(before, after) || changed || evacuationsDiffer(before, after)
 	if changed || !p.serving.Load() {
