How often settings and list are read follows from the time in which news must hold

Cause: readers read the list each 0.4 s and the settings each 0.5 s, as the smallest sites need, where news must be in force within 2 s; the fleet allows 5 s. Reads of the store have a price, and with them go the answers to all other daemons: each of them 0.2 of a second of the daemons' time at 985 daemons (worked out).

Change: two keys of the daemon file, settings_within_ms and leaving_within_ms, which the platform fills in from its bounds; the paces, holds and ages are parts of them, as before at 2 s, capped at those of 5 s: how soon a daemon that cannot be reached is noticed follows from the same times.

Weighed: a pace by the number of daemons (reads of the store do not grow with it any more); a longer one for all (misses the bounds of small sites).

Tests of the follower, the edge and the platform's site are as they were, with the times that they had.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -38,6 +38,11 @@
 	// go to those with more.
 	CPUShare float64 `yaml:"cpu_share"`
 
+	// SettingsWithinMs is the time in which a change of the settings has to be in force,
+	// LeavingWithinMs that in which a leaving upstream may still get requests.
+	SettingsWithinMs float64 `yaml:"settings_within_ms"`
+	LeavingWithinMs  float64 `yaml:"leaving_within_ms"`
+
 	// GraceS is the time in seconds between SIGTERM and the end of the process.
 	GraceS float64 `yaml:"grace_s"`
 	Retry  struct {
@@ -52,6 +57,7 @@
 	defaultGraceS   = 8
 	defaultMemoryMB = 256
 	defaultMaxFiles = 4096
+	defaultWithinMs = 2000
 	defaultCPUShare = 1
 	defaultRatio    = 0.2
 	defaultWindowS  = 10
@@ -75,7 +81,10 @@
 		GraceS:   defaultGraceS,
 		MemoryMB: defaultMemoryMB,
 		MaxFiles: defaultMaxFiles,
-		CPUShare: defaultCPUShare,
+
+		SettingsWithinMs: defaultWithinMs,
+		LeavingWithinMs:  defaultWithinMs,
+		CPUShare:         defaultCPUShare,
 	}
 	cfg.Retry.Ratio, cfg.Retry.WindowS = defaultRatio, defaultWindowS
 	var found finding.List
@@ -116,7 +125,7 @@
 	}
 	positive := map[string]float64{
 		"grace_s": c.GraceS, "memory_mb": c.MemoryMB, "retry.window_s": c.Retry.WindowS, "cpu_share": c.CPUShare,
-		"max_files": float64(c.MaxFiles),
+		"max_files": float64(c.MaxFiles), "settings_within_ms": c.SettingsWithinMs, "leaving_within_ms": c.LeavingWithinMs,
 	}
 	for key, value := range positive {
 		if !(value > 0) {
--- a/internal/edge/config_test.go
+++ b/internal/edge/config_test.go
@@ -67,7 +67,7 @@
 		"{{node}}", "h1", "{{zone}}", "d1", "{{region}}", "region-with-a-name",
 		"{{listen.front}}", "10.0.0.1:80", "{{listen.ready}}", "10.0.0.1:81", "{{listen.control}}", "10.0.0.1:82",
 		"{{ip}}:{{internal_ports.0}}", "10.0.0.1:83", "{{seeds|json}}", `["10.0.0.2:82"]`, "{{platform.address}}", "10.0.0.9:90",
-		"{{limits.memory_mb}}", "284", "{{limits.max_fds}}", "4200", "{{limits.cpu_share}}", "0.4",
+		"{{limits.memory_mb}}", "284", "{{limits.max_fds}}", "4200", "{{bounds.config_apply_ms}}", "2000", "{{bounds.drain_ms}}", "2000", "{{limits.cpu_share}}", "0.4",
 		"{{bounds.grace_s}}", "8.5", "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.budget_window_s}}", "10",
 		"{{bounds.retry_budget_slack}}", "104",
 	).Replace(string(text))
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -12,77 +12,97 @@
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 )
 
-// Paces of the followers.
+// Parts of the time in which news have to be in force that a read may take. A change comes to
+// the last daemon by a read of the store, and by an answer for each level between daemons.
 const (
-	// settingsWait keeps a read of the settings open, so that a change is heard at
+	// waitPart is how long a read of the settings stays open, so that a change is heard at
 	// once. It is short, for a read that the store has swallowed looks the same.
-	settingsWait    = 500 * time.Millisecond
+	waitPart = 0.25
+	// peerWaitPart allows for large settings on a slow link.
+	peerWaitPart = 0.25
+	// settingsPart is between changes that come at once, upstreamsPart between two reads of the
+	// list, which changes with every heartbeat of a server.
+	settingsPart  = 0.15
+	upstreamsPart = 0.2
+	// holdPart is how long a peer without news holds its answer back: somewhat over the time
+	// between two reads of the store, so that an answer comes with each of these.
+	holdPart = 0.3
+)
+
+const (
+	// slowestWithin bounds the time from which the parts are taken: how soon a daemon that
+	// cannot be reached is noticed follows from it too.
+	slowestWithin   = 5 * time.Second
 	settingsTimeout = 600 * time.Millisecond
-	// settingsPeerWait allows for a large record on a slow link: a quarter of the time in
-	// which a change has to be in force.
-	settingsPeerWait = 500 * time.Millisecond
-	// settingsPace is between two reads from a peer, or between changes that come at
-	// once: a seventh of the time in which a change has to be in force.
-	settingsPace = 300 * time.Millisecond
-	// upstreamsPace is between two reads of the list, which changes with every
-	// heartbeat of a server. It is a fifth of the time in which a leaving server may
-	// still get requests.
-	upstreamsPace    = 400 * time.Millisecond
-	upstreamsTimeout = 600 * time.Millisecond
+	upstreamsWait   = 600 * time.Millisecond
 	// upstreamsPeerWait is many round trips, of 1 to 2 ms.
 	upstreamsPeerWait = 150 * time.Millisecond
-	// peerHold is how long a peer without news holds its answer back: somewhat over the time
-	// between two reads of the store, so that an answer comes with each of these.
-	peerHold = 600 * time.Millisecond
-	peerPace = 100 * time.Millisecond
+	peerPace          = 100 * time.Millisecond
+	// wayAge is the age that what a reader tells gains on its way.
+	wayAge = 200 * time.Millisecond
 	// startPatience is how long a daemon that knows nothing, and that nobody calls, leaves the
 	// store to others: daemons that start together have met by then.
 	startPatience = 2 * time.Second
-	// storeAwayAfter is the time without a read from which entries may have lapsed
-	// because of the store.
+	// Entries may have lapsed because of the store after a time without a read: this one, or as
+	// many paces of a reader.
 	storeAwayAfter = 1500 * time.Millisecond
+	storeAwayPaces = 2.5
 	// lapsedReturn is how long after the store's return live servers take to be back
 	// in the list.
 	lapsedReturn = 2 * time.Second
 )
 
+// within returns a part of the time in which something has to be in force.
+func within(ms, part float64) time.Duration {
+	whole := min(time.Duration(ms*float64(time.Millisecond)), slowestWithin)
+	return time.Duration(part * float64(whole))
+}
+
+// awayAfter returns the time without a read after which the store counts as away.
+func awayAfter(cfg *Config) time.Duration {
+	return max(storeAwayAfter, within(cfg.LeavingWithinMs, storeAwayPaces*upstreamsPart))
+}
+
 func (p *process) followSettings() *keyed.Follower {
-	return keyed.New(keyed.Options{
-		Store:    p.store,
-		Stream:   p.provider.SettingsStream(),
-		Pace:     settingsPace,
-		Wait:     settingsWait,
-		Timeout:  settingsTimeout,
-		PeerWait: settingsPeerWait,
-		PeerHold: peerHold,
-		PeerPace: peerPace,
-		Patience: p.patience(),
-		Demand:   p.door.Wanted(),
-		Spread:   p.spread,
-		Apply:    p.applySettings,
-		Log:      p.log,
-	})
+	ms := p.cfg.SettingsWithinMs
+	o := p.followOptions(ms)
+	o.Stream = p.provider.SettingsStream()
+	o.Pace = within(ms, settingsPart)
+	o.Wait = within(ms, waitPart)
+	o.Timeout = settingsTimeout
+	o.PeerWait = within(ms, peerWaitPart)
+	o.MostAge = 2*o.Pace + o.Wait + wayAge
+	o.Apply = p.applySettings
+	return keyed.New(o)
 }
 
 // followUpstreams returns the follower of the list. Its short reads notice the store's
 // return, of which a read that stays open may never hear.
 func (p *process) followUpstreams(regained func()) *keyed.Follower {
-	return keyed.New(keyed.Options{
+	ms := p.cfg.LeavingWithinMs
+	o := p.followOptions(ms)
+	o.Stream = p.provider.UpstreamsStream()
+	o.Pace = within(ms, upstreamsPart)
+	o.Timeout = upstreamsWait
+	o.PeerWait = upstreamsPeerWait
+	o.MostAge = 2*o.Pace + wayAge
+	o.News = func(before, after []byte) bool { return !p.provider.SameUpstream(before, after) }
+	o.Regained = regained
+	o.Apply = p.applyUpstreams
+	return keyed.New(o)
+}
+
+// followOptions returns what both followers have in common.
+func (p *process) followOptions(ms float64) keyed.Options {
+	return keyed.Options{
 		Store:    p.store,
-		Stream:   p.provider.UpstreamsStream(),
-		Pace:     upstreamsPace,
-		Timeout:  upstreamsTimeout,
-		PeerWait: upstreamsPeerWait,
-		PeerHold: peerHold,
+		PeerHold: within(ms, holdPart),
 		PeerPace: peerPace,
 		Patience: p.patience(),
 		Demand:   p.door.Wanted(),
-		News:     func(before, after []byte) bool { return !p.provider.SameUpstream(before, after) },
 		Spread:   p.spread,
-		Regained: regained,
-		Apply:    p.applyUpstreams,
 		Log:      p.log,
-	})
+	}
 }
 
 // patience returns how long this daemon leaves the store to others: not at all where it knows
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -28,6 +28,10 @@
 	Pace    time.Duration // between the starts of two reads
 	Wait    time.Duration // that a read of the store stays open for a first record
 	Timeout time.Duration // of a read, besides Wait
+	// MostAge is the age up to which what a reader knows is as good as a read of the store: two
+	// paces of a reader and the way, and while its reads stay open their wait, during which it
+	// hears of no change because there is none.
+	MostAge time.Duration
 	// News tells whether others need to know of a key's new value; nil: of each.
 	News func(before, after []byte) bool
 	// Spread reads from other daemons in place of the store; nil: never.
@@ -131,7 +135,7 @@
 	if s == nil {
 		return f.readStoreOr(ctx, nil)
 	}
-	fresh := mostAge + f.opts.Wait
+	fresh := f.opts.MostAge
 	from := s.sources()
 	if f.readPeer(ctx, from.before, fresh+from.late()) {
 		f.regained()
--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -111,7 +111,7 @@
 	log.SetOutput(io.Discard)
 	tb := &table{values: map[string]string{}}
 	return New(Options{
-		Store: store, Stream: "s", Pace: time.Millisecond, Timeout: time.Second,
+		Store: store, Stream: "s", Pace: time.Millisecond, Timeout: time.Second, MostAge: 900 * time.Millisecond,
 		Spread: spread, PeerWait: time.Second, Apply: tb.apply, Log: logrus.NewEntry(log),
 	}), tb
 }
--- a/internal/keyed/sources.go
+++ b/internal/keyed/sources.go
@@ -27,10 +27,6 @@
 	// levelAge how much older what it tells them is.
 	children = 8
 	levelAge = 200 * time.Millisecond
-	// mostAge is the age up to which a peer's knowledge is as good as a read of the
-	// store: two paces of a reader and the way. Where reads stay open it is more by
-	// their wait, during which a reader hears of no change because there is none.
-	mostAge = 900 * time.Millisecond
 	// anyAge takes what a peer knows however old it is.
 	anyAge = time.Duration(math.MaxInt64)
 	// numAsked is how many peers are asked when the store does not answer.
