A daemon without work does not watch the ways to failure domains

Cause: each daemon woke 20 times a second to see whether answers from some domain had fallen silent, with or without any under way: 19,700 wake-ups a second at 985 daemons, each of which has a request in five seconds.

Change: it sleeps while nothing runs and no way is cut; an attempt or a cut wakes it.

Test: TestDaemonWithoutWorkDoesNotWatchTheWays.

--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -121,6 +121,16 @@
 	return w != nil && !w.cut.IsZero()
 }
 
+// AnyCut reports whether some way is believed cut.
+func (t *Tracker) AnyCut() bool {
+	for domain := range t.ways {
+		if t.Cut(domain) {
+			return true
+		}
+	}
+	return false
+}
+
 // CutFor returns how long the way to a domain has been cut, zero when it is not.
 func (t *Tracker) CutFor(domain string, now time.Time) time.Duration {
 	if !t.Cut(domain) {
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -59,6 +59,7 @@
 	t.watch = g.watchSilence(limit, gap, cancel)
 	defer t.watch.stop()
 	defer g.relay.running.add(t)()
+	g.relay.ways.watch()
 	g.noteSend(a.To)
 	answer, err := g.relay.opts.Sender.Send(ctx, a)
 	t.identify(err)
--- a/internal/relay/running.go
+++ b/internal/relay/running.go
@@ -38,6 +38,13 @@
 	}
 }
 
+// none reports whether no attempt is under way.
+func (r *running) none() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.all) == 0
+}
+
 // of returns the attempts for which ok holds.
 func (r *running) of(ok func(*attempt) bool) []*attempt {
 	r.mu.Lock()
--- a/internal/relay/ways.go
+++ b/internal/relay/ways.go
@@ -44,10 +44,14 @@
 type ways struct {
 	mu      sync.Mutex
 	tracker *reach.Tracker
+	busy    chan struct{} // there is something to watch
 }
 
 func newWays() *ways {
-	return &ways{tracker: reach.New(reach.Options{Quiet: wayQuiet, Again: wayAgain})}
+	return &ways{
+		tracker: reach.New(reach.Options{Quiet: wayQuiet, Again: wayAgain}),
+		busy:    make(chan struct{}, 1),
+	}
 }
 
 func (w *ways) heard(domain string) {
@@ -80,20 +84,38 @@
 	}
 }
 
-// WatchWays looks at failure domains that are quiet or cut until the context ends.
+// WatchWays looks at failure domains that are quiet or cut until the context ends. While nothing
+// runs and none is cut, it sleeps.
 func (r *Relay) WatchWays(ctx context.Context) error {
-	wait.Every(ctx, wayTick, func(now time.Time) {
+	for wait.For(ctx, wayTick) {
 		writing := r.running.writing()
+		now := time.Now()
 		r.ways.mu.Lock()
 		due := r.ways.tracker.Due(writing, now)
+		idle := !r.ways.tracker.AnyCut() && r.running.none()
 		r.ways.mu.Unlock()
 		for _, domain := range due {
 			go r.look(domain)
 		}
-	})
+		if !idle {
+			continue
+		}
+		select {
+		case <-r.ways.busy:
+		case <-ctx.Done():
+		}
+	}
 	return nil
 }
 
+// watch wakes the one that watches the ways.
+func (w *ways) watch() {
+	select {
+	case w.busy <- struct{}{}:
+	default:
+	}
+}
+
 // look tries connections to some upstreams of a domain and takes in what that shows.
 func (r *Relay) look(domain string) {
 	l := reach.Look{Began: time.Now()}
@@ -113,6 +135,7 @@
 	log := r.log.WithFields(logrus.Fields{"domain": domain, "tried": l.Tried, "reached": l.Reached})
 	switch change {
 	case reach.BecameCut:
+		r.ways.watch()
 		log.WithField("moved", r.moveFrom(domain)).Warn("domain_cut")
 	case reach.BecameReached:
 		r.forgive(domain, now.Add(-cutFor-waySince))
--- a/internal/relay/ways_test.go
+++ b/internal/relay/ways_test.go
@@ -181,3 +181,26 @@
 		}
 	}
 }
+
+// TestDaemonWithoutWorkDoesNotWatchTheWays guards against wake-ups of idle daemons, of which a
+// large site has many; the first attempt after a rest is watched again.
+func TestDaemonWithoutWorkDoesNotWatchTheWays(t *testing.T) {
+	f := newFixture(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- f.relay.WatchWays(ctx) }()
+	w := f.relay.ways
+	for end := time.Now().Add(10 * time.Second); len(w.busy) > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	w.watch() // is taken as soon as it sleeps
+	for end := time.Now().Add(10 * time.Second); len(w.busy) > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it does not sleep")
+		}
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
