A daemon whose knowledge is old answers at once

Cause: a question without news is held until the next read that succeeds. While the store is away there is none, so a reader that is to take over from the three before it waited for each of them, 1.5 s where news must be in force within 5 s.

Change: an answer is held only while what is known is fresh.

--- a/internal/keyed/spread.go
+++ b/internal/keyed/spread.go
@@ -120,18 +120,20 @@
 // mostHold bounds for how long an answer is held back.
 const mostHold = 2 * time.Second
 
-// hold waits for the next read that succeeds, while there is nothing new for a peer, and returns
-// for how long.
+// hold waits for the next read that succeeds, while there is nothing new for a peer and what is
+// known here is fresh, and returns for how long.
 func (f *Follower) hold(req *SinceRequest) time.Duration {
 	f.mu.Lock()
 	done := f.done
 	news := f.copied.at.IsZero() || req.From < f.copied.recentFrom || len(f.copied.since(req.From)) > 0
+	fresh := f.opts.MostAge - time.Since(f.copied.at)
 	f.mu.Unlock()
-	if news || req.Hold <= 0 {
+	most := min(req.Hold, mostHold, fresh)
+	if news || most <= 0 {
 		return 0
 	}
 	began := time.Now()
-	timer := time.NewTimer(min(req.Hold, mostHold))
+	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
 	case <-done:
