The follower's fake peers answer errors as calls between daemons do

The fake gave the error of a method as it was, where a real call gives an rpc.ServerError; so a peer that knows nothing yet counted as silent for a second, which the slower fake of before had outlasted.

Change: the fake wraps it. The check is as it was.

--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/rpc"
 	"slices"
 	"sync"
 	"testing"
@@ -205,6 +206,9 @@
 	}
 	answer := reply.(*SinceReply)
 	err := s.RPC().Since(args.(*SinceRequest), answer)
+	if err != nil {
+		err = rpc.ServerError(err.Error()) // as a call between daemons has it
+	}
 	if p.asked != nil {
 		p.asked[address]++
 		p.bytes[address] += len(answer.Packed)
