--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -111,7 +111,7 @@
 	p.list.Store(&fleet.Snapshot{})
 	p.live.Store(cfg)
 	p.fileChanged()
-	p.notices = relay.NewNotices(relay.Spread{
+	p.notices = relay.NewNotices(relay.Listeners{
 		Limit: func(l notice.Limit) { p.schedule.Limit(l) }, // the schedule is built later
 		Cold:  p.heardCold,
 	}, log)
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -235,7 +235,7 @@
 		Sender:   f.script,
 		Planner:  f.planner,
 		Suspects: suspects.New("h1", logrus.NewEntry(log)),
-		Notices:  NewNotices(Spread{Limit: func(notice.Limit) {}}, logrus.NewEntry(log)),
+		Notices:  NewNotices(Listeners{Limit: func(notice.Limit) {}}, logrus.NewEntry(log)),
 		Bodies:   NewBodies(1 << 30),
 		Reach: func(_ context.Context, address string) error {
 			if f.dead[address] {
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -16,8 +16,8 @@
 // Heard takes in what an answer of an upstream, to what was sent at a time, says of it.
 type Heard func(upstream string, n notice.Notice, sent time.Time)
 
-// Spread tells what upstreams say to those who plan for all daemons.
-type Spread struct {
+// Listeners are told what upstreams say, for those who plan for all daemons.
+type Listeners struct {
 	Limit func(notice.Limit)
 	// Cold tells for how long an upstream says that it stays cold. It may be nil.
 	Cold func(upstream string, left time.Duration)
@@ -25,8 +25,8 @@
 
 // Notices is what upstreams have said of themselves. It is safe for concurrent use.
 type Notices struct {
-	spread Spread
-	log    *logrus.Entry
+	listeners Listeners
+	log       *logrus.Entry
 
 	mu      sync.Mutex
 	tracker *notice.Tracker
@@ -34,8 +34,8 @@
 }
 
 // NewNotices returns Notices that have heard nothing.
-func NewNotices(spread Spread, log *logrus.Entry) *Notices {
-	return &Notices{spread: spread, log: log, tracker: notice.New(), told: map[string]time.Time{}}
+func NewNotices(listeners Listeners, log *logrus.Entry) *Notices {
+	return &Notices{listeners: listeners, log: log, tracker: notice.New(), told: map[string]time.Time{}}
 }
 
 // tellAgain is after how long a limit that stands is spread again, so that a wrong word of
@@ -53,10 +53,10 @@
 // Heard implements the type Heard.
 func (n *Notices) Heard(upstream string, said notice.Notice, sent time.Time) {
 	if l, tell := n.hear(upstream, said, sent); tell {
-		n.spread.Limit(l)
+		n.listeners.Limit(l)
 	}
-	if said.Cold > 0 && n.spread.Cold != nil {
-		n.spread.Cold(upstream, said.Cold)
+	if said.Cold > 0 && n.listeners.Cold != nil {
+		n.listeners.Cold(upstream, said.Cold)
 	}
 }
 
@@ -141,7 +141,7 @@
 	l, limited := n.tracker.LimitOf(next.ID)
 	n.mu.Unlock()
 	if limited {
-		n.spread.Limit(l)
+		n.listeners.Limit(l)
 	}
 }
 
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -88,7 +88,7 @@
 func TestLimitsAreSpreadWhenTheyChangeAndNowAndThen(t *testing.T) {
 	var told []notice.Limit
 	f := newFixture(t)
-	n := NewNotices(Spread{Limit: func(l notice.Limit) { told = append(told, l) }}, f.relay.log)
+	n := NewNotices(Listeners{Limit: func(l notice.Limit) { told = append(told, l) }}, f.relay.log)
 	sent := time.Now()
 	for range 3 {
 		n.Heard("a", notice.Notice{Limited: true, Limit: 2}, sent)
