Daemons that start together ask few, and pass nothing on until they have met

Logs: keepers changed each few milliseconds, connections refused.

Cause: all that know nothing asked eight and more daemons of a ranking that changed with each host that they met: a connection each. What each host publishes was passed on to five others while all were meeting, though exchanges do that with less. And each change of the keeper sent it what was open: nothing.

Change: a daemon that has just started asks one other each 0.4 s; nothing is passed on before two seconds without many new hosts; a new keeper is told when there is something.

--- a/internal/core/membership/exchange.go
+++ b/internal/core/membership/exchange.go
@@ -196,7 +196,7 @@
 		return nil
 	}
 	m.published = make(map[*entry][]Section)
-	if m.stretch() == 1 || len(published) > mostToldAtOnce {
+	if m.stretch() == 1 || !m.settled() || len(published) > mostToldAtOnce {
 		return nil // exchanges are soon enough, or do it with less
 	}
 	p := &Push{From: m.self.id}
--- a/internal/core/membership/pace.go
+++ b/internal/core/membership/pace.go
@@ -22,12 +22,15 @@
 // Pace returns how many times more rarely than in a small domain this host is to exchange.
 // While it meets many others, as when all start, it does so as often as in a small one.
 func (m *Members) Pace() float64 {
-	if m.clock.Sub(m.grew) < settleAfter {
+	if !m.settled() {
 		return 1
 	}
 	return m.stretch()
 }
 
+// settled reports whether no message has told of many new hosts of late.
+func (m *Members) settled() bool { return m.clock.Sub(m.grew) >= settleAfter }
+
 // stretched returns a time that is in proportion to the time between beats.
 func (m *Members) stretched(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * m.stretch())
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -103,6 +103,9 @@
 			f.restart()
 		case errors.Is(err, errKicked):
 		case ctx.Err() == nil:
+			if f.isNew() {
+				pause = newPause
+			}
 			f.pause(ctx, time.Duration((0.5+rand.Float64())*float64(pause)))
 			pause = min(2*pause, pauseMost)
 		}
@@ -136,6 +139,9 @@
 		return f.readStoreOr(ctx, nil)
 	}
 	fresh := f.opts.MostAge
+	if f.isNew() {
+		return f.readOne(ctx)
+	}
 	from := s.sources()
 	if f.readPeer(ctx, from.before, fresh+from.late()) {
 		f.regained()
@@ -156,15 +162,29 @@
 	return errNothingFresh
 }
 
+// isNew reports whether this daemon has just started, knows nothing, and nobody waits for it.
+func (f *Follower) isNew() bool {
+	return f.knowsNothing() && time.Since(f.began) < f.opts.Patience && !f.demanded()
+}
+
+// newPause is between two questions of a daemon that has just started.
+const newPause = 400 * time.Millisecond
+
+// readOne asks one daemon. All may have started together: each that is asked is a
+// connection more, and nobody knows anything yet.
+func (f *Follower) readOne(ctx context.Context) error {
+	one := f.opts.Spread.some()
+	if f.readPeer(ctx, one[:min(1, len(one))], anyAge) {
+		return nil
+	}
+	return errNothingFresh
+}
+
 // reads reports whether this daemon is to read the store now.
 func (f *Follower) reads(reader bool) bool {
 	nothing := f.knowsNothing()
 	waited := time.Since(f.began)
-	switch {
-	case !nothing || f.demanded():
-	case waited < f.opts.Patience:
-		return false
-	case waited < 2*f.opts.Patience:
+	if nothing && waited < 2*f.opts.Patience && !f.demanded() {
 		return reader
 	}
 	return reader || nothing || f.opts.Spread.draws()
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -195,7 +195,7 @@
 	if host != s.keeper {
 		s.log.WithFields(logrus.Fields{"keeper": host, "former": s.keeper, "open": len(s.open)}).Info("book_keeper_changed")
 		s.keeper = host
-		s.restore = remote
+		s.restore = remote && len(s.open)+len(s.limitsNow(now)) > 0
 		s.signal() // the new one is to know at once what is under way
 	}
 	return m, remote
