--- a/internal/core/membership/members.go
+++ b/internal/core/membership/members.go
@@ -129,6 +129,7 @@
 
 		published: make(map[*entry][]Section),
 		clock:     now,
+		grew:      now,
 	}
 	m.self = m.put(cfg.Self, now)
 	m.self.version = 1 << beatShift
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -80,8 +80,6 @@
 	DeadAfter:  8 * time.Second,
 	ProbeEvery: time.Second,
 	NearBy:     domainSection,
-	// All that a daemon which has just started is to know of a thousand others.
-	MaxDeltaBytes: 256 << 10,
 }
 
 func newProcess(cfg *Config, provider Provider, log *logrus.Entry) (*process, error) {
