One change of the list has twenty lines at the most

Change: twenty lines a change and one that counts the rest.

Test: TestListChangesAreLogged has a case of 199 changes.

--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -38,6 +39,13 @@
 	if got := lines(&fleet.Snapshot{}, list("1", "2", "3")); strings.Count(got, "\n") != 1 || !strings.Contains(got, "upstreams=3") {
 		t.Errorf("the first list:\n%s", got)
 	}
+	var many []string
+	for i := range 10 * mostListLines {
+		many = append(many, strconv.Itoa(i))
+	}
+	if got := lines(list("1"), list(many...)); strings.Count(got, "\n") != mostListLines+1 || !strings.Contains(got, "more=179") {
+		t.Errorf("many changes at once:\n%s", got)
+	}
 	if got := lines(list("1", "2"), list("2", "3")); strings.Count(got, "\n") != 2 || !strings.Contains(got, "upstream_listed") || !strings.Contains(got, "upstream_gone") {
 		t.Errorf("a later list:\n%s", got)
 	}
--- a/internal/edge/listchange.go
+++ b/internal/edge/listchange.go
@@ -46,6 +46,10 @@
 	}
 }
 
+// mostListLines bounds the lines about one change of the list: all servers of a site may start
+// together.
+const mostListLines = 20
+
 // logListChange writes a line for each upstream that came, began to leave or went,
 // and reports whether there was any.
 //
@@ -58,9 +62,11 @@
 		}).Info("upstreams_listed")
 		return true
 	}
-	changed := false
+	lines := 0
 	note := func(u fleet.Upstream, what string) {
-		changed = true
+		if lines++; lines > mostListLines {
+			return
+		}
 		p.log.WithFields(logrus.Fields{
 			"upstream": u.ID, "service": u.Service, "address": u.Address, "domain": u.Domain, "read_age_ms": time.Since(after.At).Milliseconds(),
 		}).Info(what)
@@ -81,7 +87,10 @@
 			note(u, "upstream_gone")
 		}
 	}
-	return changed
+	if more := lines - mostListLines; more > 0 {
+		p.log.WithFields(logrus.Fields{"more": more, "upstreams": len(after.Upstreams)}).Info("upstreams_changed")
+	}
+	return lines > 0
 }
 
 // evacuationsDiffer reports whether an upstream has come to be evacuated, or is so no more.
