An upstream that is cold again has its next turn after an interval

Cause, by reading: turns taken at an upstream while it was warm, or whose limit had been taken back, still moved its next turn; when it became cold again, that could be minutes ahead, and it got nothing for its cold time.

Change: where no limit stands, the first turn of a cold time is an interval after its first word.

--- a/internal/core/pace/cold_test.go
+++ b/internal/core/pace/cold_test.go
@@ -87,3 +87,18 @@
 		t.Error("it is kept for good")
 	}
 }
+
+// TestWhatAWarmUpstreamGotDoesNotCount: its turns were given as for one without a limit, some of
+// them ahead.
+func TestWhatAWarmUpstreamGotDoesNotCount(t *testing.T) {
+	p := New()
+	p.SetShare(Whole)
+	p.Cool(cold("a", 2, 0, 100), at(0))
+	for ms := 200; ms < 5000; ms += 10 {
+		p.Take("a", at(ms))
+	}
+	p.Cool(cold("a", 2, 5000, 2000), at(5000))
+	if turn, _ := p.Next("a", at(5000)); turn.After(at(5500)) {
+		t.Errorf("cold again, and the next turn is after %s", turn.Sub(at(5000)))
+	}
+}
--- a/internal/core/pace/pacer.go
+++ b/internal/core/pace/pacer.go
@@ -87,7 +87,8 @@
 	}
 	began := c.Until.After(now) && !u.cold.Until.After(now)
 	u.cold = c
-	if soonest := now.Add(p.interval(u, now)); began && u.next.Before(soonest) {
+	soonest := now.Add(p.interval(u, now))
+	if began && (!u.limit.Limited || u.next.Before(soonest)) {
 		u.next = soonest
 	}
 }
