--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -132,13 +133,12 @@
 		}
 		s.cold[c.Upstream] = c.Until
 	}
-	s.book.Pacer().Keep(func(id string) bool {
-		_, listed := list.Get(id)
-		if !listed {
-			delete(s.cold, id)
-		}
-		return listed
-	}, now)
+	listed := func(id string) bool {
+		_, ok := list.Get(id)
+		return ok
+	}
+	maps.DeleteFunc(s.cold, func(id string, _ time.Time) bool { return !listed(id) })
+	s.book.Pacer().Keep(listed, now)
 }
 
 func (s *Service) self() sender {
