Suspects: a line tells with what evidence one is let run, and names its work

The logs tell neither what a daemon knew when it let such a request run, nor which requests of different daemons are the same work, so 'known and let run' cannot be told from 'not known' (docs/incidents/inc1-budget.md, hypotheses 1 and 2).

Change: suspect_started (work, standing, deaths, upstream) and the works of engine_died. No decision changes.

--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -126,6 +126,9 @@
 	return Refused
 }
 
+// Deaths returns the number of records in which a fingerprint is not cleared.
+func (t *Tracker) Deaths(fingerprint uint64) int { return len(t.of[fingerprint]) }
+
 // RefusedFor returns how long a fingerprint stays refused, zero when it is not.
 func (t *Tracker) RefusedFor(fingerprint uint64, now time.Time) time.Duration {
 	if t.Standing(fingerprint, now) != Refused {
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"strconv"
 	"sync"
 	"time"
 
@@ -97,9 +98,30 @@
 	if !t.core.MayPlace(engine, fingerprint, now) {
 		return 0, false
 	}
+	if standing := t.core.Standing(fingerprint, now); standing != quarantine.Clear {
+		t.log.WithFields(logrus.Fields{
+			"work": workName(fingerprint), "standing": standing.String(),
+			"deaths": t.core.Deaths(fingerprint), "upstream": engine,
+		}).Info("suspect_started")
+	}
 	return t.core.Started(engine, fingerprint), true
 }
 
+// workName is a fingerprint as logs have it.
+func workName(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
+// mostWorks bounds the works that one line names.
+const mostWorks = 16
+
+// workNames names works for a line.
+func workNames(fingerprints []uint64) []string {
+	names := make([]string, 0, mostWorks)
+	for _, f := range fingerprints[:min(mostWorks, len(fingerprints))] {
+		names = append(names, workName(f))
+	}
+	return names
+}
+
 // End notes that a run is over.
 func (t *Tracker) End(run quarantine.Run, completed bool) {
 	t.mu.Lock()
@@ -122,7 +144,7 @@
 		return
 	}
 	metrics.GetOrCreateCounter("buckthorndock_engine_deaths_total").Inc()
-	t.log.WithFields(logrus.Fields{"upstream": engine, "incarnation": incarnation, "suspects": len(ran)}).Warn("engine_died")
+	t.log.WithFields(logrus.Fields{"upstream": engine, "incarnation": incarnation, "suspects": len(ran), "works": workNames(ran)}).Warn("engine_died")
 }
 
 // Digest returns the evidence to be spread and its version.
