Test: a request that ends servers is tried by all daemons at one moment (known red)

The check is one of the soak's, for all its plays; nothing that was there is changed but the words of the servers (a query that ends them), a site without links before its servers, and daemons with no seeds but themselves.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -52,7 +52,8 @@
 	limits    []limit
 	said      map[string]time.Time // since when a server's answers say that it leaves
 	turned    []turned
-	domains   map[string]string // failure domain of each server
+	domains   map[string]string      // failure domain of each server
+	crashes   map[string][]time.Time // when servers ended under a request, by its id
 	evacuated []evacuation
 	colds     []coldTime
 	version   int
@@ -66,7 +67,7 @@
 func (f finding) String() string { return f.check + ": " + f.text }
 
 func newHistory() *history {
-	return &history{runs: map[string][]run{}, left: map[string]time.Time{}, said: map[string]time.Time{}, domains: map[string]string{}, written: map[int]time.Time{}}
+	return &history{runs: map[string][]run{}, left: map[string]time.Time{}, said: map[string]time.Time{}, domains: map[string]string{}, crashes: map[string][]time.Time{}, written: map[int]time.Time{}}
 }
 
 func (h *history) add(o outcome) {
@@ -223,6 +224,7 @@
 	h.checkTurned(add)
 	h.checkEvacuated(add)
 	h.checkCold(add)
+	h.checkCrashes(add)
 	return found
 }
 
--- a/test/soak/main_test.go
+++ b/test/soak/main_test.go
@@ -68,7 +68,7 @@
 
 // report is what a stand-in tells the test: one line of JSON on its output.
 type report struct {
-	What    string  `json:"what"` // listening, ran, ended, beat, limits, leaves, turned or cold
+	What    string  `json:"what"` // listening, ran, ended, beat, limits, leaves, turned, crashed or cold
 	Address string  `json:"address,omitempty"`
 	ID      string  `json:"id,omitempty"`
 	Server  string  `json:"server,omitempty"`
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -100,6 +100,9 @@
 	gone      []string          // servers whose records were removed
 	linkAt    map[string]string
 	allEnded  sync.WaitGroup
+	reviving  sync.WaitGroup
+	direct    bool // as in play
+	apart     bool // as in play
 	stopBeats chan struct{}
 }
 
@@ -111,6 +114,8 @@
 	r := &rig{
 		t: t, history: newHistory(), dir: t.TempDir(), linkAt: map[string]string{}, wishes: map[string]string{}, version: 1, stopBeats: make(chan struct{}),
 		stopSignal: syscall.SIGTERM,
+		direct:     p.direct,
+		apart:      p.apart,
 		ip:         fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%most, 1+numRigs.Add(1)%most),
 	}
 	if mutantHow == crasher {
@@ -120,10 +125,12 @@
 	r.store, r.links = r.spawn("store", "", ""), r.spawn("links", "", "")
 	storeAt := (<-r.store.heard).Address
 	for i := range p.servers {
-		for _, service := range []string{"shop", "llm"} {
-			r.servers = append(r.servers, &server{
-				service: service, name: fmt.Sprintf("%s%d", service, i), domain: domainName(i % max(p.domains, 1)),
-			})
+		for k, service := range []string{"shop", "llm"} {
+			n := i % max(p.domains, 1)
+			if p.domains == everyServer {
+				n = 2*i + k
+			}
+			r.servers = append(r.servers, &server{service: service, name: fmt.Sprintf("%s%d", service, i), domain: domainName(n)})
 		}
 	}
 	for _, s := range r.servers {
@@ -146,14 +153,14 @@
 region: r1
 listen: {callers: "%s", ready: "%s", peers: "%s:8003", metrics: "%s"}
 peer_key: "%s"
-seeds: ["%s10:8003", "%s11:8003"]
+seeds: [%s]
 store: "%s"
 log_level: info
 memory_mb: %d
 cpu_share: 1
 grace_s: %g
 retry: {ratio: %g, window_s: %g, slack: %d}
-`, d.name, domainName(i%2), d.front, d.ready, ip, d.metrics, strings.Repeat("soak", 10), r.ip, r.ip, r.link("store-"+d.name, storeAt),
+`, d.name, domainName(i%2), d.front, d.ready, ip, d.metrics, strings.Repeat("soak", 10), r.seeds(ip), r.link("store-"+d.name, storeAt),
 		memoryMB, grace.Seconds(), retryRatio, retryWindow.Seconds(), retrySlack)
 	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		r.t.Fatal(err)
@@ -169,6 +176,14 @@
 	r.startDaemon(d)
 }
 
+// seeds returns the peer addresses from which a daemon learns of the others.
+func (r *rig) seeds(ip string) string {
+	if r.apart {
+		return fmt.Sprintf("%q", ip+":8003")
+	}
+	return fmt.Sprintf("%q, %q", r.ip+"10:8003", r.ip+"11:8003")
+}
+
 // tellMutant lists all servers, by their own addresses.
 func (r *rig) tellMutant() {
 	var list []string
@@ -230,6 +245,8 @@
 			r.history.addLimit(rep)
 		case "leaves":
 			r.history.says(rep)
+		case "crashed":
+			r.history.addCrash(rep)
 		case "cold":
 			r.history.addCold(rep)
 		case "turned":
@@ -291,18 +308,38 @@
 	r.mu.Unlock()
 	p := r.spawn("server", name, "")
 	direct := (<-p.heard).Address
-	address := r.link(s.name, direct)
+	address := direct
+	if !r.direct {
+		address = r.link(s.name, direct)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s.proc, s.direct, s.address = p, direct, address
 	s.leaving, s.entered, s.seq, s.beat, s.cold = false, false, 0, time.Now(), time.Time{}
 	r.history.lives(name, s.domain)
 	s.born = s.beat.UnixMilli()
+	if r.direct {
+		r.reviving.Go(func() { r.revive(s, p) })
+	}
 	if r.mutant != nil {
 		r.tellMutant()
 	}
 }
 
+// revive starts a server again when the life that a process is has ended.
+func (r *rig) revive(s *server, life *proc) {
+	select {
+	case <-life.ended:
+	case <-r.stopBeats:
+		return
+	}
+	select {
+	case <-time.After(reviveAfter):
+		r.startServer(s)
+	case <-r.stopBeats:
+	}
+}
+
 // plainServers returns the ids of the plain servers that live, stay and are registered.
 func (r *rig) plainServers() []string {
 	r.mu.Lock()
@@ -329,6 +366,7 @@
 // end ends all processes of the rig, each by its own id.
 func (r *rig) end() {
 	close(r.stopBeats)
+	r.reviving.Wait()
 	for _, d := range r.daemons {
 		d.proc.signal(syscall.SIGKILL)
 	}
--- a/test/soak/roles_test.go
+++ b/test/soak/roles_test.go
@@ -79,6 +79,7 @@
 	endlessCount = 100
 	streamPause  = 10 * time.Millisecond
 	endlessPause = 100 * time.Millisecond
+	deadlyRuns   = 60 * time.Millisecond
 	heartbeat    = 300 * time.Millisecond
 )
 
@@ -103,6 +104,11 @@
 			return s.TurnAway(w, r, seconds)
 		}
 		tell(report{What: "ran", ID: id, Server: name, At: time.Now().UnixNano()})
+		if r.URL.Query().Has("deadly") {
+			time.Sleep(deadlyRuns)
+			tell(report{What: "crashed", ID: id, Server: name, At: time.Now().UnixNano()})
+			os.Exit(1)
+		}
 		whole := serve(s, w, r, id)
 		tell(report{What: "ended", ID: id, Server: name, Whole: whole, At: time.Now().UnixNano()})
 		return whole
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -21,11 +21,16 @@
 	plan             []trouble
 	length           time.Duration
 	daemons, servers int
-	domains          int // failure domains of the servers; zero: one
+	domains          int  // failure domains of the servers; zero: one; everyServer: each is alone in its own
+	apart            bool // the daemons do not know each other
+	direct           bool // servers are reached without a link, so that an ended one refuses connections; they start again by themselves
 	mutant           string
 	recovery         time.Duration // from the last trouble's end until all serve again
 }
 
+// everyServer is a number of failure domains.
+const everyServer = -1
+
 const (
 	callersPerDaemon = 4
 	recoveryWait     = 45 * time.Second
