Suspects: a request in enough deaths runs one copy at a time among all daemons, by the store's word

Cause: each daemon let its own isolated copy run as soon as the last death had settled, so all did so at one moment. A proof came only when all that died beside the request had come back and completed, or it died alone by the evidence of all: beside callers who leave, never. Evidence went between daemons only: those that are cut off from each other had each to learn by deaths of their own, and those that start again had forgotten. The class: a bound of all daemons together that each keeps alone, on a proof that needs others to act.

Evidence: suspect_started, 16 lines standing=isolate deaths=5 of all eight daemons within 0.18 s.

Ruled out: evidence that has not come round (all had it, 3 s old); one trial by the word of the daemons alone (cut ones cannot hear it); waiting until a proof holds (it may never, and an innocent would wait as long).

Change: evidence and trials are written to a stream of the store, which all daemons follow; a fingerprint in enough deaths (the settings' number) runs under a trial only: written, read back, the first open one of the store's order runs, others are told when to come back. A death under trial proves, when all else that died there is in no other death; the proof is over when it is. Two trials that nothing speaks for, or three sendings, and it is refused for the usual time. A completed trial acquits. While the store is away, one in two deaths runs as before, one in more waits. Both paths: the edge's keyed stream, the product's log. Daemons of the release before hear derived refusals as others.

Why it works: no daemon needs to have heard another one; what decides is the order of one log that all read.

--- a/internal/core/quarantine/digest.go
+++ b/internal/core/quarantine/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -13,6 +14,7 @@
 	Records []RecordDigest
 	Refused []RefusedDigest
 	Holds   []Hold
+	Trials  []Trial
 }
 
 // RecordDigest is one death.
@@ -21,12 +23,16 @@
 	Age     time.Duration
 	Open    []uint64 // fingerprints that may have caused it
 	Cleared []uint64 // that ran to their end afterwards
+	Tried   []uint64 // of both, that ran under trial
 }
 
 // RefusedDigest is one refused fingerprint.
 type RefusedDigest struct {
 	Fingerprint uint64
 	Left        time.Duration
+	// Derived refusals follow from trials and records, which hosts of this release have or will
+	// have; those of former releases keep them like the others.
+	Derived bool
 }
 
 // Hold says that a suspect runs on an engine.
@@ -51,15 +57,17 @@
 				rd.Open = append(rd.Open, fingerprint)
 			}
 		}
-		slices.Sort(rd.Open)
-		slices.Sort(rd.Cleared)
+		rd.Tried = slices.Collect(maps.Keys(r.tried))
+		rd.sort()
 		d.Records = append(d.Records, rd)
 	}
+	d.Trials = t.digestTrials(now)
 	for fingerprint, until := range t.refused {
 		if now.Before(until) {
-			d.Refused = append(d.Refused, RefusedDigest{fingerprint, until.Sub(now)})
+			d.Refused = append(d.Refused, RefusedDigest{Fingerprint: fingerprint, Left: until.Sub(now)})
 		}
 	}
+	d.Refused = append(d.Refused, t.derivedRefusals(now)...)
 	for _, r := range t.runs {
 		if s := t.Standing(r.fingerprint, now); s != Clear {
 			d.Holds = append(d.Holds, Hold{r.engine, r.fingerprint, s})
@@ -69,6 +77,71 @@
 	return d
 }
 
+// derivedRefusals returns the fingerprints that are refused because of their trials.
+func (t *Tracker) derivedRefusals(now time.Time) []RefusedDigest {
+	var all []RefusedDigest
+	seen := make(map[uint64]bool)
+	for _, r := range t.trials {
+		_, told := t.refused[r.Fingerprint]
+		if told || seen[r.Fingerprint] {
+			continue
+		}
+		seen[r.Fingerprint] = true
+		if left := t.RefusedFor(r.Fingerprint, now); left > 0 {
+			all = append(all, RefusedDigest{Fingerprint: r.Fingerprint, Left: left, Derived: true})
+		}
+	}
+	return all
+}
+
+// Own returns the evidence of deaths that this host has seen itself, in a form that changes only
+// with what it says: ages are left out where aged is false.
+func (t *Tracker) Own(now time.Time, aged bool) []RecordDigest {
+	d := Digest{}
+	for id, r := range t.records {
+		rd := RecordDigest{ID: id}
+		if aged {
+			rd.Age = now.Sub(r.at)
+		}
+		for fingerprint := range r.own {
+			if r.cleared[fingerprint] {
+				rd.Cleared = append(rd.Cleared, fingerprint)
+			} else {
+				rd.Open = append(rd.Open, fingerprint)
+			}
+			if r.tried[fingerprint] {
+				rd.Tried = append(rd.Tried, fingerprint)
+			}
+		}
+		if len(r.own) > 0 {
+			rd.sort()
+			d.Records = append(d.Records, rd)
+		}
+	}
+	d.sort()
+	return d.Records
+}
+
+// Adopt takes in what a former life of this host had seen itself.
+func (t *Tracker) Adopt(records []RecordDigest, now time.Time) {
+	t.Merge(Digest{Records: records}, now)
+	for _, rd := range records {
+		r := t.records[rd.ID]
+		if r == nil {
+			continue
+		}
+		for _, fingerprint := range slices.Concat(rd.Open, rd.Cleared) {
+			r.own[fingerprint] = true
+		}
+	}
+}
+
+func (rd *RecordDigest) sort() {
+	slices.Sort(rd.Open)
+	slices.Sort(rd.Cleared)
+	slices.Sort(rd.Tried)
+}
+
 func (d *Digest) sort() {
 	slices.SortFunc(d.Records, func(a, b RecordDigest) int {
 		return cmp.Or(cmp.Compare(a.ID.Engine, b.ID.Engine), cmp.Compare(a.ID.Incarnation, b.ID.Incarnation))
@@ -86,10 +159,13 @@
 		t.mergeRecord(rd, now)
 	}
 	for _, r := range d.Refused {
-		if !t.isRefused(r.Fingerprint, now) && r.Left > 0 {
+		if !r.Derived && !t.isRefused(r.Fingerprint, now) && r.Left > 0 {
 			t.refuse(r.Fingerprint, now.Add(min(r.Left, t.opts.For)))
 		}
 	}
+	for _, heard := range d.Trials {
+		t.hearTrial(heard, now)
+	}
 	if d.Host == "" || d.Host == t.opts.Host {
 		return
 	}
@@ -108,6 +184,9 @@
 	for _, fingerprint := range rd.Cleared {
 		t.clearIn(r, fingerprint)
 	}
+	for _, fingerprint := range rd.Tried {
+		t.tryIn(r, fingerprint, true)
+	}
 }
 
 // Forget drops what a peer said to run, as when it has left or is silent.
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -22,11 +22,11 @@
 }
 
 // addRecord adds fingerprints to the record of a death.
-func (t *Tracker) addRecord(id RecordID, at time.Time, ran []uint64) {
+func (t *Tracker) addRecord(id RecordID, at time.Time, ran []uint64) *record {
 	r := t.records[id]
 	if r == nil {
 		t.makeRoom()
-		r = &record{at: at, cleared: make(map[uint64]bool)}
+		r = &record{at: at, cleared: make(map[uint64]bool), tried: make(map[uint64]bool), own: make(map[uint64]bool)}
 		t.records[id] = r
 	}
 	for _, fingerprint := range ran {
@@ -38,6 +38,15 @@
 		t.of[fingerprint] = append(t.of[fingerprint], r)
 		t.version++
 	}
+	return r
+}
+
+// tryIn notes whether a fingerprint of a record ran under trial.
+func (t *Tracker) tryIn(r *record, fingerprint uint64, trial bool) {
+	if trial && !r.tried[fingerprint] {
+		r.tried[fingerprint] = true
+		t.version++
+	}
 }
 
 // clear takes a fingerprint out of all records.
@@ -115,6 +124,12 @@
 			t.absolve(fingerprint)
 		}
 	}
+	t.expireTrials(now)
+	for engine, runs := range t.broken {
+		if now.Sub(runs[len(runs)-1].at) >= brokenFor {
+			delete(t.broken, engine)
+		}
+	}
 }
 
 // absolve ends a refusal. The evidence that led to it has been used up: it would
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -50,8 +52,18 @@
 type run struct {
 	engine      string
 	fingerprint uint64
+	trial       bool
 }
 
+// brokenRun is a run that broke when its engine may have died.
+type brokenRun struct {
+	run
+	at time.Time
+}
+
+// brokenFor is how long a broken run waits for word of its engine.
+const brokenFor = 30 * time.Second
+
 // RecordID names the death of one start of an engine.
 type RecordID struct {
 	Engine      string
@@ -62,7 +74,9 @@
 type record struct {
 	at      time.Time
 	cleared map[uint64]bool
-	open    int // not cleared
+	open    int             // not cleared
+	tried   map[uint64]bool // ran under trial
+	own     map[uint64]bool // ran for this host
 }
 
 // Tracker holds the evidence of one host. It is not safe for concurrent use.
@@ -75,8 +89,12 @@
 	of      map[uint64][]*record // records in which a fingerprint is not cleared
 	refused map[uint64]time.Time // until when
 	holds   map[string][]Hold    // of other hosts
+	broken  map[string][]brokenRun
+	trials  map[string]*trial // by ID
 	version uint64
 	expired time.Time // when expire ran last
+
+	lastTrial uint64 // place of the newest that was read
 }
 
 // New returns a Tracker without evidence.
@@ -88,6 +106,8 @@
 		of:      make(map[uint64][]*record),
 		refused: make(map[uint64]time.Time),
 		holds:   make(map[string][]Hold),
+		broken:  make(map[string][]brokenRun),
+		trials:  make(map[string]*trial),
 	}
 	t.SetOptions(o)
 	return t
@@ -108,6 +128,9 @@
 		return Refused
 	}
 	t.expire(now)
+	if _, spent := t.spentUntil(fingerprint, now); spent {
+		return Refused
+	}
 	rs := t.of[fingerprint]
 	if len(rs) == 0 {
 		return Clear
@@ -115,6 +138,9 @@
 	if len(rs) < t.opts.Crashes {
 		return Suspect
 	}
+	if _, condemned := t.condemnedUntil(fingerprint, now); condemned {
+		return Refused
+	}
 	proved, settled := t.weigh(rs, now)
 	switch {
 	case !settled:
@@ -134,12 +160,27 @@
 	if t.Standing(fingerprint, now) != Refused {
 		return 0
 	}
-	return t.refused[fingerprint].Sub(now)
+	until := t.refused[fingerprint]
+	for _, told := range []func(uint64, time.Time) (time.Time, bool){t.spentUntil, t.condemnedUntil} {
+		if end, _ := told(fingerprint, now); end.After(until) {
+			until = end
+		}
+	}
+	return until.Sub(now)
+}
+
+// HeldFor returns how long a fingerprint waits for its last death to settle.
+func (t *Tracker) HeldFor(fingerprint uint64, now time.Time) time.Duration {
+	var left time.Duration
+	for _, r := range t.of[fingerprint] {
+		left = max(left, t.opts.SettleAfter-now.Sub(r.at))
+	}
+	return left
 }
 
 // MayPlace reports whether a fingerprint may start on an engine now.
 func (t *Tracker) MayPlace(engine string, fingerprint uint64, now time.Time) bool {
-	if len(t.of) == 0 && len(t.refused) == 0 && len(t.holds) == 0 {
+	if len(t.of) == 0 && len(t.refused) == 0 && len(t.holds) == 0 && len(t.trials) == 0 {
 		return true
 	}
 	standing := t.Standing(fingerprint, now)
@@ -175,8 +216,18 @@
 // Started notes that a fingerprint begins on an engine. End must be called with
 // the Run at its end.
 func (t *Tracker) Started(engine string, fingerprint uint64) Run {
+	return t.started(run{engine: engine, fingerprint: fingerprint})
+}
+
+// StartedOnTrial is Started for a run under trial.
+func (t *Tracker) StartedOnTrial(engine string, fingerprint uint64) Run {
+	return t.started(run{engine: engine, fingerprint: fingerprint, trial: true})
+}
+
+func (t *Tracker) started(r run) Run {
+	engine, fingerprint := r.engine, r.fingerprint
 	t.lastRun++
-	t.runs[t.lastRun] = run{engine, fingerprint}
+	t.runs[t.lastRun] = r
 	if t.engines[engine] == nil {
 		t.engines[engine] = make(map[Run]uint64)
 	}
@@ -204,6 +255,21 @@
 	}
 }
 
+// Broke notes that a run broke in a way in which a death of its engine shows, while nothing tells
+// whether it died. If it did, Died within brokenFor counts the run; Lives drops it.
+func (t *Tracker) Broke(r Run, now time.Time) {
+	if broke, ok := t.runs[r]; ok {
+		t.broken[broke.engine] = append(t.broken[broke.engine], brokenRun{broke, now})
+	}
+	t.End(r, false)
+}
+
+// Lives notes that an engine has not died.
+func (t *Tracker) Lives(engine string) { delete(t.broken, engine) }
+
+// MayHaveDied reports whether a run has broken on an engine of which nothing was heard since.
+func (t *Tracker) MayHaveDied(engine string) bool { return len(t.broken[engine]) > 0 }
+
 func (t *Tracker) forget(r Run, engine string) {
 	delete(t.runs, r)
 	delete(t.engines[engine], r)
@@ -216,18 +282,27 @@
 // returns their fingerprints, each once. The incarnation, of the start that died,
 // joins the reports of one death; one that was only out of reach is not a death.
 func (t *Tracker) Died(engine, incarnation string, now time.Time) []uint64 {
-	var ran []uint64
-	seen := make(map[uint64]bool)
-	for r, fingerprint := range t.engines[engine] {
+	tried := make(map[uint64]bool) // all that ran: whether under trial
+	for r := range t.engines[engine] {
+		dead := t.runs[r]
+		tried[dead.fingerprint] = tried[dead.fingerprint] || dead.trial
 		delete(t.runs, r)
-		if !seen[fingerprint] {
-			seen[fingerprint] = true
-			ran = append(ran, fingerprint)
+	}
+	for _, broke := range t.broken[engine] {
+		if now.Sub(broke.at) < brokenFor {
+			tried[broke.fingerprint] = tried[broke.fingerprint] || broke.trial
 		}
 	}
 	delete(t.engines, engine)
-	if len(ran) > 0 {
-		t.addRecord(RecordID{engine, incarnation}, now, ran)
+	delete(t.broken, engine)
+	ran := slices.Collect(maps.Keys(tried))
+	if len(ran) == 0 {
+		return nil
+	}
+	r := t.addRecord(RecordID{engine, incarnation}, now, ran)
+	for fingerprint, trial := range tried {
+		r.own[fingerprint] = true
+		t.tryIn(r, fingerprint, trial)
 	}
 	return ran
 }
--- a/internal/core/request/outcome.go
+++ b/internal/core/request/outcome.go
@@ -39,6 +39,7 @@
 	CodeNoUpstream     Code = "no_upstream"     // none alive for the target
 	CodeUpstreamFailed Code = "upstream_failed" // attempts used up
 	CodeQuarantined    Code = "quarantined"     // the same request crashed upstreams
+	CodeSuspect        Code = "suspect"         // may have crashed upstreams, and has to wait for its turn
 	CodeKeyConflict    Code = "key_conflict"    // same key, another body
 	CodeKeyExpired     Code = "key_expired"     // the key's protection has ended
 	CodeKeyUnavailable Code = "key_unavailable" // the claim log is away
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,8 +11,12 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/config"
+	"github.com/buckthorndock/buckthorndock/internal/suspects"
 )
 
+// evidenceStream has the evidence on requests that crash engines.
+const evidenceStream = "evidence"
+
 // Times of a graceful end.
 const (
 	// lameDuck is how long a leaving daemon still takes requests, while the
@@ -83,6 +87,9 @@
 	run("limits", p.shareLimits)
 	run("work", p.shareWork)
 	run("suspects", func(ctx context.Context) error { return p.suspects.Share(ctx, p.node) })
+	run("evidence", func(ctx context.Context) error {
+		return p.suspects.Keep(ctx, suspects.InLog(p.logService, evidenceStream), func() int { return len(p.node.Members()) })
+	})
 	run("front", p.front.Run)
 	run("successor", p.yieldToSuccessor)
 	return &wg
--- a/internal/edge/listchange.go
+++ b/internal/edge/listchange.go
@@ -130,6 +130,8 @@
 		if next, over := after.Successor(u); over {
 			p.pool.Drop(u.Address)
 			p.relay.Ended(u, next)
+		} else {
+			p.relay.Lapsed(u)
 		}
 	}
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -84,6 +84,17 @@
 	return p.domains[host]
 }
 
+// addresses returns where the other live daemons of a failure domain listen.
+func (p *peers) addresses(domain string) []string {
+	var all []string
+	for _, m := range p.node.Members() {
+		if m.Host != p.node.Self().Host && m.State == membership.Live && p.Domain(m.Host) == domain {
+			all = append(all, m.Address)
+		}
+	}
+	return all
+}
+
 // Near reports whether a daemon is in this one's failure domain.
 func (p *peers) Near(host string) bool { return p.Domain(host) == p.domain }
 
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -32,6 +32,7 @@
 
 	store    platform.Keyed
 	node     *peer.Node
+	peers    *peers
 	spread   *keyed.Spread
 	schedule *schedule.Service
 	plain    *plainServers
@@ -147,6 +148,7 @@
 	if err != nil {
 		return err
 	}
+	p.peers = ranked
 	p.schedule = schedule.New(schedule.Options{
 		Host:        p.cfg.Host,
 		Incarnation: p.cfg.Incarnation,
@@ -173,6 +175,7 @@
 		Plain:      p.plain,
 		Suspects:   p.suspects,
 		Reach:      p.pool.Reach,
+		Daemons:    p.peers.addresses,
 		Upstreams:  p.list.Load,
 		Identified: p.identified,
 		Reached:    p.doubtWarmth,
@@ -269,6 +272,9 @@
 	run("peers", p.node.Run)
 	run("schedule", p.schedule.Run)
 	run("suspects", func(ctx context.Context) error { return p.suspects.Share(ctx, p.node) })
+	run("evidence", func(ctx context.Context) error {
+		return p.suspects.Keep(ctx, suspects.InKeyed(p.store, p.provider.EvidenceStream()), p.sharingHosts)
+	})
 	run("sweep", p.sweep)
 	run("ways", p.relay.WatchWays)
 	run("opening", p.openWhenJoined)
--- a/internal/edge/provider.go
+++ b/internal/edge/provider.go
@@ -19,6 +19,8 @@
 	SettingsStream() string
 	SettingsKey() string
 	UpstreamsStream() string
+	// EvidenceStream is the product's own, for requests that crash upstreams.
+	EvidenceStream() string
 	DecodeTable(value []byte) (route.Spec, error)
 	// RankOfSettings and RankOfUpstream read the rank of a value of their stream; see keyed.RankOf.
 	RankOfSettings(key string, value []byte) (rank keyed.Rank, ok bool)
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -8,9 +8,11 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
 	"github.com/buckthorndock/buckthorndock/internal/core/placement"
+	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/stream"
+	"github.com/buckthorndock/buckthorndock/internal/suspects"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
@@ -29,6 +31,7 @@
 	blamed       []string        // for the end of the last attempt
 	first        time.Time       // of the first token, zero before
 	text         strings.Builder // handed out so far
+	trial        *suspects.Trial // under which the next attempt runs; nil: none is needed
 }
 
 // generate runs a job until its one end. It returns nil when the whole answer
@@ -41,6 +44,7 @@
 		attempt: 1,
 	}
 	g.text.WriteString(j.passed.String())
+	defer func() { g.trial.End(quarantine.TrialNotSent) }()
 	for {
 		target, refusal := g.place(ctx)
 		if refusal != nil {
@@ -63,11 +67,17 @@
 	defer g.s.noteGang(t, false)
 	g.s.opts.Router.Placed(t.placement)
 	t.incarnation = g.s.opts.Router.Incarnation(t.name())
-	defer func() { g.s.opts.Suspects.End(t.run, end.Complete) }()
+	var last streamEnd
+	defer func() {
+		g.s.opts.Suspects.End(t.run, end.Complete)
+		g.trial.End(trialOutcome(last))
+	}()
+	g.trial.Sent()
 	g.s.opts.Holder.Track(t.engine(g.job), g.running())
 	defer func() { g.s.opts.Router.Finished(id, end) }()
 	for {
 		res := g.stream(ctx, t)
+		last = res
 		if res.complete {
 			end = placement.End{Complete: true, AnswerTokens: g.asm.NextIndex()}
 			g.s.opts.Holder.Done(t.name(), g.running())
@@ -90,6 +100,18 @@
 	}
 }
 
+// trialOutcome returns what the end of an attempt says of its trial. An engine's word that it
+// refused is no proof.
+func trialOutcome(res streamEnd) quarantine.TrialOutcome {
+	switch {
+	case res.complete:
+		return quarantine.TrialCompleted
+	case res.end == retry.NotWritten && !res.callerGone:
+		return quarantine.TrialNotSent
+	}
+	return quarantine.TrialRan
+}
+
 // finish tells the caller that the answer is whole. A caller that has gone in
 // the meantime changes nothing about the outcome.
 func (g *generation) finish() *request.Refusal {
--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -18,7 +18,7 @@
 	}
 	for {
 		changed := g.s.opts.Router.Changed()
-		t, verdict := g.decide()
+		t, verdict := g.decide(ctx)
 		if verdict == nil {
 			ok, refusal := g.begin(ctx, t)
 			if refusal != nil {
@@ -72,7 +72,7 @@
 }
 
 func (g *generation) tryStart(t *target) (ok bool) {
-	t.run, ok = g.s.opts.Suspects.TryStart(t.name(), g.job.req.Fingerprint, time.Now())
+	t.run, ok = g.s.opts.Suspects.TryStart(t.name(), g.job.req.Fingerprint, g.trial, time.Now())
 	return ok
 }
 
@@ -109,9 +109,9 @@
 }
 
 // decide asks the router once.
-func (g *generation) decide() (*target, *noPlace) {
-	if refusal := g.s.opts.Suspects.Refusal(g.job.req.Fingerprint, time.Now()); refusal != nil {
-		return nil, &noPlace{refusal: refusal}
+func (g *generation) decide(ctx context.Context) (*target, *noPlace) {
+	if verdict := g.underTrial(ctx); verdict != nil {
+		return nil, verdict
 	}
 	blocked := g.s.blocked(g.job)
 	ask := router.Ask(g.job.req, g.job.pool.Name, g.job.routing)
@@ -142,13 +142,27 @@
 	if len(g.exclude) > 0 {
 		// All that is left has failed before; one of them may be back.
 		g.exclude = nil
-		return g.decide()
+		return g.decide(ctx)
 	}
 	g.s.noteDecision(g.job, g.attempt, d, nil)
 	return nil, &noPlace{refusal: request.Refuse(request.CodeNoUpstream, g.s.comeBack(g.job, d.Backlog.Drain()),
 		"no upstream of pool %s can take it now", g.job.pool.Name)}
 }
 
+// underTrial makes sure that the request may be placed, under a trial if it needs one. Its turn
+// for that is waited for.
+func (g *generation) underTrial(ctx context.Context) *noPlace {
+	if g.trial != nil && !g.trial.WasSent() {
+		return nil // that of an attempt which came to nothing
+	}
+	var refusal *request.Refusal
+	g.trial, refusal = g.s.opts.Suspects.Admit(ctx, g.job.req.Fingerprint, time.Until(g.job.req.Deadline))
+	if refusal == nil {
+		return nil
+	}
+	return &noPlace{wait: refusal.Code == request.CodeSuspect, refusal: refusal}
+}
+
 // decideGang chooses the members of a gang. The first in the order of names
 // receives the request.
 func (g *generation) decideGang(ask placement.Ask, d placement.Decision) (*target, *noPlace) {
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -191,6 +191,7 @@
 		g.relay.failed(failed.blamed, retry.Declined) // reached or not, it gave no memory
 		return *failed
 	}
+	g.trial.Sent()
 	sending, read, end := leases.watch(ctx, g.relay.leaseTimes)
 	defer end()
 	e := g.exchange(sending, Attempt{
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -125,6 +125,7 @@
 		return apart(u)
 	}
 	g.sent = []string{u.ID}
+	g.trial.Sent()
 	limit := max(time.Duration(plainSilence*float64(g.req.Route.Objective)), leastPlainSilent)
 	e := g.exchange(ctx, Attempt{
 		Request: g.req,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,8 @@
 	// Reach tells whether a connection to an address can be made: an error says that
 	// nobody listens there, or that it cannot be told.
 	Reach func(ctx context.Context, address string) error
+	// Daemons returns the peer addresses of other daemons in a failure domain; nil: none is known.
+	Daemons func(domain string) []string
 	// Upstreams returns the present list.
 	Upstreams func() *fleet.Snapshot
 	// Identified tells whether an upstream that has rivals answered itself, or another
@@ -123,6 +125,7 @@
 
 // succeeded notes that an upstream has served a request.
 func (r *Relay) succeeded(id string) {
+	r.opts.Suspects.Lives(id)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.avoid.Succeeded(id, time.Now())
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -10,9 +10,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
+	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
+	"github.com/buckthorndock/buckthorndock/internal/suspects"
 )
 
 // run is one request on its way through its attempts. One goroutine owns it.
@@ -29,6 +31,8 @@
 	missed  []string // failure domains in which no connection could be made
 	sent    []string // of the last attempt, for the log
 
+	trial *suspects.Trial // under which it is sent next; nil: none is needed
+
 	after   string // id of the last event passed on
 	started bool   // the head has been passed on
 	first   time.Time
@@ -62,6 +66,7 @@
 var errSilent = merry.Sentinel("the upstream is silent")
 
 func (g *run) loop(ctx context.Context) *request.Refusal {
+	defer func() { g.trial.End(quarantine.TrialNotSent) }()
 	for {
 		g.attempt++
 		e := g.try(ctx)
@@ -85,7 +90,7 @@
 }
 
 func (g *run) try(ctx context.Context) ending {
-	if refusal := g.relay.opts.Suspects.Refusal(g.req.Fingerprint, time.Now()); refusal != nil {
+	if refusal := g.underTrial(ctx); refusal != nil {
 		return ending{refusal: refusal}
 	}
 	if g.req.Service.Engine != nil {
--- a/internal/relay/running.go
+++ b/internal/relay/running.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
@@ -76,11 +77,15 @@
 	for _, a := range broken {
 		a.cancel(errLifeOver)
 	}
+	r.Lapsed(u)
 	r.log.WithFields(logrus.Fields{
 		"upstream": u.ID, "address": u.Address, "successor": successor.ID, "broken": len(broken),
 	}).Info("upstream_ended")
 }
 
+// Lapsed tells that an upstream is not listed any more.
+func (r *Relay) Lapsed(u fleet.Upstream) { r.opts.Suspects.Lapsed(u.ID, u.ID, time.Now()) }
+
 // over reports whether the life of a part's engine is known to have ended.
 func (r *Relay) over(p booking.Part) bool {
 	of := fleet.Upstream{ID: p.Upstream, Life: p.Life, Address: p.Address}
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -11,6 +11,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 )
 
@@ -26,18 +27,48 @@
 	return ending{end: retry.NotWritten, blamed: []string{from.ID}, err: errApart}
 }
 
+// underTrial makes sure that the request may be placed, under a trial if it needs one.
+func (g *run) underTrial(ctx context.Context) *request.Refusal {
+	if g.trial != nil && !g.trial.WasSent() {
+		return nil // that of an attempt which came to nothing
+	}
+	var refusal *request.Refusal
+	g.trial, refusal = g.relay.opts.Suspects.Admit(ctx, g.req.Fingerprint, g.left())
+	return refusal
+}
+
 // start notes that the attempt begins on an upstream; false: it must not now.
 func (g *run) start(u fleet.Upstream) (quarantine.Run, bool) {
-	return g.relay.opts.Suspects.TryStart(u.ID, g.req.Fingerprint, time.Now())
+	return g.relay.opts.Suspects.TryStart(u.ID, g.req.Fingerprint, g.trial, time.Now())
 }
 
 // finish notes how the attempt on an upstream ended. One that broke while its process
 // died is evidence against all that ran there.
 func (g *run) finish(ctx context.Context, u fleet.Upstream, r quarantine.Run, e ending) {
-	if e.end == retry.Broken && !e.delivered && !e.gone && (errors.Is(e.err, errLifeOver) || g.died(ctx, u)) {
-		g.relay.opts.Suspects.Died(u.ID, u.ID, time.Now())
+	suspects := g.relay.opts.Suspects
+	defer g.trial.End(trialOutcome(e))
+	if e.end != retry.Broken || e.delivered || e.gone {
+		suspects.End(r, e.delivered)
+		return
+	}
+	if errors.Is(e.err, errLifeOver) || g.died(ctx, u) {
+		suspects.Died(u.ID, u.ID, time.Now())
+	}
+	suspects.End(r, false)
+}
+
+func trialOutcome(e ending) quarantine.TrialOutcome {
+	switch {
+	case e.delivered:
+		return quarantine.TrialCompleted
+	case e.gone:
+		return quarantine.TrialRan
+	case e.end == retry.NotWritten:
+		return quarantine.TrialNotSent
+	case e.end == retry.Declined:
+		return quarantine.TrialDeclined
 	}
-	g.relay.opts.Suspects.End(r, e.delivered)
+	return quarantine.TrialRan
 }
 
 // died reports whether nobody listens at an upstream's address any more, while another
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -13,6 +13,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
+	"github.com/buckthorndock/buckthorndock/internal/suspects"
 )
 
 // Request is a request as its entry binding has read it. It is immutable.
@@ -149,12 +150,18 @@
 // Suspects keeps requests away that crash the upstreams which run them; see package
 // quarantine.
 type Suspects interface {
-	// Refusal returns why a request must not run at all, nil when it may.
-	Refusal(fingerprint uint64, now time.Time) *request.Refusal
+	// Admit says whether a request may be placed now, and under which trial, if any.
+	Admit(ctx context.Context, fingerprint uint64, life time.Duration) (*suspects.Trial, *request.Refusal)
 	// TryStart notes that a request begins on an upstream; false: not there, not now.
-	TryStart(upstream string, fingerprint uint64, now time.Time) (quarantine.Run, bool)
+	TryStart(upstream string, fingerprint uint64, trial *suspects.Trial, now time.Time) (quarantine.Run, bool)
 	// End notes that a run is over.
 	End(run quarantine.Run, completed bool)
+	// Broke notes that a run is over that broke, maybe because its upstream died: Lapsed or Lives
+	// tells.
+	Broke(run quarantine.Run, now time.Time)
+	// Lapsed notes that an upstream's life is over by the list, Lives that it has served.
+	Lapsed(upstream, incarnation string, now time.Time)
+	Lives(upstream string)
 	// Died notes that an upstream's process ended while it ran requests of this daemon.
 	Died(upstream, incarnation string, now time.Time)
 }
--- /dev/null
+++ b/internal/suspects/keep.go
@@ -0,0 +1,281 @@
+package suspects
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
+)
+
+// Keys of the store: a daemon's evidence under its host's name, a trial under its ID.
+const (
+	evidencePrefix = "evidence/"
+	trialPrefix    = "trial/"
+)
+
+const (
+	// readWait is how long a read of the store stays open without news.
+	readWait = 10 * time.Second
+	// readTimeout is what a read may take besides.
+	readTimeout  = 2 * time.Second
+	writeTimeout = time.Second
+	// keepPace is the least time between two reads, or two writes of evidence; with many daemons
+	// it is longer by keepPacePerHost for each, for all read what one has written.
+	keepPace        = 300 * time.Millisecond
+	keepPacePerHost = 2 * time.Millisecond
+	// staleAfter is how long after it was written a record is removed, by any daemon that starts;
+	// mostStale bounds the removals of one.
+	staleAfter = time.Hour
+	mostStale  = 20
+	// storeAgain is the time to the next try while the store does not answer.
+	storeAgain = time.Second
+)
+
+// kept is the value of a key, with the time of day at which it was written: ages count from then
+// where a daemon that starts reads it.
+type kept struct {
+	Written  time.Time
+	Evidence []quarantine.RecordDigest
+	Trial    *quarantine.Trial
+}
+
+// Keep writes this daemon's evidence and trials to the store and reads those of all, until the
+// context ends. hosts returns the number of daemons that do so.
+func (t *Tracker) Keep(ctx context.Context, store Store, hosts func() int) error {
+	t.mu.Lock()
+	t.store = store
+	t.mu.Unlock()
+	pace := func() time.Duration { return keepPace + time.Duration(hosts())*keepPacePerHost }
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		t.keepWriting(ctx, store, pace)
+	}()
+	t.keepReading(ctx, store, pace)
+	<-done
+	return nil
+}
+
+func (t *Tracker) kickReader() { wake(t.readNow) }
+
+func (t *Tracker) wakeWriter() { wake(t.toWrite) }
+
+// wake signals somebody who may not wait now, but will look before waiting again.
+func wake(signal chan struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
+// keepReading reads what all daemons write.
+func (t *Tracker) keepReading(ctx context.Context, store Store, pace func() time.Duration) {
+	away := false
+	for ctx.Err() == nil {
+		again := pace()
+		err := t.readOnce(ctx, store)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			again = storeAgain
+			metrics.GetOrCreateCounter("buckthorndock_suspects_store_failures_total").Inc()
+			if !away {
+				t.log.WithError(err).Warn("suspects_store_lost")
+			}
+		case away:
+			t.log.Info("suspects_store_back")
+		}
+		away = err != nil
+		select {
+		case <-time.After(again):
+		case <-t.readNow:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (t *Tracker) readOnce(ctx context.Context, store Store) error {
+	ctx, cancel := context.WithTimeout(ctx, readWait+readTimeout)
+	defer cancel()
+	batch, err := store.Next(ctx, readWait)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	t.mu.Lock()
+	before := t.core.Version()
+	for _, r := range batch.Records {
+		t.take(r, batch.Whole, now)
+	}
+	if batch.Whole {
+		t.written = nil // what the store has of this host may be older, or nothing
+	}
+	t.began = true
+	close(t.wasRead)
+	t.wasRead = make(chan struct{})
+	news := t.core.Version() != before
+	t.mu.Unlock()
+	if news || batch.Whole {
+		t.log.WithFields(logrus.Fields{"records": len(batch.Records), "whole": batch.Whole}).Info("suspects_read")
+		t.signal()
+	}
+	return nil
+}
+
+// take takes in one record of the store. The caller holds the lock.
+func (t *Tracker) take(r Record, whole bool, now time.Time) {
+	if r.Value == nil {
+		return // what it said has expired
+	}
+	var k kept
+	if err := gob.NewDecoder(bytes.NewReader(r.Value)).Decode(&k); err != nil {
+		t.log.WithError(err).WithField("key", r.Key).Warn("suspects_record_undecodable")
+		return
+	}
+	var older time.Duration
+	if whole {
+		older = max(now.Sub(k.Written), 0)
+	}
+	if older > staleAfter && len(t.stale) < mostStale {
+		t.stale = append(t.stale, r.Key)
+	}
+	for i := range k.Evidence {
+		k.Evidence[i].Age += older
+	}
+	host, isEvidence := strings.CutPrefix(r.Key, evidencePrefix)
+	switch {
+	case isEvidence && host == t.host && !t.began:
+		t.core.Adopt(k.Evidence, now)
+	case isEvidence:
+		t.core.Merge(quarantine.Digest{Records: k.Evidence}, now)
+	case k.Trial != nil:
+		k.Trial.Age += older
+		t.core.ReadTrial(*k.Trial, now)
+	}
+}
+
+// keepWriting writes what is new of this daemon's own.
+func (t *Tracker) keepWriting(ctx context.Context, store Store, pace func() time.Duration) {
+	for ctx.Err() == nil {
+		again := pace()
+		if err := t.writeOnce(ctx, store); err != nil && ctx.Err() == nil {
+			t.log.WithError(err).Warn("suspects_not_written")
+			again = storeAgain
+		}
+		if !wait.For(ctx, again) {
+			return
+		}
+		select {
+		case <-t.toWrite:
+		case <-time.After(lookEvery): // a write that failed, or evidence that has expired
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (t *Tracker) writeOnce(ctx context.Context, store Store) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := t.writeEvidence(ctx, store); err != nil {
+		return err
+	}
+	if err := t.writeTrials(ctx, store); err != nil {
+		return err
+	}
+	return t.removeStale(ctx, store)
+}
+
+// writeEvidence writes this host's evidence if it says something else than what the store has.
+// Nothing is written before the store was read: a former life's evidence is adopted first.
+func (t *Tracker) writeEvidence(ctx context.Context, store Store) error {
+	now := time.Now()
+	t.mu.Lock()
+	unaged, aged := t.core.Own(now, false), t.core.Own(now, true)
+	began, written := t.began, t.written
+	t.mu.Unlock()
+	said, err := encode(unaged)
+	if err != nil || !began || bytes.Equal(said, written) || len(unaged) == 0 && len(written) == 0 {
+		return err
+	}
+	var value []byte
+	if len(aged) > 0 {
+		if value, err = encode(kept{Written: now, Evidence: aged}); err != nil {
+			return err
+		}
+	}
+	if err := store.Put(ctx, evidencePrefix+t.host, value); err != nil {
+		return merry.Prepend(err, "write evidence")
+	}
+	t.mu.Lock()
+	t.written = said
+	t.mu.Unlock()
+	t.log.WithField("deaths", len(aged)).Info("evidence_written")
+	return nil
+}
+
+func encode(v any) ([]byte, error) {
+	var b bytes.Buffer
+	err := gob.NewEncoder(&b).Encode(v)
+	return b.Bytes(), merry.Prepend(err, "encode for the store")
+}
+
+// writeTrials writes the outcomes that the store has not been told.
+func (t *Tracker) writeTrials(ctx context.Context, store Store) error {
+	now := time.Now()
+	t.mu.Lock()
+	var due []quarantine.Trial
+	for _, own := range t.trials {
+		if own.unwritten {
+			due = append(due, own.aged(now))
+		}
+	}
+	t.mu.Unlock()
+	for _, told := range due {
+		if err := putTrial(ctx, store, told); err != nil {
+			return err
+		}
+		t.mu.Lock()
+		t.trials[told.ID].unwritten = false
+		t.mu.Unlock()
+	}
+	return nil
+}
+
+// removeStale removes what nobody counts any more: of hosts that are gone, and trials of this one.
+func (t *Tracker) removeStale(ctx context.Context, store Store) error {
+	now := time.Now()
+	t.mu.Lock()
+	stale := t.stale
+	for id, own := range t.trials {
+		if now.Sub(own.asked) > staleAfter && !own.unwritten {
+			stale = append(stale, trialPrefix+id)
+			delete(t.trials, id)
+		}
+	}
+	t.stale = nil
+	t.mu.Unlock()
+	for _, key := range stale {
+		if err := store.Put(ctx, key, nil); err != nil {
+			return merry.Prepend(err, "remove what is stale") // whoever starts next finds it again
+		}
+	}
+	return nil
+}
+
+func putTrial(ctx context.Context, store Store, r quarantine.Trial) error {
+	now := time.Now()
+	value, err := encode(kept{Written: now, Trial: &r})
+	if err != nil {
+		return err
+	}
+	return merry.Prepend(store.Put(ctx, trialPrefix+r.ID, value), "write trial")
+}
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -31,8 +31,19 @@
 
 	changed chan struct{} // there may be new evidence
 
-	mu   sync.Mutex
-	core *quarantine.Tracker
+	born    int64         // of this life, Unix time in ns
+	readNow chan struct{} // a trial waits for a read of the store
+	toWrite chan struct{} // the store has something to be told
+
+	mu        sync.Mutex
+	core      *quarantine.Tracker
+	store     Store                // nil: none keeps evidence
+	began     bool                 // the store was read
+	wasRead   chan struct{}        // closed and replaced at each read of the store
+	written   []byte               // own evidence as the store has it
+	stale     []string             // keys to remove
+	trials    map[string]*ownTrial // of this life, by id
+	lastTrial int
 }
 
 // New returns a Tracker without evidence.
@@ -41,17 +52,17 @@
 		host:    host,
 		log:     log,
 		changed: make(chan struct{}, 1),
+		born:    time.Now().UnixNano(),
+		readNow: make(chan struct{}, 1),
+		toWrite: make(chan struct{}, 1),
 		core:    quarantine.New(quarantine.Options{Host: host}),
+		wasRead: make(chan struct{}),
+		trials:  map[string]*ownTrial{},
 	}
 }
 
 // signal tells that there may be new evidence.
-func (t *Tracker) signal() {
-	select {
-	case t.changed <- struct{}{}:
-	default:
-	}
-}
+func (t *Tracker) signal() { wake(t.changed) }
 
 // ApplySettings takes the site's limits of quarantine, those at the root.
 func (t *Tracker) ApplySettings(snap *settings.Snapshot) {
@@ -91,19 +102,27 @@
 
 // TryStart notes that a request begins on an engine, unless it must not start
 // there now. After true, End must follow. Asking and noting are one step, so that
-// two suspects never both find the same engine free.
-func (t *Tracker) TryStart(engine string, fingerprint uint64, now time.Time) (quarantine.Run, bool) {
+// two suspects never both find the same engine free. One that has been in enough deaths starts
+// under a trial, where a store orders these.
+func (t *Tracker) TryStart(engine string, fingerprint uint64, trial *Trial, now time.Time) (quarantine.Run, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.core.MayPlace(engine, fingerprint, now) {
 		return 0, false
 	}
-	if standing := t.core.Standing(fingerprint, now); standing != quarantine.Clear {
+	standing := t.core.Standing(fingerprint, now)
+	if standing == quarantine.Isolate && t.store != nil && trial == nil {
+		return 0, false
+	}
+	if standing != quarantine.Clear {
 		t.log.WithFields(logrus.Fields{
 			"work": workName(fingerprint), "standing": standing.String(),
 			"deaths": t.core.Deaths(fingerprint), "upstream": engine,
 		}).Info("suspect_started")
 	}
+	if trial != nil {
+		return t.core.StartedOnTrial(engine, fingerprint), true
+	}
 	return t.core.Started(engine, fingerprint), true
 }
 
@@ -131,6 +150,32 @@
 	t.mu.Unlock()
 	if news {
 		t.signal()
+		t.wakeWriter()
+	}
+}
+
+// Broke notes that a run broke, maybe because its engine died; Lapsed or Lives tells.
+func (t *Tracker) Broke(run quarantine.Run, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.Broke(run, now)
+}
+
+// Lives notes that an engine has served a request.
+func (t *Tracker) Lives(engine string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.Lives(engine)
+}
+
+// Lapsed notes that the life of an engine is over by the word of others. It died of what ran
+// there if a run had broken.
+func (t *Tracker) Lapsed(engine, incarnation string, now time.Time) {
+	t.mu.Lock()
+	died := t.core.MayHaveDied(engine)
+	t.mu.Unlock()
+	if died {
+		t.Died(engine, incarnation, now)
 	}
 }
 
@@ -140,6 +185,7 @@
 	ran := t.core.Died(engine, incarnation, now)
 	t.mu.Unlock()
 	t.signal()
+	t.wakeWriter()
 	if len(ran) == 0 {
 		return
 	}
