Relay: a server's death is known where no neighbour tells it from a cut

Cause: a broken answer counted as a death only if another upstream of the same failure domain was reached. Where there is none, or those have ended under the same request, there was no evidence at all, ever; and where the look took longer than 50 ms, as on a slow machine, none either. The class: a proof that needs a witness, and says 'no' without one.

Ruled out: to take each refused connection as a death (a cut domain that refuses would make all that ran there suspects: TestCutOfADomainMakesNobodySuspect); to take silence as one (the same for a domain without power).

--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -246,6 +246,9 @@
 		return
 	}
 	t.forget(r, ended.engine)
+	if completed {
+		t.forgetBroken(ended.fingerprint)
+	}
 	if len(t.of[ended.fingerprint]) == 0 {
 		return
 	}
@@ -264,6 +267,17 @@
 	t.End(r, false)
 }
 
+// forgetBroken drops the broken runs of a fingerprint, which has completed since.
+func (t *Tracker) forgetBroken(fingerprint uint64) {
+	for engine, runs := range t.broken {
+		runs = slices.DeleteFunc(runs, func(r brokenRun) bool { return r.fingerprint == fingerprint })
+		t.broken[engine] = runs
+		if len(runs) == 0 {
+			delete(t.broken, engine)
+		}
+	}
+}
+
 // Lives notes that an engine has not died.
 func (t *Tracker) Lives(engine string) { delete(t.broken, engine) }
 
--- a/internal/core/quarantine/trials_test.go
+++ b/internal/core/quarantine/trials_test.go
@@ -632,11 +632,13 @@
 	tr.Broke(tr.Started("b", 2), start)
 	tr.Lives("b")
 	tr.Broke(tr.Started("c", 3), start)
-	for _, engine := range []string{"a", "b"} {
+	tr.Broke(tr.Started("d", 4), start)
+	tr.End(tr.Started("e", 4), true)
+	for _, engine := range []string{"a", "b", "d"} {
 		tr.Died(engine, "1", start.Add(time.Second))
 	}
 	tr.Died("c", "1", start.Add(brokenFor))
-	for fingerprint, want := range map[uint64]Standing{1: Suspect, 2: Clear, 3: Clear} {
+	for fingerprint, want := range map[uint64]Standing{1: Suspect, 2: Clear, 3: Clear, 4: Clear} {
 		if got := tr.Standing(fingerprint, start); got != want {
 			t.Errorf("%d: %s", fingerprint, got)
 		}
--- /dev/null
+++ b/internal/relay/fate.go
@@ -0,0 +1,118 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
+)
+
+// Times of the looks whether an upstream has died.
+const (
+	// reachWait bounds the look for which a request waits: a dead process's host refuses a
+	// connection within a round trip.
+	reachWait = 50 * time.Millisecond
+	// Looks that follow where the first tells nothing, as on a machine that is slow.
+	againEvery = 250 * time.Millisecond
+	againWait  = 250 * time.Millisecond
+	againMost  = 4
+)
+
+// fate is what has become of an upstream whose answer broke.
+type fate uint8
+
+const (
+	lives fate = iota
+	died
+	untold // nobody answers there, and it is not known whether it died or the way there is cut
+)
+
+// fate looks whether nobody listens at an upstream's address any more, while something else in its
+// failure domain is reached: a cut of the way to the domain may look the same. Where nothing else
+// is known there, a refused connection is all that can be had, and few run on one upstream.
+func (r *Relay) fate(ctx context.Context, u fleet.Upstream, within time.Duration) fate {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	err := r.opts.Reach(ctx, u.Address)
+	switch {
+	case err == nil:
+		return lives
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		return untold
+	}
+	others := r.neighbours(u)
+	if len(others) == 0 {
+		return died
+	}
+	for _, address := range others {
+		if r.opts.Reach(ctx, address) == nil {
+			return died
+		}
+	}
+	return untold
+}
+
+// lookAgain looks for some time what has become of an upstream, and tells of its end. One that
+// refuses connections to the last may still be told by the list.
+func (r *Relay) lookAgain(u fleet.Upstream) {
+	if _, looking := r.looking.LoadOrStore(u.ID, true); looking {
+		return
+	}
+	go func() {
+		defer r.looking.Delete(u.ID)
+		ctx := context.Background() // the request that was broken does not wait
+		for range againMost {
+			wait.For(ctx, againEvery)
+			switch r.fate(ctx, u, againWait) {
+			case lives:
+				r.opts.Suspects.Lives(u.ID)
+				return
+			case died:
+				r.Lapsed(u)
+				return
+			}
+		}
+		if !r.refuses(ctx, u) {
+			r.opts.Suspects.Lives(u.ID) // silent, as behind a cut or without power
+		}
+	}()
+}
+
+func (r *Relay) refuses(ctx context.Context, u fleet.Upstream) bool {
+	ctx, cancel := context.WithTimeout(ctx, againWait)
+	defer cancel()
+	return errors.Is(r.opts.Reach(ctx, u.Address), syscall.ECONNREFUSED)
+}
+
+// Addresses of a failure domain that are tried: others may have died as well.
+const (
+	mostNeighbours = 3 // upstreams
+	mostDaemons    = 2
+)
+
+// neighbours returns addresses of others in an upstream's failure domain: of a few upstreams,
+// those first that have not failed lately, and of daemons.
+func (r *Relay) neighbours(u fleet.Upstream) []string {
+	var sound, failing []string
+	avoided := r.avoided()
+	for _, other := range r.opts.Upstreams().Upstreams {
+		switch {
+		case other.Domain != u.Domain || other.Address == u.Address:
+		case slices.Contains(avoided, other.ID):
+			failing = append(failing, other.Address)
+		default:
+			sound = append(sound, other.Address)
+		}
+	}
+	some := append(sound, failing...)
+	some = some[:min(mostNeighbours, len(some))]
+	if r.opts.Daemons != nil {
+		daemons := r.opts.Daemons(u.Domain)
+		some = append(some, daemons[:min(mostDaemons, len(daemons))]...)
+	}
+	return some
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,7 +59,8 @@
 	leaseTimes leaseTimes
 	running    running
 	ways       *ways
-	draw       float64 // in [0, 1), another one for each daemon
+	looking    sync.Map // upstreams at whose fate somebody looks, by id
+	draw       float64  // in [0, 1), another one for each daemon
 
 	mu      sync.Mutex
 	avoid   *avoid.Tracker
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -15,10 +13,6 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 )
 
-// reachWait bounds the look whether an upstream has died: a dead process's host refuses
-// a connection within a round trip.
-const reachWait = 50 * time.Millisecond
-
 var errApart = merry.Sentinel("one of the requests that may have crashed an upstream runs there")
 
 // apart ends an attempt before it is sent: suspects run apart from each other, so the
@@ -51,8 +45,16 @@
 		suspects.End(r, e.delivered)
 		return
 	}
-	if errors.Is(e.err, errLifeOver) || g.died(ctx, u) {
+	f := died
+	if !errors.Is(e.err, errLifeOver) {
+		f = g.relay.fate(ctx, u, reachWait)
+	}
+	switch f {
+	case died:
 		suspects.Died(u.ID, u.ID, time.Now())
+	case untold:
+		suspects.Broke(r, time.Now())
+		g.relay.lookAgain(u)
 	}
 	suspects.End(r, false)
 }
@@ -70,40 +72,3 @@
 	}
 	return quarantine.TrialRan
 }
-
-// died reports whether nobody listens at an upstream's address any more, while another
-// upstream of its failure domain is reached: a cut of the way to the domain may look the
-// same.
-func (g *run) died(ctx context.Context, u fleet.Upstream) bool {
-	ctx, cancel := context.WithTimeout(ctx, reachWait)
-	defer cancel()
-	if !errors.Is(g.relay.opts.Reach(ctx, u.Address), syscall.ECONNREFUSED) {
-		return false
-	}
-	for _, other := range g.neighbours(u) {
-		if g.relay.opts.Reach(ctx, other.Address) == nil {
-			return true
-		}
-	}
-	return false
-}
-
-// mostNeighbours is how many upstreams of a failure domain are tried: others may have
-// died as well.
-const mostNeighbours = 3
-
-// neighbours returns a few upstreams of the same failure domain that have not failed
-// lately.
-func (g *run) neighbours(u fleet.Upstream) []fleet.Upstream {
-	var some []fleet.Upstream
-	avoided := g.relay.avoided()
-	for _, other := range g.relay.opts.Upstreams().Upstreams {
-		if other.Domain != u.Domain || other.Address == u.Address || slices.Contains(avoided, other.ID) {
-			continue
-		}
-		if some = append(some, other); len(some) == mostNeighbours {
-			break
-		}
-	}
-	return some
-}
--- /dev/null
+++ b/internal/relay/suspect_test.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/booking"
+	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
+	"github.com/buckthorndock/buckthorndock/internal/core/retry"
+	"github.com/buckthorndock/buckthorndock/internal/suspects"
+)
+
+// deathsOf returns how many deaths a fixture's relay knows of.
+func deathsOf(t *testing.T, f *fixture) int {
+	t.Helper()
+	data, _, err := f.relay.opts.Suspects.(*suspects.Tracker).Digest(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var d quarantine.Digest
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&d); err != nil {
+		t.Fatal(err)
+	}
+	return len(d.Records)
+}
+
+// TestDeathIsKnownThoughTheFirstLookTellsNothing guards against evidence that is lost where a
+// machine is too slow for its look at a dead upstream.
+func TestDeathIsKnownThoughTheFirstLookTellsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		crash := func(context.Context, Attempt) (*Answer, error) {
+			return nil, &Failure{End: retry.Broken, Err: syscall.ECONNRESET}
+		}
+		f := newFixture(t, crash, crash)
+		f.live("e1", "e2")
+		f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2")}
+		f.dead["e1:1"] = true
+		reach, looks := f.relay.opts.Reach, 0
+		f.relay.opts.Reach = func(ctx context.Context, address string) error {
+			if looks++; looks == 1 {
+				return context.DeadlineExceeded
+			}
+			return reach(ctx, address)
+		}
+		req := streamRequest(true)
+		req.Fingerprint = 81
+		f.relay.Run(t.Context(), req, &record{})
+		time.Sleep(2 * againEvery)
+		if got := deathsOf(t, f); got != 1 {
+			t.Errorf("%d deaths are known", got)
+		}
+	})
+}
+
+// TestDeathIsKnownWhereNoNeighbourTellsItFromACut guards against a request that ends one server
+// after the other without any evidence: where each is alone in its failure domain, where its
+// neighbours have ended as well, and where only the list tells it later.
+func TestDeathIsKnownWhereNoNeighbourTellsItFromACut(t *testing.T) {
+	crash := func(context.Context, Attempt) (*Answer, error) {
+		return nil, &Failure{End: retry.Broken, Err: syscall.ECONNRESET}
+	}
+	for _, c := range []struct {
+		name    string
+		listed  []string // of the domain; all refuse
+		daemons []string // of the domain
+		refuse  bool     // the daemons too
+		before  int      // deaths known at once
+		after   int      // when the server is not listed any more
+	}{
+		{"alone", []string{"e1"}, nil, false, 1, 1},
+		{"neighbours ended too, a daemon is reached", []string{"e1", "e2"}, []string{"d1:1"}, false, 1, 1},
+		{"all refuse", []string{"e1", "e2"}, []string{"d1:1"}, true, 0, 1},
+		{"all refuse, no daemon", []string{"e1", "e2"}, nil, false, 0, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, crash, crash) // the second at one that still listens
+			f.relay.opts.Daemons = func(string) []string { return c.daemons }
+			var list []fleet.Change
+			for _, name := range c.listed {
+				list = append(list, entry(fleet.Upstream{Life: fleet.Life{Name: name}, Service: "llm", Address: name + ":1", Domain: "z1"}))
+				f.dead[name+":1"] = true
+			}
+			for _, address := range c.daemons {
+				f.dead[address] = c.refuse
+			}
+			other := fleet.Upstream{Life: fleet.Life{Name: "far"}, Service: "llm", Address: "far:1", Domain: "z2"}
+			f.list.Replace(append(list, entry(other)), time.Now())
+			f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("far")}
+			req := streamRequest(true)
+			req.Fingerprint = 80
+			gone, _ := f.relay.opts.Upstreams().Get("e1")
+			f.relay.Run(t.Context(), req, &record{})
+			if got := deathsOf(t, f); got != c.before {
+				t.Errorf("%d deaths are known at once", got)
+			}
+			f.relay.Lapsed(gone)
+			if got := deathsOf(t, f); got != c.after {
+				t.Errorf("%d deaths are known when it is not listed any more", got)
+			}
+		})
+	}
+}
--- a/test/soak/crashes_test.go
+++ b/test/soak/crashes_test.go
@@ -176,7 +176,7 @@
 	if c.alone {
 		domains = everyServer
 	}
-	r := newRig(t, play{seed: 1, daemons: c.daemons, servers: servers, domains: domains, apart: c.apart, direct: true})
+	r := newRig(t, play{seed: 1, daemons: c.daemons, servers: servers, domains: domains, apart: c.apart, direct: true, logPrefix: c.name + "-"})
 	if !r.eventually(recoveryWait, r.allListen) || !r.eventually(recoveryWait, func() bool { return r.allServe(1) }) {
 		t.Fatal("the site does not serve before any trouble")
 	}
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -103,6 +103,7 @@
 	reviving  sync.WaitGroup
 	direct    bool // as in play
 	apart     bool // as in play
+	logPrefix string
 	stopBeats chan struct{}
 }
 
@@ -116,6 +117,7 @@
 		stopSignal: syscall.SIGTERM,
 		direct:     p.direct,
 		apart:      p.apart,
+		logPrefix:  p.logPrefix,
 		ip:         fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%most, 1+numRigs.Add(1)%most),
 	}
 	if mutantHow == crasher {
@@ -270,7 +272,7 @@
 	d.starts.Add(1)
 	logs := io.Discard
 	if *flagLogs != "" {
-		f, err := os.OpenFile(filepath.Join(*flagLogs, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		f, err := os.OpenFile(filepath.Join(*flagLogs, r.logPrefix+d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
 			r.t.Fatal(err)
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -21,9 +21,10 @@
 	plan             []trouble
 	length           time.Duration
 	daemons, servers int
-	domains          int  // failure domains of the servers; zero: one; everyServer: each is alone in its own
-	apart            bool // the daemons do not know each other
-	direct           bool // servers are reached without a link, so that an ended one refuses connections; they start again by themselves
+	domains          int    // failure domains of the servers; zero: one; everyServer: each is alone in its own
+	logPrefix        string // of the names of the daemons' logs, where several plays keep theirs together
+	apart            bool   // the daemons do not know each other
+	direct           bool   // servers are reached without a link, so that an ended one refuses connections; they start again by themselves
 	mutant           string
 	recovery         time.Duration // from the last trouble's end until all serve again
 }
