--- a/internal/suspects/keep.go
+++ b/internal/suspects/keep.go
@@ -29,7 +29,7 @@
 	writeTimeout = time.Second
 	// keepPace is the least time between two reads, or two writes of evidence; with many daemons
 	// it is longer by keepPacePerHost for each, for all read what one has written.
-	keepPace        = 300 * time.Millisecond
+	keepPace        = time.Second
 	keepPacePerHost = 2 * time.Millisecond
 	// staleAfter is how long after it was written a record is removed, by any daemon that starts;
 	// mostStale bounds the removals of one.
