Suspects: the evidence of a death is written at once

What callers saw: nothing yet.

Cause, from the kept logs: two daemons saw a death 50 ms after one that they had just written; the next write waited for its pace of a second; all were killed 0.1 s later. All then knew one death of three, and each sent the request on.

Change: a death and the end of a trial are written without the pace, but for two milliseconds for each daemon; the pace is for what others cleared. TestDeathsAreInTheStoreBeforeTheirDaemonIsKilled fails before: none of the two deaths is in the store 50 ms after the second.

--- a/internal/suspects/keep.go
+++ b/internal/suspects/keep.go
@@ -27,8 +27,9 @@
 	// readTimeout is what a read may take besides.
 	readTimeout  = 2 * time.Second
 	writeTimeout = time.Second
-	// keepPace is the least time between two reads, or two writes of evidence; with many daemons
-	// it is longer by keepPacePerHost for each, for all read what one has written.
+	// keepPace is the least time between two reads, or two writes of what is not urgent;
+	// keepPacePerHost, for each daemon, that before any write besides, for all read what one has
+	// written. A death is urgent: its evidence is lost with a daemon that is killed next.
 	keepPace        = time.Second
 	keepPacePerHost = 2 * time.Millisecond
 	// staleAfter is how long after it was written a record is removed, by any daemon that starts;
@@ -53,7 +54,7 @@
 	t.mu.Lock()
 	t.store = store
 	t.mu.Unlock()
-	pace := func() time.Duration { return keepPace + time.Duration(hosts())*keepPacePerHost }
+	pace := func() time.Duration { return time.Duration(hosts()) * keepPacePerHost }
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -80,7 +81,7 @@
 func (t *Tracker) keepReading(ctx context.Context, store Store, pace func() time.Duration) {
 	away := false
 	for ctx.Err() == nil {
-		again := pace()
+		again := keepPace + pace()
 		err := t.readOnce(ctx, store)
 		switch {
 		case ctx.Err() != nil:
@@ -174,11 +175,24 @@
 		if !wait.For(ctx, again) {
 			return
 		}
-		select {
-		case <-t.toWrite:
-		case <-time.After(lookEvery): // a write that failed, or evidence that has expired
-		case <-ctx.Done():
-		}
+		t.awaitNews(ctx)
+	}
+}
+
+// awaitNews waits for something to write: for what is not urgent keepPace at the least.
+func (t *Tracker) awaitNews(ctx context.Context) {
+	select {
+	case <-t.urgent:
+		return
+	case <-time.After(keepPace):
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-t.urgent:
+	case <-t.toWrite:
+	case <-time.After(lookEvery): // a write that failed, or evidence that has expired
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/suspects/keep_test.go
+++ b/internal/suspects/keep_test.go
@@ -265,6 +265,25 @@
 	})
 }
 
+// TestDeathsAreInTheStoreBeforeTheirDaemonIsKilled guards against evidence that waits for the
+// next write, and is lost with its daemon.
+func TestDeathsAreInTheStoreBeforeTheirDaemonIsKilled(t *testing.T) {
+	eachStore(t, func(t *testing.T, _ *memory, store func() Store) {
+		first := daemons(t, store, "a")
+		for i := range 2 {
+			crash(t, first[0], fmt.Sprint("e", i), uint64(101+i))
+			time.Sleep(50 * time.Millisecond)
+		}
+		second := New("b", first[0].log)
+		if err := second.readOnce(t.Context(), store()); err != nil {
+			t.Fatal(err)
+		}
+		if got := second.core.Deaths(culprit); got != 2 {
+			t.Errorf("the store tells of %d deaths", got)
+		}
+	})
+}
+
 // TestTrialOfADaemonThatDiedIsOverInTime guards against a request that waits for ever for one
 // whose daemon tells nothing more, and one that is tried on for each that does not.
 func TestTrialOfADaemonThatDiedIsOverInTime(t *testing.T) {
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -34,6 +34,7 @@
 	born    int64         // of this life, Unix time in ns
 	readNow chan struct{} // a trial waits for a read of the store
 	toWrite chan struct{} // the store has something to be told
+	urgent  chan struct{} // and at once
 
 	mu        sync.Mutex
 	core      *quarantine.Tracker
@@ -55,6 +56,7 @@
 		born:    time.Now().UnixNano(),
 		readNow: make(chan struct{}, 1),
 		toWrite: make(chan struct{}, 1),
+		urgent:  make(chan struct{}, 1),
 		core:    quarantine.New(quarantine.Options{Host: host}),
 		wasRead: make(chan struct{}),
 		trials:  map[string]*ownTrial{},
@@ -185,7 +187,7 @@
 	ran := t.core.Died(engine, incarnation, now)
 	t.mu.Unlock()
 	t.signal()
-	t.wakeWriter()
+	wake(t.urgent)
 	if len(ran) == 0 {
 		return
 	}
--- a/internal/suspects/trial.go
+++ b/internal/suspects/trial.go
@@ -85,7 +85,7 @@
 	t.core.Merge(quarantine.Digest{Trials: []quarantine.Trial{own.aged(now)}}, now)
 	t.mu.Unlock()
 	t.signal()
-	t.wakeWriter()
+	wake(t.urgent)
 	t.log.WithFields(logrus.Fields{"work": workName(r.fingerprint), "trial": r.id, "outcome": outcome.String()}).Info("trial_ended")
 }
 
