Relay: who listens just after an answer broke may still be dying

Cause, from the kept logs: two of three deaths made no evidence at the daemons that saw them. Their answers ended by 'unexpected EOF', not by a reset, and the look 0.5 ms later found somebody listening: a process that ends closes its connections before its listener. Who listens counted as alive, and nobody looked again.

Ruled out: looks that took too long (the look was made at once), the store (what was written was read within 2 ms).

Change: no look shows that an upstream lives but the last of three that follow, 50, 150 and 500 ms after each other; until then the run is kept as broken.

TestDeathIsKnownThoughTheFirstLookTellsNothing/still_listens fails before.

--- a/internal/relay/fate.go
+++ b/internal/relay/fate.go
@@ -16,19 +16,20 @@
 	// reachWait bounds the look for which a request waits: a dead process's host refuses a
 	// connection within a round trip.
 	reachWait = 50 * time.Millisecond
-	// Looks that follow where the first tells nothing, as on a machine that is slow.
-	againEvery = 250 * time.Millisecond
-	againWait  = 250 * time.Millisecond
-	againMost  = 4
+	againWait = 250 * time.Millisecond // of each look that follows
 )
 
-// fate is what has become of an upstream whose answer broke.
+// againAfter are the times before the looks that follow where the first shows no death: a process
+// that ends closes its connections before its listener, and a slow machine may see neither in time.
+var againAfter = []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 500 * time.Millisecond}
+
+// fate is what a look shows of an upstream whose answer broke.
 type fate uint8
 
 const (
-	lives fate = iota
+	lives  fate = iota // somebody listens
+	untold             // nobody answers, and it is not known whether it died or the way there is cut
 	died
-	untold // nobody answers there, and it is not known whether it died or the way there is cut
 )
 
 // fate looks whether nobody listens at an upstream's address any more, while something else in its
@@ -56,8 +57,8 @@
 	return untold
 }
 
-// lookAgain looks for some time what has become of an upstream, and tells of its end. One that
-// refuses connections to the last may still be told by the list.
+// lookAgain looks for some time what has become of an upstream whose answer broke, and tells of its
+// end. One that refuses connections to the last may still be told by the list.
 func (r *Relay) lookAgain(u fleet.Upstream) {
 	if _, looking := r.looking.LoadOrStore(u.ID, true); looking {
 		return
@@ -65,19 +66,15 @@
 	go func() {
 		defer r.looking.Delete(u.ID)
 		ctx := context.Background() // the request that was broken does not wait
-		for range againMost {
-			wait.For(ctx, againEvery)
-			switch r.fate(ctx, u, againWait) {
-			case lives:
-				r.opts.Suspects.Lives(u.ID)
-				return
-			case died:
+		for _, after := range againAfter {
+			wait.For(ctx, after)
+			if r.fate(ctx, u, againWait) == died {
 				r.Lapsed(u)
 				return
 			}
 		}
 		if !r.refuses(ctx, u) {
-			r.opts.Suspects.Lives(u.ID) // silent, as behind a cut or without power
+			r.opts.Suspects.Lives(u.ID) // it listens; or is silent, as behind a cut or without power
 		}
 	}()
 }
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -45,14 +45,9 @@
 		suspects.End(r, e.delivered)
 		return
 	}
-	f := died
-	if !errors.Is(e.err, errLifeOver) {
-		f = g.relay.fate(ctx, u, reachWait)
-	}
-	switch f {
-	case died:
+	if errors.Is(e.err, errLifeOver) || g.relay.fate(ctx, u, reachWait) == died {
 		suspects.Died(u.ID, u.ID, time.Now())
-	case untold:
+	} else {
 		suspects.Broke(r, time.Now())
 		g.relay.lookAgain(u)
 	}
--- a/internal/relay/suspect_test.go
+++ b/internal/relay/suspect_test.go
@@ -31,8 +31,13 @@
 }
 
 // TestDeathIsKnownThoughTheFirstLookTellsNothing guards against evidence that is lost where a
-// machine is too slow for its look at a dead upstream.
+// machine is too slow for its look at a dead upstream, or so soon that its listener is still there.
 func TestDeathIsKnownThoughTheFirstLookTellsNothing(t *testing.T) {
+	t.Run("slow", func(t *testing.T) { testSecondLook(t, context.DeadlineExceeded) })
+	t.Run("still listens", func(t *testing.T) { testSecondLook(t, nil) })
+}
+
+func testSecondLook(t *testing.T, first error) {
 	synctest.Test(t, func(t *testing.T) {
 		crash := func(context.Context, Attempt) (*Answer, error) {
 			return nil, &Failure{End: retry.Broken, Err: syscall.ECONNRESET}
@@ -44,14 +49,14 @@
 		reach, looks := f.relay.opts.Reach, 0
 		f.relay.opts.Reach = func(ctx context.Context, address string) error {
 			if looks++; looks == 1 {
-				return context.DeadlineExceeded
+				return first
 			}
 			return reach(ctx, address)
 		}
 		req := streamRequest(true)
 		req.Fingerprint = 81
 		f.relay.Run(t.Context(), req, &record{})
-		time.Sleep(2 * againEvery)
+		time.Sleep(time.Second)
 		if got := deathsOf(t, f); got != 1 {
 			t.Errorf("%d deaths are known", got)
 		}
