--- a/internal/relay/fate.go
+++ b/internal/relay/fate.go
@@ -58,7 +58,8 @@
 }
 
 // lookAgain looks for some time what has become of an upstream whose answer broke, and tells of its
-// end. One that refuses connections to the last may still be told by the list.
+// end. What the looks do not show, the list may tell, or its next answer. One that is silent, as
+// behind a cut or without power, has not died of what ran there.
 func (r *Relay) lookAgain(u fleet.Upstream) {
 	if _, looking := r.looking.LoadOrStore(u.ID, true); looking {
 		return
@@ -73,16 +74,18 @@
 				return
 			}
 		}
-		if !r.refuses(ctx, u) {
-			r.opts.Suspects.Lives(u.ID) // it listens; or is silent, as behind a cut or without power
+		if r.silent(ctx, u) {
+			r.opts.Suspects.Lives(u.ID)
 		}
 	}()
 }
 
-func (r *Relay) refuses(ctx context.Context, u fleet.Upstream) bool {
+// silent reports whether a connection to an upstream is neither made nor refused.
+func (r *Relay) silent(ctx context.Context, u fleet.Upstream) bool {
 	ctx, cancel := context.WithTimeout(ctx, againWait)
 	defer cancel()
-	return errors.Is(r.opts.Reach(ctx, u.Address), syscall.ECONNREFUSED)
+	err := r.opts.Reach(ctx, u.Address)
+	return err != nil && !errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // Addresses of a failure domain that are tried: others may have died as well.
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -45,6 +45,8 @@
 	// Planned work of operators, and of a server that tells of it.
 	evacuateDomain = "evacuate domain"
 	coolServer     = "cool server"
+	// A request comes through all daemons that ends each server which runs it.
+	deadlyWork = "deadly work"
 	// The store comes back from a copy that is as old as the trouble is long.
 	restoreStore = "restore store"
 )
@@ -198,6 +200,8 @@
 		return []string{"settings"}
 	case evacuateDomain:
 		return []string{tr.how}
+	case deadlyWork:
+		return []string{"deadly"}
 	case killAll:
 		var all []string
 		for _, d := range r.daemons {
@@ -248,6 +252,8 @@
 		r.cool(r.servers[tr.target], tr.lasts)
 	case restoreStore:
 		r.restore(tr.lasts)
+	case deadlyWork:
+		r.sendDeadly(tr)
 	case harmStore:
 		r.storeFault(tr.how)
 		time.Sleep(tr.lasts)
