Quarantine: trials by fingerprint, bounded; derived refusals are news

Trials were looked through for each standing: after a crash of many servers hundreds, for each request placed; they are kept by fingerprint now, 1,024 at the most. A refusal that follows from trials changed no version, so that hosts of the release before heard of it with the next other news only: TestRefusalThatFollowsFromTrials... fails before.

--- a/internal/core/quarantine/digest.go
+++ b/internal/core/quarantine/digest.go
@@ -80,15 +80,12 @@
 // derivedRefusals returns the fingerprints that are refused because of their trials.
 func (t *Tracker) derivedRefusals(now time.Time) []RefusedDigest {
 	var all []RefusedDigest
-	seen := make(map[uint64]bool)
-	for _, r := range t.trials {
-		_, told := t.refused[r.Fingerprint]
-		if told || seen[r.Fingerprint] {
+	for fingerprint := range t.trialsOf {
+		if _, told := t.refused[fingerprint]; told {
 			continue
 		}
-		seen[r.Fingerprint] = true
-		if left := t.RefusedFor(r.Fingerprint, now); left > 0 {
-			all = append(all, RefusedDigest{Fingerprint: r.Fingerprint, Left: left, Derived: true})
+		if left := t.RefusedFor(fingerprint, now); left > 0 {
+			all = append(all, RefusedDigest{Fingerprint: fingerprint, Left: left, Derived: true})
 		}
 	}
 	return all
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -81,18 +81,20 @@
 
 // Tracker holds the evidence of one host. It is not safe for concurrent use.
 type Tracker struct {
-	opts    Options
-	lastRun Run
-	runs    map[Run]run
-	engines map[string]map[Run]uint64
-	records map[RecordID]*record
-	of      map[uint64][]*record // records in which a fingerprint is not cleared
-	refused map[uint64]time.Time // until when
-	holds   map[string][]Hold    // of other hosts
-	broken  map[string][]brokenRun
-	trials  map[string]*trial // by ID
-	version uint64
-	expired time.Time // when expire ran last
+	opts     Options
+	lastRun  Run
+	runs     map[Run]run
+	engines  map[string]map[Run]uint64
+	records  map[RecordID]*record
+	of       map[uint64][]*record // records in which a fingerprint is not cleared
+	refused  map[uint64]time.Time // until when
+	holds    map[string][]Hold    // of other hosts
+	broken   map[string][]brokenRun
+	trials   map[string]*trial // by ID
+	trialsOf map[uint64][]*trial
+	derived  map[uint64]bool // refusals that follow from trials, as they were told
+	version  uint64
+	expired  time.Time // when expire ran last
 
 	lastTrial uint64 // place of the newest that was read
 }
@@ -100,14 +102,16 @@
 // New returns a Tracker without evidence.
 func New(o Options) *Tracker {
 	t := &Tracker{
-		runs:    make(map[Run]run),
-		engines: make(map[string]map[Run]uint64),
-		records: make(map[RecordID]*record),
-		of:      make(map[uint64][]*record),
-		refused: make(map[uint64]time.Time),
-		holds:   make(map[string][]Hold),
-		broken:  make(map[string][]brokenRun),
-		trials:  make(map[string]*trial),
+		runs:     make(map[Run]run),
+		engines:  make(map[string]map[Run]uint64),
+		records:  make(map[RecordID]*record),
+		of:       make(map[uint64][]*record),
+		refused:  make(map[uint64]time.Time),
+		holds:    make(map[string][]Hold),
+		broken:   make(map[string][]brokenRun),
+		trials:   make(map[string]*trial),
+		trialsOf: make(map[uint64][]*trial),
+		derived:  make(map[uint64]bool),
 	}
 	t.SetOptions(o)
 	return t
@@ -129,7 +133,7 @@
 	}
 	t.expire(now)
 	if _, spent := t.spentUntil(fingerprint, now); spent {
-		return Refused
+		return t.derive(fingerprint)
 	}
 	rs := t.of[fingerprint]
 	if len(rs) == 0 {
@@ -139,7 +143,7 @@
 		return Suspect
 	}
 	if _, condemned := t.condemnedUntil(fingerprint, now); condemned {
-		return Refused
+		return t.derive(fingerprint)
 	}
 	proved, settled := t.weigh(rs, now)
 	switch {
@@ -155,6 +159,15 @@
 // Deaths returns the number of records in which a fingerprint is not cleared.
 func (t *Tracker) Deaths(fingerprint uint64) int { return len(t.of[fingerprint]) }
 
+// derive notes a refusal that follows from trials: hosts of former releases are to be told.
+func (t *Tracker) derive(fingerprint uint64) Standing {
+	if !t.derived[fingerprint] {
+		t.derived[fingerprint] = true
+		t.version++
+	}
+	return Refused
+}
+
 // RefusedFor returns how long a fingerprint stays refused, zero when it is not.
 func (t *Tracker) RefusedFor(fingerprint uint64, now time.Time) time.Duration {
 	if t.Standing(fingerprint, now) != Refused {
--- a/internal/core/quarantine/trials.go
+++ b/internal/core/quarantine/trials.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -15,6 +16,9 @@
 	MostTrialSends = 3
 )
 
+// mostTrials bounds the trials of all fingerprints that are remembered.
+const mostTrials = 1024
+
 // TrialOutcome says what became of a trial.
 type TrialOutcome uint8
 
@@ -91,10 +95,7 @@
 	}
 	r := t.trials[heard.ID]
 	if r == nil {
-		r = &trial{Trial: heard, at: now.Add(-max(heard.Age, 0))}
-		r.Outcome = TrialOpen
-		t.trials[heard.ID] = r
-		t.version++
+		r = t.addTrial(heard, now)
 	}
 	if r.Outcome == TrialOpen && heard.Outcome != TrialOpen {
 		r.Outcome = heard.Outcome
@@ -106,12 +107,37 @@
 	return r
 }
 
+// addTrial notes a trial that was not known. The oldest is dropped when there are too many.
+func (t *Tracker) addTrial(heard Trial, now time.Time) *trial {
+	if len(t.trials) >= mostTrials {
+		oldest := slices.MinFunc(slices.Collect(maps.Values(t.trials)), func(a, b *trial) int { return a.at.Compare(b.at) })
+		t.dropTrial(oldest)
+	}
+	r := &trial{Trial: heard, at: now.Add(-max(heard.Age, 0))}
+	r.Outcome = TrialOpen
+	t.trials[r.ID] = r
+	t.trialsOf[r.Fingerprint] = append(t.trialsOf[r.Fingerprint], r)
+	t.version++
+	return r
+}
+
+func (t *Tracker) dropTrial(r *trial) {
+	delete(t.trials, r.ID)
+	left := slices.DeleteFunc(t.trialsOf[r.Fingerprint], func(o *trial) bool { return o == r })
+	t.trialsOf[r.Fingerprint] = left
+	if len(left) == 0 {
+		delete(t.trialsOf, r.Fingerprint)
+		delete(t.derived, r.Fingerprint)
+	}
+	t.version++
+}
+
 // acquit clears a fingerprint that completed under trial: its deaths and trials so far count no
 // more.
 func (t *Tracker) acquit(fingerprint uint64) {
 	t.clear(fingerprint)
-	for _, r := range t.trials {
-		if r.Fingerprint == fingerprint && r.Outcome != TrialOpen {
+	for _, r := range t.trialsOf[fingerprint] {
+		if r.Outcome != TrialOpen {
 			r.Outcome = TrialCompleted
 		}
 	}
@@ -143,9 +169,9 @@
 	own := t.trials[id]
 	var ran, sent int
 	busy := false
-	for _, r := range t.trials {
+	for _, r := range t.trialsOf[fingerprint] {
 		after := own != nil && r.place > own.place
-		if r.Fingerprint != fingerprint || r == own || after {
+		if r == own || after {
 			continue
 		}
 		busy = busy || r.open(now)
@@ -190,11 +216,11 @@
 // spentUntil returns until when a fingerprint is refused because its trials are used up and none
 // of them runs any more.
 func (t *Tracker) spentUntil(fingerprint uint64, now time.Time) (until time.Time, spent bool) {
-	if len(t.trials) == 0 || t.JudgeTrial("", fingerprint, now) != TrialSpent {
+	if len(t.trialsOf[fingerprint]) == 0 || t.JudgeTrial("", fingerprint, now) != TrialSpent {
 		return time.Time{}, false
 	}
-	for _, r := range t.trials {
-		if r.Fingerprint != fingerprint || !r.sent() {
+	for _, r := range t.trialsOf[fingerprint] {
+		if !r.sent() {
 			continue
 		}
 		if r.open(now) {
@@ -240,10 +266,9 @@
 
 // expireTrials forgets those that count no more.
 func (t *Tracker) expireTrials(now time.Time) {
-	for id, r := range t.trials {
+	for _, r := range t.trials {
 		if now.Sub(r.at) >= t.opts.For {
-			delete(t.trials, id)
-			t.version++
+			t.dropTrial(r)
 		}
 	}
 }
--- a/internal/core/quarantine/trials_test.go
+++ b/internal/core/quarantine/trials_test.go
@@ -651,6 +651,10 @@
 	tr, now := suspect(1)
 	tried(tr, "c", 1, now, 95)
 	now = now.Add(DefaultSettleAfter)
+	told := tr.Version()
+	if tr.Standing(1, now) != Refused || tr.Version() == told {
+		t.Error("the refusal is no news")
+	}
 	d := tr.Digest(now)
 	if len(d.Refused) != 1 || d.Refused[0].Fingerprint != 1 || !d.Refused[0].Derived {
 		t.Fatalf("told %+v", d.Refused)
