Suspects: a store that refuses reads from beyond its end is read anew; the question for a trial in two steps

Found by reading: a read from an offset that the store, back from an older copy, has not reached again may be refused, and was tried again as it was, so that nothing was read until the stream had grown over it. A refusal because of load reads on as before. ask is split (judged, noteUnasked); showsDead in place of a fate of three values of which one counted.

--- a/internal/relay/fate.go
+++ b/internal/relay/fate.go
@@ -23,38 +23,18 @@
 // that ends closes its connections before its listener, and a slow machine may see neither in time.
 var againAfter = []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 500 * time.Millisecond}
 
-// fate is what a look shows of an upstream whose answer broke.
-type fate uint8
-
-const (
-	lives  fate = iota // somebody listens
-	untold             // nobody answers, and it is not known whether it died or the way there is cut
-	died
-)
-
-// fate looks whether nobody listens at an upstream's address any more, while something else in its
-// failure domain is reached: a cut of the way to the domain may look the same. Where nothing else
-// is known there, a refused connection is all that can be had, and few run on one upstream.
-func (r *Relay) fate(ctx context.Context, u fleet.Upstream, within time.Duration) fate {
+// showsDead looks whether nobody listens at an upstream's address any more, while something else in
+// its failure domain is reached: a cut of the way to the domain may look the same. Where nothing
+// else is known there, a refused connection is all that can be had, and few run on one upstream.
+func (r *Relay) showsDead(ctx context.Context, u fleet.Upstream, within time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	err := r.opts.Reach(ctx, u.Address)
-	switch {
-	case err == nil:
-		return lives
-	case !errors.Is(err, syscall.ECONNREFUSED):
-		return untold
+	if !errors.Is(r.opts.Reach(ctx, u.Address), syscall.ECONNREFUSED) {
+		return false
 	}
 	others := r.neighbours(u)
-	if len(others) == 0 {
-		return died
-	}
-	for _, address := range others {
-		if r.opts.Reach(ctx, address) == nil {
-			return died
-		}
-	}
-	return untold
+	reached := func(address string) bool { return r.opts.Reach(ctx, address) == nil }
+	return len(others) == 0 || slices.ContainsFunc(others, reached)
 }
 
 // lookAgain looks for some time what has become of an upstream whose answer broke, and tells of its
@@ -69,7 +49,7 @@
 		ctx := context.Background() // the request that was broken does not wait
 		for _, after := range againAfter {
 			wait.For(ctx, after)
-			if r.fate(ctx, u, againWait) == died {
+			if r.showsDead(ctx, u, againWait) {
 				r.Lapsed(u)
 				return
 			}
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -45,7 +45,7 @@
 		suspects.End(r, e.delivered)
 		return
 	}
-	if errors.Is(e.err, errLifeOver) || g.relay.fate(ctx, u, reachWait) == died {
+	if errors.Is(e.err, errLifeOver) || g.relay.showsDead(ctx, u, reachWait) {
 		suspects.Died(u.ID, u.ID, time.Now())
 	} else {
 		suspects.Broke(r, time.Now())
--- a/internal/suspects/keep_test.go
+++ b/internal/suspects/keep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -26,7 +27,10 @@
 	grown   chan struct{}
 }
 
-var errAway = merry.Sentinel("the store is away")
+var (
+	errAway   = merry.Sentinel("the store is away")
+	errBeyond = merry.Sentinel("the stream ends before that")
+)
 
 func newMemory() *memory { return &memory{grown: make(chan struct{})} }
 
@@ -95,7 +99,7 @@
 			return page, nil
 		}
 		if from > int64(len(records)) {
-			return page, nil
+			return page, errBeyond
 		}
 		select {
 		case <-grown:
@@ -118,6 +122,9 @@
 
 func (m *memory) Read(ctx context.Context, _ string, from int64, limit int, wait time.Duration) (platform.Page, error) {
 	kept, err := m.Since(ctx, "", from, wait)
+	if errors.Is(err, errBeyond) {
+		err = nil
+	}
 	page := platform.Page{Next: kept.Next, Era: kept.Era}
 	for _, r := range kept.Records[:min(limit, len(kept.Records))] {
 		page.Records = append(page.Records, platform.Record{Offset: r.Offset, Data: r.Value})
--- a/internal/suspects/store.go
+++ b/internal/suspects/store.go
@@ -65,6 +65,8 @@
 		return s.whole(ctx)
 	}
 	if err != nil {
+		// A store that came back from an older copy may refuse to read from beyond its end.
+		s.reading = errors.Is(err, platform.ErrBusy)
 		return Batch{}, err
 	}
 	s.next = page.Next
--- a/internal/suspects/trial.go
+++ b/internal/suspects/trial.go
@@ -19,10 +19,8 @@
 	trialWait = time.Second
 	// trialMargin is how much longer than its request a trial counts as running.
 	trialMargin = time.Second
-	// busyAgain and awayAgain are told to callers whose request waits for another trial, or for
-	// the store.
-	busyAgain = time.Second
-	awayAgain = time.Second
+	// tryAgain is told to callers whose request waits for another trial, or for the store.
+	tryAgain = time.Second
 	// unprovenMost is the number of deaths up to which a request may run without the store's word.
 	unprovenMost = 2
 )
@@ -108,7 +106,7 @@
 	case standing != quarantine.Isolate || store == nil:
 		return nil, nil
 	case verdict != quarantine.TrialGranted:
-		return nil, later(busyAgain)
+		return nil, later(tryAgain)
 	}
 	return t.ask(ctx, store, fingerprint, life+trialMargin, deaths)
 }
@@ -117,47 +115,61 @@
 	return request.Refuse(request.CodeSuspect, after, "servers have ended under this request, and its turn to be tried has not come")
 }
 
-// ask writes a trial to the store and waits until it has been read back.
+// ask asks the store for a trial. While it does not answer, a request in few deaths runs without
+// its word.
 func (t *Tracker) ask(ctx context.Context, store Store, fingerprint uint64, life time.Duration, deaths int) (*Trial, *request.Refusal) {
 	began := time.Now()
 	r, own := t.newTrial(fingerprint, life, began)
-	ctx, cancel := context.WithTimeout(ctx, trialWait)
-	defer cancel()
-	err := putTrial(ctx, store, own.aged(began))
-	if err == nil {
-		err = t.readBack(ctx, r.id)
-	}
-	now := time.Now()
-	t.mu.Lock()
-	verdict := t.core.JudgeTrial(r.id, fingerprint, now)
-	if standing := t.core.Standing(fingerprint, now); err == nil && standing != quarantine.Isolate {
-		verdict = quarantine.TrialBusy // more was read meanwhile
-	}
-	t.mu.Unlock()
+	verdict, err := t.judged(ctx, store, own)
 	log := t.log.WithFields(logrus.Fields{
-		"work": workName(fingerprint), "trial": r.id, "deaths": deaths, "took_ms": now.Sub(began).Milliseconds(),
+		"work": workName(fingerprint), "trial": r.id, "deaths": deaths, "took_ms": time.Since(began).Milliseconds(),
 	})
 	switch {
-	case err != nil && deaths <= unprovenMost && ctx.Err() != context.Canceled:
-		log.WithError(err).Warn("trial_unasked") // the store is away; few enough have died
+	case err == nil:
+		log.WithField("verdict", verdict.String()).Info("trial_judged")
+		countTrial(verdict.String())
+	case deaths <= unprovenMost && ctx.Err() == nil:
+		log.WithError(err).Warn("trial_unasked")
 		countTrial("unasked")
-		t.mu.Lock()
-		t.core.Merge(quarantine.Digest{Trials: []quarantine.Trial{own.aged(now)}}, now)
-		t.mu.Unlock()
+		t.noteUnasked(own)
 		return r, nil
-	case err != nil:
+	default:
 		log.WithError(err).Warn("trial_undecided")
 		countTrial("undecided")
-		r.End(quarantine.TrialNotSent)
-		return nil, later(awayAgain)
 	}
-	log.WithField("verdict", verdict.String()).Info("trial_judged")
-	countTrial(verdict.String())
-	if verdict == quarantine.TrialGranted {
+	if err == nil && verdict == quarantine.TrialGranted {
 		return r, nil
 	}
 	r.End(quarantine.TrialNotSent)
-	return nil, later(busyAgain)
+	return nil, later(tryAgain)
+}
+
+// judged writes a trial to the store, waits until it has been read back, and returns what the
+// store's order says of it.
+func (t *Tracker) judged(ctx context.Context, store Store, own *ownTrial) (quarantine.TrialVerdict, error) {
+	ctx, cancel := context.WithTimeout(ctx, trialWait)
+	defer cancel()
+	if err := putTrial(ctx, store, own.aged(own.asked)); err != nil {
+		return 0, err
+	}
+	if err := t.readBack(ctx, own.told.ID); err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.core.Standing(own.told.Fingerprint, now) != quarantine.Isolate {
+		return quarantine.TrialBusy, nil // more was read meanwhile
+	}
+	return t.core.JudgeTrial(own.told.ID, own.told.Fingerprint, now), nil
+}
+
+// noteUnasked has this daemon and its peers know of a trial that the store may not have.
+func (t *Tracker) noteUnasked(own *ownTrial) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.Merge(quarantine.Digest{Trials: []quarantine.Trial{own.aged(now)}}, now)
 }
 
 func countTrial(verdict string) {
