Suspects: a log is read from its first offset, 1

What callers saw: nothing yet. On the product's own path nothing was kept in the log at all: the first read asked for offset 0, which the log's API refuses, so evidence was neither read nor written. The unit tests' log took any offset; it refuses what the API does now, and fails before.

--- a/internal/suspects/keep_test.go
+++ b/internal/suspects/keep_test.go
@@ -120,14 +120,18 @@
 	return 0, nil
 }
 
+// Read has offsets from 1, as logs do, and refuses others.
 func (m *memory) Read(ctx context.Context, _ string, from int64, limit int, wait time.Duration) (platform.Page, error) {
-	kept, err := m.Since(ctx, "", from, wait)
+	if from < 1 {
+		return platform.Page{}, errBeyond
+	}
+	kept, err := m.Since(ctx, "", from-1, wait)
 	if errors.Is(err, errBeyond) {
 		err = nil
 	}
-	page := platform.Page{Next: kept.Next, Era: kept.Era}
+	page := platform.Page{FirstKept: 1, Next: kept.Next + 1, Era: kept.Era}
 	for _, r := range kept.Records[:min(limit, len(kept.Records))] {
-		page.Records = append(page.Records, platform.Record{Offset: r.Offset, Data: r.Value})
+		page.Records = append(page.Records, platform.Record{Offset: r.Offset + 1, Data: r.Value})
 	}
 	return page, err
 }
--- a/internal/suspects/store.go
+++ b/internal/suspects/store.go
@@ -114,13 +114,16 @@
 	return err
 }
 
+// firstOffset is that of a log's first record.
+const firstOffset = 1
+
 // pageRecords is how many records one read of a log returns at the most.
 const pageRecords = 1000
 
 // Next implements Store.
 func (s *logStore) Next(ctx context.Context, wait time.Duration) (Batch, error) {
 	if !s.reading {
-		s.next, wait = 0, 0
+		s.next, wait = firstOffset, 0
 	}
 	page, err := s.log.Read(ctx, s.stream, s.next, pageRecords, wait)
 	if err != nil {
