Suspects: reads of the store that stay open are longer with many daemons

985 daemons that ask each ten seconds are 98 reads a second for news that comes now and then; with 20 ms more for each, 30 s at the most (what the store's page allows), 33.

--- a/internal/suspects/keep.go
+++ b/internal/suspects/keep.go
@@ -22,8 +22,11 @@
 )
 
 const (
-	// readWait is how long a read of the store stays open without news.
-	readWait = 10 * time.Second
+	// readWait is how long a read of the store stays open without news; with many daemons longer
+	// by readWaitPerHost for each, so that those of all are few, but readWaitMost at the most.
+	readWait        = 10 * time.Second
+	readWaitPerHost = 20 * time.Millisecond
+	readWaitMost    = 30 * time.Second
 	// readTimeout is what a read may take besides.
 	readTimeout  = 2 * time.Second
 	writeTimeout = time.Second
@@ -54,13 +57,12 @@
 	t.mu.Lock()
 	t.store = store
 	t.mu.Unlock()
-	pace := func() time.Duration { return time.Duration(hosts()) * keepPacePerHost }
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		t.keepWriting(ctx, store, pace)
+		t.keepWriting(ctx, store, hosts)
 	}()
-	t.keepReading(ctx, store, pace)
+	t.keepReading(ctx, store, hosts)
 	<-done
 	return nil
 }
@@ -78,11 +80,12 @@
 }
 
 // keepReading reads what all daemons write.
-func (t *Tracker) keepReading(ctx context.Context, store Store, pace func() time.Duration) {
+func (t *Tracker) keepReading(ctx context.Context, store Store, hosts func() int) {
 	away := false
 	for ctx.Err() == nil {
-		again := keepPace + pace()
-		err := t.readOnce(ctx, store)
+		n := time.Duration(hosts())
+		again := keepPace + n*keepPacePerHost
+		err := t.readOnce(ctx, store, min(readWait+n*readWaitPerHost, readWaitMost))
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -104,10 +107,10 @@
 	}
 }
 
-func (t *Tracker) readOnce(ctx context.Context, store Store) error {
-	ctx, cancel := context.WithTimeout(ctx, readWait+readTimeout)
+func (t *Tracker) readOnce(ctx context.Context, store Store, open time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, open+readTimeout)
 	defer cancel()
-	batch, err := store.Next(ctx, readWait)
+	batch, err := store.Next(ctx, open)
 	if err != nil {
 		return err
 	}
@@ -165,9 +168,9 @@
 }
 
 // keepWriting writes what is new of this daemon's own.
-func (t *Tracker) keepWriting(ctx context.Context, store Store, pace func() time.Duration) {
+func (t *Tracker) keepWriting(ctx context.Context, store Store, hosts func() int) {
 	for ctx.Err() == nil {
-		again := pace()
+		again := time.Duration(hosts()) * keepPacePerHost
 		if err := t.writeOnce(ctx, store); err != nil && ctx.Err() == nil {
 			t.log.WithError(err).Warn("suspects_not_written")
 			again = storeAgain
--- a/internal/suspects/keep_test.go
+++ b/internal/suspects/keep_test.go
@@ -286,7 +286,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		second := New("b", first[0].log)
-		if err := second.readOnce(t.Context(), store()); err != nil {
+		if err := second.readOnce(t.Context(), store(), readWait); err != nil {
 			t.Fatal(err)
 		}
 		if got := second.core.Deaths(culprit); got != 2 {
