Suspects: of many daemons a few in each failure domain read the store

Few daemons, up to 16, all read as before; of more, four in each failure domain, and whoever hears none of these for two seconds, as behind a cut; any when it asks for a trial, or before it first writes. What readers read goes on by digests.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -51,6 +51,14 @@
 	return refs
 }
 
+// Hosts implements suspects.Group.
+func (p *peers) Hosts() int { return len(p.Members()) }
+
+// NearBy implements suspects.Group.
+func (p *peers) NearBy() []membership.Member {
+	return slices.DeleteFunc(slices.Clone(p.Members()), func(m membership.Member) bool { return m.Domain != p.domain })
+}
+
 // others returns the hosts that can be expected to answer, without this one.
 func (p *peers) others() []membership.Member {
 	return slices.DeleteFunc(slices.Clone(p.Members()), func(m membership.Member) bool {
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -273,7 +273,7 @@
 	run("schedule", p.schedule.Run)
 	run("suspects", func(ctx context.Context) error { return p.suspects.Share(ctx, p.node) })
 	run("evidence", func(ctx context.Context) error {
-		return p.suspects.Keep(ctx, suspects.InKeyed(p.store, p.provider.EvidenceStream()), p.sharingHosts)
+		return p.suspects.Keep(ctx, suspects.InKeyed(p.store, p.provider.EvidenceStream()), p.peers)
 	})
 	run("sweep", p.sweep)
 	run("ways", p.relay.WatchWays)
--- a/internal/suspects/keep.go
+++ b/internal/suspects/keep.go
@@ -52,17 +52,17 @@
 }
 
 // Keep writes this daemon's evidence and trials to the store and reads those of all, until the
-// context ends. hosts returns the number of daemons that do so.
-func (t *Tracker) Keep(ctx context.Context, store Store, hosts func() int) error {
+// context ends.
+func (t *Tracker) Keep(ctx context.Context, store Store, group Group) error {
 	t.mu.Lock()
 	t.store = store
 	t.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		t.keepWriting(ctx, store, hosts)
+		t.keepWriting(ctx, store, group)
 	}()
-	t.keepReading(ctx, store, hosts)
+	t.keepReading(ctx, store, group)
 	<-done
 	return nil
 }
@@ -79,34 +79,47 @@
 	}
 }
 
-// keepReading reads what all daemons write.
-func (t *Tracker) keepReading(ctx context.Context, store Store, hosts func() int) {
-	away := false
+// keepReading reads what all daemons write, as one of those that do so for others or when it is
+// asked to.
+func (t *Tracker) keepReading(ctx context.Context, store Store, group Group) {
+	asked := false
 	for ctx.Err() == nil {
-		n := time.Duration(hosts())
-		again := keepPace + n*keepPacePerHost
-		err := t.readOnce(ctx, store, min(readWait+n*readWaitPerHost, readWaitMost))
-		switch {
-		case ctx.Err() != nil:
-			return
-		case err != nil:
-			again = storeAgain
-			metrics.GetOrCreateCounter("buckthorndock_suspects_store_failures_total").Inc()
-			if !away {
-				t.log.WithError(err).Warn("suspects_store_lost")
-			}
-		case away:
-			t.log.Info("suspects_store_back")
+		again := keepPace
+		if asked || reads(t.host, group, time.Now()) {
+			again = t.readTold(ctx, store, time.Duration(group.Hosts()))
 		}
-		away = err != nil
 		select {
 		case <-time.After(again):
+			asked = false
 		case <-t.readNow:
+			asked = true
 		case <-ctx.Done():
 		}
 	}
 }
 
+// readTold reads once, tells when the store is lost or back, and returns the time to the next read.
+func (t *Tracker) readTold(ctx context.Context, store Store, hosts time.Duration) (again time.Duration) {
+	err := t.readOnce(ctx, store, min(readWait+hosts*readWaitPerHost, readWaitMost))
+	if ctx.Err() != nil {
+		return 0
+	}
+	if err != nil {
+		metrics.GetOrCreateCounter("buckthorndock_suspects_store_failures_total").Inc()
+	}
+	switch {
+	case err != nil && !t.away:
+		t.log.WithError(err).Warn("suspects_store_lost")
+	case err == nil && t.away:
+		t.log.Info("suspects_store_back")
+	}
+	t.away = err != nil
+	if t.away {
+		return storeAgain
+	}
+	return keepPace + hosts*keepPacePerHost
+}
+
 func (t *Tracker) readOnce(ctx context.Context, store Store, open time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, open+readTimeout)
 	defer cancel()
@@ -168,9 +181,9 @@
 }
 
 // keepWriting writes what is new of this daemon's own.
-func (t *Tracker) keepWriting(ctx context.Context, store Store, hosts func() int) {
+func (t *Tracker) keepWriting(ctx context.Context, store Store, group Group) {
 	for ctx.Err() == nil {
-		again := time.Duration(hosts()) * keepPacePerHost
+		again := time.Duration(group.Hosts()) * keepPacePerHost
 		if err := t.writeOnce(ctx, store); err != nil && ctx.Err() == nil {
 			t.log.WithError(err).Warn("suspects_not_written")
 			again = storeAgain
@@ -220,6 +233,9 @@
 	began, written := t.began, t.written
 	t.mu.Unlock()
 	said, err := encode(unaged)
+	if !began && len(unaged) > 0 {
+		t.kickReader()
+	}
 	if err != nil || !began || bytes.Equal(said, written) || len(unaged) == 0 && len(written) == 0 {
 		return err
 	}
--- a/internal/suspects/keep_test.go
+++ b/internal/suspects/keep_test.go
@@ -13,6 +13,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/membership"
 	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
@@ -136,6 +137,12 @@
 	return page, err
 }
 
+// few is a group of few daemons.
+type few struct{}
+
+func (few) Hosts() int                  { return 8 }
+func (few) NearBy() []membership.Member { return nil }
+
 // daemons starts some that keep their evidence in one store, and do not hear each other.
 func daemons(t *testing.T, store func() Store, names ...string) []*Tracker {
 	t.Helper()
@@ -147,7 +154,7 @@
 	for _, name := range names {
 		tr := New(name, logrus.NewEntry(log))
 		all = append(all, tr)
-		running.Go(func() { _ = tr.Keep(ctx, store(), func() int { return len(names) }) })
+		running.Go(func() { _ = tr.Keep(ctx, store(), few{}) })
 	}
 	t.Cleanup(func() {
 		cancel()
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -40,6 +40,7 @@
 	core      *quarantine.Tracker
 	store     Store                // nil: none keeps evidence
 	began     bool                 // the store was read
+	away      bool                 // it did not answer the last read; the reader's own
 	wasRead   chan struct{}        // closed and replaced at each read of the store
 	written   []byte               // own evidence as the store has it
 	stale     []string             // keys to remove
