--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -54,7 +54,7 @@
 	turned    []turned
 	domains   map[string]string      // failure domain of each server
 	crashes   map[string][]time.Time // when servers ended under a request, by its id
-	deadly    map[string]string      // daemons that were sent such requests, by their ids
+	deadly    map[string]string      // daemons that requests of a crash site went to, by their ids
 	evacuated []evacuation
 	colds     []coldTime
 	version   int
--- a/test/soak/crashes_test.go
+++ b/test/soak/crashes_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,7 +39,7 @@
 	h.crashes[r.ID] = append(h.crashes[r.ID], time.Unix(0, r.At))
 }
 
-// work names the work of a request, whoever sends it and when: its id up to the last dash.
+// workOf names the work of a request, whoever sends it and when: its id up to the last dash.
 func workOf(id string) string { return id[:strings.LastIndex(id, "-")] }
 
 // crashesOf returns when servers ended under a work, in order.
@@ -55,6 +56,13 @@
 	return all
 }
 
+// sendsTo notes the daemon to which a request of a crash site goes.
+func (h *history) sendsTo(d *daemon, id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.deadly[id] = d.name
+}
+
 // lateOf returns how often a work reached servers when all had to know it, sent by daemons that
 // nothing had troubled in that time.
 func (h *history) lateOf(work string, known time.Time) int {
@@ -95,9 +103,9 @@
 
 // crashSite is a site on which a request ends the servers that run it, beside others.
 type crashSite struct {
-	t *testing.T
-	r *rig
-	n int
+	t    *testing.T
+	r    *rig
+	sent atomic.Int64
 }
 
 // send sends a work through a daemon once and returns what came of it; it leaves after a time,
@@ -109,11 +117,8 @@
 		ctx, cancel = context.WithTimeout(ctx, leaves)
 		defer cancel()
 	}
-	c.r.history.mu.Lock()
-	c.n++
-	id := fmt.Sprintf("%s-%d", work, c.n)
-	c.r.history.deadly[id] = d.name
-	c.r.history.mu.Unlock()
+	id := fmt.Sprintf("%s-%d", work, c.sent.Add(1))
+	c.r.history.sendsTo(d, id)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.address+"/"+kind+"/x?"+query, strings.NewReader(work))
 	if err != nil {
 		c.t.Error(err)
