Test: a record of an older copy is as old as the log may keep, not older

Cause, traced: it put a record back by an hour, which is the log's retention; whenever a millisecond had passed before the read, the record was trimmed. No check changed.

--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -241,7 +241,7 @@
 	if err := l.SetFault(Fault{Kind: FaultRestore, On: true, Count: 1, Ms: -1}); err == nil {
 		t.Error("a copy of the future was taken")
 	}
-	l.streams["s"].records[0].AtMs -= time.Hour.Milliseconds()
+	l.streams["s"].records[0].AtMs -= 2 * time.Minute.Milliseconds() // well within the log's retention
 	if err := l.SetFault(Fault{Kind: FaultRestore, On: true, Count: 1, Ms: time.Minute.Milliseconds()}); err != nil {
 		t.Fatal(err)
 	}
