Suspects: a request that is refused by now does not wait under the trial that it has

While a request under a trial looked for a place, its refusal was not looked at any more: on the product's own path it would have waited to its deadline for engines that are all closed to it. The trial that a request has is part of the question now; what is refused ends it. TestTrialThatIsNotSentYetEndsWithARefusal; without the check of the refusal first it gets its trial back.

--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -152,11 +152,8 @@
 // underTrial makes sure that the request may be placed, under a trial if it needs one. Its turn
 // for that is waited for.
 func (g *generation) underTrial(ctx context.Context) *noPlace {
-	if g.trial != nil && !g.trial.WasSent() {
-		return nil // that of an attempt which came to nothing
-	}
-	var refusal *request.Refusal
-	g.trial, refusal = g.s.opts.Suspects.Admit(ctx, g.job.req.Fingerprint, time.Until(g.job.req.Deadline))
+	trial, refusal := g.s.opts.Suspects.Admit(ctx, g.job.req.Fingerprint, g.trial, time.Until(g.job.req.Deadline))
+	g.trial = trial
 	if refusal == nil {
 		return nil
 	}
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -23,11 +23,8 @@
 
 // underTrial makes sure that the request may be placed, under a trial if it needs one.
 func (g *run) underTrial(ctx context.Context) *request.Refusal {
-	if g.trial != nil && !g.trial.WasSent() {
-		return nil // that of an attempt which came to nothing
-	}
-	var refusal *request.Refusal
-	g.trial, refusal = g.relay.opts.Suspects.Admit(ctx, g.req.Fingerprint, g.left())
+	trial, refusal := g.relay.opts.Suspects.Admit(ctx, g.req.Fingerprint, g.trial, g.left())
+	g.trial = trial
 	return refusal
 }
 
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -150,8 +150,9 @@
 // Suspects keeps requests away that crash the upstreams which run them; see package
 // quarantine.
 type Suspects interface {
-	// Admit says whether a request may be placed now, and under which trial, if any.
-	Admit(ctx context.Context, fingerprint uint64, life time.Duration) (*suspects.Trial, *request.Refusal)
+	// Admit says whether a request may be placed now, and under which trial, if any; the one that
+	// it has is kept if it has come to nothing.
+	Admit(ctx context.Context, fingerprint uint64, has *suspects.Trial, life time.Duration) (*suspects.Trial, *request.Refusal)
 	// TryStart notes that a request begins on an upstream; false: not there, not now.
 	TryStart(upstream string, fingerprint uint64, trial *suspects.Trial, now time.Time) (quarantine.Run, bool)
 	// End notes that a run is over.
--- a/internal/suspects/keep_test.go
+++ b/internal/suspects/keep_test.go
@@ -208,7 +208,7 @@
 		var asked sync.WaitGroup
 		for _, tr := range all {
 			asked.Go(func() {
-				trial, refusal := tr.Admit(t.Context(), culprit, time.Second)
+				trial, refusal := tr.Admit(t.Context(), culprit, nil, time.Second)
 				mu.Lock()
 				defer mu.Unlock()
 				if trial != nil {
@@ -226,13 +226,35 @@
 		granted[0].End(quarantine.TrialCompleted)
 		time.Sleep(settled)
 		for _, tr := range all {
-			if trial, refusal := tr.Admit(t.Context(), culprit, time.Second); trial != nil || refusal != nil {
+			if trial, refusal := tr.Admit(t.Context(), culprit, nil, time.Second); trial != nil || refusal != nil {
 				t.Errorf("%s does not know that it has completed: %v", tr.host, refusal)
 			}
 		}
 	})
 }
 
+// TestTrialThatIsNotSentYetEndsWithARefusal guards against a request that waits for a place under
+// its trial though it is refused by now, and against one that asks again for what it has.
+func TestTrialThatIsNotSentYetEndsWithARefusal(t *testing.T) {
+	eachStore(t, func(t *testing.T, _ *memory, store func() Store) {
+		tr := daemons(t, store, "a")[0]
+		crash(t, tr, "e1", 101)
+		crash(t, tr, "e2", 102)
+		time.Sleep(settled)
+		trial, _ := tr.Admit(t.Context(), culprit, nil, time.Minute)
+		if again, refusal := tr.Admit(t.Context(), culprit, trial, time.Minute); trial == nil || again != trial || refusal != nil {
+			t.Fatalf("got %v after %v: %v", again, trial, refusal)
+		}
+		tr.End(tr.core.Started("e3", 101), true) // the first death has one cause left
+		if again, refusal := tr.Admit(t.Context(), culprit, trial, time.Minute); again != nil || refusal == nil || refusal.Code != request.CodeQuarantined {
+			t.Errorf("got %v, %v", again, refusal)
+		}
+		if o := tr.trials[trial.id].told.Outcome; o != quarantine.TrialNotSent {
+			t.Errorf("the trial has ended as %s", o)
+		}
+	})
+}
+
 // TestRequestInManyDeathsWaitsForTheStore: one in few is tried without its word, one in three or
 // more is not, and neither waits longer than the question takes.
 func TestRequestInManyDeathsWaitsForTheStore(t *testing.T) {
@@ -242,7 +264,7 @@
 		crash(t, all[0], "e2", 102)
 		time.Sleep(settled)
 		m.setAway(true)
-		trial, refusal := all[0].Admit(t.Context(), culprit, time.Second)
+		trial, refusal := all[0].Admit(t.Context(), culprit, nil, time.Second)
 		if trial == nil {
 			t.Fatalf("two deaths: %v", refusal)
 		}
@@ -255,7 +277,7 @@
 		trial.End(quarantine.TrialRan)
 		time.Sleep(settled)
 		began := time.Now()
-		trial, refusal = all[0].Admit(t.Context(), culprit, time.Second)
+		trial, refusal = all[0].Admit(t.Context(), culprit, nil, time.Second)
 		if trial != nil || refusal == nil || time.Since(began) > trialWait {
 			t.Errorf("three deaths: %v after %s", refusal, time.Since(began))
 		}
@@ -311,11 +333,11 @@
 		crash(t, all[0], "e2", 102)
 		time.Sleep(settled)
 		for i, tr := range all {
-			trial, refusal := tr.Admit(t.Context(), culprit, 5*time.Second)
+			trial, refusal := tr.Admit(t.Context(), culprit, nil, 5*time.Second)
 			if got, want := trial != nil, i < quarantine.MostTrialSends; got != want {
 				t.Fatalf("%s: %v, %v", tr.host, got, refusal)
 			}
-			if _, again := all[(i+1)%len(all)].Admit(t.Context(), culprit, time.Second); again == nil {
+			if _, again := all[(i+1)%len(all)].Admit(t.Context(), culprit, nil, time.Second); again == nil {
 				t.Errorf("another one beside that of %s", tr.host)
 			}
 			time.Sleep(5*time.Second + 2*trialMargin)
--- a/internal/suspects/trial.go
+++ b/internal/suspects/trial.go
@@ -89,11 +89,16 @@
 
 // Admit says whether a request may be placed now: as any other, where no trial is returned; under
 // the trial; or, where a refusal is returned, later or not at all. A request that has been in
-// enough deaths runs one copy at a time among all daemons, as the store orders them.
-func (t *Tracker) Admit(ctx context.Context, fingerprint uint64, life time.Duration) (*Trial, *request.Refusal) {
+// enough deaths runs one copy at a time among all daemons, as the store orders them. It keeps the
+// trial that it has, if that has come to nothing so far; without one, nil is given.
+func (t *Tracker) Admit(ctx context.Context, fingerprint uint64, has *Trial, life time.Duration) (*Trial, *request.Refusal) {
 	if refusal := t.Refusal(fingerprint, time.Now()); refusal != nil {
+		has.End(quarantine.TrialNotSent)
 		return nil, refusal
 	}
+	if has != nil && !has.WasSent() {
+		return has, nil
+	}
 	now := time.Now()
 	t.mu.Lock()
 	standing, held := t.core.Standing(fingerprint, now), t.core.HeldFor(fingerprint, now)
