--- /dev/null
+++ b/internal/core/quarantine/site_play_test.go
@@ -0,0 +1,107 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// late returns how often a work was sent by hosts in touch when all of these had to know it.
+func (s *site) late(w *work) int {
+	deaths := s.deaths[w.fingerprint]
+	if len(deaths) < deathsKnown {
+		return 0
+	}
+	late := 0
+	for _, a := range w.arrivals {
+		if a.inTouch && a.tick > deaths[deathsKnown-1]+knownTicks {
+			late++
+		}
+	}
+	return late
+}
+
+// play plays the site and returns what it breaks.
+func (s *site) play(culprits, innocents, leavers int) []string {
+	for i := range culprits {
+		s.works = append(s.works, &work{fingerprint: uint64(1 + i), culprit: true})
+	}
+	n := culprits
+	for s.now < siteTicks {
+		for range s.rng.IntN(2*(innocents+leavers)/siteTicks + 1) {
+			n++
+			s.works = append(s.works, &work{fingerprint: uint64(1 + n), leaves: s.rng.IntN(innocents+leavers) < leavers})
+		}
+		s.step()
+	}
+	s.heal()
+	for end := s.now + calmTicks; s.now < end && !s.allServed(); {
+		s.step()
+	}
+	return s.broken()
+}
+
+func (s *site) allServed() bool {
+	return !slices.ContainsFunc(s.works, func(w *work) bool { return !w.culprit && !w.done })
+}
+
+func (s *site) broken() []string {
+	var broken []string
+	for _, w := range s.works {
+		former := slices.ContainsFunc(s.hosts, func(h *siteHost) bool { return h.former })
+		if late := s.late(w); w.culprit && late > mostLate && !former {
+			broken = append(broken, fmt.Sprintf("culprit %d reached engines %d times late, %d ended", w.fingerprint, late, len(s.deaths[w.fingerprint])))
+		}
+		if slices.Contains(s.together, w.fingerprint) {
+			broken = append(broken, fmt.Sprintf("%d ran under two trials at once", w.fingerprint))
+		}
+		if !w.culprit && !w.done {
+			broken = append(broken, fmt.Sprintf("innocent %d is not served: %s", w.fingerprint, s.hosts[0].Standing(w.fingerprint, s.at(s.now))))
+		}
+	}
+	return broken
+}
+
+// TestSiteKeepsWhatEndsEnginesFromThemAndServesTheOthers guards against a request that each host
+// tries once more, whatever becomes of the evidence: late, lost, out of order, forgotten by hosts
+// that start again, kept from hosts that are cut from each other or from the store; and against
+// requests that are refused because others beside them end engines, or leave and are never seen
+// again.
+func TestSiteKeepsWhatEndsEnginesFromThemAndServesTheOthers(t *testing.T) {
+	for _, c := range []struct {
+		name                                          string
+		hosts, engines, former, culprits, innos, leav int
+		lossy, apart                                  bool
+	}{
+		{"few others", 6, 8, 0, 1, 30, 30, true, false},
+		{"leavers", 6, 8, 0, 1, 60, 600, false, false},
+		{"leavers, messages lost", 6, 8, 0, 1, 60, 600, true, false},
+		{"two culprits", 6, 8, 0, 2, 300, 600, true, false},
+		{"crowded", 8, 4, 0, 1, 60, 600, true, false},
+		{"apart", 6, 8, 0, 1, 60, 600, false, true},
+		{"a host of the release before", 6, 8, 1, 1, 60, 600, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			params := gopter.DefaultTestParametersWithSeed(52)
+			params.MinSuccessfulTests = 40
+			props := gopter.NewProperties(params)
+			worst := 0
+			props.Property("few late, all innocents served", prop.ForAll(func(seed uint64) string {
+				s := newSite(seed, c.hosts, c.engines, c.former)
+				s.lossy, s.apart = c.lossy, c.apart
+				broken := s.play(c.culprits, c.innos, c.leav)
+				for _, w := range s.works {
+					worst = max(worst, s.late(w))
+				}
+				return strings.Join(broken, "; ")
+			}, gen.UInt64()))
+			props.TestingRun(t)
+			t.Logf("most times late: %d", worst)
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/quarantine/site_store_test.go
@@ -0,0 +1,90 @@
+package quarantine
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// tell sends the host's digest to the others.
+func (s *site) tell(host int, h *siteHost) {
+	d := h.Digest(s.at(s.now))
+	if h.former {
+		d.Trials = nil
+		for i := range d.Records {
+			d.Records[i].Tried = nil
+		}
+	}
+	for k, other := range s.hosts {
+		if k == host || s.apart || h.cutFrom[k] || s.lossy && s.rng.IntN(4) == 0 {
+			continue
+		}
+		told := d
+		if other.former {
+			told.Trials, told.Refused = nil, slices.Clone(d.Refused)
+			for i := range told.Refused {
+				told.Refused[i].Derived = false
+			}
+		}
+		s.messages = append(s.messages, message{k, s.soon(), told})
+	}
+}
+
+// writeEvidence writes what the host has seen itself, when that has changed.
+func (s *site) writeEvidence(h *siteHost) {
+	now := s.at(s.now)
+	said := fmt.Sprint(h.Own(now, false))
+	if h.former || !h.whole || h.away || said == h.told || said == "[]" {
+		return
+	}
+	h.told = said
+	s.put(h, stored{key: h.name, evidence: h.Own(now, true)})
+}
+
+func (s *site) deliver() {
+	s.writes = slices.DeleteFunc(s.writes, func(w write) bool {
+		if w.due > s.now {
+			return false
+		}
+		s.store = append(s.store, w.record)
+		return true
+	})
+	s.messages = slices.DeleteFunc(s.messages, func(m message) bool {
+		if m.due > s.now {
+			return false
+		}
+		s.hosts[m.to].Merge(m.digest, s.at(s.now))
+		return true
+	})
+}
+
+// readStore reads on, or, for a host that has just started, the newest record of each key.
+func (s *site) readStore(h *siteHost) {
+	if h.former || h.away || s.now < h.nextRead {
+		return
+	}
+	h.nextRead = s.soon()
+	records := s.store[h.read:]
+	if !h.whole {
+		newest := map[string]int{}
+		for i, r := range s.store {
+			newest[r.key] = i
+		}
+		records = nil
+		for _, i := range slices.Sorted(maps.Values(newest)) {
+			records = append(records, s.store[i])
+		}
+	}
+	now := s.at(s.now)
+	for _, r := range records {
+		switch {
+		case r.trial != nil:
+			h.ReadTrial(*r.trial, now)
+		case r.key == h.name && !h.whole:
+			h.Adopt(r.evidence, now)
+		default:
+			h.Merge(Digest{Records: r.evidence}, now)
+		}
+	}
+	h.read, h.whole = len(s.store), true
+}
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -86,13 +86,13 @@
 	runs     map[Run]run
 	engines  map[string]map[Run]uint64
 	records  map[RecordID]*record
-	of       map[uint64][]*record // records in which a fingerprint is not cleared
-	refused  map[uint64]time.Time // until when
-	holds    map[string][]Hold    // of other hosts
-	broken   map[string][]brokenRun
-	trials   map[string]*trial // by ID
-	trialsOf map[uint64][]*trial
-	derived  map[uint64]bool // refusals that follow from trials, as they were told
+	of       map[uint64][]*record   // records in which a fingerprint is not cleared
+	refused  map[uint64]time.Time   // until when
+	holds    map[string][]Hold      // of other hosts
+	broken   map[string][]brokenRun // by engine
+	trials   map[string]*trial      // by ID
+	trialsOf map[uint64][]*trial    // by fingerprint
+	derived  map[uint64]bool        // refusals that follow from trials, as they were told
 	version  uint64
 	expired  time.Time // when expire ran last
 
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -1,5 +1,5 @@
-// Package suspects guards the quarantine core by a lock and spreads its evidence
-// among the daemons.
+// Package suspects guards the quarantine core by a lock, spreads its evidence among the
+// daemons, keeps it in a store, and asks that for the trials of requests.
 package suspects
 
 import (
