--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/front"
 	"github.com/buckthorndock/buckthorndock/internal/gate"
 	"github.com/buckthorndock/buckthorndock/internal/join"
+	"github.com/buckthorndock/buckthorndock/internal/netfault"
 	"github.com/buckthorndock/buckthorndock/internal/obs"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
@@ -61,6 +63,7 @@
 	peers    *peers
 	follower *follow.Follower
 
+	links   *netfault.Links // of the connections to upstreams; nil without test faults
 	client  *upstream.Client
 	watcher *upstream.Watcher
 	router  *router.Router
@@ -157,15 +160,28 @@
 	return p.node.Register(follow.Service, p.follower.RPC())
 }
 
+// dialUpstream returns the function that opens connections to upstreams.
+func (p *process) dialUpstream() obs.DialFunc {
+	dial := new(net.Dialer).DialContext
+	if !p.cfg.TestFaults {
+		return dial
+	}
+	p.links = netfault.New(func(ctx context.Context, address string) (net.Conn, error) {
+		return dial(ctx, "tcp", address)
+	})
+	return func(ctx context.Context, _, address string) (net.Conn, error) { return p.links.Dial(ctx, address) }
+}
+
 func (p *process) buildUpstreams() error {
-	p.client = upstream.NewClient(upstream.Options{})
+	dial := p.dialUpstream()
+	p.client = upstream.NewClient(upstream.Options{Dial: dial})
 	p.router = router.New(router.Options{
 		Domain:       p.cfg.Domain,
 		SpillDomains: p.peers.reachableDomains,
 		Seed:         p.incarnation,
 	})
 	p.watcher = upstream.NewWatcher(p.client, p.router, upstream.WatchOptions{Interval: watchInterval, Timeout: watchTimeout})
-	p.engines = owner.NewHTTPEngines(obs.CountedClient(obs.PurposeEngines), time.Now)
+	p.engines = owner.NewHTTPEngines(obs.CountedClientOver(obs.PurposeEngines, dial), time.Now)
 	return nil
 }
 
@@ -253,7 +269,7 @@
 	}
 	handler := p.front.Handler()
 	if p.cfg.TestFaults {
-		handler = withFaults(handler, p.node, hold)
+		handler = withFaults(handler, p.node, hold, p.links)
 	}
 	p.server = &http.Server{
 		Handler:           handler,
--- a/internal/daemon/faults.go
+++ b/internal/daemon/faults.go
@@ -5,9 +5,11 @@
 	"strings"
 	"sync"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/front"
+	"github.com/buckthorndock/buckthorndock/internal/netfault"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
 )
 
@@ -20,7 +22,8 @@
 //	POST /test-faults/cut?from=NAME,NAME     cuts this host off from hosts and domains
 //	POST /test-faults/silence                makes open peer connections silent
 //	POST /test-faults/hold?at=POINT          holds each dispatch at a front.DispatchPoint; without at, releases all
-func withFaults(next http.Handler, node *peer.Node, hold *dispatchHold) http.Handler {
+//	POST /test-faults/upstreams?fault=FAULT  makes all connections to upstreams fail as a netfault.Fault says; without fault, none
+func withFaults(next http.Handler, node *peer.Node, hold *dispatchHold, links *netfault.Links) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", next)
 	mux.HandleFunc("POST "+faultPath+"cut", func(w http.ResponseWriter, r *http.Request) {
@@ -37,6 +40,15 @@
 		hold.moveTo(front.DispatchPoint(r.URL.Query().Get("at")))
 		writeFaultResult(w, nil)
 	})
+	mux.HandleFunc("POST "+faultPath+"upstreams", func(w http.ResponseWriter, r *http.Request) {
+		fault := netfault.Fault(r.URL.Query().Get("fault"))
+		if !fault.Known() {
+			writeFaultResult(w, merry.Errorf("unknown fault %q", fault))
+			return
+		}
+		links.Set(fault)
+		writeFaultResult(w, nil)
+	})
 	return mux
 }
 
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -9,6 +9,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/finding"
+	"github.com/buckthorndock/buckthorndock/internal/httpwire"
 )
 
 // Config is the content of the daemon file, with defaults.
@@ -20,6 +21,8 @@
 	Incarnation uint64 `yaml:"-"`
 	// File is the path of the daemon file.
 	File string `yaml:"-"`
+	// DialUpstream opens connections to upstreams; nil: over the network. Tests set it.
+	DialUpstream httpwire.DialFunc `yaml:"-"`
 
 	Listen struct {
 		Callers string `yaml:"callers"` // IP:port for callers
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -74,6 +74,19 @@
 	sweepInterval = time.Second
 )
 
+// dial returns the function that opens connections to upstreams.
+func (c *Config) dial() httpwire.DialFunc {
+	if c.DialUpstream != nil {
+		return c.DialUpstream
+	}
+	return httpwire.NewDialer(httpwire.DialOptions{
+		UserTimeout:   userTimeout,
+		ProbeIdle:     probeIdle,
+		ProbeInterval: probeInterval,
+		ProbeCount:    probeCount,
+	})
+}
+
 // membershipConfig makes all daemons of a region one group, because each sends requests to engines
 // of every failure domain. Most exchanges stay within a failure domain.
 var membershipConfig = membership.Config{
@@ -97,14 +110,11 @@
 		balancer:  newPlainBalancer(cfg.Domain, cfg.Incarnation),
 		upstreams: fleet.New(fleet.Options{OutageAfter: outageAfter(cfg), ReturnGrace: relistTime}),
 		pool: httpwire.NewPool(httpwire.Options{
-			DialTimeout:   dialTimeout,
-			UserTimeout:   userTimeout,
-			ProbeIdle:     probeIdle,
-			ProbeInterval: probeInterval,
-			ProbeCount:    probeCount,
-			MaxIdle:       idlePerServer,
-			IdleTimeout:   idleTimeout,
-			IdleMargin:    idleMargin,
+			Dial:        cfg.dial(),
+			DialTimeout: dialTimeout,
+			MaxIdle:     idlePerServer,
+			IdleTimeout: idleTimeout,
+			IdleMargin:  idleMargin,
 		}),
 	}
 	p.list.Store(&fleet.Snapshot{})
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -25,19 +25,38 @@
 	writeBuffer = 4 << 10
 )
 
-// dial opens a connection with the pool's timeouts.
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+// DialFunc opens a TCP connection to an address, IP:port.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// DialOptions configure the connections of a dialer. All must be positive.
+type DialOptions struct {
+	UserTimeout   time.Duration // bytes unacknowledged for this long break a connection
+	ProbeIdle     time.Duration // silence before the first keep-alive probe
+	ProbeInterval time.Duration // between two probes
+	ProbeCount    int           // unanswered probes that break a connection
+}
+
+// NewDialer returns a function that opens connections with the given options.
+func NewDialer(o DialOptions) DialFunc {
 	dialer := net.Dialer{
-		Timeout: p.opts.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
-			Idle:     p.opts.ProbeIdle,
-			Interval: p.opts.ProbeInterval,
-			Count:    p.opts.ProbeCount,
+			Idle:     o.ProbeIdle,
+			Interval: o.ProbeInterval,
+			Count:    o.ProbeCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, p.opts.UserTimeout) },
+		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, o.UserTimeout) },
 	}
-	c, err := dialer.DialContext(ctx, "tcp", address)
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+}
+
+// dial opens a connection within the pool's timeout.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
+	defer cancel()
+	c, err := p.opts.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -13,13 +13,10 @@
 
 // Options configure a Pool. All durations must be positive.
 type Options struct {
-	DialTimeout   time.Duration
-	UserTimeout   time.Duration // bytes unacknowledged for this long break a connection
-	ProbeIdle     time.Duration // silence before the first keep-alive probe
-	ProbeInterval time.Duration // between two probes
-	ProbeCount    int           // unanswered probes that break a connection
-	MaxIdle       int           // idle connections kept to one address
-	IdleTimeout   time.Duration // longest that one is kept; shorter if the upstream says so
+	Dial        DialFunc // opens connections
+	DialTimeout time.Duration
+	MaxIdle     int           // idle connections kept to one address
+	IdleTimeout time.Duration // longest that one is kept; shorter if the upstream says so
 	// IdleMargin is subtracted from the time for which an upstream says it keeps an
 	// idle connection.
 	IdleMargin time.Duration
--- a/internal/httpwire/pool_test.go
+++ b/internal/httpwire/pool_test.go
@@ -66,8 +66,8 @@
 
 func newTestPool() *Pool {
 	return NewPool(Options{
-		DialTimeout: time.Second, UserTimeout: time.Second, ProbeIdle: time.Second, ProbeInterval: time.Second,
-		ProbeCount: 2, MaxIdle: 2, IdleTimeout: time.Minute, IdleMargin: 500 * time.Millisecond,
+		Dial:        NewDialer(DialOptions{UserTimeout: time.Second, ProbeIdle: time.Second, ProbeInterval: time.Second, ProbeCount: 2}),
+		DialTimeout: time.Second, MaxIdle: 2, IdleTimeout: time.Minute, IdleMargin: 500 * time.Millisecond,
 	})
 }
 
--- a/internal/obs/bytes.go
+++ b/internal/obs/bytes.go
@@ -24,9 +24,13 @@
 // CountedClient returns an HTTP client without an overall timeout that counts the
 // bytes sent and received on its connections under a purpose.
 func CountedClient(purpose string) *http.Client {
-	dialer := &net.Dialer{Timeout: DefaultDialTimeout}
+	return CountedClientOver(purpose, new(net.Dialer).DialContext)
+}
+
+// CountedClientOver is like CountedClient over connections that dial opens.
+func CountedClientOver(purpose string, dial DialFunc) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         CountBytes(purpose, dialer.DialContext),
+		DialContext:         CountBytes(purpose, WithDialTimeout(dial, DefaultDialTimeout)),
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     time.Minute,
 	}}
@@ -35,6 +39,15 @@
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// WithDialTimeout bounds the time in which dial opens a connection.
+func WithDialTimeout(dial DialFunc, timeout time.Duration) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+}
+
 // CountBytes wraps a Dial so that the bytes of its connections are counted under
 // a purpose.
 func CountBytes(purpose string, dial DialFunc) DialFunc {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -15,6 +15,7 @@
 
 // Options configure a Client. The zero value uses the defaults.
 type Options struct {
+	Dial        obs.DialFunc  // opens connections; over the network by default
 	DialTimeout time.Duration // of opening a connection; 500 ms by default
 	PollTimeout time.Duration // of polls and short calls such as Cancel; 2 s by default
 }
@@ -30,6 +31,7 @@
 // are closed after a failed poll.
 type Client struct {
 	opts     Options
+	dial     obs.DialFunc
 	dispatch *http.Client
 	poll     *http.Client
 	pollPool *http.Transport
@@ -47,11 +49,15 @@
 	if opts.PollTimeout == 0 {
 		opts.PollTimeout = DefaultPollTimeout
 	}
-	dialer := &net.Dialer{Timeout: opts.DialTimeout}
-	fresh := &http.Transport{DialContext: dialWithPermit(dialer), DisableKeepAlives: true}
-	shared := &http.Transport{DialContext: obs.CountBytes(obs.PurposeEngines, dialer.DialContext), MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	if opts.Dial == nil {
+		opts.Dial = new(net.Dialer).DialContext
+	}
+	dial := obs.WithDialTimeout(opts.Dial, opts.DialTimeout)
+	fresh := &http.Transport{DialContext: dialWithPermit(dial), DisableKeepAlives: true}
+	shared := &http.Transport{DialContext: obs.CountBytes(obs.PurposeEngines, dial), MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
 	return &Client{
 		opts:            opts,
+		dial:            dial,
 		dispatch:        &http.Client{Transport: backOffRecorder{fresh}, CheckRedirect: doNotFollowRedirects},
 		poll:            &http.Client{Transport: shared, Timeout: opts.PollTimeout},
 		pollPool:        shared,
--- a/internal/upstream/permit.go
+++ b/internal/upstream/permit.go
@@ -6,6 +6,8 @@
 	"net"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/buckthorndock/buckthorndock/internal/obs"
 )
 
 // ErrNotPermitted means that the function given to WithPermit reported false: a
@@ -22,9 +24,9 @@
 
 // dialWithPermit returns a dial function that calls the permit of its context, if
 // any, on an open connection.
-func dialWithPermit(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+func dialWithPermit(dial obs.DialFunc) obs.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -168,7 +167,7 @@
 	ctx, cancel := context.WithTimeout(ctx, w.opts.Timeout)
 	defer cancel()
 	if !t.IsEngine {
-		return checkPort(ctx, t.Address)
+		return w.client.checkPort(ctx, t.Address)
 	}
 	report, err := w.client.Report(ctx, t.Address)
 	if err != nil {
@@ -179,9 +178,8 @@
 }
 
 // checkPort opens a connection to an address and closes it.
-func checkPort(ctx context.Context, address string) error {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
+func (c *Client) checkPort(ctx context.Context, address string) error {
+	conn, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return classify(err)
 	}
--- a/test/scenarios/fault_test.go
+++ b/test/scenarios/fault_test.go
@@ -37,6 +37,17 @@
 	ts.Check(post(p.address, "/test-faults/cut?from="+strings.Join(args[1:], ","), struct{}{}))
 }
 
+// cmdPartition makes a daemon's connections to all upstreams fail, as netfault.Fault describes;
+// none ends that: partition DAEMON hang|reset|refuse|none.
+func cmdPartition(ts *testscript.TestScript, neg bool, args []string) {
+	requireArgs(ts, neg, args, 2, "partition DAEMON hang|reset|refuse|none")
+	fault := args[1]
+	if fault == "none" {
+		fault = ""
+	}
+	ts.Check(post(siteOf(ts).process(ts, args[0]).address, "/test-faults/upstreams?fault="+fault, struct{}{}))
+}
+
 // cmdSilence makes a daemon's open peer connections silent permanently: silence
 // DAEMON.
 func cmdSilence(ts *testscript.TestScript, neg bool, args []string) {
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -99,6 +99,7 @@
 	c["nap"] = cmdNap
 	c["nosecrets"] = cmdNoSecrets
 	c["openai"] = cmdOpenAI
+	c["partition"] = cmdPartition
 	c["promptof"] = cmdPromptOf
 	c["publish"] = cmdPublish
 	c["ready"] = cmdReady
