Paths: a host that reaches no upstream opens its connections through one that does

What callers saw: 503 within 4 ms at entry hosts that lost their paths to all upstreams, while their peers served.

Cause: a daemon sent only on connections that it opened itself. When no upstream of any failure domain accepted one, it took all domains for cut off and refused at once.

Ruled out: the balancer as the way out (a domain's hosts can all be in this state, and hosts that are not ready miss a duty); sending the request to be served by another host: at most once, the truth of 'not run', budget, quarantine, leases and deadlines would then hang on two hosts and the link between them.

Change: only the connection goes through another daemon, by CONNECT over the mutually authenticated link of peers (internal/tunnel). The request stays with the host that took it; no byte is written before the upstream has accepted. internal/paths knows the path to each domain: direct, indirect, cut. A probe that reaches none of a few upstreams asks other daemons what they reach by connections of their own; a connection that is refused, or not open within 50 ms, waits for that probe. Tunnels carry one exchange each. An end that TLS has not announced is an error: an answer that ends with its connection is never taken for whole because a daemon died. A daemon that leaves waits for its tunnels.

Why it works: the state says whose fault it is. What another daemon reaches is alive.

Tests of idle monitoring and of probes of a stalled daemon moved to internal/paths with the code; their checks are as they were.

--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -15,24 +15,58 @@
 	Started time.Time
 	Tried   int // connections tried
 	Reached int // of them established
+	// Indirect is the number of them that another daemon established. It is tried only if
+	// Reached is zero.
+	Indirect int
+	// DaemonsAnswer says that a daemon of the domain answered meanwhile.
+	DaemonsAnswer bool
 }
 
-// Change is the change of a path's state by a probe.
-type Change uint8
+// State is the state of the path to a domain.
+type State uint8
 
-// Changes of a path's state.
+// States of a path.
 const (
-	None Change = iota
-	BecameCut
-	BecameReachable
+	Direct   State = iota // upstreams of the domain accept connections
+	Indirect              // they accept connections of other daemons only
+	Cut                   // no daemon that was asked reaches them
 )
 
+var stateNames = [...]string{"direct", "indirect", "cut"}
+
+// String returns the name used in logs.
+func (s State) String() string {
+	if int(s) >= len(stateNames) {
+		return "unknown"
+	}
+	return stateNames[s]
+}
+
+// Change is the change of a path's state by a probe. Both are the same without a change.
+type Change struct {
+	From, To State
+	// Since is the start of the state that has ended, or, for a path that was direct, that
+	// of the new one.
+	Since time.Time
+	// Quiet says that the domain had sent nothing for Options.QuietAfter when the probe
+	// started.
+	Quiet bool
+	// Isolated says that none of the domain's daemons answered either while the path was
+	// cut.
+	Isolated bool
+}
+
+// Changed reports whether the state is another one.
+func (c Change) Changed() bool { return c.From != c.To }
+
 // path is the state of the path to a domain.
 type path struct {
-	lastActivity time.Time // last message or connection from the domain
-	lastProbe    time.Time // start of the last probe
-	probing      bool
-	cutSince     time.Time // start of the cut; zero: the path is not cut
+	lastActivity  time.Time // last message or connection from the domain
+	lastProbe     time.Time // start of the last probe
+	probing       bool
+	state         State
+	since         time.Time // start of the state unless it is Direct
+	daemonsAnswer bool      // a daemon of the domain has answered since then
 }
 
 // Tracker has the state of all paths from one daemon. It is not safe for concurrent use.
@@ -69,74 +103,103 @@
 	return true
 }
 
-// DueProbes returns the domains to probe now: those that are cut, and those in streaming that are
-// silent. streaming lists the domains that are sending answers. EndProbe or DiscardProbe must
-// follow for each.
+// DueProbes returns the domains to probe now: those whose path is not direct, and those in
+// streaming that are silent. streaming lists the domains that are sending answers. EndProbe or
+// DiscardProbe must follow for each.
 func (t *Tracker) DueProbes(streaming []string, now time.Time) []string {
 	var due []string
 	for domain, w := range t.paths {
-		if !w.cutSince.IsZero() && t.BeginProbe(domain, now) {
+		if w.state != Direct && t.BeginProbe(domain, now) {
 			due = append(due, domain)
 		}
 	}
 	for _, domain := range streaming {
-		w := t.path(domain)
-		if now.Sub(w.lastActivity) >= t.opts.QuietAfter && t.BeginProbe(domain, now) {
+		if t.quiet(domain, now) && t.BeginProbe(domain, now) {
 			due = append(due, domain)
 		}
 	}
 	return due
 }
 
+// quiet reports whether a domain has sent nothing for Options.QuietAfter.
+func (t *Tracker) quiet(domain string, now time.Time) bool {
+	return now.Sub(t.path(domain).lastActivity) >= t.opts.QuietAfter
+}
+
 // minTried is the number of failed connections from which a probe finds a cut: one upstream may
 // be dead.
 const minTried = 2
 
 // EndProbe takes in the result of a probe. A probe with too few connections finds no cut,
 // because in a domain with a single upstream its failure and a cut look the same; neither does
-// one during which the domain was active: the upstreams that were tried are dead.
+// one during which the domain was active: the upstreams that were tried are dead. What another
+// daemon reaches is alive, so that the path from here is at fault whatever else is known.
 func (t *Tracker) EndProbe(domain string, r ProbeResult, now time.Time) Change {
 	w := t.path(domain)
 	w.probing = false
+	c := Change{From: w.state, To: w.next(r), Since: w.since, Quiet: t.quiet(domain, r.Started)}
+	w.daemonsAnswer = w.daemonsAnswer || r.DaemonsAnswer
+	if r.Reached > 0 {
+		w.lastActivity = now
+	}
+	if !c.Changed() {
+		return c
+	}
+	c.Isolated = c.From == Cut && !w.daemonsAnswer
+	if c.From == Direct {
+		c.Since = r.Started
+	}
+	w.state, w.since, w.daemonsAnswer = c.To, r.Started, r.DaemonsAnswer
+	return c
+}
+
+// next returns the state that follows from a probe.
+func (w *path) next(r ProbeResult) State {
 	switch {
 	case r.Reached > 0:
-		w.lastActivity = now
-		if w.cutSince.IsZero() {
-			return None
-		}
-		w.cutSince = time.Time{}
-		return BecameReachable
-	case r.Tried < minTried || !w.cutSince.IsZero() || w.lastActivity.After(r.Started):
-		return None
+		return Direct
+	case r.Indirect > 0:
+		return Indirect
+	case r.Tried < minTried || w.lastActivity.After(r.Started):
+		return w.state
 	}
-	w.cutSince = r.Started
-	return BecameCut
+	return Cut
 }
 
 // DiscardProbe ends a probe that has no valid result, such as one during which the daemon itself
 // was stalled.
 func (t *Tracker) DiscardProbe(domain string) { t.path(domain).probing = false }
 
-// Cut reports whether the path to a domain is taken as cut.
-func (t *Tracker) Cut(domain string) bool {
-	w := t.paths[domain]
-	return w != nil && !w.cutSince.IsZero()
+// State returns the state of the path to a domain.
+func (t *Tracker) State(domain string) State {
+	if w := t.paths[domain]; w != nil {
+		return w.state
+	}
+	return Direct
 }
 
-// AnyCut reports whether some path is taken as cut.
-func (t *Tracker) AnyCut() bool {
-	for domain := range t.paths {
-		if t.Cut(domain) {
-			return true
+// Cut reports whether the path to a domain is cut.
+func (t *Tracker) Cut(domain string) bool { return t.State(domain) == Cut }
+
+// Isolated reports whether the path to a domain is cut and none of its daemons answers either.
+func (t *Tracker) Isolated(domain string) bool {
+	return t.State(domain) == Cut && !t.paths[domain].daemonsAnswer
+}
+
+// AllDirect reports whether all paths are direct.
+func (t *Tracker) AllDirect() bool {
+	for _, w := range t.paths {
+		if w.state != Direct {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // CutFor returns how long the path to a domain has been cut, zero when it is not.
 func (t *Tracker) CutFor(domain string, now time.Time) time.Duration {
-	if !t.Cut(domain) {
+	if t.State(domain) != Cut {
 		return 0
 	}
-	return now.Sub(t.paths[domain].cutSince)
+	return now.Sub(t.paths[domain].since)
 }
--- a/internal/core/reach/reach_test.go
+++ b/internal/core/reach/reach_test.go
@@ -40,8 +40,8 @@
 	if due := tr.DueProbes(streaming, at(240)); len(due) != 0 {
 		t.Errorf("a second probe of %v while the first is running", due)
 	}
-	if got := tr.EndProbe("far", failedProbe(at(150)), at(250)); got != BecameCut || !tr.Cut("far") || tr.Cut("near") {
-		t.Errorf("change %d", got)
+	if got := tr.EndProbe("far", failedProbe(at(150)), at(250)); got.To != Cut || !got.Changed() || !tr.Cut("far") || tr.Cut("near") {
+		t.Errorf("change %+v", got)
 	}
 	if got := tr.CutFor("far", at(1150)); got != time.Second {
 		t.Errorf("cut for %s", got)
@@ -59,15 +59,15 @@
 	if due := tr.DueProbes(nil, at(200)); !slices.Equal(due, []string{"far"}) {
 		t.Fatalf("probes %v", due)
 	}
-	if got := tr.EndProbe("far", failedProbe(at(200)), at(300)); got != None {
-		t.Errorf("a cut that continues is change %d", got)
+	if got := tr.EndProbe("far", failedProbe(at(200)), at(300)); got.Changed() {
+		t.Errorf("a cut that continues is change %+v", got)
 	}
 	if got := tr.CutFor("far", at(300)); got != 300*time.Millisecond {
 		t.Errorf("the start of the cut has changed: cut for %s", got)
 	}
 	tr.DueProbes(nil, at(400))
-	if got := tr.EndProbe("far", successfulProbe(at(400)), at(405)); got != BecameReachable || tr.Cut("far") || tr.CutFor("far", at(405)) != 0 {
-		t.Errorf("change %d", got)
+	if got := tr.EndProbe("far", successfulProbe(at(400)), at(405)); got.To != Direct || !got.Changed() || tr.Cut("far") || tr.CutFor("far", at(405)) != 0 {
+		t.Errorf("change %+v", got)
 	}
 	if due := tr.DueProbes(nil, at(1000)); len(due) != 0 {
 		t.Errorf("probes %v", due)
@@ -84,8 +84,8 @@
 		if !tr.BeginProbe("far", at(0)) {
 			t.Fatal("no probe")
 		}
-		if got := tr.EndProbe("far", l, at(100)); got != None || tr.Cut("far") {
-			t.Errorf("%s: change %d", name, got)
+		if got := tr.EndProbe("far", l, at(100)); got.Changed() || tr.Cut("far") {
+			t.Errorf("%s: change %+v", name, got)
 		}
 	}
 }
@@ -96,8 +96,8 @@
 	tr := newTracker()
 	tr.BeginProbe("far", at(0))
 	tr.RecordActivity("far", at(40))
-	if got := tr.EndProbe("far", failedProbe(at(0)), at(100)); got != None || tr.Cut("far") {
-		t.Errorf("change %d", got)
+	if got := tr.EndProbe("far", failedProbe(at(0)), at(100)); got.Changed() || tr.Cut("far") {
+		t.Errorf("change %+v", got)
 	}
 }
 
@@ -119,3 +119,76 @@
 		t.Error("no other probe after a discarded one")
 	}
 }
+
+// indirectProbe is a probe whose connections only another daemon can establish.
+func indirectProbe(started time.Time) ProbeResult {
+	return ProbeResult{Started: started, Tried: 3, Indirect: 3, DaemonsAnswer: true}
+}
+
+// TestPathIsIndirectWhileOtherDaemonsReachTheDomain guards against a host that takes its own
+// partition for a cut of the domain. Connections that were open before may still carry answers,
+// and the domain may have a single upstream.
+func TestPathIsIndirectWhileOtherDaemonsReachTheDomain(t *testing.T) {
+	tr := newTracker()
+	tr.BeginProbe("far", at(0))
+	tr.RecordActivity("far", at(50))
+	got := tr.EndProbe("far", ProbeResult{Started: at(0), Tried: 1, Indirect: 1}, at(100))
+	if got.From != Direct || got.To != Indirect || !got.Since.Equal(at(0)) || tr.Cut("far") || tr.AllDirect() {
+		t.Fatalf("change %+v", got)
+	}
+	if due := tr.DueProbes(nil, at(200)); !slices.Equal(due, []string{"far"}) {
+		t.Fatalf("probes %v", due)
+	}
+	if got := tr.EndProbe("far", indirectProbe(at(200)), at(300)); got.Changed() {
+		t.Errorf("change %+v", got)
+	}
+	tr.DueProbes(nil, at(400))
+	if got := tr.EndProbe("far", successfulProbe(at(400)), at(405)); got.From != Indirect || got.To != Direct || !got.Since.Equal(at(0)) || !tr.AllDirect() {
+		t.Errorf("change %+v", got)
+	}
+}
+
+func TestIndirectPathIsCutWhenNoDaemonReachesTheDomain(t *testing.T) {
+	tr := newTracker()
+	tr.BeginProbe("far", at(0))
+	tr.EndProbe("far", indirectProbe(at(0)), at(100))
+	tr.BeginProbe("far", at(200))
+	tr.RecordActivity("far", at(250)) // through another daemon
+	if got := tr.EndProbe("far", failedProbe(at(200)), at(300)); got.Changed() {
+		t.Errorf("cut while answers come: %+v", got)
+	}
+	tr.BeginProbe("far", at(400))
+	if got := tr.EndProbe("far", failedProbe(at(400)), at(500)); got.From != Indirect || got.To != Cut {
+		t.Errorf("change %+v", got)
+	}
+}
+
+// TestDomainIsIsolatedOnlyIfItsDaemonsAreSilentToo guards against a host that takes the other
+// daemons for unreachable because it reaches no upstream.
+func TestDomainIsIsolatedOnlyIfItsDaemonsAreSilentToo(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		tr := newTracker()
+		tr.BeginProbe("far", at(0))
+		tr.EndProbe("far", ProbeResult{Started: at(0), Tried: 3, DaemonsAnswer: answers}, at(100))
+		if !tr.Cut("far") || tr.Isolated("far") == answers {
+			t.Errorf("daemons answer: %v, isolated: %v", answers, tr.Isolated("far"))
+		}
+		tr.BeginProbe("far", at(400))
+		if got := tr.EndProbe("far", successfulProbe(at(400)), at(405)); got.From != Cut || got.Isolated == answers {
+			t.Errorf("daemons answer: %v, change %+v", answers, got)
+		}
+	}
+}
+
+func TestChangeTellsWhetherTheDomainWasQuiet(t *testing.T) {
+	for _, quiet := range []bool{true, false} {
+		tr := newTracker()
+		if !quiet {
+			tr.RecordActivity("far", at(900))
+		}
+		tr.BeginProbe("far", at(1000))
+		if got := tr.EndProbe("far", indirectProbe(at(1000)), at(1100)); got.Quiet != quiet {
+			t.Errorf("change %+v, quiet %v", got, quiet)
+		}
+	}
+}
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -83,15 +83,15 @@
 	closeMargin = 500 * time.Millisecond
 )
 
-// awaitIdle waits until no request is in progress and none has arrived for quietTime, or until
-// the end.
+// awaitIdle waits until no request is in progress, none has arrived for quietTime and no other
+// daemon uses a tunnel, or until the end.
 func (p *process) awaitIdle(end time.Time) {
 	admitted, last := p.admitter.Admitted(), time.Now()
 	for now := time.Now(); now.Before(end); now = time.Now() {
 		if n := p.admitter.Admitted(); n != admitted {
 			admitted, last = n, now
 		}
-		if p.admitter.InFlight() == 0 && now.Sub(last) >= quietTime {
+		if p.admitter.InFlight() == 0 && p.tunnels.Open() == 0 && now.Sub(last) >= quietTime {
 			return
 		}
 		time.Sleep(drainPollInterval)
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -17,11 +17,13 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/notice"
 	"github.com/buckthorndock/buckthorndock/internal/httpwire"
 	"github.com/buckthorndock/buckthorndock/internal/keyed"
+	"github.com/buckthorndock/buckthorndock/internal/paths"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 	"github.com/buckthorndock/buckthorndock/internal/relay"
 	"github.com/buckthorndock/buckthorndock/internal/schedule"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
+	"github.com/buckthorndock/buckthorndock/internal/tunnel"
 )
 
 // process holds the components of a running daemon.
@@ -30,17 +32,20 @@
 	provider Provider
 	log      *logrus.Entry
 
-	store    platform.Keyed
-	node     *peer.Node
-	peers    *peers
-	feed     *keyed.Feed
-	schedule *schedule.Service
-	balancer *plainBalancer
-	suspects *suspects.Tracker
-	pool     *httpwire.Pool
-	notices  *relay.Notices
-	relay    *relay.Relay
-	admitter *relay.Admitter
+	store     platform.Keyed
+	node      *peer.Node
+	peers     *peers
+	feed      *keyed.Feed
+	schedule  *schedule.Service
+	balancer  *plainBalancer
+	suspects  *suspects.Tracker
+	addresses *addressIndex
+	paths     *paths.Tracker
+	tunnels   *tunnel.Handler
+	pool      *httpwire.Pool
+	notices   *relay.Notices
+	relay     *relay.Relay
+	admitter  *relay.Admitter
 
 	leaving atomic.Bool
 	serving atomic.Bool // settings and list are known to all components that choose upstreams
@@ -74,19 +79,6 @@
 	sweepInterval = time.Second
 )
 
-// dial returns the function that opens connections to upstreams.
-func (c *Config) dial() httpwire.DialFunc {
-	if c.DialUpstream != nil {
-		return c.DialUpstream
-	}
-	return httpwire.NewDialer(httpwire.DialOptions{
-		UserTimeout:   userTimeout,
-		ProbeIdle:     probeIdle,
-		ProbeInterval: probeInterval,
-		ProbeCount:    probeCount,
-	})
-}
-
 // membershipConfig makes all daemons of a region one group, because each sends requests to engines
 // of every failure domain. Most exchanges stay within a failure domain.
 var membershipConfig = membership.Config{
@@ -109,15 +101,9 @@
 		suspects:  suspects.New(cfg.Host, log),
 		balancer:  newPlainBalancer(cfg.Domain, cfg.Incarnation),
 		upstreams: fleet.New(fleet.Options{OutageAfter: outageAfter(cfg), ReturnGrace: relistTime}),
-		pool: httpwire.NewPool(httpwire.Options{
-			Dial:        cfg.dial(),
-			DialTimeout: dialTimeout,
-			MaxIdle:     idlePerServer,
-			IdleTimeout: idleTimeout,
-			IdleMargin:  idleMargin,
-		}),
 	}
 	p.list.Store(&fleet.Snapshot{})
+	p.addresses = newAddressIndex(p.list.Load)
 	p.currentConfig.Store(cfg)
 	p.fileChanged()
 	p.notices = relay.NewNotices(relay.Listeners{
@@ -160,12 +146,15 @@
 		return err
 	}
 	p.peers = ranked
+	if err := p.buildPaths(); err != nil {
+		return err
+	}
 	p.schedule = schedule.New(schedule.Options{
 		Host:        p.cfg.Host,
 		Incarnation: p.cfg.Incarnation,
 		Peers:       ranked,
-		BehindCut:   func(host string) bool { return p.relay.DomainCut(ranked.Domain(host)) },
-		OnNoAnswer:  func(host string) { p.relay.SuspectDomain(ranked.Domain(host)) },
+		BehindCut:   func(host string) bool { return p.paths.Cut(ranked.Domain(host)) },
+		OnNoAnswer:  func(host string) { p.paths.Suspect(ranked.Domain(host)) },
 		Move:        func(attempts []string) int { return p.relay.Displace(attempts) }, // p.relay is not set yet
 		Limits:      p.notices.Limits,
 		Log:         p.log,
@@ -186,7 +175,8 @@
 		Planner:         p.schedule,
 		Balancer:        p.balancer,
 		Suspects:        p.suspects,
-		Probe:           p.pool.TryDial,
+		Paths:           p.paths,
+		Probe:           p.paths.Probe,
 		DaemonAddresses: p.peers.domainAddresses,
 		Upstreams:       p.list.Load,
 		OnIdentified:    p.recordResponder,
--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -78,5 +78,6 @@
 // reusable reports whether request and answer were transferred whole and the
 // connection can carry another exchange.
 func (a *Answer) reusable() bool {
-	return a.Response != nil && a.requestWritten && a.bodyEnded && !a.Response.Close && a.SelfDelimited() && a.conn.br.Buffered() == 0
+	return a.Response != nil && a.requestWritten && a.bodyEnded && !a.Response.Close && a.SelfDelimited() &&
+		a.conn.br.Buffered() == 0 && a.conn.canBeChecked()
 }
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -81,6 +81,13 @@
 	return sockErr
 }
 
+// canBeChecked reports whether isUsable can tell the state of the connection while it is idle.
+// It cannot for one that goes through another daemon.
+func (c *conn) canBeChecked() bool {
+	_, ok := c.Conn.(syscall.Conn)
+	return ok
+}
+
 // isUsable reports whether an idle connection is open and has no unread bytes. Such
 // bytes cannot be the answer to a request that is not sent yet.
 func (c *conn) isUsable() bool {
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -62,15 +62,6 @@
 	return a, nil
 }
 
-// TryDial opens a connection to an address and closes it.
-func (p *Pool) TryDial(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address)
-	if err != nil {
-		return err
-	}
-	return c.Close()
-}
-
 // get returns an idle connection to an address, or a new one if there is none or
 // fresh is set.
 func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
--- /dev/null
+++ b/internal/paths/tracker_test.go
@@ -0,0 +1,352 @@
+package paths
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/reach"
+	"github.com/buckthorndock/buckthorndock/internal/tunnel"
+)
+
+// network is a site of daemons, each with a Tracker, and upstreams u0:1 to u2:1 in each failure
+// domain: "a.u0:1" is in domain a. It fails per daemon and per upstream.
+type network struct {
+	mu          sync.Mutex
+	partitioned map[string]error // by daemon: the error of its connections to upstreams
+	dead        map[string]bool  // upstreams at which nobody listens
+	unwilling   map[string]bool  // daemons that open no connections for others
+	connected   map[string]int   // connections opened for others, by daemon
+	dialed      map[string]int   // connections opened or tried, by daemon
+	trackers    map[string]*Tracker
+	daemons     []Daemon
+}
+
+const upstreamsPerDomain = 3
+
+// newNetwork starts hosts daemons in each domain, named a0, a1 and so on.
+func newNetwork(t *testing.T, domains []string, hosts int) *network {
+	n := &network{
+		partitioned: map[string]error{}, dead: map[string]bool{}, unwilling: map[string]bool{},
+		connected: map[string]int{}, dialed: map[string]int{}, trackers: map[string]*Tracker{},
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for _, domain := range domains {
+		for i := range hosts {
+			name := fmt.Sprintf("%s%d", domain, i)
+			n.daemons = append(n.daemons, Daemon{Host: name, Address: name, Domain: domain})
+			n.trackers[name] = New(Options{
+				Domain:   domain,
+				Dial:     func(ctx context.Context, address string) (net.Conn, error) { return n.dial(ctx, name, address) },
+				DomainOf: domainOf,
+				Targets:  targetsOf,
+				Daemons:  &fakeDaemons{n, name},
+				Log:      logrus.NewEntry(log),
+			})
+		}
+	}
+	return n
+}
+
+func domainOf(address string) string {
+	domain, _, ok := strings.Cut(address, ".")
+	if !ok {
+		return ""
+	}
+	return domain
+}
+
+func targetsOf(domain string) []string {
+	var all []string
+	for i := range upstreamsPerDomain {
+		all = append(all, fmt.Sprintf("%s.u%d:1", domain, i))
+	}
+	return all
+}
+
+var errHangs = merry.New("hangs")
+
+func (n *network) dial(ctx context.Context, from, address string) (net.Conn, error) {
+	n.mu.Lock()
+	n.dialed[from]++
+	err := n.partitioned[from]
+	if err == nil && n.dead[address] {
+		err = syscall.ECONNREFUSED
+	}
+	n.mu.Unlock()
+	if errors.Is(err, errHangs) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if err != nil {
+		return nil, err
+	}
+	conn, other := net.Pipe()
+	_ = other.Close()
+	return conn, nil
+}
+
+func (n *network) partition(err error, hosts ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range hosts {
+		n.partitioned[h] = err
+	}
+}
+
+func (n *network) connections(host string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.connected[host]
+}
+
+// fakeDaemons are the daemons of a network as one of them sees them.
+type fakeDaemons struct {
+	*network
+	self string
+}
+
+func (f *fakeDaemons) Others() []Daemon {
+	return slices.DeleteFunc(slices.Clone(f.daemons), func(d Daemon) bool { return d.Host == f.self })
+}
+
+func (f *fakeDaemons) Call(_ context.Context, address, method string, args, reply any) error {
+	if method != ServiceName+".Probe" {
+		return merry.Errorf("method %s", method)
+	}
+	return f.trackers[address].RPC().(*receiver).Probe(args.(*ProbeRequest), reply.(*ProbeReply))
+}
+
+func (f *fakeDaemons) Connect(ctx context.Context, address, upstream string) (net.Conn, error) {
+	f.mu.Lock()
+	unwilling := f.unwilling[address]
+	f.mu.Unlock()
+	if unwilling || !f.trackers[address].Willing(upstream) {
+		return nil, tunnel.ErrUnwilling
+	}
+	conn, err := f.dial(ctx, address, upstream)
+	if err == nil {
+		f.mu.Lock()
+		f.connected[address]++
+		f.mu.Unlock()
+	}
+	return conn, err
+}
+
+func dialOK(t *testing.T, tr *Tracker, address string) {
+	t.Helper()
+	conn, err := tr.Dial(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+}
+
+// waitForState probes a domain until its path has a state; the test's timeout bounds it.
+func waitForState(t *testing.T, tr *Tracker, domain string, want reach.State) {
+	t.Helper()
+	for tr.State(domain) != want {
+		if done := tr.Suspect(domain); done != nil {
+			<-done
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestFirstConnectionOfAPartitionedHostGoesThroughAnother guards against requests that fail
+// because a host has not noticed yet that it reaches no upstream.
+func TestFirstConnectionOfAPartitionedHostGoesThroughAnother(t *testing.T) {
+	for name, err := range map[string]error{"refused": syscall.ECONNREFUSED, "hangs": errHangs} {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(t, []string{"a", "b"}, 3)
+			n.partition(err, "a0")
+			dialOK(t, n.trackers["a0"], "a.u0:1")
+			dialOK(t, n.trackers["a0"], "b.u1:1")
+			if n.trackers["a0"].State("a") != reach.Indirect || n.connections("a0") != 0 {
+				t.Errorf("the path is %s", n.trackers["a0"].State("a"))
+			}
+		})
+	}
+}
+
+// TestPartitionedHostFindsTheFewThatReachUpstreams guards against a search that a host gives up
+// where most or all hosts of its domain, or nearly all of a large site, are partitioned with it.
+func TestPartitionedHostFindsTheFewThatReachUpstreams(t *testing.T) {
+	for _, c := range []struct{ hosts, reaching int }{{3, 1}, {3, 3}, {150, 20}} {
+		t.Run(fmt.Sprintf("%d a domain, %d reach", c.hosts, c.reaching), func(t *testing.T) {
+			n := newNetwork(t, []string{"a", "b"}, c.hosts)
+			var partitioned []string
+			for _, d := range n.daemons[:len(n.daemons)-c.reaching] { // all of domain a
+				partitioned = append(partitioned, d.Host)
+			}
+			n.partition(syscall.ECONNREFUSED, partitioned...)
+			for _, h := range partitioned {
+				waitForState(t, n.trackers[h], "a", reach.Indirect)
+				dialOK(t, n.trackers[h], "a.u0:1")
+			}
+			for _, h := range partitioned {
+				if n.connections(h) != 0 {
+					t.Errorf("%s is partitioned and opened a connection for another host", h)
+				}
+			}
+		})
+	}
+}
+
+// TestConnectionsAreSharedByHostsThatReachUpstreams guards against one host that gets the
+// connections of all partitioned ones.
+func TestConnectionsAreSharedByHostsThatReachUpstreams(t *testing.T) {
+	n := newNetwork(t, []string{"a", "b"}, 4)
+	n.partition(syscall.ECONNREFUSED, "a0", "a1", "a2", "a3")
+	const dials = 200
+	for i := range dials {
+		dialOK(t, n.trackers[fmt.Sprintf("a%d", i%4)], "a.u0:1")
+	}
+	for _, h := range []string{"b0", "b1", "b2", "b3"} {
+		if got := n.connections(h); got > dials/2 {
+			t.Errorf("%s opened %d of %d connections", h, got, dials)
+		}
+	}
+}
+
+func TestUnwillingDaemonIsReplaced(t *testing.T) {
+	n := newNetwork(t, []string{"a"}, 5)
+	n.partition(syscall.ECONNREFUSED, "a0")
+	dialOK(t, n.trackers["a0"], "a.u0:1")
+	via := n.trackers["a0"].relayHosts("a")[0]
+	n.mu.Lock()
+	n.unwilling[via] = true
+	n.mu.Unlock()
+	for range 20 {
+		dialOK(t, n.trackers["a0"], "a.u0:1")
+	}
+	if slices.Contains(n.trackers["a0"].relayHosts("a"), via) {
+		t.Errorf("%s is still used", via)
+	}
+}
+
+// TestPathIsDirectAgainAfterThePartition guards against connections that go through other hosts
+// for longer than they have to.
+func TestPathIsDirectAgainAfterThePartition(t *testing.T) {
+	n := newNetwork(t, []string{"a"}, 3)
+	tr := n.trackers["a0"]
+	n.partition(syscall.ECONNREFUSED, "a0")
+	dialOK(t, tr, "a.u0:1")
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() {
+		ended <- tr.Run(ctx, func() ([]string, bool) { return nil, false })
+	}()
+	n.partition(nil, "a0")
+	for tr.State("a") != reach.Direct {
+		time.Sleep(time.Millisecond)
+	}
+	before := n.connections("a1") + n.connections("a2")
+	dialOK(t, tr, "a.u0:1")
+	if n.connections("a1")+n.connections("a2") != before {
+		t.Error("a connection goes through another host")
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestDeadUpstreamIsRefusedThroughOthersToo guards against evidence that is lost, or made up,
+// because a host sees upstreams through another one only.
+func TestDeadUpstreamIsRefusedThroughOthersToo(t *testing.T) {
+	n := newNetwork(t, []string{"a", "b"}, 3)
+	n.mu.Lock()
+	n.dead["a.u1:1"] = true
+	n.mu.Unlock()
+	n.partition(syscall.ECONNREFUSED, "a0")
+	dialOK(t, n.trackers["a0"], "a.u0:1")
+	if err := n.trackers["a0"].Probe(t.Context(), "a.u1:1"); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("a dead upstream: %v", err)
+	}
+	if err := n.trackers["a0"].Probe(t.Context(), "a.u2:1"); err != nil {
+		t.Errorf("a live upstream: %v", err)
+	}
+	_, err := n.trackers["a0"].Dial(t.Context(), "a.u1:1")
+	var op *net.OpError
+	if !errors.Is(err, syscall.ECONNREFUSED) || !errors.As(err, &op) || op.Op != "dial" {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestDeadUpstreamAsksNoOtherHost guards against questions to others for each connection to an
+// upstream that has died.
+func TestDeadUpstreamAsksNoOtherHost(t *testing.T) {
+	n := newNetwork(t, []string{"a"}, 3)
+	n.mu.Lock()
+	n.dead["a.u0:1"] = true
+	n.mu.Unlock()
+	if _, err := n.trackers["a0"].Dial(t.Context(), "a.u0:1"); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("got %v", err)
+	}
+	if n.trackers["a0"].State("a") != reach.Direct || n.dialed["a1"]+n.dialed["a2"] != 0 {
+		t.Errorf("others dialed %v", n.dialed)
+	}
+}
+
+// TestDomainThatNobodyReachesIsCut guards against hosts that ask each other in a circle.
+func TestDomainThatNobodyReachesIsCut(t *testing.T) {
+	n := newNetwork(t, []string{"a", "b"}, 3)
+	n.partition(syscall.ECONNREFUSED, "a0", "a1", "a2", "b0", "b1", "b2")
+	for _, d := range n.daemons {
+		waitForState(t, n.trackers[d.Host], "a", reach.Cut)
+		if n.trackers[d.Host].Isolated("a") {
+			t.Errorf("%s takes the daemons of the domain for cut off", d.Host)
+		}
+	}
+	n.partition(nil, "b1")
+	waitForState(t, n.trackers["b1"], "a", reach.Direct)
+	waitForState(t, n.trackers["a0"], "a", reach.Indirect)
+}
+
+func TestProbeOfStalledDaemonIsDiscarded(t *testing.T) {
+	n := newNetwork(t, []string{"a"}, 1)
+	tr := n.trackers["a0"]
+	tr.opts.Dial = func(context.Context, string) (net.Conn, error) {
+		time.Sleep(maxProbeTime + 10*time.Millisecond)
+		return nil, merry.New("timed out")
+	}
+	<-tr.Suspect("a")
+	if tr.Cut("a") {
+		t.Error("the domain counts as cut off")
+	}
+}
+
+// TestIdleDaemonDoesNotMonitorDomains guards against wake-ups of idle daemons, of which a
+// large site has many; the first attempt after an idle time resumes the monitoring.
+func TestIdleDaemonDoesNotMonitorDomains(t *testing.T) {
+	tr := newNetwork(t, []string{"a"}, 1).trackers["a0"]
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- tr.Run(ctx, func() ([]string, bool) { return nil, false }) }()
+	for end := time.Now().Add(10 * time.Second); len(tr.wakeUp) > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	tr.Wake() // is received as soon as it sleeps
+	for end := time.Now().Add(10 * time.Second); len(tr.wakeUp) > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it does not sleep")
+		}
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -11,11 +11,12 @@
 // device between the ends has lost.
 type countingConn struct {
 	net.Conn
-	writeTimeout time.Duration
+	writeTimeout time.Duration // zero: none
 	sent         atomic.Uint64
 	received     atomic.Uint64
 	lastRead     atomic.Int64 // time of the last read of data, as UnixNano
 	silent       atomic.Bool  // discards all data read and written
+	strictEnd    atomic.Bool  // io.EOF is an error: see carryStream
 	closed       atomic.Bool
 }
 
@@ -33,7 +34,7 @@
 		c.received.Add(uint64(n))
 		c.lastRead.Store(time.Now().UnixNano())
 	}
-	return n, err
+	return n, c.endOf(err)
 }
 
 // Write writes to the connection, fails after the write timeout, and counts the
@@ -42,7 +43,7 @@
 	if c.silent.Load() {
 		return len(p), nil
 	}
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+	if err := c.Conn.SetWriteDeadline(c.writeDeadline()); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
@@ -50,6 +51,14 @@
 	return n, err
 }
 
+// writeDeadline returns when a write that begins now times out; zero: never.
+func (c *countingConn) writeDeadline() time.Time {
+	if c.writeTimeout == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(c.writeTimeout)
+}
+
 // SetWriteDeadline does nothing, because Write sets its own deadline.
 func (c *countingConn) SetWriteDeadline(time.Time) error {
 	return nil
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -24,6 +24,7 @@
 	p := &purposes{byName: make(map[string]purposeCounters)}
 	p.add(purposeHandshake)
 	p.add(purposeOther)
+	p.add(purposeStreams)
 	return p
 }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -93,6 +93,7 @@
 // connections.
 func (n *Node) Run(ctx context.Context) error {
 	n.inBackground(func() { n.server.run(n.background) })
+	n.inBackground(n.serveStreams)
 	if n.opts.HostList != nil {
 		n.inBackground(func() { n.pollHostList(n.background) })
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/rpc"
 	"sync"
 	"time"
@@ -29,6 +30,9 @@
 	handshakes  chan struct{} // one element per handshake under way
 	refusalLogs *rate.Limiter // limits log lines, which untrusted peers could cause without end
 
+	streams      *streamListener // nil: none are served
+	streamServer *http.Server    // serves streams
+
 	mu     sync.Mutex
 	links  map[*link]struct{}
 	closed bool
@@ -99,11 +103,15 @@
 		s.node.log.WithError(err).WithField("from", raw.RemoteAddr().String()).Warn("peer_refused")
 		return
 	}
-	defer l.close()
 	if !s.add(l) {
+		l.close()
+		return
+	}
+	if l.tls.ConnectionState().NegotiatedProtocol == streamProtocol {
+		s.streams.serve(l, func() { s.end(l) })
 		return
 	}
-	defer s.remove(l)
+	defer s.end(l)
 	s.rpc.ServeCodec(&serverCodec{
 		stream:      newStream(l, s.node.opts.MaxMessageBytes),
 		idleTimeout: 2 * s.node.opts.IdleTimeout, // the dialing end closes first
@@ -131,7 +139,9 @@
 	return true
 }
 
-func (s *server) remove(l *link) {
+// end closes and unregisters a link.
+func (s *server) end(l *link) {
+	l.close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.links, l)
@@ -164,6 +174,10 @@
 // still run; their responses are lost.
 func (s *server) close() {
 	_ = s.listener.Close()
+	if s.streams != nil {
+		_ = s.streams.Close()
+		_ = s.streamServer.Close() // closes no stream that its handler has taken over
+	}
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -59,7 +59,7 @@
 	t.silence = g.newSilenceTimer(limit, gap, cancel)
 	defer t.silence.stop()
 	defer g.relay.running.add(t)()
-	g.relay.domains.wake()
+	g.relay.opts.Paths.Wake()
 	g.logRestrictedSend(a.Upstream)
 	answer, err := g.relay.opts.Sender.Send(ctx, a)
 	t.identify(err)
@@ -67,7 +67,7 @@
 		return t.resultOf(err)
 	}
 	defer answer.Close()
-	g.relay.domains.noteAnswer(a.Upstream.Domain)
+	g.relay.opts.Paths.RecordActivity(a.Upstream.Domain)
 	if g.req.Route.Kind == route.Stream && answer.Status == http.StatusOK {
 		return t.passStream(answer)
 	}
@@ -229,7 +229,7 @@
 func (t *attempt) noteEvent() {
 	t.noteFirstEvent()
 	t.streaming.Store(true)
-	t.relay.domains.noteAnswer(t.upstream.Domain)
+	t.relay.opts.Paths.RecordActivity(t.upstream.Domain)
 	now := time.Now()
 	if !t.lastEventAt.IsZero() {
 		t.longestGap = max(t.longestGap, now.Sub(t.lastEventAt))
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -17,8 +18,10 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/cost"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/notice"
+	"github.com/buckthorndock/buckthorndock/internal/core/reach"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
+	"github.com/buckthorndock/buckthorndock/internal/paths"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
 )
 
@@ -218,6 +221,28 @@
 	planner *fakePlanner
 	list    *fleet.List
 	dead    map[string]bool // addresses at which nobody listens
+	// probe tries to connect to an address; by default it fails at those in dead.
+	probe func(ctx context.Context, address string) error
+}
+
+// dial opens a connection by probe.
+func (f *fixture) dial(ctx context.Context, address string) (net.Conn, error) {
+	if err := f.probe(ctx, address); err != nil {
+		return nil, err
+	}
+	conn, other := net.Pipe()
+	_ = other.Close()
+	return conn, nil
+}
+
+// domainOf returns the failure domain of the upstream at an address.
+func (f *fixture) domainOf(address string) string {
+	for _, u := range f.relay.opts.Upstreams().Upstreams {
+		if u.Address == address {
+			return u.Domain
+		}
+	}
+	return ""
 }
 
 func newFixture(t *testing.T, steps ...func(context.Context, Attempt) (*Answer, error)) *fixture {
@@ -230,19 +255,27 @@
 		list:    fleet.New(fleet.Options{OutageAfter: time.Hour, ReturnGrace: time.Second}),
 		dead:    map[string]bool{},
 	}
+	f.probe = func(_ context.Context, address string) error {
+		if f.dead[address] {
+			return syscall.ECONNREFUSED
+		}
+		return nil
+	}
 	f.relay = New(Options{
+		Paths: paths.New(paths.Options{
+			Dial:     f.dial,
+			DomainOf: f.domainOf,
+			Targets:  func(domain string) []string { return f.relay.ProbeTargets(domain) },
+			OnChange: func(domain string, c reach.Change) int { return f.relay.PathChanged(domain, c) },
+			Log:      logrus.NewEntry(log),
+		}),
 		Host:       "h1",
 		Sender:     f.script,
 		Planner:    f.planner,
 		Suspects:   suspects.New("h1", logrus.NewEntry(log)),
 		Notices:    NewNotices(Listeners{OnLimit: func(notice.Limit) {}}, logrus.NewEntry(log)),
 		BodyMemory: NewBodyMemory(1 << 30),
-		Probe: func(_ context.Context, address string) error {
-			if f.dead[address] {
-				return syscall.ECONNREFUSED
-			}
-			return nil
-		},
+		Probe:     func(ctx context.Context, address string) error { return f.probe(ctx, address) },
 		Balancer:  fakeBalancer{servers: []string{"s1", "s2", "s3"}},
 		Upstreams: func() *fleet.Snapshot { return f.list.Snapshot() },
 		Budget: func() BudgetOptions {
--- a/internal/relay/reach_test.go
+++ b/internal/relay/reach_test.go
@@ -35,7 +35,7 @@
 	f.list.Replace(list, time.Now())
 	snapshot := f.list.Snapshot()
 	f.relay.opts.Upstreams = func() *fleet.Snapshot { return snapshot }
-	f.relay.opts.Probe = func(_ context.Context, address string) error {
+	f.probe = func(_ context.Context, address string) error {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.cut && address[:3] == "far" {
@@ -54,7 +54,7 @@
 
 // waitForCut waits until the domain counts as cut off or not; the test's timeout bounds it.
 func (s *cutSite) waitForCut(cut bool) {
-	for s.relay.DomainCut("far") != cut {
+	for s.relay.opts.Paths.Cut("far") != cut {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -83,7 +83,7 @@
 	if got := sink.body.String(); got != firstEvents+lastEvents || s.script.sent[1].LastEvent != "2" {
 		t.Errorf("the caller got %q", got)
 	}
-	if !s.relay.DomainCut("far") || s.relay.DomainCut("near") {
+	if !s.relay.opts.Paths.Cut("far") || s.relay.opts.Paths.Cut("near") {
 		t.Error("the wrong domains count as cut off")
 	}
 	again := slices.Compact(slices.Sorted(slices.Values(s.planner.asks[1].Avoid)))
@@ -101,7 +101,7 @@
 	var s *cutSite
 	s = newCutSite(t, func(ctx context.Context, a Attempt) (*Answer, error) {
 		s.setCut(true)
-		s.relay.SuspectDomain("far")
+		s.relay.opts.Paths.Suspect("far")
 		return hang(ctx, a)
 	}, answer(200, firstEvents))
 	plan := onEngine("near1", "far1")
@@ -119,7 +119,7 @@
 	var s *cutSite
 	s = newCutSite(t, func(ctx context.Context, a Attempt) (*Answer, error) {
 		s.setCut(true)
-		s.relay.SuspectDomain("far")
+		s.relay.opts.Paths.Suspect("far")
 		s.waitForCut(true)
 		return answer(200, "late but whole")(ctx, a)
 	})
@@ -142,7 +142,7 @@
 	snapshot := s.list.Snapshot()
 	s.relay.opts.Upstreams = func() *fleet.Snapshot { return snapshot }
 	s.setCut(true)
-	s.relay.SuspectDomain("far")
+	s.relay.opts.Paths.Suspect("far")
 	s.waitForCut(true)
 	refusal := s.relay.Run(t.Context(), plainRequest(route.Idempotent, time.Minute), &recordingSink{})
 	if refusal == nil || refusal.Code != request.CodeNoUpstream || refusal.Outcome != request.NotRun || len(s.script.sent) != 0 {
@@ -153,19 +153,6 @@
 	}
 }
 
-func TestProbeOfStalledDaemonIsDiscarded(t *testing.T) {
-	s := newCutSite(t)
-	s.relay.opts.Probe = func(context.Context, string) error {
-		time.Sleep(maxProbeTime + 10*time.Millisecond)
-		return merry.New("timed out")
-	}
-	s.relay.SuspectDomain("far")
-	s.relay.probeDomain("far")
-	if s.relay.DomainCut("far") {
-		t.Error("the domain counts as cut off")
-	}
-}
-
 // TestProbesTryHealthyUpstreamsFirst covers many upstreams of a domain that die at once: a
 // probe of those alone would take their deaths for a network cut.
 func TestProbesTryHealthyUpstreamsFirst(t *testing.T) {
@@ -181,26 +168,3 @@
 		}
 	}
 }
-
-// TestIdleDaemonDoesNotMonitorDomains guards against wake-ups of idle daemons, of which a
-// large site has many; the first attempt after an idle time resumes the monitoring.
-func TestIdleDaemonDoesNotMonitorDomains(t *testing.T) {
-	f := newFixture(t)
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error)
-	go func() { done <- f.relay.MonitorDomains(ctx) }()
-	w := f.relay.domains
-	for end := time.Now().Add(10 * time.Second); len(w.active) > 0 && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
-	w.wake() // is received as soon as it sleeps
-	for end := time.Now().Add(10 * time.Second); len(w.active) > 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("it does not sleep")
-		}
-	}
-	cancel()
-	if err := <-done; err != nil {
-		t.Error(err)
-	}
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
+	"github.com/buckthorndock/buckthorndock/internal/paths"
 )
 
 // Options configures a Relay and holds the components that it uses.
@@ -22,6 +23,8 @@
 	Planner  Planner
 	Balancer Balancer
 	Suspects Suspects
+	// Paths knows which failure domains can be reached, and how.
+	Paths *paths.Tracker
 	// Probe tries to connect to an address. It returns an error if nobody listens there or
 	// if that cannot be determined.
 	Probe func(ctx context.Context, address string) error
@@ -33,8 +36,8 @@
 	// OnIdentified is called after an answer from an address that several upstreams share.
 	// u is the upstream that was asked; itself says whether u answered or another one did.
 	OnIdentified func(u fleet.Upstream, itself bool)
-	// OnDomainReached is called when a failure domain that was cut off can be reached again.
-	// It may be nil.
+	// OnDomainReached is called when a failure domain that was cut off with its daemons can
+	// be reached again. It may be nil.
 	OnDomainReached func(domain string)
 	// Notices holds what upstreams report about themselves; the Sender fills it.
 	Notices *Notices
@@ -59,7 +62,6 @@
 	log          *logrus.Entry
 	leaseTimes   leaseTimes
 	running      runningAttempts
-	domains      *domainReach
 	deathChecks  sync.Map // IDs of upstreams for which recheckDeath is running
 	hostFraction float64  // in [0, 1), derived from the host name, so that it differs between daemons
 
@@ -85,7 +87,6 @@
 		log:          o.Log,
 		avoid:        avoid.New(avoid.Options{Initial: avoidFirst, Max: avoidMax, ResetAfter: avoidForget}),
 		budgets:      map[string]*budget{},
-		domains:      newDomainReach(),
 		hostFraction: hashFraction(o.Host),
 	}
 }
@@ -146,7 +147,7 @@
 func (r *Relay) avoided() []string {
 	ids := r.failedRecently()
 	for _, u := range r.opts.Upstreams().Upstreams {
-		if u.Displaced || r.DomainCut(u.Domain) {
+		if u.Displaced || r.opts.Paths.Cut(u.Domain) {
 			ids = append(ids, u.ID)
 		}
 	}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -199,7 +199,7 @@
 func (g *run) noteUnreached(id string) {
 	if u, known := g.relay.opts.Upstreams().Get(id); known {
 		g.unreachedDomains = append(g.unreachedDomains, u.Domain)
-		g.relay.SuspectDomain(u.Domain)
+		g.relay.opts.Paths.Suspect(u.Domain)
 	}
 }
 
--- /dev/null
+++ b/internal/tunnel/handler.go
@@ -0,0 +1,129 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+)
+
+// Options configure a Handler.
+type Options struct {
+	// Dial opens a connection to an upstream over the network, never through a tunnel.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// DialTimeout bounds Dial.
+	DialTimeout time.Duration
+	// Willing reports whether tunnels to an address may be opened now.
+	Willing func(address string) bool
+	MaxOpen int // tunnels open at once
+	Log     *logrus.Entry
+}
+
+// Handler opens tunnels for other daemons. It is safe for concurrent use.
+type Handler struct {
+	opts Options
+	open atomic.Int64
+}
+
+// NewHandler returns a Handler.
+func NewHandler(o Options) *Handler { return &Handler{opts: o} }
+
+var (
+	tunnelsOpened  = metrics.GetOrCreateCounter(`buckthorndock_tunnels_total{result="opened"}`)
+	tunnelsRefused = metrics.GetOrCreateCounter(`buckthorndock_tunnels_total{result="refused"}`)
+	tunnelsFailed  = metrics.GetOrCreateCounter(`buckthorndock_tunnels_total{result="failed"}`)
+)
+
+// Open returns the number of open tunnels.
+func (h *Handler) Open() int { return int(h.open.Load()) }
+
+// established is the answer to CONNECT after which the bytes of the upstream follow.
+const established = "HTTP/1.1 200 OK\r\n\r\n"
+
+// ServeHTTP serves the method CONNECT.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodConnect {
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	}
+	address := r.Host
+	defer h.open.Add(-1)
+	if h.open.Add(1) > int64(h.opts.MaxOpen) || !h.opts.Willing(address) {
+		tunnelsRefused.Inc()
+		w.WriteHeader(statusUnwilling)
+		return
+	}
+	upstream, err := h.dial(r.Context(), address)
+	if err != nil {
+		tunnelsFailed.Inc()
+		h.opts.Log.WithError(err).WithFields(logrus.Fields{"from": r.RemoteAddr, "to": address}).Info("tunnel_failed")
+		w.WriteHeader(statusOf(err))
+		return
+	}
+	defer upstream.Close()
+	client, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		h.opts.Log.WithError(err).Error("tunnel_not_taken_over")
+		return
+	}
+	defer client.Close()
+	tunnelsOpened.Inc()
+	if _, err := io.WriteString(client, established); err != nil {
+		return // the other daemon has closed it
+	}
+	carry(client, buffered, upstream)
+}
+
+func (h *Handler) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.opts.DialTimeout)
+	defer cancel()
+	return h.opts.Dial(ctx, address)
+}
+
+func statusOf(err error) int {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return statusRefused
+	}
+	return statusSilent
+}
+
+// carry copies bytes in both directions until either end has gone.
+func carry(client net.Conn, fromClient io.Reader, upstream net.Conn) {
+	uploaded := make(chan struct{})
+	go func() {
+		defer close(uploaded)
+		_, _ = io.Copy(upstream, fromClient)
+		// An upstream may answer before it has read the whole request. The client writes
+		// the rest of that before it reads.
+		_, _ = io.Copy(io.Discard, fromClient)
+		_ = upstream.Close() // the client has gone
+	}()
+	_, err := io.Copy(client, upstream)
+	if err == nil {
+		endCleanly(client, uploaded)
+	}
+	_ = client.Close()
+	<-uploaded
+}
+
+// endCleanly tells the client that the upstream's answer has ended, and waits for it to close
+// the tunnel: closed with unread bytes, the connection would be reset, and the end lost.
+func endCleanly(client net.Conn, closed <-chan struct{}) {
+	half, ok := client.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	timer := time.NewTimer(drainTime)
+	defer timer.Stop()
+	select {
+	case <-closed:
+	case <-timer.C:
+	}
+}
--- a/test/wire/messages_test.go
+++ b/test/wire/messages_test.go
@@ -17,6 +17,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/join"
 	"github.com/buckthorndock/buckthorndock/internal/keyed"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
+	"github.com/buckthorndock/buckthorndock/internal/paths"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 	"github.com/buckthorndock/buckthorndock/internal/schedule"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
@@ -59,6 +60,8 @@
 	"owner/turn":              owner.TurnArgs{},
 	"owner/turn-reply":        owner.TurnReply{},
 	"owner/books-reply":       owner.BooksReply{},
+	"paths/probe":             paths.ProbeRequest{},
+	"paths/probe-reply":       paths.ProbeReply{},
 	"schedule/place":          schedule.PlaceRequest{},
 	"schedule/place-reply":    schedule.PlaceReply{},
 	"schedule/notify":         schedule.NotifyRequest{},
