Relay: a host that reaches no upstream reports no deaths

What callers saw: beside the 503 of such hosts, requests at other hosts were told to wait as suspects: the partitioned hosts reported deaths of upstreams that ran.

Cause: a connection that is reset and an address that refuses look like a death. The check wanted something else in the failure domain to answer, and took a daemon's listener for that: the partition is between a host and upstreams, not daemons.

Ruled out: the store's list as the only evidence (a death that it shows seconds later is too late to keep a request from the next server).

Change: another upstream of the domain must accept a connection; where none does, the path from here must not be at fault: the domain's probe finds it direct, a daemon of the domain answers and an upstream elsewhere does too. While the path is indirect, another daemon makes the connections, so deaths are seen across it as before, at the next check.

Why it works: each way in which this host alone is cut off fails one of these.

Figures: TestHostsThatReachNoUpstreamReportNoDeaths failed in five of fifteen cases before this commit (1 to 5 hosts, a death each), passes now. The cases of TestDeathIsDetectedWithoutHealthyNeighbour are unchanged.

--- a/internal/relay/death.go
+++ b/internal/relay/death.go
@@ -24,19 +24,31 @@
 // neither may be visible in time.
 var recheckDelays = []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 500 * time.Millisecond}
 
-// isDead reports whether nobody listens at an upstream's address any more while something
-// else in its failure domain can be reached: a network cut may look the same. If nothing
-// else is known there, a refused connection has to suffice; few requests run on one
-// upstream.
+// isDead reports whether nobody listens at an upstream's address any more. A refused connection
+// alone does not tell: a partition of this host may look the same, and so may one of the whole
+// failure domain. So another upstream of the domain has to accept a connection or, if none does,
+// the path from here must not be at fault.
 func (r *Relay) isDead(ctx context.Context, u fleet.Upstream, within time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	if !errors.Is(r.opts.Probe(ctx, u.Address), syscall.ECONNREFUSED) {
 		return false
 	}
-	others := r.neighbours(u)
 	reached := func(address string) bool { return r.opts.Probe(ctx, address) == nil }
-	return len(others) == 0 || slices.ContainsFunc(others, reached)
+	n := r.neighbours(u)
+	if slices.ContainsFunc(n.sameDomain, reached) {
+		return true
+	}
+	if r.opts.Paths.FindsIndirect(ctx, u.Domain) {
+		return false // the next check goes through another daemon
+	}
+	if len(n.sameDomain)+len(n.daemons) > 0 && !slices.ContainsFunc(n.daemons, reached) {
+		return false // the domain may be cut off
+	}
+	if len(n.elsewhere) == 0 {
+		return len(n.sameDomain) == 0
+	}
+	return slices.ContainsFunc(n.elsewhere, reached) // or this host may be
 }
 
 // recheckDeath checks repeatedly whether an upstream whose answer broke off has died, and
@@ -71,32 +83,54 @@
 	return err != nil && !errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// Numbers of addresses in a failure domain that are tried, because some of them may have
-// died as well.
+// Numbers of addresses that are tried, because some of them may have died as well.
 const (
-	maxNeighbours = 3 // upstreams
-	maxDaemons    = 2
+	maxNeighbours = 3 // upstreams of the domain, and of others
+	maxDaemons    = 2 // of the domain
 )
 
-// neighbours returns addresses of others in an upstream's failure domain: of a few
-// upstreams, those to avoid only if there are no others, and of daemons.
-func (r *Relay) neighbours(u fleet.Upstream) []string {
-	var healthy, failing []string
+// neighbours are addresses that tell whether an upstream or the path to it has failed.
+type neighbours struct {
+	sameDomain []string // other upstreams of its failure domain
+	elsewhere  []string // upstreams of other failure domains
+	daemons    []string // daemons of its failure domain
+}
+
+// neighbours returns a few neighbours of an upstream: upstreams to avoid only if there are no
+// others.
+func (r *Relay) neighbours(u fleet.Upstream) neighbours {
+	var same, elsewhere upstreamsByHealth
 	avoided := r.avoided()
 	for _, other := range r.opts.Upstreams().Upstreams {
 		switch {
-		case other.Domain != u.Domain || other.Address == u.Address:
-		case slices.Contains(avoided, other.ID):
-			failing = append(failing, other.Address)
+		case other.Address == u.Address:
+		case other.Domain == u.Domain:
+			same.add(other.Address, slices.Contains(avoided, other.ID))
 		default:
-			healthy = append(healthy, other.Address)
+			elsewhere.add(other.Address, slices.Contains(avoided, other.ID))
 		}
 	}
-	addresses := append(healthy, failing...)
-	addresses = addresses[:min(maxNeighbours, len(addresses))]
+	n := neighbours{sameDomain: same.first(maxNeighbours), elsewhere: elsewhere.first(maxNeighbours)}
 	if r.opts.DaemonAddresses != nil {
 		daemons := r.opts.DaemonAddresses(u.Domain)
-		addresses = append(addresses, daemons[:min(maxDaemons, len(daemons))]...)
+		n.daemons = daemons[:min(maxDaemons, len(daemons))]
 	}
-	return addresses
+	return n
+}
+
+// upstreamsByHealth collects addresses of upstreams.
+type upstreamsByHealth struct{ healthy, failing []string }
+
+func (l *upstreamsByHealth) add(address string, failing bool) {
+	if failing {
+		l.failing = append(l.failing, address)
+		return
+	}
+	l.healthy = append(l.healthy, address)
+}
+
+// first returns up to n addresses, those of healthy upstreams first.
+func (l *upstreamsByHealth) first(n int) []string {
+	all := append(l.healthy, l.failing...)
+	return all[:min(n, len(all))]
 }
