--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,10 +22,12 @@
 	"github.com/buckthorndock/buckthorndock/internal/netfault"
 	"github.com/buckthorndock/buckthorndock/internal/obs"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
+	"github.com/buckthorndock/buckthorndock/internal/paths"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 	"github.com/buckthorndock/buckthorndock/internal/router"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
+	"github.com/buckthorndock/buckthorndock/internal/tunnel"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
@@ -64,6 +67,9 @@
 	follower *follow.Follower
 
 	links   *netfault.Links // of the connections to upstreams; nil without test faults
+	paths   *paths.Tracker
+	tunnels *tunnel.Handler
+	leaving atomic.Bool
 	client  *upstream.Client
 	watcher *upstream.Watcher
 	router  *router.Router
@@ -84,7 +90,7 @@
 // newProcess builds a daemon. Its peer listener is open, but nothing runs yet.
 func newProcess(workCtx context.Context, cfg *config.Daemon, log *logrus.Entry) (*process, error) {
 	p := &process{cfg: cfg, log: log, workCtx: workCtx, incarnation: uint64(time.Now().UnixMilli())}
-	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildUpstreams, p.buildOwner, p.buildOrders, p.buildClaims, p.buildJoin, p.buildFront}
+	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildPaths, p.buildUpstreams, p.buildOwner, p.buildOrders, p.buildClaims, p.buildJoin, p.buildFront}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -160,20 +166,8 @@
 	return p.node.Register(follow.Service, p.follower.RPC())
 }
 
-// dialUpstream returns the function that opens connections to upstreams.
-func (p *process) dialUpstream() obs.DialFunc {
-	dial := new(net.Dialer).DialContext
-	if !p.cfg.TestFaults {
-		return dial
-	}
-	p.links = netfault.New(func(ctx context.Context, address string) (net.Conn, error) {
-		return dial(ctx, "tcp", address)
-	})
-	return func(ctx context.Context, _, address string) (net.Conn, error) { return p.links.Dial(ctx, address) }
-}
-
 func (p *process) buildUpstreams() error {
-	dial := p.dialUpstream()
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return p.paths.Dial(ctx, address) }
 	p.client = upstream.NewClient(upstream.Options{Dial: dial})
 	p.router = router.New(router.Options{
 		Domain:       p.cfg.Domain,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,8 +21,11 @@
 const (
 	// lameDuckPeriod is how long a leaving daemon still accepts requests while the
 	// load balancer notices that it is not ready.
-	lameDuckPeriod        = 2 * time.Second
-	drainPollInterval     = 50 * time.Millisecond
+	lameDuckPeriod    = 2 * time.Second
+	drainPollInterval = 50 * time.Millisecond
+	// maxTunnelWait is for requests of other daemons; polls stay open. A stream that is cut
+	// after it is resumed on another connection.
+	maxTunnelWait         = 5 * time.Second
 	maxEndsWait           = 2 * time.Second // for engines to confirm the ends of attempts
 	serverShutdownTimeout = 2 * time.Second
 )
@@ -81,6 +84,7 @@
 	run("digests", p.readDigests)
 	run("listed", p.shareListed)
 	run("watch", p.watch)
+	run("paths", p.monitorPaths)
 	run("owner", p.owner.Run)
 	run("hosts", p.trackHosts)
 	run("holder", p.holder.Run)
@@ -102,6 +106,7 @@
 func (p *process) drain() {
 	p.log.WithField("in_flight", p.front.InFlight()).Info("leaving")
 	p.front.MarkLeaving()
+	p.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), lameDuckPeriod)
 	defer cancel()
 	if err := p.node.Leave(ctx); err != nil {
@@ -115,11 +120,13 @@
 	p.waitAttemptEnds()
 }
 
+// waitDrained waits, within cfg.ShutdownTimeout if that is set, until no request is in progress
+// and the tunnels of other daemons are closed, or maxTunnelWait has passed.
 func (p *process) waitDrained() {
 	began := time.Now()
-	for p.front.InFlight() > 0 {
+	for p.front.InFlight() > 0 || p.tunnels.Open() > 0 && time.Since(began) < maxTunnelWait {
 		if limit := p.cfg.ShutdownTimeout; limit > 0 && time.Since(began) > limit {
-			p.log.WithField("in_flight", p.front.InFlight()).Warn("shutdown_timeout")
+			p.log.WithFields(logrus.Fields{"in_flight": p.front.InFlight(), "tunnels": p.tunnels.Open()}).Warn("shutdown_timeout")
 			return
 		}
 		time.Sleep(drainPollInterval)
--- a/internal/edge/paths.go
+++ b/internal/edge/paths.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
@@ -37,7 +36,7 @@
 	p.paths = paths.New(paths.Options{
 		Domain:   p.cfg.Domain,
 		Dial:     paths.DialFunc(direct),
-		DomainOf: p.addresses.domainOf,
+		DomainOf: paths.NewAddressIndex(p.list.Load, domainsByAddress).DomainOf,
 		Targets:  func(domain string) []string { return p.relay.ProbeTargets(domain) }, // p.relay is not set yet
 		Daemons:  p.peers,
 		OnChange: p.pathChanged,
@@ -89,28 +88,11 @@
 	return tunnel.Dial(ctx, p.node.DialStream, address, upstream)
 }
 
-// addressIndex finds the failure domain of an upstream by its address. It is safe for concurrent
-// use.
-type addressIndex struct {
-	list func() *fleet.Snapshot
-
-	mu      sync.Mutex
-	of      *fleet.Snapshot // that domains was made of
-	domains map[string]string
-}
-
-func newAddressIndex(list func() *fleet.Snapshot) *addressIndex { return &addressIndex{list: list} }
-
-// domainOf returns the failure domain of the upstream that is listed at an address, or "".
-func (x *addressIndex) domainOf(address string) string {
-	list := x.list()
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.of != list {
-		x.of, x.domains = list, make(map[string]string, len(list.Upstreams))
-		for _, u := range list.Upstreams {
-			x.domains[u.Address] = u.Domain
-		}
+// domainsByAddress returns the failure domains of the upstreams of a list.
+func domainsByAddress(list *fleet.Snapshot) map[string]string {
+	domains := make(map[string]string, len(list.Upstreams))
+	for _, u := range list.Upstreams {
+		domains[u.Address] = u.Domain
 	}
-	return x.domains[address]
+	return domains
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -32,20 +32,19 @@
 	provider Provider
 	log      *logrus.Entry
 
-	store     platform.Keyed
-	node      *peer.Node
-	peers     *peers
-	feed      *keyed.Feed
-	schedule  *schedule.Service
-	balancer  *plainBalancer
-	suspects  *suspects.Tracker
-	addresses *addressIndex
-	paths     *paths.Tracker
-	tunnels   *tunnel.Handler
-	pool      *httpwire.Pool
-	notices   *relay.Notices
-	relay     *relay.Relay
-	admitter  *relay.Admitter
+	store    platform.Keyed
+	node     *peer.Node
+	peers    *peers
+	feed     *keyed.Feed
+	schedule *schedule.Service
+	balancer *plainBalancer
+	suspects *suspects.Tracker
+	paths    *paths.Tracker
+	tunnels  *tunnel.Handler
+	pool     *httpwire.Pool
+	notices  *relay.Notices
+	relay    *relay.Relay
+	admitter *relay.Admitter
 
 	leaving atomic.Bool
 	serving atomic.Bool // settings and list are known to all components that choose upstreams
@@ -103,7 +102,6 @@
 		upstreams: fleet.New(fleet.Options{OutageAfter: outageAfter(cfg), ReturnGrace: relistTime}),
 	}
 	p.list.Store(&fleet.Snapshot{})
-	p.addresses = newAddressIndex(p.list.Load)
 	p.currentConfig.Store(cfg)
 	p.fileChanged()
 	p.notices = relay.NewNotices(relay.Listeners{
--- a/internal/owner/engine.go
+++ b/internal/owner/engine.go
@@ -29,6 +29,9 @@
 	return &HTTPEngines{http: c, clock: clock, clients: map[string]*engineapi.Client{}}
 }
 
+// CloseIdle closes the idle connections to engines.
+func (h *HTTPEngines) CloseIdle() { h.http.CloseIdleConnections() }
+
 func (h *HTTPEngines) client(address string) (*engineapi.Client, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -177,10 +177,10 @@
 func (t *Tracker) logChange(domain string, r reach.ProbeResult, c reach.Change, moved int) {
 	log := t.opts.Log.WithFields(logrus.Fields{
 		"domain": domain, "former": c.From.String(), "tried": r.Tried, "reached": r.Reached, "indirect": r.Indirect,
-		"daemons_answer": r.DaemonsAnswer, "since_ms": time.Since(c.Since).Milliseconds(),
+		"daemons_answer": r.DaemonsAnswer,
 	})
 	if c.To == reach.Direct {
-		log.Info(changeEvents[c.To])
+		log.WithField("cut_ms", time.Since(c.Since).Milliseconds()).Info(changeEvents[c.To])
 		return
 	}
 	log.WithFields(logrus.Fields{"moved": moved, "through": t.relayHosts(domain)}).Warn(changeEvents[c.To])
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -61,6 +61,7 @@
 	defer g.relay.running.add(t)()
 	g.relay.opts.Paths.Wake()
 	g.logRestrictedSend(a.Upstream)
+	g.path = g.relay.opts.Paths.State(a.Upstream.Domain).String()
 	answer, err := g.relay.opts.Sender.Send(ctx, a)
 	t.identify(err)
 	if err != nil {
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -275,9 +275,9 @@
 		Suspects:   suspects.New("h1", logrus.NewEntry(log)),
 		Notices:    NewNotices(Listeners{OnLimit: func(notice.Limit) {}}, logrus.NewEntry(log)),
 		BodyMemory: NewBodyMemory(1 << 30),
-		Probe:     func(ctx context.Context, address string) error { return f.probe(ctx, address) },
-		Balancer:  fakeBalancer{servers: []string{"s1", "s2", "s3"}},
-		Upstreams: func() *fleet.Snapshot { return f.list.Snapshot() },
+		Probe:      func(ctx context.Context, address string) error { return f.probe(ctx, address) },
+		Balancer:   fakeBalancer{servers: []string{"s1", "s2", "s3"}},
+		Upstreams:  func() *fleet.Snapshot { return f.list.Snapshot() },
 		Budget: func() BudgetOptions {
 			return BudgetOptions{Ratio: 1, Window: 10 * time.Second, Slack: 100, Hosts: 1}
 		},
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -30,6 +30,7 @@
 	exclude          []string // IDs of upstreams that were tried
 	unreachedDomains []string // failure domains in which a connection could not be made
 	sentTo           []string // IDs of the upstreams of the last attempt, for the log
+	path             string   // state of the path to the upstream of the last attempt, for the log
 
 	trial *suspects.Trial // under which it is sent next; nil if none is needed
 
@@ -208,6 +209,7 @@
 		"request":   g.req.ID,
 		"attempt":   g.attempt,
 		"upstreams": g.sentTo,
+		"path":      g.path,
 		"blamed":    e.blamed,
 		"end":       e.end.String(),
 		"action":    d.Action.String(),
@@ -231,6 +233,7 @@
 		"prompt":   g.req.PromptTokens,
 		"attempts": g.attempt,
 		"sent":     g.sentTo,
+		"path":     g.path,
 		"plan":     g.verdict,
 		"took_ms":  now.Sub(g.req.Arrived).Milliseconds(),
 		"outcome":  string(request.Complete),
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -75,7 +75,9 @@
 	log.SetOutput(io.Discard)
 	var network net.Dialer
 	s.handler = tunnel.NewHandler(tunnel.Options{
-		Dial:        func(ctx context.Context, address string) (net.Conn, error) { return network.DialContext(ctx, "tcp", address) },
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return network.DialContext(ctx, "tcp", address)
+		},
 		DialTimeout: time.Second,
 		Willing:     func(string) bool { return s.willing },
 		MaxOpen:     4,
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -100,6 +100,9 @@
 	return context.WithTimeout(ctx, c.opts.PollTimeout)
 }
 
+// CloseIdle closes the connections of polls that are idle.
+func (c *Client) CloseIdle() { c.pollPool.CloseIdleConnections() }
+
 // handlePollError closes the idle shared connections after a failed poll, so that
 // the next one does not wait on a broken connection, and returns the classified
 // error.
