Edge: a host that reaches no upstream keeps its keeper, and assumes nothing cold afterwards

What callers saw: while no host reaches an upstream, each takes all daemons for cut off and plans alone; on the way back they book over each other, grant no turns, and hold upstreams for cold that served others all the while.

Cause: 'the upstreams of a domain accept no connection' was taken for 'the domain is cut off'. Two decisions hung on it: whether the keeper of the book can be reached, and whether upstreams may have restarted unseen.

Ruled out: keeping a keeper that does not answer (a cut zone then waits 60 ms a request).

Change: both go by whether the domain's daemons answer the questions of a probe; an error of the method, as of a daemon of the release before, is an answer too.

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -151,7 +151,7 @@
 		Host:        p.cfg.Host,
 		Incarnation: p.cfg.Incarnation,
 		Peers:       ranked,
-		BehindCut:   func(host string) bool { return p.paths.Cut(ranked.Domain(host)) },
+		BehindCut:   func(host string) bool { return p.paths.Isolated(ranked.Domain(host)) },
 		OnNoAnswer:  func(host string) { p.paths.Suspect(ranked.Domain(host)) },
 		Move:        func(attempts []string) int { return p.relay.Displace(attempts) }, // p.relay is not set yet
 		Limits:      p.notices.Limits,
--- a/internal/paths/relays.go
+++ b/internal/paths/relays.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/reach"
+	"github.com/buckthorndock/buckthorndock/internal/peer"
 )
 
 // relays are the daemons through which a domain is reached.
@@ -135,10 +136,10 @@
 			return found
 		}
 		pending--
-		if a.err != nil {
+		if a.err != nil && !peer.IsRemote(a.err) {
 			continue
 		}
-		r.DaemonsAnswer = r.DaemonsAnswer || a.by.Domain == domain
+		r.DaemonsAnswer = r.DaemonsAnswer || a.by.Domain == domain // also one that knows no such question
 		if len(a.reply.Reached) > 0 {
 			r.Indirect = max(r.Indirect, len(a.reply.Reached))
 			found = append(found, a.by)
--- a/internal/relay/reach_test.go
+++ b/internal/relay/reach_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/core/reach"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
@@ -168,3 +169,46 @@
 		}
 	}
 }
+
+// TestUpstreamsAreNotAssumedColdAfterAPartition guards against a host that, once it reaches a
+// domain again, sends it little because it takes its own partition for one of the domain. Only a
+// domain whose daemons were cut off too may have restarted unseen.
+func TestUpstreamsAreNotAssumedColdAfterAPartition(t *testing.T) {
+	for name, c := range map[string]struct {
+		change reach.Change
+		want   int
+	}{
+		"its daemons answered":  {reach.Change{From: reach.Cut, To: reach.Direct}, 0},
+		"other hosts did":       {reach.Change{From: reach.Indirect, To: reach.Direct}, 0},
+		"all of it was cut off": {reach.Change{From: reach.Cut, To: reach.Direct, Isolated: true}, 1},
+	} {
+		f := newFixture(t)
+		f.listEngines("e1")
+		reached := 0
+		f.relay.opts.OnDomainReached = func(string) { reached++ }
+		f.relay.PathChanged("", c.change)
+		if reached != c.want {
+			t.Errorf("%s: assumed cold %d times", name, reached)
+		}
+	}
+}
+
+// TestStreamsStayOnConnectionsThatLive guards against streams that are moved, and pause, because
+// new connections are refused while the open ones still carry them.
+func TestStreamsStayOnConnectionsThatLive(t *testing.T) {
+	for _, quiet := range []bool{false, true} {
+		moved := -1
+		var s *cutSite
+		s = newCutSite(t, func(ctx context.Context, a Attempt) (*Answer, error) {
+			moved = s.relay.PathChanged("far", reach.Change{To: reach.Indirect, Quiet: quiet})
+			return answer(200, firstEvents)(ctx, a)
+		}, answer(200, lastEvents))
+		s.planner.plans = []booking.Plan{onEngine("far1"), onEngine("near1")}
+		if refusal := s.relay.Run(t.Context(), streamRequest(true), &recordingSink{}); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if want := map[bool]int{false: 0, true: 1}[quiet]; moved != want {
+			t.Errorf("quiet %v: %d moved", quiet, moved)
+		}
+	}
+}
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -31,8 +31,8 @@
 	Host        string
 	Incarnation uint64
 	Peers       Peers
-	// BehindCut reports whether a daemon counts as unreachable because of a network cut. It
-	// may be nil.
+	// BehindCut reports whether a daemon counts as unreachable because its failure domain is
+	// cut off. It may be nil.
 	BehindCut func(host string) bool
 	// OnNoAnswer is called with the host of a daemon that did not answer. It may be nil.
 	OnNoAnswer func(host string)
