Edge: connections outlive an upstream that is silent for a second

A call that may run once, on a connection that the kernel broke meanwhile, ended with 'its end was lost', a stream was repeated.

Cause: TCP_USER_TIMEOUT of 1 s; it also decides when keep-alive probes give up, whatever their count (1.4 s by that).

Ruled out: finding dead connections by it sooner. Streams move after 1.1 s or more of silence by their own timers, idempotent calls after 2.5 objectives, and a domain that is cut off is found within 0.25 s.

Change: 2.5 s for both.

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -64,14 +64,14 @@
 	evacuations  fleet.Evacuations
 }
 
-// Times and limits of the connections to upstreams. Round trips take 1 to 2 ms, so these detect a
-// dead or silent connection well within a request's deadline.
+// Times and limits of the connections to upstreams. Round trips take 1 to 2 ms. A sound upstream
+// may be silent for a second or so; a connection that stays silent longer is broken.
 const (
 	dialTimeout   = 250 * time.Millisecond
-	userTimeout   = time.Second
+	userTimeout   = 2500 * time.Millisecond
 	probeIdle     = 500 * time.Millisecond
-	probeInterval = 300 * time.Millisecond
-	probeCount    = 3
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 4
 	idlePerServer = 4
 	idleTimeout   = 5 * time.Second
 	idleMargin    = 700 * time.Millisecond
