--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -63,6 +63,7 @@
 	opts          Options
 	log           *logrus.Entry
 	started       time.Time
+	staleTries    int  // tries since the data was fresh in which no peer had fresh data
 	stale         bool // neither a reader nor the store had fresh data at the last try
 	fromPeer      bool // the last read was from a peer
 	readAllNext   bool // the next read of the store is one of all keys
@@ -204,15 +205,20 @@
 	return errNothingFresh
 }
 
-// mayReadStore reports whether this daemon is to read the store now. reader says that it is the
-// next reader in order.
+// mayReadStore reports whether this daemon is to read the store now, at a try in which no peer had
+// fresh data. reader says that it is the next reader in order.
 func (f *Follower) mayReadStore(reader bool) bool {
 	noData := f.hasNoData()
 	waited := time.Since(f.started)
 	if noData && waited < 2*f.opts.StartupDelay && !f.demanded() {
 		return reader
 	}
-	return reader || noData || f.opts.Feed.drawnToRead()
+	if reader || noData {
+		return true
+	}
+	try := f.staleTries
+	f.staleTries++
+	return f.opts.Feed.isTurnToRead(try)
 }
 
 // demanded reports whether a caller waits for the data.
@@ -311,6 +317,7 @@
 
 // markFresh logs store_regained and calls OnRegained when the data is fresh again.
 func (f *Follower) markFresh() {
+	f.staleTries = 0
 	if !f.stale {
 		return
 	}
--- a/internal/keyed/group_test.go
+++ b/internal/keyed/group_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -116,7 +117,9 @@
 // TestFewServedDaemonsSupplyAll covers a store that refuses all its usual readers and a third
 // of the other daemons: what a few of the rest read reaches all daemons within eight tries, half
 // a second apart.
-func TestFewServedDaemonsSupplyAll(t *testing.T) {
+func TestFewServedDaemonsSupplyAll(t *testing.T) { synctest.Test(t, testFewServedDaemons) }
+
+func testFewServedDaemons(t *testing.T) {
 	const daemons, rounds = 300, 8
 	f := newGroup(t, daemons)
 	f.makeStale()
@@ -131,6 +134,7 @@
 		for _, s := range f.stores {
 			s.set(func(s *fakeStore) { s.reads = 0 })
 		}
+		time.Sleep(tryInterval)
 	}
 	missing := 0
 	for _, tb := range f.tables {
@@ -145,3 +149,25 @@
 		t.Errorf("%d reads of the store, want at most %d", reads, limit)
 	}
 }
+
+// tryInterval is the time between two tries of a daemon without fresh data.
+const tryInterval = 500 * time.Millisecond
+
+// TestDaemonsTakeTurnsToRead guards against tries at which no daemon of a failure domain reads the
+// store, or many do: by chance, none did at seven tries in a row.
+func TestDaemonsTakeTurnsToRead(t *testing.T) {
+	f := newGroup(t, 300)
+	seen := map[string]bool{}
+	for try := range 60 { // as many as the domain has daemons
+		var turns []string
+		for _, h := range f.peers.sameDomain {
+			if f.peers.feeds[h].isTurnToRead(try) {
+				turns = append(turns, h)
+			}
+		}
+		if len(turns) != 1 || seen[turns[0]] {
+			t.Fatalf("at try %d it is the turn of %v", try, turns)
+		}
+		seen[turns[0]] = true
+	}
+}
--- a/internal/keyed/sources.go
+++ b/internal/keyed/sources.go
@@ -20,9 +20,6 @@
 	siteReaders   = 3 // the highest ranked of all daemons
 	domainReaders = 2 // and of each failure domain, as it may be cut off from the others
 	readerKey     = "feed-tailer"
-	// randomReaders is how many of the other daemons of a failure domain read the store, on
-	// average, at each try in which no reader has fresh data.
-	randomReaders = 1
 	// maxChildren limits the daemons of its failure domain that read from a daemon. Their copies
 	// may be older than its own by levelAge.
 	maxChildren = 8
@@ -93,17 +90,25 @@
 	return above
 }
 
-// drawnToRead reports at random whether this daemon is to read the store although it is no reader.
-// All daemons draw while no reader has fresh data, so that a few try wherever the store may be
-// reachable, and the others read from one that succeeds.
-func (s *Feed) drawnToRead() bool {
-	candidates := 1
-	for _, m := range s.peers.Members() {
-		if m.Host != s.host && m.State != membership.Dead && s.peers.SameDomain(m.Host) {
-			candidates++
+// isTurnToRead reports whether this daemon is to read the store at a try, counted from 0, although
+// it is no reader. While no reader has fresh data, the daemons of each failure domain take turns,
+// one at each try, so that one soon tries wherever the store may be reachable, and the others read
+// from one that succeeds. The lowest ranked is first: the highest are the readers.
+func (s *Feed) isTurnToRead(try int) bool {
+	below, all := 0, 1 // daemons of the failure domain, this one included
+	passed := false
+	for _, m := range s.peers.Rank(readerKey, math.MaxInt) {
+		switch {
+		case m.Host == s.host:
+			passed = true
+		case s.peers.SameDomain(m.Host):
+			all++
+			if passed {
+				below++
+			}
 		}
 	}
-	return rand.New(s.random).IntN(candidates) < randomReaders
+	return try%all == below
 }
 
 // fallbackPeers returns a few random daemons that are not known to be dead, those of the own
