--- a/internal/relay/suspect_test.go
+++ b/internal/relay/suspect_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -47,9 +48,10 @@
 		f.listEngines("e1", "e2")
 		f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2")}
 		f.dead["e1:1"] = true
-		reach, looks := f.relay.opts.Probe, 0
+		reach := f.relay.opts.Probe
+		var looks atomic.Int32 // two upstreams are checked at once
 		f.relay.opts.Probe = func(ctx context.Context, address string) error {
-			if looks++; looks == 1 {
+			if looks.Add(1) == 1 {
 				return first
 			}
 			return reach(ctx, address)
