Paths: a domain whose upstreams died is asked about rarely, and hosts tell whom they go through

What callers would see: where all upstreams of a domain are down, each daemon asked up to 64 others five times a second, most of them on connections opened for it; a large site's daemons would have been slowed by that. Where few hosts of a large site reach upstreams, a host may ask many before it finds one.

Cause: the search was bounded for one probe only.

Evidence: TestDomainWhoseUpstreamsDiedIsAskedAboutRarely, 300 daemons in virtual time: it bounds the questions by one search of 16 a daemon and 8 a second after it.

Change: those bounds; a daemon that goes through others names them to those who ask. A probe whose first part took too long is discarded as before (200 ms, not 500).

--- a/internal/paths/relays.go
+++ b/internal/paths/relays.go
@@ -12,17 +12,20 @@
 
 // relays are the daemons through which a domain is reached.
 type relays struct {
-	daemons   []Daemon
-	confirmed time.Time // when one of them last said that it reaches the domain
+	daemons  []Daemon
+	answered time.Time // when daemons were last asked about the domain
 }
 
-// Numbers and times of the search for daemons that reach a domain.
+// Numbers and times of the search for daemons that reach a domain. Where all upstreams of a domain
+// have died, all daemons of the site search at once and for as long as that lasts.
 const (
-	askWidth   = 4  // daemons asked at once
-	wantRelays = 3  // daemons that share the connections to a domain
-	maxAsked   = 64 // daemons asked in one probe
-	// confirmInterval is the time after which one of the daemons found is asked again.
-	confirmInterval = time.Second
+	askWidth      = 4  // daemons asked at once
+	wantRelays    = 3  // daemons that share the connections to a domain
+	maxAsked      = 16 // daemons asked in the probe that finds the domain unreachable
+	maxAskedAgain = 8  // daemons asked in a later one
+	// askInterval is the time after which one of the daemons found is asked again or, if there
+	// is none, others are.
+	askInterval = time.Second
 )
 
 // relayOf returns one of the daemons through which a domain is reached, drawn at random.
@@ -42,7 +45,7 @@
 	t.mu.Lock()
 	if r := t.relays[domain]; r != nil {
 		r.daemons = slices.DeleteFunc(r.daemons, func(d Daemon) bool { return d == via })
-		r.confirmed = time.Time{}
+		r.answered = time.Time{}
 	}
 	t.mu.Unlock()
 	t.Suspect(domain)
@@ -61,6 +64,19 @@
 	return hosts
 }
 
+// relayAddresses returns the addresses of the daemons through which a domain is reached.
+func (t *Tracker) relayAddresses(domain string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var addresses []string
+	if r := t.relays[domain]; r != nil {
+		for _, d := range r.daemons {
+			addresses = append(addresses, d.Address)
+		}
+	}
+	return addresses
+}
+
 // askOthers asks other daemons whether they reach the targets, and completes the result of a
 // probe with what they say.
 func (t *Tracker) askOthers(domain string, targets []string, r *reach.ProbeResult) {
@@ -69,29 +85,37 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	if t.confirm(ctx, domain, targets[:1]) {
+	limit := maxAsked
+	switch state := t.State(domain); {
+	case state == reach.Indirect && t.confirm(ctx, domain, targets[:1]):
 		r.Indirect, r.DaemonsAnswer = 1, true
 		return
+	case state == reach.Cut && t.askedLately(domain):
+		return
+	case state == reach.Cut:
+		limit = maxAskedAgain
 	}
-	found := t.search(ctx, domain, targets, r)
+	found := t.search(ctx, domain, targets, t.candidates(domain, limit), r)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.relays[domain] = &relays{daemons: found, confirmed: time.Now()}
+	t.relays[domain] = &relays{daemons: found, answered: time.Now()}
+}
+
+// askedLately reports whether daemons were asked about a domain within askInterval.
+func (t *Tracker) askedLately(domain string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.relays[domain]
+	return r != nil && time.Since(r.answered) < askInterval
 }
 
 // confirm reports whether one of the daemons that were found earlier still reaches the domain.
 func (t *Tracker) confirm(ctx context.Context, domain string, targets []string) bool {
-	if t.State(domain) != reach.Indirect {
-		return false
-	}
 	via, known := t.relayOf(domain)
 	if !known {
 		return false
 	}
-	t.mu.Lock()
-	recent := time.Since(t.relays[domain].confirmed) < confirmInterval
-	t.mu.Unlock()
-	if recent {
+	if t.askedLately(domain) {
 		return true
 	}
 	reply, err := t.ask(ctx, via, domain, targets)
@@ -100,8 +124,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if rs := t.relays[domain]; rs != nil {
-		rs.confirmed = time.Now()
+	if r := t.relays[domain]; r != nil {
+		r.answered = time.Now()
 	}
 	return true
 }
@@ -113,22 +137,23 @@
 	err   error
 }
 
-// search asks daemons until wantRelays of them reach the domain, all have been asked, or the
-// context ends.
-func (t *Tracker) search(ctx context.Context, domain string, targets []string, r *reach.ProbeResult) (found []Daemon) {
-	candidates := t.candidates(domain)
+// search asks the daemons of a list, and those that they name, until wantRelays of them reach the
+// domain, all have been asked, or the context ends.
+func (t *Tracker) search(ctx context.Context, domain string, targets []string, list []Daemon, r *reach.ProbeResult) (found []Daemon) {
 	answers := make(chan said, askWidth)
+	queue := newQueue(list, t.opts.Daemons.Others)
 	pending := 0
-	for len(found) < wantRelays && (pending > 0 || len(candidates) > 0) {
-		for pending < askWidth && len(candidates) > 0 {
-			next := candidates[0]
-			candidates = candidates[1:]
+	for len(found) < wantRelays {
+		for next, ok := queue.pop(pending < askWidth); ok; next, ok = queue.pop(pending < askWidth) {
 			pending++
 			go func() {
 				reply, err := t.ask(ctx, next, domain, targets)
 				answers <- said{by: next, reply: reply, err: err}
 			}()
 		}
+		if pending == 0 {
+			return found
+		}
 		var a said
 		select {
 		case a = <-answers:
@@ -144,13 +169,49 @@
 			r.Indirect = max(r.Indirect, len(a.reply.Reached))
 			found = append(found, a.by)
 		}
+		queue.prefer(a.reply.Through)
 	}
 	return found
 }
 
-// candidates returns other daemons in a random order in which those of the domain and the rest
-// alternate: the daemons of a domain may have lost their paths together.
-func (t *Tracker) candidates(domain string) []Daemon {
+// queue holds the daemons that are to be asked. Each is asked once.
+type queue struct {
+	waiting []Daemon
+	asked   map[string]bool // by address
+	others  func() []Daemon
+}
+
+func newQueue(list []Daemon, others func() []Daemon) *queue {
+	return &queue{waiting: list, asked: map[string]bool{}, others: others}
+}
+
+// pop returns the next daemon, if one may be asked now.
+func (q *queue) pop(mayAsk bool) (next Daemon, ok bool) {
+	for mayAsk && len(q.waiting) > 0 {
+		next, q.waiting = q.waiting[0], q.waiting[1:]
+		if !q.asked[next.Address] {
+			q.asked[next.Address] = true
+			return next, true
+		}
+	}
+	return Daemon{}, false
+}
+
+// prefer puts the known daemons at some addresses first.
+func (q *queue) prefer(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	for _, d := range q.others() {
+		if slices.Contains(addresses, d.Address) {
+			q.waiting = append([]Daemon{d}, q.waiting...)
+		}
+	}
+}
+
+// candidates returns up to limit other daemons in a random order in which those of the domain and
+// the rest alternate: the daemons of a domain may have lost their paths together.
+func (t *Tracker) candidates(domain string, limit int) []Daemon {
 	var near, far []Daemon
 	for _, d := range t.opts.Daemons.Others() {
 		if d.Domain == domain {
@@ -171,5 +232,5 @@
 			all = append(all, far[i])
 		}
 	}
-	return all[:min(maxAsked, len(all))]
+	return all[:min(limit, len(all))]
 }
--- a/internal/paths/rpc.go
+++ b/internal/paths/rpc.go
@@ -32,6 +32,9 @@
 type ProbeReply struct {
 	Reached []string
 	Refused []string
+	// Through holds the addresses of the daemons through which this one reaches the domain
+	// while it does not do so itself.
+	Through []string
 }
 
 func (t *Tracker) ask(ctx context.Context, d Daemon, domain string, addresses []string) (ProbeReply, error) {
@@ -55,6 +58,7 @@
 func (r *receiver) Probe(req *ProbeRequest, reply *ProbeReply) error {
 	t := r.tracker
 	if t.State(req.Domain) != reach.Direct {
+		reply.Through = t.relayAddresses(req.Domain)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -135,10 +135,13 @@
 	targets := t.opts.Targets(domain)
 	r.Tried = len(targets)
 	r.Reached = t.countReachable(targets)
-	if r.Reached == 0 && r.Tried > 0 {
+	tried := time.Now()
+	stalled := tried.Sub(r.Started) > maxProbeTime
+	if r.Reached == 0 && r.Tried > 0 && !stalled {
 		t.askOthers(domain, targets, &r)
+		stalled = time.Since(tried) > maxAskTime
 	}
-	change, valid := t.endProbe(domain, r)
+	change, valid := t.endProbe(domain, r, stalled)
 	if !valid || !change.Changed() {
 		return
 	}
@@ -152,19 +155,18 @@
 }
 
 // endProbe applies the result of a probe. It is not valid if this process stalled meanwhile.
-func (t *Tracker) endProbe(domain string, r reach.ProbeResult) (c reach.Change, valid bool) {
+func (t *Tracker) endProbe(domain string, r reach.ProbeResult, stalled bool) (c reach.Change, valid bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if done := t.probes[domain]; done != nil {
 		delete(t.probes, domain)
 		defer close(done)
 	}
-	now := time.Now()
-	if now.Sub(r.Started) > maxProbeTime {
+	if stalled {
 		t.state.DiscardProbe(domain)
 		return c, false
 	}
-	return t.state.EndProbe(domain, r, now), true
+	return t.state.EndProbe(domain, r, time.Now()), true
 }
 
 // Log events of a change, by the new state.
--- a/internal/paths/types.go
+++ b/internal/paths/types.go
@@ -66,9 +66,11 @@
 	probeTimeout = 100 * time.Millisecond
 	// askTimeout bounds the questions to other daemons in a probe.
 	askTimeout = 150 * time.Millisecond
-	// maxProbeTime is the longest valid duration of a probe. A longer one means that this
-	// process stalled, so its result says nothing about the domain.
-	maxProbeTime = 2 * (probeTimeout + askTimeout)
+	// maxProbeTime and maxAskTime are the longest valid durations of the two parts of a
+	// probe. A longer one means that this process stalled, so its result says nothing about
+	// the domain.
+	maxProbeTime = 2 * probeTimeout
+	maxAskTime   = 2 * askTimeout
 	// dialPatience is how long a connection may take to open before the domain is probed.
 	dialPatience = 50 * time.Millisecond
 )
