--- a/internal/daemon/paths.go
+++ b/internal/daemon/paths.go
@@ -8,6 +8,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
 	"github.com/buckthorndock/buckthorndock/internal/core/reach"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+	"github.com/buckthorndock/buckthorndock/internal/httpwire"
 	"github.com/buckthorndock/buckthorndock/internal/netfault"
 	"github.com/buckthorndock/buckthorndock/internal/paths"
 	"github.com/buckthorndock/buckthorndock/internal/tunnel"
@@ -24,7 +25,7 @@
 const maxProbeTargets = 3
 
 // dialDirect returns the function that opens connections to upstreams over the network.
-func (p *process) dialDirect() paths.DialFunc {
+func (p *process) dialDirect() httpwire.DialFunc {
 	var network net.Dialer
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return network.DialContext(ctx, "tcp", address)
--- a/internal/edge/paths.go
+++ b/internal/edge/paths.go
@@ -35,7 +35,7 @@
 	direct := p.cfg.dial()
 	p.paths = paths.New(paths.Options{
 		Domain:   p.cfg.Domain,
-		Dial:     paths.DialFunc(direct),
+		Dial:     direct,
 		DomainOf: paths.NewAddressIndex(p.list.Load, domainsByAddress).DomainOf,
 		Targets:  func(domain string) []string { return p.relay.ProbeTargets(domain) }, // p.relay is not set yet
 		Daemons:  p.peers,
--- a/internal/netfault/links.go
+++ b/internal/netfault/links.go
@@ -27,12 +27,9 @@
 	return false
 }
 
-// DialFunc opens a TCP connection to an address, IP:port.
-type DialFunc func(ctx context.Context, address string) (net.Conn, error)
-
 // Links are the connections that are opened by Dial. They are safe for concurrent use.
 type Links struct {
-	dial DialFunc
+	dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu      sync.Mutex
 	fault   Fault
@@ -42,7 +39,7 @@
 
 // New returns Links without a fault whose connections are opened by dial, which must return
 // a *net.TCPConn.
-func New(dial DialFunc) *Links {
+func New(dial func(ctx context.Context, address string) (net.Conn, error)) *Links {
 	return &Links{dial: dial, changed: make(chan struct{}), open: map[*conn]bool{}}
 }
 
--- a/internal/paths/dial.go
+++ b/internal/paths/dial.go
@@ -13,8 +13,8 @@
 	"github.com/buckthorndock/buckthorndock/internal/tunnel"
 )
 
-// errNoRelay means that no other daemon opens a connection to the upstream.
-var errNoRelay = merry.Sentinel("no other daemon opens a connection to the upstream")
+// errNoGateway means that no other daemon opens a connection to the upstream.
+var errNoGateway = merry.Sentinel("no other daemon opens a connection to the upstream")
 
 // Dial opens a connection to an upstream, through another daemon if this one reaches no upstream
 // of its domain. The error is a *net.OpError of a dial.
@@ -57,14 +57,14 @@
 	return t.State(domain) == reach.Indirect
 }
 
-// maxRelaysTried is the number of daemons that are asked to open one connection.
-const maxRelaysTried = 3
+// maxGatewaysTried is the number of daemons that are asked to open one connection.
+const maxGatewaysTried = 3
 
 // dialIndirect opens a connection through another daemon.
 func (t *Tracker) dialIndirect(ctx context.Context, domain, address string) (net.Conn, error) {
-	err := error(errNoRelay)
-	for range maxRelaysTried {
-		via, ok := t.relayOf(domain)
+	err := error(errNoGateway)
+	for range maxGatewaysTried {
+		via, ok := t.gatewayOf(domain)
 		if !ok {
 			break
 		}
@@ -76,7 +76,7 @@
 		if ctx.Err() != nil || !errors.Is(err, tunnel.ErrUnwilling) {
 			break
 		}
-		t.dropRelay(domain, via)
+		t.dropGateway(domain, via)
 	}
 	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
 }
@@ -88,9 +88,9 @@
 	if t.State(domain) != reach.Indirect {
 		return t.tryDirect(ctx, address)
 	}
-	via, ok := t.relayOf(domain)
+	via, ok := t.gatewayOf(domain)
 	if !ok {
-		return errNoRelay
+		return errNoGateway
 	}
 	reply, err := t.ask(ctx, via, domain, []string{address})
 	switch {
@@ -101,5 +101,5 @@
 	case len(reply.Refused) > 0:
 		return syscall.ECONNREFUSED
 	}
-	return errNoRelay
+	return errNoGateway
 }
--- a/internal/paths/relays.go
+++ b/internal/paths/gateways.go
@@ -10,8 +10,8 @@
 	"github.com/buckthorndock/buckthorndock/internal/peer"
 )
 
-// relays are the daemons through which a domain is reached.
-type relays struct {
+// gateways are the daemons through which a domain is reached.
+type gateways struct {
 	daemons  []Daemon
 	answered time.Time // when daemons were last asked about the domain
 }
@@ -20,7 +20,7 @@
 // have died, all daemons of the site search at once and for as long as that lasts.
 const (
 	askWidth      = 4  // daemons asked at once
-	wantRelays    = 3  // daemons that share the connections to a domain
+	wantGateways  = 3  // daemons that share the connections to a domain
 	maxAsked      = 16 // daemons asked in the probe that finds the domain unreachable
 	maxAskedAgain = 8  // daemons asked in a later one
 	// askInterval is the time after which one of the daemons found is asked again or, if there
@@ -28,22 +28,22 @@
 	askInterval = time.Second
 )
 
-// relayOf returns one of the daemons through which a domain is reached, drawn at random.
-func (t *Tracker) relayOf(domain string) (Daemon, bool) {
+// gatewayOf returns one of the daemons through which a domain is reached, drawn at random.
+func (t *Tracker) gatewayOf(domain string) (Daemon, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.relays[domain]
+	r := t.gateways[domain]
 	if r == nil || len(r.daemons) == 0 {
 		return Daemon{}, false
 	}
 	return r.daemons[rand.IntN(len(r.daemons))], true
 }
 
-// dropRelay removes a daemon that does not open connections to a domain, and has the domain
+// dropGateway removes a daemon that does not open connections to a domain, and has the domain
 // probed.
-func (t *Tracker) dropRelay(domain string, via Daemon) {
+func (t *Tracker) dropGateway(domain string, via Daemon) {
 	t.mu.Lock()
-	if r := t.relays[domain]; r != nil {
+	if r := t.gateways[domain]; r != nil {
 		r.daemons = slices.DeleteFunc(r.daemons, func(d Daemon) bool { return d == via })
 		r.answered = time.Time{}
 	}
@@ -51,12 +51,12 @@
 	t.Suspect(domain)
 }
 
-// relayHosts returns the names of the daemons through which a domain is reached.
-func (t *Tracker) relayHosts(domain string) []string {
+// gatewayHosts returns the names of the daemons through which a domain is reached.
+func (t *Tracker) gatewayHosts(domain string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var hosts []string
-	if r := t.relays[domain]; r != nil {
+	if r := t.gateways[domain]; r != nil {
 		for _, d := range r.daemons {
 			hosts = append(hosts, d.Host)
 		}
@@ -64,12 +64,12 @@
 	return hosts
 }
 
-// relayAddresses returns the addresses of the daemons through which a domain is reached.
-func (t *Tracker) relayAddresses(domain string) []string {
+// gatewayAddresses returns the addresses of the daemons through which a domain is reached.
+func (t *Tracker) gatewayAddresses(domain string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var addresses []string
-	if r := t.relays[domain]; r != nil {
+	if r := t.gateways[domain]; r != nil {
 		for _, d := range r.daemons {
 			addresses = append(addresses, d.Address)
 		}
@@ -98,20 +98,20 @@
 	found := t.search(ctx, domain, targets, t.candidates(domain, limit), r)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.relays[domain] = &relays{daemons: found, answered: time.Now()}
+	t.gateways[domain] = &gateways{daemons: found, answered: time.Now()}
 }
 
 // askedLately reports whether daemons were asked about a domain within askInterval.
 func (t *Tracker) askedLately(domain string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.relays[domain]
+	r := t.gateways[domain]
 	return r != nil && time.Since(r.answered) < askInterval
 }
 
 // confirm reports whether one of the daemons that were found earlier still reaches the domain.
 func (t *Tracker) confirm(ctx context.Context, domain string, targets []string) bool {
-	via, known := t.relayOf(domain)
+	via, known := t.gatewayOf(domain)
 	if !known {
 		return false
 	}
@@ -124,7 +124,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.relays[domain]; r != nil {
+	if r := t.gateways[domain]; r != nil {
 		r.answered = time.Now()
 	}
 	return true
@@ -137,13 +137,13 @@
 	err   error
 }
 
-// search asks the daemons of a list, and those that they name, until wantRelays of them reach the
+// search asks the daemons of a list, and those that they name, until wantGateways of them reach the
 // domain, all have been asked, or the context ends.
 func (t *Tracker) search(ctx context.Context, domain string, targets []string, list []Daemon, r *reach.ProbeResult) (found []Daemon) {
 	answers := make(chan said, askWidth)
 	queue := newQueue(list, t.opts.Daemons.Others)
 	pending := 0
-	for len(found) < wantRelays {
+	for len(found) < wantGateways {
 		for next, ok := queue.pop(pending < askWidth); ok; next, ok = queue.pop(pending < askWidth) {
 			pending++
 			go func() {
--- a/internal/paths/rpc.go
+++ b/internal/paths/rpc.go
@@ -58,7 +58,7 @@
 func (r *receiver) Probe(req *ProbeRequest, reply *ProbeReply) error {
 	t := r.tracker
 	if t.State(req.Domain) != reach.Direct {
-		reply.Through = t.relayAddresses(req.Domain)
+		reply.Through = t.gatewayAddresses(req.Domain)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -18,20 +18,20 @@
 	opts   Options
 	wakeUp chan struct{} // wakes Run; buffered
 
-	mu     sync.Mutex
-	state  *reach.Tracker
-	probes map[string]chan struct{} // by domain: closed when the probe under way ends
-	relays map[string]*relays       // by domain
+	mu       sync.Mutex
+	state    *reach.Tracker
+	probes   map[string]chan struct{} // by domain: closed when the probe under way ends
+	gateways map[string]*gateways     // by domain
 }
 
 // New returns a Tracker for which all paths are direct.
 func New(o Options) *Tracker {
 	return &Tracker{
-		opts:   o,
-		wakeUp: make(chan struct{}, 1),
-		state:  reach.New(reach.Options{QuietAfter: quietAfter, ProbeInterval: probeInterval}),
-		probes: map[string]chan struct{}{},
-		relays: map[string]*relays{},
+		opts:     o,
+		wakeUp:   make(chan struct{}, 1),
+		state:    reach.New(reach.Options{QuietAfter: quietAfter, ProbeInterval: probeInterval}),
+		probes:   map[string]chan struct{}{},
+		gateways: map[string]*gateways{},
 	}
 }
 
@@ -122,11 +122,7 @@
 		t.probes[domain] = make(chan struct{})
 		go t.probe(domain)
 	}
-	done := t.probes[domain]
-	if done == nil {
-		return nil
-	}
-	return done
+	return t.probes[domain]
 }
 
 // probe tries to connect to some upstreams of a domain and applies the result.
@@ -185,7 +181,7 @@
 		log.WithField("cut_ms", time.Since(c.Since).Milliseconds()).Info(changeEvents[c.To])
 		return
 	}
-	log.WithFields(logrus.Fields{"moved": moved, "through": t.relayHosts(domain)}).Warn(changeEvents[c.To])
+	log.WithFields(logrus.Fields{"moved": moved, "through": t.gatewayHosts(domain)}).Warn(changeEvents[c.To])
 }
 
 // countReachable returns how many of the upstreams accept a connection. It stops at the first
--- a/internal/paths/types.go
+++ b/internal/paths/types.go
@@ -8,11 +8,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/reach"
+	"github.com/buckthorndock/buckthorndock/internal/httpwire"
 )
 
-// DialFunc opens a TCP connection to an address, IP:port.
-type DialFunc func(ctx context.Context, address string) (net.Conn, error)
-
 // Daemon is another daemon of the site.
 type Daemon struct {
 	Host    string
@@ -36,7 +34,7 @@
 type Options struct {
 	Domain string // failure domain of this daemon
 	// Dial opens a connection over the network.
-	Dial DialFunc
+	Dial httpwire.DialFunc
 	// DomainOf returns the failure domain of the upstream at an address, "" if none is listed
 	// there.
 	DomainOf func(address string) string
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/url"
 	"syscall"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -82,7 +81,3 @@
 
 // Read reads from the buffer first.
 func (c *bufferedConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
-
-// drainTime bounds how long a tunnel whose upstream has ended its answer waits for the other
-// daemon to close it.
-const drainTime = time.Second
--- a/internal/tunnel/handler.go
+++ b/internal/tunnel/handler.go
@@ -113,6 +113,10 @@
 	<-uploaded
 }
 
+// drainTime bounds how long a tunnel whose upstream has ended its answer waits for the other
+// daemon to close it.
+const drainTime = time.Second
+
 // endCleanly tells the client that the upstream's answer has ended, and waits for it to close
 // the tunnel: closed with unread bytes, the connection would be reset, and the end lost.
 func endCleanly(client net.Conn, closed <-chan struct{}) {
