Deaths: what is compared is seen over one path, and the upstream is tried again at the end

Such a death is told to all daemons, which then hold the requests of callers that ran there.

Cause: an upstream counts as dead if it refuses a connection while another one accepts one. The two were tried one after the other, each over the path as it was at that moment. A partitioned host's own connection was refused; then its probe found a daemon that reaches the domain, and the neighbour was reached through that one: two paths were compared.

Ruled out: the list of upstreams and answers that say "ended" (the trace names the branch); load as the cause (it only widens the gap).

Change: paths.Path is one way, held for a whole check; upstreams elsewhere are tried over the host's own network only; where no neighbour answers, a probe that began after the refusal decides; at last the upstream is tried again.

Why it works: a refusal by the path also refuses the neighbour, unless the path came back in between, and then the second try is accepted. For a death to be made up the path would have to fail, work and fail within one check.

--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -63,6 +63,7 @@
 type path struct {
 	lastActivity  time.Time // last message or connection from the domain
 	lastProbe     time.Time // start of the last probe
+	probedAt      time.Time // start of the last probe that had a valid result
 	probing       bool
 	state         State
 	since         time.Time // start of the state unless it is Direct
@@ -136,7 +137,7 @@
 // daemon reaches is alive, so that the path from here is at fault whatever else is known.
 func (t *Tracker) EndProbe(domain string, r ProbeResult, now time.Time) Change {
 	w := t.path(domain)
-	w.probing = false
+	w.probing, w.probedAt = false, r.Started
 	c := Change{From: w.state, To: w.next(r), Since: w.since, Quiet: t.quiet(domain, r.Started)}
 	w.daemonsAnswer = w.daemonsAnswer || r.DaemonsAnswer
 	if r.Reached > 0 {
@@ -170,6 +171,15 @@
 // was stalled.
 func (t *Tracker) DiscardProbe(domain string) { t.path(domain).probing = false }
 
+// ProbedAt returns the start of the last probe of a domain that had a valid result, the zero time
+// if there was none.
+func (t *Tracker) ProbedAt(domain string) time.Time {
+	if w := t.paths[domain]; w != nil {
+		return w.probedAt
+	}
+	return time.Time{}
+}
+
 // State returns the state of the path to a domain.
 func (t *Tracker) State(domain string) State {
 	if w := t.paths[domain]; w != nil {
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -174,7 +174,6 @@
 		Balancer:        p.balancer,
 		Suspects:        p.suspects,
 		Paths:           p.paths,
-		Probe:           p.paths.Probe,
 		DaemonAddresses: p.peers.domainAddresses,
 		Upstreams:       p.list.Load,
 		OnIdentified:    p.recordResponder,
--- a/internal/paths/dial.go
+++ b/internal/paths/dial.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/reach"
 	"github.com/buckthorndock/buckthorndock/internal/tunnel"
+	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // errNoGateway means that no other daemon opens a connection to the upstream.
@@ -24,7 +24,7 @@
 		return t.dialIndirect(ctx, domain, address)
 	}
 	conn, err := t.dialDirect(ctx, domain, address)
-	if err == nil || ctx.Err() != nil || !t.FindsIndirect(ctx, domain) {
+	if err == nil || ctx.Err() != nil || !t.findsIndirect(ctx, domain) {
 		return conn, err
 	}
 	return t.dialIndirect(ctx, domain, address)
@@ -36,7 +36,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	suspicion := time.AfterFunc(dialPatience, func() {
-		if t.FindsIndirect(ctx, domain) {
+		if t.findsIndirect(ctx, domain) {
 			cancel()
 		}
 	})
@@ -44,15 +44,11 @@
 	return t.opts.Dial(ctx, address)
 }
 
-// FindsIndirect waits for the probe of a domain, if there is to be one, and reports whether the
+// findsIndirect waits for the probe of a domain, if there is to be one, and reports whether the
 // path is indirect.
-func (t *Tracker) FindsIndirect(ctx context.Context, domain string) bool {
-	if done := t.Suspect(domain); done != nil {
-		select {
-		case <-done:
-		case <-ctx.Done():
-			return false
-		}
+func (t *Tracker) findsIndirect(ctx context.Context, domain string) bool {
+	if done := t.Suspect(domain); done != nil && !wait.Until(ctx, done) {
+		return false
 	}
 	return t.State(domain) == reach.Indirect
 }
@@ -80,26 +76,3 @@
 	}
 	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
 }
-
-// Probe tries to open a connection to an upstream. The error wraps syscall.ECONNREFUSED if nobody
-// listens there. While the path to its domain is indirect, another daemon tries.
-func (t *Tracker) Probe(ctx context.Context, address string) error {
-	domain := t.opts.DomainOf(address)
-	if t.State(domain) != reach.Indirect {
-		return t.tryDirect(ctx, address)
-	}
-	via, ok := t.gatewayOf(domain)
-	if !ok {
-		return errNoGateway
-	}
-	reply, err := t.ask(ctx, via, domain, []string{address})
-	switch {
-	case err != nil:
-		return err
-	case len(reply.Reached) > 0:
-		return nil
-	case len(reply.Refused) > 0:
-		return syscall.ECONNREFUSED
-	}
-	return errNoGateway
-}
--- a/internal/paths/tracker_test.go
+++ b/internal/paths/tracker_test.go
@@ -173,10 +173,10 @@
 	n.mu.Unlock()
 	n.partition(syscall.ECONNREFUSED, "a0")
 	dialOK(t, n.trackers["a0"], "a.u0:1")
-	if err := n.trackers["a0"].Probe(t.Context(), "a.u1:1"); !errors.Is(err, syscall.ECONNREFUSED) {
+	if err := n.trackers["a0"].PathTo("a").Probe(t.Context(), "a.u1:1"); !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("a dead upstream: %v", err)
 	}
-	if err := n.trackers["a0"].Probe(t.Context(), "a.u2:1"); err != nil {
+	if err := n.trackers["a0"].PathTo("a").Probe(t.Context(), "a.u2:1"); err != nil {
 		t.Errorf("a live upstream: %v", err)
 	}
 	_, err := n.trackers["a0"].Dial(t.Context(), "a.u1:1")
--- a/internal/relay/death.go
+++ b/internal/relay/death.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
+	"github.com/buckthorndock/buckthorndock/internal/core/reach"
 	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
@@ -26,22 +27,36 @@
 
 // isDead reports whether nobody listens at an upstream's address any more. A refused connection
 // alone does not tell: a partition of this host may look the same, and so may one of the whole
-// failure domain. So another upstream of the domain has to accept a connection or, if none does,
-// the path from here must not be at fault.
+// failure domain. So another upstream has to accept a connection over the same path, and that of
+// the upstream is tried again after it: a path that failed, or came back, in between would
+// otherwise tell of a death.
 func (r *Relay) isDead(ctx context.Context, u fleet.Upstream, within time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	if !errors.Is(r.opts.Probe(ctx, u.Address), syscall.ECONNREFUSED) {
+	path := r.opts.Paths.PathTo(u.Domain)
+	isRefused := func() bool { return errors.Is(path.Probe(ctx, u.Address), syscall.ECONNREFUSED) }
+	begun := time.Now()
+	if !isRefused() {
 		return false
 	}
-	reached := func(address string) bool { return r.opts.Probe(ctx, address) == nil }
 	n := r.neighbours(u)
+	reached := func(address string) bool { return path.Probe(ctx, address) == nil }
 	if slices.ContainsFunc(n.sameDomain, reached) {
-		return true
+		return isRefused()
 	}
-	if r.opts.Paths.FindsIndirect(ctx, u.Domain) {
-		return false // the next check goes through another daemon
+	return r.reachesAllButDomain(ctx, u.Domain, n, begun) && isRefused()
+}
+
+// reachesAllButDomain reports whether the path to a domain is not at fault though none of the
+// domain's upstreams accepts a connection: its daemons answer, upstreams elsewhere are reached from
+// here, and no other daemon reaches the domain's.
+func (r *Relay) reachesAllButDomain(ctx context.Context, domain string, n neighbours, since time.Time) bool {
+	state, ok := r.opts.Paths.StateSince(ctx, domain, since)
+	if !ok || state == reach.Indirect {
+		return false // a later check knows more, or goes through another daemon
 	}
+	direct := r.opts.Paths.DirectPath()
+	reached := func(address string) bool { return direct.Probe(ctx, address) == nil }
 	if len(n.sameDomain)+len(n.daemons) > 0 && !slices.ContainsFunc(n.daemons, reached) {
 		return false // the domain may be cut off
 	}
@@ -79,7 +94,7 @@
 func (r *Relay) unresponsive(ctx context.Context, u fleet.Upstream) bool {
 	ctx, cancel := context.WithTimeout(ctx, recheckTimeout)
 	defer cancel()
-	err := r.opts.Probe(ctx, u.Address)
+	err := r.opts.Paths.PathTo(u.Domain).Probe(ctx, u.Address)
 	return err != nil && !errors.Is(err, syscall.ECONNREFUSED)
 }
 
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -222,7 +222,8 @@
 	list    *fleet.List
 	dead    map[string]bool // addresses at which nobody listens
 	// probe tries to connect to an address; by default it fails at those in dead.
-	probe func(ctx context.Context, address string) error
+	probe   func(ctx context.Context, address string) error
+	daemons *fakeDaemons
 }
 
 // dial opens a connection by probe.
@@ -255,6 +256,7 @@
 		list:    fleet.New(fleet.Options{OutageAfter: time.Hour, ReturnGrace: time.Second}),
 		dead:    map[string]bool{},
 	}
+	f.daemons = &fakeDaemons{dead: f.dead, partitioned: map[string]bool{}}
 	f.probe = func(_ context.Context, address string) error {
 		if f.dead[address] {
 			return syscall.ECONNREFUSED
@@ -266,6 +268,7 @@
 			Dial:     f.dial,
 			DomainOf: f.domainOf,
 			Targets:  func(domain string) []string { return f.relay.ProbeTargets(domain) },
+			Daemons:  f.daemons,
 			OnChange: func(domain string, c reach.Change) int { return f.relay.PathChanged(domain, c) },
 			Log:      logrus.NewEntry(log),
 		}),
@@ -275,7 +278,6 @@
 		Suspects:   suspects.New("h1", logrus.NewEntry(log)),
 		Notices:    NewNotices(Listeners{OnLimit: func(notice.Limit) {}}, logrus.NewEntry(log)),
 		BodyMemory: NewBodyMemory(1 << 30),
-		Probe:      func(ctx context.Context, address string) error { return f.probe(ctx, address) },
 		Balancer:   fakeBalancer{servers: []string{"s1", "s2", "s3"}},
 		Upstreams:  func() *fleet.Snapshot { return f.list.Snapshot() },
 		Budget: func() BudgetOptions {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,9 +25,6 @@
 	Suspects Suspects
 	// Paths knows which failure domains can be reached, and how.
 	Paths *paths.Tracker
-	// Probe tries to connect to an address. It returns an error if nobody listens there or
-	// if that cannot be determined.
-	Probe func(ctx context.Context, address string) error
 	// DaemonAddresses returns the peer addresses of other daemons in a failure domain. If
 	// nil, none are known.
 	DaemonAddresses func(domain string) []string
--- a/internal/relay/suspect_test.go
+++ b/internal/relay/suspect_test.go
@@ -48,9 +48,9 @@
 		f.listEngines("e1", "e2")
 		f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2")}
 		f.dead["e1:1"] = true
-		reach := f.relay.opts.Probe
+		reach := f.probe
 		var looks atomic.Int32 // two upstreams are checked at once
-		f.relay.opts.Probe = func(ctx context.Context, address string) error {
+		f.probe = func(ctx context.Context, address string) error {
 			if looks.Add(1) == 1 {
 				return first
 			}
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -21,6 +21,16 @@
 	}
 }
 
+// Until waits until done is closed. It returns false if the context ended first.
+func Until(ctx context.Context, done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Every calls fn at intervals of d, first after d, until the context ends. Ticks that pass
 // during a slow call are dropped.
 func Every(ctx context.Context, d time.Duration, fn func(now time.Time)) {
--- a/internal/wait/wait_test.go
+++ b/internal/wait/wait_test.go
@@ -17,6 +17,19 @@
 	}
 }
 
+func TestUntil(t *testing.T) {
+	done := make(chan struct{})
+	ended, end := context.WithCancel(t.Context())
+	end()
+	if Until(ended, done) {
+		t.Error("the end of the context was not seen")
+	}
+	close(done)
+	if !Until(t.Context(), done) {
+		t.Error("a wait was cut short")
+	}
+}
+
 func TestEveryEndsWithItsContext(t *testing.T) {
 	ctx, end := context.WithCancel(t.Context())
 	calls := 0
