Deaths: the product's path asks for the same evidence as the edge

What callers saw: on the product's own path a host that reaches no upstream told the others that engines had died, so the works that ran there count as suspects, are refused or wait for trials once the paths are back. Retries after such a "death" were not taken from the budget either.

Cause: a stream that broke and whose engine did not answer a probe counted as a death of the engine, whatever the probe's error; so did a silent one whose probe found no connection.

Change: package deaths, taken out of relay, decides for both paths. In front an engine is dead if its incarnation has changed or the checker says so. Else the end is "broken" or "silent" and unanswered: the engine counts as suspect, the repeat is charged, and the run is kept until the later checks (50, 200, 700 ms) find a death, a silent upstream, or nothing.

Why it works: no conclusion about an engine is drawn from a failed probe alone any more, on either path.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -15,6 +15,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/admission"
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+	"github.com/buckthorndock/buckthorndock/internal/deaths"
 	"github.com/buckthorndock/buckthorndock/internal/follow"
 	"github.com/buckthorndock/buckthorndock/internal/front"
 	"github.com/buckthorndock/buckthorndock/internal/gate"
@@ -254,6 +255,7 @@
 		Claims:              p.claims,
 		Join:                p.join,
 		Suspects:            p.suspects,
+		Deaths:              deaths.New(deaths.Options{Paths: p.paths, Neighbours: p.neighbours}),
 		Operator:            &operator{follower: p.follower, peers: p.peers},
 		OperatorTokenSHA256: p.cfg.OperatorTokenSHA256,
 		Log:                 p.log,
--- a/internal/daemon/paths.go
+++ b/internal/daemon/paths.go
@@ -4,10 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+	"github.com/buckthorndock/buckthorndock/internal/core/placement"
 	"github.com/buckthorndock/buckthorndock/internal/core/reach"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+	"github.com/buckthorndock/buckthorndock/internal/deaths"
 	"github.com/buckthorndock/buckthorndock/internal/httpwire"
 	"github.com/buckthorndock/buckthorndock/internal/netfault"
 	"github.com/buckthorndock/buckthorndock/internal/paths"
@@ -95,6 +98,23 @@
 	return p.paths.Run(ctx, func() (domains []string, busy bool) { return nil, false })
 }
 
+// neighbours returns the neighbours of an upstream in a random order.
+func (p *process) neighbours(u deaths.Upstream) deaths.Neighbours {
+	var n deaths.Neighbours
+	listed := slices.Clone(p.follower.Current().Upstreams())
+	rand.Shuffle(len(listed), func(i, j int) { listed[i], listed[j] = listed[j], listed[i] })
+	for _, other := range listed {
+		state, known := p.router.State(other.Name)
+		n.AddNear(u, other.Address, other.Domain, !known || state != placement.Live)
+	}
+	for _, d := range p.peers.Others() {
+		if d.Domain == u.Domain {
+			n.Daemons = append(n.Daemons, d.Address)
+		}
+	}
+	return n
+}
+
 // Others implements paths.Daemons.
 func (p *peers) Others() []paths.Daemon {
 	var others []paths.Daemon
--- a/internal/relay/death_test.go
+++ b/internal/deaths/checker_test.go
@@ -1,7 +1,8 @@
-package relay
+package deaths
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -10,8 +11,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
 
-	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/reach"
 	"github.com/buckthorndock/buckthorndock/internal/paths"
 )
@@ -52,43 +53,76 @@
 	f.partitioned[address] = true
 }
 
-// pathSite is a fixture with the engines e1 and e2 in domain z1 and two more in z2, and other
-// daemons. Its own connections to upstreams are refused while it is partitioned.
-type pathSite struct {
-	*fixture
-	e1 fleet.Upstream
+// site is a daemon with the upstreams e1 and e2 in domain z1 and two more in z2, and other daemons.
+// Its own connections to upstreams are refused while it is partitioned.
+type site struct {
+	paths   *paths.Tracker
+	checker *Checker
+	daemons *fakeDaemons
 
 	mu           sync.Mutex
+	dead         map[string]bool // addresses at which nobody listens
 	partitioned  bool
+	silent       bool   // no upstream accepts or refuses a connection
 	afterRefusal func() // called after the first connection to e1 was refused
 }
 
+var e1 = Upstream{ID: "e1", Address: "e1:1", Domain: "z1"}
+
+// domains are the failure domains of the upstreams, by address.
+var domains = map[string]string{e1.Address: e1.Domain, "e2:1": "z1", "far1:1": "z2", "far2:1": "z2"}
+
 // daemonAddress is where a daemon of z1 listens; a partition from upstreams leaves it alone.
 const daemonAddress = "d:1"
 
-func newPathSite(t *testing.T, daemons ...string) *pathSite {
-	t.Helper()
-	s := &pathSite{fixture: newFixture(t)}
+func newSite(daemons ...string) *site {
+	dead := map[string]bool{}
+	s := &site{dead: dead, daemons: &fakeDaemons{dead: dead, partitioned: map[string]bool{}}}
 	for _, name := range daemons {
 		s.daemons.all = append(s.daemons.all, paths.Daemon{Host: name, Address: name, Domain: "z1"})
 	}
-	s.relay.opts.DaemonAddresses = func(string) []string { return []string{daemonAddress} }
-	var list []fleet.Change
-	for name, domain := range map[string]string{"e1": "z1", "e2": "z1", "far1": "z2", "far2": "z2"} {
-		list = append(list, entry(fleet.Upstream{Incarnation: fleet.Incarnation{Name: name}, Service: "llm", Address: name + ":1", Domain: domain}))
-	}
-	s.list.Replace(list, time.Now())
-	s.e1, _ = s.relay.opts.Upstreams().Get("e1")
-	s.probe = s.tryConnect
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s.paths = paths.New(paths.Options{
+		Domain:   "z1",
+		Dial:     s.dial,
+		DomainOf: func(address string) string { return domains[address] },
+		Targets:  targets,
+		Daemons:  s.daemons,
+		Log:      logrus.NewEntry(log),
+	})
+	s.checker = New(Options{Paths: s.paths, Neighbours: neighbours})
 	return s
 }
 
-// tryConnect tries to connect over the network of the site's own daemon.
-func (s *pathSite) tryConnect(_ context.Context, address string) error {
+func targets(domain string) []string {
+	var all []string
+	for address, d := range domains {
+		if d == domain {
+			all = append(all, address)
+		}
+	}
+	return all
+}
+
+func neighbours(u Upstream) Neighbours {
+	n := Neighbours{Daemons: []string{daemonAddress}}
+	for address, domain := range domains {
+		n.AddNear(u, address, domain, false)
+	}
+	return n
+}
+
+// dial opens a connection over the network of the site's own daemon.
+func (s *site) dial(ctx context.Context, address string) (net.Conn, error) {
+	if s.silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	s.mu.Lock()
 	refused := s.dead[address] || s.partitioned && address != daemonAddress
 	var then func()
-	if refused && address == s.e1.Address {
+	if refused && address == e1.Address {
 		then, s.afterRefusal = s.afterRefusal, nil
 	}
 	s.mu.Unlock()
@@ -96,21 +130,23 @@
 		then()
 	}
 	if refused {
-		return syscall.ECONNREFUSED
+		return nil, syscall.ECONNREFUSED
 	}
-	return nil
+	conn, other := net.Pipe()
+	_ = other.Close()
+	return conn, nil
 }
 
-func (s *pathSite) setPartitioned(partitioned bool) {
+func (s *site) setPartitioned(partitioned bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.partitioned = partitioned
 }
 
 // awaitState probes a domain until its path has a state; the test's timeout bounds it.
-func (s *pathSite) awaitState(domain string, want reach.State) {
-	for s.relay.opts.Paths.State(domain) != want {
-		if done := s.relay.opts.Paths.Suspect(domain); done != nil {
+func (s *site) awaitState(domain string, want reach.State) {
+	for s.paths.State(domain) != want {
+		if done := s.paths.Suspect(domain); done != nil {
 			<-done
 		}
 		time.Sleep(time.Millisecond)
@@ -118,9 +154,9 @@
 }
 
 // checkAlive checks that the live e1 does not count as dead.
-func (s *pathSite) checkAlive(t *testing.T) {
+func (s *site) checkAlive(t *testing.T) {
 	t.Helper()
-	if s.relay.isDead(t.Context(), s.e1, recheckTimeout) {
+	if s.checker.isDead(t.Context(), e1, recheckTimeout) {
 		t.Error("a live upstream counts as dead")
 	}
 }
@@ -129,13 +165,13 @@
 // partitioned host reports: its own connection is refused, and then a neighbour of the upstream is
 // reached over another path.
 func TestProbesOverDifferentPathsProveNoDeath(t *testing.T) {
-	for name, test := range map[string]func(t *testing.T, s *pathSite){
-		"the path changes between the probes": func(t *testing.T, s *pathSite) {
+	for name, test := range map[string]func(t *testing.T, s *site){
+		"the path changes between the probes": func(t *testing.T, s *site) {
 			s.afterRefusal = func() { s.awaitState("z1", reach.Indirect) }
 			s.setPartitioned(true)
 			s.checkAlive(t)
 		},
-		"one of two daemons on the way is partitioned too": func(t *testing.T, s *pathSite) {
+		"one of two daemons on the way is partitioned too": func(t *testing.T, s *site) {
 			s.setPartitioned(true)
 			s.awaitState("z1", reach.Indirect)
 			s.daemons.partition("d1")
@@ -144,15 +180,15 @@
 				s.checkAlive(t)
 			}
 		},
-		"upstreams elsewhere are reached through a daemon": func(t *testing.T, s *pathSite) {
-			<-s.relay.opts.Paths.Suspect("z1") // so that it is not probed again at once
+		"upstreams elsewhere are reached through a daemon": func(t *testing.T, s *site) {
+			<-s.paths.Suspect("z1") // so that it is not probed again at once
 			s.setPartitioned(true)
 			s.awaitState("z2", reach.Indirect)
 			s.checkAlive(t)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { test(t, newPathSite(t, "d1", "d2")) })
+			synctest.Test(t, func(t *testing.T) { test(t, newSite("d1", "d2")) })
 		})
 	}
 }
@@ -161,7 +197,7 @@
 // host reports whose partition ends between two probes.
 func TestProbesBeforeAndAfterAPartitionProveNoDeath(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newPathSite(t)
+		s := newSite()
 		s.afterRefusal = func() { s.setPartitioned(false) }
 		s.setPartitioned(true)
 		s.checkAlive(t)
@@ -173,16 +209,43 @@
 	for name, partitioned := range map[string]bool{"direct": false, "indirect": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newPathSite(t, "d1", "d2")
-				s.dead[s.e1.Address] = true
+				s := newSite("d1", "d2")
+				s.dead[e1.Address] = true
 				if partitioned {
 					s.setPartitioned(true)
 					s.awaitState("z1", reach.Indirect)
 				}
-				if !s.relay.isDead(t.Context(), s.e1, recheckTimeout) {
+				if !s.checker.isDead(t.Context(), e1, recheckTimeout) {
 					t.Error("a dead upstream does not count as dead")
 				}
 			})
 		})
 	}
 }
+
+// TestLaterChecksFindWhatTheFirstCannot guards against evidence that is lost where all upstreams of
+// a domain refuse connections, and against requests that are held for what a silent upstream did.
+func TestLaterChecksFindWhatTheFirstCannot(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare   func(s *site)
+		restarted bool
+		want      Result
+	}{
+		"dead, found at once":                      {prepare: func(s *site) { s.dead[e1.Address] = true }, want: Dead},
+		"another process answers":                  {prepare: func(*site) {}, restarted: true, want: Dead},
+		"all refuse, so this host may be at fault": {prepare: func(s *site) { s.partitioned = true }, want: Unknown},
+		"neither accepted nor refused":             {prepare: func(s *site) { s.silent = true }, want: Unresponsive},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite()
+				c.prepare(s)
+				got := make(chan Result, 1)
+				s.checker.Recheck(e1, func(context.Context) bool { return c.restarted }, func(r Result) { got <- r })
+				if r := <-got; r != c.want {
+					t.Errorf("got %d, want %d", r, c.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -96,7 +96,7 @@
 	if end != retry.NotWritten {
 		c.earlierWritten = true
 	}
-	c.s.updateUpstreamState(d.Chosen.Name, end, false)
+	c.s.updateUpstreamState(d.Chosen.Name, streamEnd{end: end})
 	c.s.recordBackOff(d.Chosen.Name, err)
 	decision := c.s.retries.next(a, c.job, time.Now())
 	fields := jobFields(c.job)
--- a/internal/front/faults.go
+++ b/internal/front/faults.go
@@ -18,7 +18,7 @@
 		return nil
 	}
 	if len(t.gang) < 2 || !errors.Is(res.err, errEngine) {
-		g.s.updateUpstreamState(t.name(), res.end, res.reachable)
+		g.s.updateUpstreamState(t.name(), res)
 		g.s.recordBackOff(t.name(), res.err)
 		return []string{t.name()}
 	}
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -12,6 +12,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/stream"
+	"github.com/buckthorndock/buckthorndock/internal/deaths"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
@@ -69,7 +70,7 @@
 	t.incarnation = g.s.opts.Router.Incarnation(t.name())
 	var last streamEnd
 	defer func() {
-		g.s.opts.Suspects.End(t.run, end.Complete)
+		g.endRun(t, last)
 		g.trial.End(trialOutcome(last))
 	}()
 	g.trial.MarkSent()
@@ -100,6 +101,29 @@
 	}
 }
 
+// endRun records how the run of an attempt ended. One that broke off counts as evidence if its
+// engine turns out to have died.
+func (g *generation) endRun(t *target, last streamEnd) {
+	if !last.unanswered {
+		g.s.opts.Suspects.End(t.run, last.complete)
+		return
+	}
+	g.s.opts.Suspects.EndBroken(t.run, time.Now())
+	request, attempt := g.job.req.ID, g.attempt
+	restarted := func(ctx context.Context) bool {
+		standing, err := g.s.opts.Client.Probe(ctx, t.address(), request, attempt)
+		return err == nil && t.restarted(standing)
+	}
+	g.s.opts.Deaths.Recheck(t.toCheck(), restarted, func(res deaths.Result) {
+		switch res {
+		case deaths.Dead:
+			g.s.opts.Suspects.EngineDelisted(t.name(), t.incarnation, time.Now())
+		case deaths.Unresponsive:
+			g.s.opts.Suspects.EngineAlive(t.name())
+		}
+	})
+}
+
 // trialOutcome returns the outcome of a trial from the end of its attempt. A refusal by
 // the engine does not prove that the request was not run.
 func trialOutcome(res streamEnd) quarantine.TrialOutcome {
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -92,11 +92,11 @@
 
 // updateUpstreamState sets the state of an upstream that an attempt's end shows to be
 // dead or suspect.
-func (s *Server) updateUpstreamState(name string, end retry.End, reachable bool) {
+func (s *Server) updateUpstreamState(name string, res streamEnd) {
 	switch {
-	case end == retry.NotWritten, end == retry.Died:
+	case res.end == retry.NotWritten, res.end == retry.Died:
 		s.opts.Router.SetState(name, placement.Dead)
-	case end == retry.Silent && !reachable, end == retry.InvalidAnswer:
+	case res.unanswered, res.end == retry.Silent && !res.reachable, res.end == retry.InvalidAnswer:
 		s.opts.Router.SetState(name, placement.Suspect)
 	}
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/claims"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+	"github.com/buckthorndock/buckthorndock/internal/deaths"
 	"github.com/buckthorndock/buckthorndock/internal/gate"
 	"github.com/buckthorndock/buckthorndock/internal/join"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
@@ -46,6 +47,7 @@
 	Claims      *claims.Service
 	Join        *join.Service
 	Suspects    *suspects.Tracker
+	Deaths      *deaths.Checker
 	Operator    Operator // status and settings
 	// OperatorTokenSHA256 is the SHA-256 hash, in hex, of the site's first operator token.
 	OperatorTokenSHA256 string
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -20,6 +20,7 @@
 	callerGone     bool
 	end            retry.End // set unless complete or callerGone
 	reachable      bool      // the engine still knows the attempt
+	unanswered     bool      // the engine did not answer a probe either
 	deadlinePassed bool      // the request's deadline passed: no fault of the engine
 	err            error
 }
@@ -165,7 +166,10 @@
 		return streamEnd{end: retry.InvalidAnswer, err: err}
 	}
 	standing, probeErr := g.s.opts.Client.Probe(ctx, t.address(), g.job.req.ID, g.attempt)
-	if probeErr != nil || t.restarted(standing) {
+	switch {
+	case probeErr != nil:
+		return g.classifyUnanswered(ctx, t, retry.Broken, err)
+	case t.restarted(standing):
 		return streamEnd{end: retry.Died, err: err}
 	}
 	return streamEnd{end: retry.Broken, reachable: standing.Phase != upstream.PhaseUnknown, err: err}
@@ -178,10 +182,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return g.classifyInterruption(ctx), true
-	case upstream.IsNotStarted(err):
-		return streamEnd{end: retry.Died, err: err}, true
 	case err != nil:
-		return streamEnd{end: retry.Silent, err: err}, true
+		return g.classifyUnanswered(ctx, t, retry.Silent, err), true
 	case t.restarted(standing):
 		return streamEnd{end: retry.Died}, true
 	case standing.Phase == upstream.PhaseQueued, standing.Phase == upstream.PhasePrefill:
@@ -213,10 +215,17 @@
 		return g.classifyInterruption(ctx), true
 	case err == nil:
 		return streamEnd{}, false
-	case upstream.IsNotStarted(err):
-		return streamEnd{end: retry.Died, err: err}, true
 	}
-	return streamEnd{end: retry.Silent, err: err}, true
+	return g.classifyUnanswered(ctx, t, retry.Silent, err), true
+}
+
+// classifyUnanswered returns why a stream ended whose engine did not answer a probe: the engine has
+// died or, if that is not known, as otherwise says.
+func (g *generation) classifyUnanswered(ctx context.Context, t *target, otherwise retry.End, err error) streamEnd {
+	if g.s.opts.Deaths.IsDead(ctx, t.toCheck()) {
+		return streamEnd{end: retry.Died, err: err}
+	}
+	return streamEnd{end: otherwise, unanswered: true, err: err}
 }
 
 // classifyInterruption returns whether the deadline has passed or the caller has
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -6,6 +6,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
 	"github.com/buckthorndock/buckthorndock/internal/core/placement"
 	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
+	"github.com/buckthorndock/buckthorndock/internal/deaths"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
@@ -43,6 +44,11 @@
 func (t *target) name() string    { return t.decision.Chosen.Name }
 func (t *target) address() string { return t.decision.Chosen.Address }
 
+// toCheck returns the engine as the checks of deaths identify it.
+func (t *target) toCheck() deaths.Upstream {
+	return deaths.Upstream{ID: t.name(), Address: t.address(), Domain: t.decision.Chosen.Domain}
+}
+
 // restarted reports whether the engine has restarted since the attempt was sent.
 func (t *target) restarted(now upstream.AttemptStatus) bool {
 	return t.incarnation != "" && now.Incarnation != t.incarnation
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -222,8 +222,7 @@
 	list    *fleet.List
 	dead    map[string]bool // addresses at which nobody listens
 	// probe tries to connect to an address; by default it fails at those in dead.
-	probe   func(ctx context.Context, address string) error
-	daemons *fakeDaemons
+	probe func(ctx context.Context, address string) error
 }
 
 // dial opens a connection by probe.
@@ -256,7 +255,6 @@
 		list:    fleet.New(fleet.Options{OutageAfter: time.Hour, ReturnGrace: time.Second}),
 		dead:    map[string]bool{},
 	}
-	f.daemons = &fakeDaemons{dead: f.dead, partitioned: map[string]bool{}}
 	f.probe = func(_ context.Context, address string) error {
 		if f.dead[address] {
 			return syscall.ECONNREFUSED
@@ -268,7 +266,6 @@
 			Dial:     f.dial,
 			DomainOf: f.domainOf,
 			Targets:  func(domain string) []string { return f.relay.ProbeTargets(domain) },
-			Daemons:  f.daemons,
 			OnChange: func(domain string, c reach.Change) int { return f.relay.PathChanged(domain, c) },
 			Log:      logrus.NewEntry(log),
 		}),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
+	"github.com/buckthorndock/buckthorndock/internal/deaths"
 	"github.com/buckthorndock/buckthorndock/internal/paths"
 )
 
@@ -59,8 +60,8 @@
 	log          *logrus.Entry
 	leaseTimes   leaseTimes
 	running      runningAttempts
-	deathChecks  sync.Map // IDs of upstreams for which recheckDeath is running
-	hostFraction float64  // in [0, 1), derived from the host name, so that it differs between daemons
+	deaths       *deaths.Checker
+	hostFraction float64 // in [0, 1), derived from the host name, so that it differs between daemons
 
 	mu      sync.Mutex
 	avoid   *avoid.Tracker
@@ -78,7 +79,7 @@
 
 // New returns a Relay with the given options.
 func New(o Options) *Relay {
-	return &Relay{
+	r := &Relay{
 		opts:         o,
 		leaseTimes:   leaseTimes{renew: leaseRenewInterval, useBy: leaseUseTimeout},
 		log:          o.Log,
@@ -86,6 +87,8 @@
 		budgets:      map[string]*budget{},
 		hostFraction: hashFraction(o.Host),
 	}
+	r.deaths = deaths.New(deaths.Options{Paths: o.Paths, Neighbours: r.neighbours})
+	return r
 }
 
 // hashFraction returns a number in [0, 1) that is evenly distributed over host names.
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -43,7 +43,7 @@
 		suspects.End(r, e.delivered)
 		return
 	}
-	if errors.Is(e.err, errUpstreamEnded) || g.relay.isDead(ctx, u, deathCheckTimeout) {
+	if errors.Is(e.err, errUpstreamEnded) || g.relay.deaths.IsDead(ctx, toCheck(u)) {
 		suspects.EngineDied(u.ID, u.ID, time.Now())
 	} else {
 		suspects.EndBroken(r, time.Now())
