Soak: daemons lose their paths to all servers

Change: in TestSoakOfPartitions daemons run in the test binary, as the daemon's main does, with connections to servers that hang, are reset, or are refused while open ones live, on command; all other connections are the network's. One to all but one of the daemons, 1 to 8 s; alone, where what callers get is compared with other daemons (two thirds, from 3 s on), and beside all the disruptions of TestSoak. All checks apply: at most once, not run, budget, leaving, limits, own and whole answers. A mutant shows that the new check can fail. edge.NewUpstreamDialer gives such tests the dialer that daemons use. "make soak" runs both.

--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 SERVERS ?= 4
 LOGS ?=
 soak:
-	$(GO) test ./test/soak -run 'TestSoak$$' -v -count 1 -timeout 0 -seed $(SEED) -seeds $(SEEDS) \
+	$(GO) test ./test/soak -run '^TestSoak(OfPartitions)?$$' -v -count 1 -timeout 0 -seed $(SEED) -seeds $(SEEDS) \
 		-minutes $(MINUTES) -daemons $(DAEMONS) -servers $(SERVERS) $(if $(LOGS),-logs $(abspath $(LOGS)))
 
 fmt:
--- a/internal/edge/paths.go
+++ b/internal/edge/paths.go
@@ -17,6 +17,11 @@
 	if c.DialUpstream != nil {
 		return c.DialUpstream
 	}
+	return NewUpstreamDialer()
+}
+
+// NewUpstreamDialer returns the function that opens connections to upstreams over the network.
+func NewUpstreamDialer() httpwire.DialFunc {
 	return httpwire.NewDialer(httpwire.DialOptions{
 		UserTimeout:   userTimeout,
 		ProbeIdle:     probeIdle,
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -57,6 +57,7 @@
 	daemonOf       map[string]string      // daemons that requests of a crash site went to, by request id
 	evacuated      []evacuation
 	colds          []coldPeriod
+	partitions     []partition
 	version        int
 	written        map[int]time.Time // when, by version of the settings
 	findings       []finding
@@ -184,12 +185,17 @@
 // disrupted reports whether an unplanned disruption affected a target that match accepts, in a
 // span of time or at most aftermath before it.
 func (h *history) disrupted(from, to time.Time, match func(target string) bool) bool {
+	return h.disruptedBy(from, to, func(s *span) bool { return match(s.target) })
+}
+
+// disruptedBy is disrupted by the disruptions that match accepts.
+func (h *history) disruptedBy(from, to time.Time, match func(s *span) bool) bool {
 	for _, s := range h.spans {
 		switch s.kind {
 		case stopDaemon, reloadDaemon, rollServer, newSettings, limitServer, turnAway, evacuateDomain, coldServer:
 			continue
 		}
-		if match(s.target) && s.from.Before(to) && (s.to.IsZero() || s.to.Add(aftermath).After(from)) {
+		if match(s) && s.from.Before(to) && (s.to.IsZero() || s.to.Add(aftermath).After(from)) {
 			return true
 		}
 	}
@@ -228,6 +234,7 @@
 	h.checkEvacuated(add)
 	h.checkCold(add)
 	h.checkCrashes(add)
+	h.checkPartitions(add)
 	return found
 }
 
--- /dev/null
+++ b/test/soak/partitions_test.go
@@ -0,0 +1,187 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/edge"
+	"github.com/buckthorndock/buckthorndock/internal/netfault"
+	"github.com/buckthorndock/buckthorndock/platform"
+)
+
+// partition is a period in which some daemons reached no server.
+type partition struct {
+	daemons  []string
+	from, to time.Time
+}
+
+// Bounds of what partitioned daemons serve, from partitionDelay after their paths failed: first
+// tries there are served at least minServedRatio as often as those at other daemons.
+const (
+	partitionDelay = 3 * time.Second
+	minServedRatio = 2.0 / 3
+	// toleratedFailures and toleratedShare are the failures that may occur at any daemon.
+	toleratedFailures = 10
+	toleratedShare    = 1.0 / 50
+)
+
+// Times of partitions. Most last long enough for the bounds to apply.
+const (
+	partitionInterval = 5 * time.Second
+	minPartition      = time.Second
+	maxPartition      = 8 * time.Second
+)
+
+var partitionFaults = []netfault.Fault{netfault.Hang, netfault.Reset, netfault.Refuse}
+
+// drawPartitions returns partitions of one to all but one of the daemons.
+func drawPartitions(seed uint64, length time.Duration, daemons int) []disruption {
+	return drawEach(seed, 8, partitionInterval, length, func(rng *rand.Rand) disruption {
+		return disruption{
+			kind: partitionDaemons, target: rng.IntN(daemons), count: 1 + rng.IntN(daemons-1),
+			param:    string(partitionFaults[rng.IntN(len(partitionFaults))]),
+			duration: minPartition + time.Duration(rng.Int64N(int64(maxPartition-minPartition))),
+		}
+	})
+}
+
+// partitioned returns the daemons that a disruption partitions, in the order of the rig.
+func (r *rig) partitioned(dis disruption) []*daemon {
+	var some []*daemon
+	for i, d := range r.daemons {
+		if (i-dis.target+len(r.daemons))%len(r.daemons) < dis.count {
+			some = append(some, d)
+		}
+	}
+	return some
+}
+
+// partition has the connections of some daemons to servers fail for the duration of a disruption.
+func (r *rig) partition(dis disruption) {
+	p := partition{from: time.Now()}
+	some := r.partitioned(dis)
+	p.daemons = daemonNames(some)
+	for _, d := range some {
+		r.sendCommand(d.proc, command{Op: "fault", Fault: dis.param})
+	}
+	time.Sleep(dis.duration)
+	p.to = time.Now()
+	for _, d := range some {
+		r.sendCommand(d.proc, command{Op: "fault", Fault: string(netfault.None)})
+	}
+	r.history.addPartition(p)
+}
+
+func (h *history) addPartition(p partition) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.partitions = append(h.partitions, p)
+}
+
+// tally counts requests.
+type tally struct{ served, all int }
+
+func (t *tally) add(o outcome) {
+	t.all++
+	if o.status == http.StatusOK && o.failed == nil {
+		t.served++
+	}
+}
+
+// checkPartitions checks that partitioned daemons serve their callers much as the others do, where
+// nothing else is at fault.
+func (h *history) checkPartitions(add findingFunc) {
+	for _, p := range h.partitions {
+		from := p.from.Add(partitionDelay)
+		if h.disruptedBy(from, p.to, func(s *span) bool { return s.kind != partitionDaemons }) {
+			continue
+		}
+		var there, elsewhere tally
+		for _, o := range h.outcomes {
+			if o.abandoned || o.sent.Before(from) || o.done.After(p.to) {
+				continue
+			}
+			if slices.Contains(p.daemons, o.daemon) {
+				there.add(o)
+			} else {
+				elsewhere.add(o)
+			}
+		}
+		failed := there.all - there.served + elsewhere.all - elsewhere.served
+		tolerated := toleratedFailures + toleratedShare*float64(there.all+elsewhere.all)
+		if float64(failed) > tolerated && float64(there.served*elsewhere.all) < minServedRatio*float64(elsewhere.served*there.all) {
+			add("partitioned daemons serve through others", "%v served %d of %d, the others %d of %d", p.daemons, there.served, there.all, elsewhere.served, elsewhere.all)
+		}
+	}
+}
+
+// runDaemon runs a daemon as its binary does, but its connections to servers fail on command. They
+// are all at the IP address ip.
+func runDaemon(ip, file string) {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	cfg, err := edge.LoadConfig(file)
+	if err != nil {
+		panic(err)
+	}
+	network := edge.NewUpstreamDialer()
+	links := netfault.New(network)
+	cfg.DialUpstream = func(ctx context.Context, address string) (net.Conn, error) {
+		if host, _, err := net.SplitHostPort(address); err == nil && host == ip {
+			return links.Dial(ctx, address)
+		}
+		return network(ctx, address)
+	}
+	go readCommands(func(c command) { links.Set(netfault.Fault(c.Fault)) })
+	log := logrus.New()
+	log.SetOutput(os.Stdout)
+	if err := edge.Run(ctx, cfg, platform.Provider{}, reloads, log.WithField("host", cfg.Host)); err != nil {
+		panic(err)
+	}
+}
+
+// daemonCommand returns the command that starts a daemon. In a scenario with partitions it is one
+// that obeys the test.
+func (r *rig) daemonCommand(d *daemon) (cmd *exec.Cmd, in *json.Encoder) {
+	if !r.partitions {
+		return exec.Command(daemonBinary, "edge", "--config", d.file), nil
+	}
+	cmd = exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), roleEnv+"=daemon", "SOAK_IP="+r.ip+"1", "SOAK_TO="+d.file)
+	pipe, err := cmd.StdinPipe()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return cmd, json.NewEncoder(pipe)
+}
+
+// TestSoakOfPartitions has daemons lose their paths to all servers, alone, where what their callers
+// get is compared, and beside the disruptions of TestSoak.
+func TestSoakOfPartitions(t *testing.T) {
+	t.Parallel()
+	length := time.Duration(*flagMinutes * float64(time.Minute))
+	for i := range *flagSeeds {
+		seed := *flagSeed + uint64(i)
+		p := scenario{seed: seed, length: length, daemons: *flagDaemons, servers: *flagServers, partitions: true, recovery: recoveryWait}
+		p.plan = drawPartitions(seed, length, p.daemons)
+		t.Run(fmt.Sprintf("%d/alone", seed), func(t *testing.T) { reportFindings(t, p, p.run(t)) })
+		p.plan = append(p.plan, drawDisruptions(seed, length, p.daemons, 2*p.servers)...)
+		p.sortPlan()
+		t.Run(fmt.Sprintf("%d/beside others", seed), func(t *testing.T) { reportFindings(t, p, p.run(t)) })
+	}
+}
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -16,6 +16,7 @@
 	at, duration time.Duration
 	kind, param  string
 	target       int // index in the daemons or the servers
+	count        int // of the daemons that are partitioned, from target on
 }
 
 func (dis disruption) String() string {
@@ -49,6 +50,8 @@
 	crashingRequest = "crashing request"
 	// The store is restored from a copy; the duration is the age of the copy.
 	restoreStore = "restore store"
+	// The connections of some daemons to servers fail.
+	partitionDaemons = "partition daemons"
 )
 
 // foreignEntries are invalid entries, as other writers may write them.
@@ -202,16 +205,22 @@
 		return []string{dis.param}
 	case crashingRequest:
 		return []string{"crashing request"}
+	case partitionDaemons:
+		return daemonNames(r.partitioned(dis))
 	case killAll:
-		var all []string
-		for _, d := range r.daemons {
-			all = append(all, d.name)
-		}
-		return all
+		return daemonNames(r.daemons)
 	}
 	return []string{r.daemons[dis.target].name}
 }
 
+func daemonNames(daemons []*daemon) []string {
+	var names []string
+	for _, d := range daemons {
+		names = append(names, d.name)
+	}
+	return names
+}
+
 // runDisruption applies one disruption and returns when it is over.
 func (r *rig) runDisruption(dis disruption) {
 	var spans []*span
@@ -254,6 +263,8 @@
 		r.restore(dis.duration)
 	case crashingRequest:
 		r.sendCrashingRequests(dis)
+	case partitionDaemons:
+		r.partition(dis)
 	case disruptStore:
 		r.setStoreFault(dis.param)
 		time.Sleep(dis.duration)
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -103,6 +103,7 @@
 	restarting     sync.WaitGroup
 	direct         bool // as in scenario
 	isolated       bool // as in scenario
+	partitions     bool // as in scenario
 	logPrefix      string
 	stopped        chan struct{}
 }
@@ -117,6 +118,7 @@
 		stopSignal: syscall.SIGTERM,
 		direct:     p.direct,
 		isolated:   p.isolated,
+		partitions: p.partitions,
 		logPrefix:  p.logPrefix,
 		ip:         fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%maxByte, 1+numRigs.Add(1)%maxByte),
 	}
@@ -279,13 +281,13 @@
 		defer f.Close()
 		logs = f
 	}
-	cmd := exec.Command(daemonBinary, "edge", "--config", d.file)
+	cmd, in := r.daemonCommand(d)
 	cmd.Stdout, cmd.Stderr = logs, os.Stderr
 	cmd.SysProcAttr = ownGroup()
 	if err := cmd.Start(); err != nil {
 		r.t.Fatal(err)
 	}
-	p := &proc{cmd: cmd, ended: make(chan struct{})}
+	p := &proc{cmd: cmd, in: in, ended: make(chan struct{})}
 	r.allEnded.Add(1)
 	go func() {
 		defer r.allEnded.Done()
--- a/test/soak/roles_test.go
+++ b/test/soak/roles_test.go
@@ -31,6 +31,8 @@
 		runLinks(ip)
 	case "mutant":
 		runMutant(ip)
+	case "daemon":
+		runDaemon(ip, os.Getenv("SOAK_TO"))
 	default:
 		panic("unknown role " + role)
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/buckthorndock/buckthorndock/internal/netfault"
 	"github.com/buckthorndock/buckthorndock/platform/standin"
 )
 
@@ -25,6 +26,7 @@
 	logPrefix        string // of the file names of the daemons' logs, where several scenarios share a directory
 	isolated         bool   // the daemons do not know each other
 	direct           bool   // servers are reached without a link, so that one that has exited refuses connections
+	partitions       bool   // daemons can be partitioned from the servers
 	mutant           string
 	recovery         time.Duration // max time from the end of the last disruption until all serve again
 }
@@ -201,6 +203,10 @@
 	}
 }
 
+func (p *scenario) sortPlan() {
+	slices.SortFunc(p.plan, func(a, b disruption) int { return cmp.Compare(a.at, b.at) })
+}
+
 // TestSoak runs the seeds that the flags select: by default a short run of a fixed seed.
 func TestSoak(t *testing.T) {
 	t.Parallel()
@@ -219,7 +225,7 @@
 		p.plan = append(p.plan, drawCrashingRequests(p.seed, p.length)...)
 		p.plan = append(p.plan, drawColds(p.seed, p.length, 2*p.servers)...)
 		p.domains = numDomains
-		slices.SortFunc(p.plan, func(a, b disruption) int { return cmp.Compare(a.at, b.at) })
+		p.sortPlan()
 		t.Run(fmt.Sprint(p.seed), func(t *testing.T) { reportFindings(t, p, p.run(t)) })
 	}
 }
@@ -248,6 +254,7 @@
 	forColds := []disruption{{at: 200 * time.Millisecond, kind: coldServer, duration: 4 * time.Second}}
 	forDeadly := []disruption{{at: 200 * time.Millisecond, kind: crashingRequest, param: kindAgain, duration: 12 * time.Second}}
 	forLeaving := []disruption{{at: 200 * time.Millisecond, kind: rollServer}}
+	forPartitions := []disruption{{at: 200 * time.Millisecond, kind: partitionDaemons, param: string(netfault.Refuse), count: 1, duration: 6 * time.Second}}
 	for _, c := range []struct {
 		mutant, check string
 		plan          []disruption
@@ -272,6 +279,7 @@
 		{"leaving", "nothing new for an evacuated failure domain", forEvacuations},
 		{"leaving", "a cold server gets no more than its rate", forColds},
 		{"leaving", "a request that crashes servers is kept from others", forDeadly},
+		{"dead", "partitioned daemons serve through others", forPartitions},
 		{"dead", "all serve again after the troubles", nil},
 		{"dead", "a server that lives gets work", nil},
 		{"leaky", "engines get their memory back", nil},
@@ -283,6 +291,9 @@
 				length += settingsDelay
 			}
 			p := scenario{seed: 1, plan: c.plan, length: length, daemons: 1, servers: 2, mutant: c.mutant, recovery: 2 * time.Second}
+			if len(c.plan) > 0 && c.plan[0].kind == partitionDaemons {
+				p.daemons, p.partitions = 2, true // the check compares the daemons
+			}
 			for _, f := range p.run(t) {
 				if f.check == c.check {
 					return
