Soak: sound servers that do nothing for a second count as planned work

The soak froze servers for up to 4 s, and excused what failed meanwhile.

Drawn apart in TestSoak, so that the other disruptions of a seed stay as they were, and alone in TestPausesOfServersCostNothing.

A process that is stopped still has its kernel's answers: packets that are held back are not played.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -192,7 +192,7 @@
 func (h *history) disruptedBy(from, to time.Time, match func(s *span) bool) bool {
 	for _, s := range h.spans {
 		switch s.kind {
-		case stopDaemon, reloadDaemon, rollServer, newSettings, limitServer, turnAway, evacuateDomain, coldServer:
+		case stopDaemon, reloadDaemon, rollServer, newSettings, limitServer, turnAway, evacuateDomain, coldServer, pauseServer:
 			continue
 		}
 		if match(s) && s.from.Before(to) && (s.to.IsZero() || s.to.Add(aftermath).After(from)) {
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -43,6 +43,8 @@
 	lateEntry         = "late entry"   // of the server that had the address before
 	limitServer       = "limit server" // planned
 	turnAway          = "turn away"    // by a server; planned
+	// A sound server does nothing for about a second, and goes on. It counts as planned.
+	pauseServer = "pause server"
 	// Planned: an operation of operators, and a state that a server announces.
 	evacuateDomain = "evacuate domain"
 	coldServer     = "cold server"
@@ -192,10 +194,25 @@
 	})
 }
 
+// Times of pauses of servers.
+const (
+	pauseInterval = 4 * time.Second
+	minPause      = 800 * time.Millisecond
+	maxPause      = 1200 * time.Millisecond
+)
+
+// drawPauses returns pauses of servers.
+func drawPauses(seed uint64, length time.Duration, servers int) []disruption {
+	return drawEach(seed, 9, pauseInterval, length, func(rng *rand.Rand) disruption {
+		lasts := minPause + time.Duration(rng.Int64N(int64(maxPause-minPause)))
+		return disruption{kind: pauseServer, target: rng.IntN(servers), duration: lasts}
+	})
+}
+
 // targets returns the names of what a disruption affects, as in the spans of the history.
 func (r *rig) targets(dis disruption) []string {
 	switch dis.kind {
-	case killServer, freezeServer, rollServer, disruptServerLink, restartServer, foreignEntry, lateEntry, limitServer, turnAway, coldServer:
+	case killServer, freezeServer, rollServer, disruptServerLink, restartServer, foreignEntry, lateEntry, limitServer, turnAway, coldServer, pauseServer:
 		return []string{r.servers[dis.target].name}
 	case disruptStore, restoreStore:
 		return []string{"store"}
@@ -243,7 +260,7 @@
 		for _, d := range r.daemons {
 			r.startDaemon(d)
 		}
-	case killServer, freezeServer, rollServer, restartServer:
+	case killServer, freezeServer, pauseServer, rollServer, restartServer:
 		r.disruptServer(r.servers[dis.target], dis)
 	case foreignEntry:
 		r.putForeignEntries(r.servers[dis.target], dis.param)
@@ -384,7 +401,7 @@
 		time.Sleep(dis.duration)
 		r.history.recordRestart(s.id())
 		r.startIncarnation(s)
-	case freezeServer:
+	case freezeServer, pauseServer:
 		s.proc.freeze(dis.duration)
 	case rollServer:
 		r.mu.Lock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -224,12 +224,23 @@
 		p.plan = append(p.plan, drawRestores(p.seed, p.length)...)
 		p.plan = append(p.plan, drawCrashingRequests(p.seed, p.length)...)
 		p.plan = append(p.plan, drawColds(p.seed, p.length, 2*p.servers)...)
+		p.plan = append(p.plan, drawPauses(p.seed, p.length, 2*p.servers)...)
 		p.domains = numDomains
 		p.sortPlan()
 		t.Run(fmt.Sprint(p.seed), func(t *testing.T) { reportFindings(t, p, p.run(t)) })
 	}
 }
 
+// TestPausesOfServersCostNothing has sound servers do nothing for about a second, one after the
+// other, and no other disruption: nothing is cut, late, or repeated beyond the rules for that.
+func TestPausesOfServersCostNothing(t *testing.T) {
+	t.Parallel()
+	const length = 8 * time.Second
+	p := scenario{seed: 1, length: length, daemons: 3, servers: 3, recovery: recoveryWait}
+	p.plan = drawPauses(p.seed, length, 2*p.servers)
+	reportFindings(t, p, p.run(t))
+}
+
 // TestSeedsThatFailed runs the seeds that once broke a promise, with the parameters of that run.
 func TestSeedsThatFailed(t *testing.T) {
 	for seed, cause := range map[uint64]string{
