--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -14,7 +14,7 @@
 type ProbeResult struct {
 	Started time.Time
 	Tried   int // connections tried
-	Reached int // of them established
+	Reached int // of them established; a probe may end with the first
 	// Indirect is the number of them that another daemon established. It is tried only if
 	// Reached is zero.
 	Indirect int
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -130,7 +130,9 @@
 	r := reach.ProbeResult{Started: time.Now(), DaemonsAnswer: domain == t.opts.Domain}
 	targets := t.opts.Targets(domain)
 	r.Tried = len(targets)
-	r.Reached = t.countReachable(targets)
+	if t.reachesAny(targets) {
+		r.Reached = 1
+	}
 	tried := time.Now()
 	stalled := tried.Sub(r.Started) > maxProbeTime
 	if r.Reached == 0 && r.Tried > 0 && !stalled {
@@ -184,9 +186,8 @@
 	log.WithFields(logrus.Fields{"moved": moved, "through": t.gatewayHosts(domain)}).Warn(changeEvents[c.To])
 }
 
-// countReachable returns how many of the upstreams accept a connection. It stops at the first
-// one that does.
-func (t *Tracker) countReachable(addresses []string) int {
+// reachesAny reports whether any of the upstreams accepts a connection.
+func (t *Tracker) reachesAny(addresses []string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	results := make(chan error, len(addresses))
@@ -195,10 +196,10 @@
 	}
 	for range addresses {
 		if <-results == nil {
-			return 1
+			return true
 		}
 	}
-	return 0
+	return false
 }
 
 // tryDirect opens a connection to an address and closes it.
