Soak: requests that crash servers, sent through daemons that reach none themselves

Six of eight daemons reach servers through the two others only, links reset or refused, while a request that crashes each server goes through all eight in five rounds beside callers that leave.

Draws of pauses and partitions have random sources of their own; two had been in use by other kinds.

--- a/test/soak/crashes_test.go
+++ b/test/soak/crashes_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/buckthorndock/buckthorndock/internal/netfault"
 	"github.com/buckthorndock/buckthorndock/platform/standin"
 )
 
@@ -214,7 +215,10 @@
 	isolated bool // the daemons do not know each other
 	alone    bool // each server has a failure domain of its own
 	daemons  int
-	between  func(r *rig)
+	// partitioned daemons, the first ones, reach no server themselves, in the way of fault.
+	partitioned int
+	fault       netfault.Fault
+	between     func(r *rig)
 }
 
 func (c crashCase) run(t *testing.T) {
@@ -223,10 +227,11 @@
 	if c.alone {
 		domains = domainPerServer
 	}
-	r := newRig(t, scenario{seed: 1, daemons: c.daemons, servers: servers, domains: domains, isolated: c.isolated, direct: true, logPrefix: c.name + "-"})
+	r := newRig(t, scenario{seed: 1, daemons: c.daemons, servers: servers, domains: domains, isolated: c.isolated, partitions: c.partitioned > 0, direct: true, logPrefix: c.name + "-"})
 	if !r.eventually(recoveryWait, r.allListen) || !r.eventually(recoveryWait, func() bool { return r.allServe(1) }) {
 		t.Fatal("the site does not serve before any disruption")
 	}
+	r.setPaths(r.daemons[:c.partitioned], c.fault)
 	site := &crashSite{t: t, r: r}
 	for n := range rounds {
 		site.runRound(c.kind, n)
@@ -235,6 +240,7 @@
 		}
 		time.Sleep(roundPause)
 	}
+	r.setPaths(r.daemons[:c.partitioned], netfault.None)
 	ended := r.history.crashesOf("crashing")
 	for i, at := range ended {
 		t.Logf("server %d crashed %s after the first", i+1, at.Sub(ended[0]).Round(time.Millisecond))
@@ -277,13 +283,16 @@
 // TestRequestThatCrashesServersIsKeptFromThemByAllDaemons guards against daemons that each try a
 // request once more, at the same time, after it has crashed three servers: beside callers that
 // disconnect for good, where daemons do not reach each other, where no other server in the failure
-// domain tells a crash from a network cut, and when daemons restart without their knowledge.
+// domain tells a crash from a network cut, where most daemons reach servers through others only,
+// and when daemons restart without their knowledge.
 func TestRequestThatCrashesServersIsKeptFromThemByAllDaemons(t *testing.T) {
 	for _, c := range []crashCase{
 		{name: "beside callers that disconnect", kind: kindAgain, daemons: 8},
 		{name: "engines", kind: kindStream, daemons: 8},
 		{name: "daemons cut from each other", kind: kindAgain, daemons: 8, isolated: true},
 		{name: "one server a failure domain", kind: kindStream, daemons: 4, alone: true},
+		{name: "most daemons reach no server", kind: kindStream, daemons: 8, partitioned: 6, fault: netfault.Reset},
+		{name: "most daemons open no connection", kind: kindAgain, daemons: 8, partitioned: 6, fault: netfault.Refuse},
 		{name: "daemons start again", kind: kindStream, daemons: 3, between: killAllDaemons},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/test/soak/partitions_test.go
+++ b/test/soak/partitions_test.go
@@ -49,7 +49,7 @@
 
 // drawPartitions returns partitions of one to all but one of the daemons.
 func drawPartitions(seed uint64, length time.Duration, daemons int) []disruption {
-	return drawEach(seed, 8, partitionInterval, length, func(rng *rand.Rand) disruption {
+	return drawEach(seed, 10, partitionInterval, length, func(rng *rand.Rand) disruption {
 		return disruption{
 			kind: partitionDaemons, target: rng.IntN(daemons), count: 1 + rng.IntN(daemons-1),
 			param:    string(partitionFaults[rng.IntN(len(partitionFaults))]),
@@ -71,20 +71,22 @@
 
 // partition has the connections of some daemons to servers fail for the duration of a disruption.
 func (r *rig) partition(dis disruption) {
-	p := partition{from: time.Now()}
 	some := r.partitioned(dis)
-	p.daemons = daemonNames(some)
-	for _, d := range some {
-		r.sendCommand(d.proc, command{Op: "fault", Fault: dis.param})
-	}
+	p := partition{from: time.Now(), daemons: daemonNames(some)}
+	r.setPaths(some, netfault.Fault(dis.param))
 	time.Sleep(dis.duration)
 	p.to = time.Now()
-	for _, d := range some {
-		r.sendCommand(d.proc, command{Op: "fault", Fault: string(netfault.None)})
-	}
+	r.setPaths(some, netfault.None)
 	r.history.addPartition(p)
 }
 
+// setPaths sets the fault of the connections of some daemons to servers.
+func (r *rig) setPaths(daemons []*daemon, f netfault.Fault) {
+	for _, d := range daemons {
+		r.sendCommand(d.proc, command{Op: "fault", Fault: string(f)})
+	}
+}
+
 func (h *history) addPartition(p partition) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -203,7 +203,7 @@
 
 // drawPauses returns pauses of servers.
 func drawPauses(seed uint64, length time.Duration, servers int) []disruption {
-	return drawEach(seed, 9, pauseInterval, length, func(rng *rand.Rand) disruption {
+	return drawEach(seed, 11, pauseInterval, length, func(rng *rand.Rand) disruption {
 		lasts := minPause + time.Duration(rng.Int64N(int64(maxPause-minPause)))
 		return disruption{kind: pauseServer, target: rng.IntN(servers), duration: lasts}
 	})
