Paths: two failing upstreams begin a probe although one has just succeeded

Cause: probes of a domain are 0.2 s apart. A connection that is refused within that time finds no probe to wait for, takes the path for direct and fails; so do those to all other upstreams of the domain, within milliseconds. A connection that hangs asked once, after 50 ms, and not again.

Evidence: TestConnectionSoonAfterAProbeGoesThroughAnotherToo, virtual time: on the code before the first two cases fail, refused and hanging (its run ends there, as the hanging dial has no end in virtual time).

Ruled out: probes at each failure (50 a second and daemon beside one dead upstream: the property that limits them went red; it stays as it was); waiting for the next probe at each failure (0.2 s for each connection to a dead upstream).

Change: connections to two different upstreams that fail since a probe that reached one begin the next after 20 ms, and the second waits for it. A hanging connection waits for the next probe, whenever that is due.

Why it works: one upstream may be dead, two at once are a sign of the path; the request goes on to its next upstream anyway, and that finds the way.

--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -8,6 +8,9 @@
 	QuietAfter time.Duration
 	// ProbeInterval is the least time from the start of one probe of a domain to the next.
 	ProbeInterval time.Duration
+	// SuspectInterval is that time if connections to two upstreams have failed since a probe
+	// that established one: the path may have been lost since.
+	SuspectInterval time.Duration
 }
 
 // ProbeResult is the result of a probe of a domain.
@@ -64,6 +67,9 @@
 	lastActivity  time.Time // last message or connection from the domain
 	lastProbe     time.Time // start of the last probe
 	probedAt      time.Time // start of the last probe that had a valid result
+	reached       bool      // by that probe
+	failed        string    // address to which a connection has failed since the last probe began
+	severalFailed bool      // another one has failed too
 	probing       bool
 	state         State
 	since         time.Time // start of the state unless it is Direct
@@ -93,14 +99,41 @@
 // RecordActivity records that a message or connection came from a domain.
 func (t *Tracker) RecordActivity(domain string, now time.Time) { t.path(domain).lastActivity = now }
 
-// BeginProbe asks for a probe of a domain. It returns true when the probe is to start now;
-// EndProbe or DiscardProbe must follow.
+// RecordFailure records that a connection to an upstream of a domain has failed.
+func (t *Tracker) RecordFailure(domain, address string) {
+	w := t.path(domain)
+	if w.failed == "" {
+		w.failed = address
+	}
+	w.severalFailed = w.severalFailed || w.failed != address
+}
+
+// BeginProbe asks for a probe of a domain. It returns true when the probe is to start now; EndProbe
+// or DiscardProbe must follow.
 func (t *Tracker) BeginProbe(domain string, now time.Time) bool {
+	return t.path(domain).begin(now, t.NextProbe(domain, now))
+}
+
+// NextProbe returns how long no probe of a domain may begin, zero while one is under way.
+func (t *Tracker) NextProbe(domain string, now time.Time) time.Duration {
 	w := t.path(domain)
-	if w.probing || now.Sub(w.lastProbe) < t.opts.ProbeInterval {
+	if w.probing {
+		return 0
+	}
+	interval := t.opts.ProbeInterval
+	if w.reached && w.severalFailed {
+		interval = t.opts.SuspectInterval
+	}
+	return max(0, w.lastProbe.Add(interval).Sub(now))
+}
+
+// begin begins a probe unless one is under way or it is to wait.
+func (w *path) begin(now time.Time, wait time.Duration) bool {
+	if w.probing || wait > 0 {
 		return false
 	}
 	w.probing, w.lastProbe = true, now
+	w.failed, w.severalFailed = "", false
 	return true
 }
 
@@ -110,18 +143,23 @@
 func (t *Tracker) DueProbes(streaming []string, now time.Time) []string {
 	var due []string
 	for domain, w := range t.paths {
-		if w.state != Direct && t.BeginProbe(domain, now) {
+		if w.state != Direct && t.beginPeriodic(domain, now) {
 			due = append(due, domain)
 		}
 	}
 	for _, domain := range streaming {
-		if t.quiet(domain, now) && t.BeginProbe(domain, now) {
+		if t.quiet(domain, now) && t.beginPeriodic(domain, now) {
 			due = append(due, domain)
 		}
 	}
 	return due
 }
 
+func (t *Tracker) beginPeriodic(domain string, now time.Time) bool {
+	w := t.path(domain)
+	return w.begin(now, w.lastProbe.Add(t.opts.ProbeInterval).Sub(now))
+}
+
 // quiet reports whether a domain has sent nothing for Options.QuietAfter.
 func (t *Tracker) quiet(domain string, now time.Time) bool {
 	return now.Sub(t.path(domain).lastActivity) >= t.opts.QuietAfter
@@ -137,7 +175,7 @@
 // daemon reaches is alive, so that the path from here is at fault whatever else is known.
 func (t *Tracker) EndProbe(domain string, r ProbeResult, now time.Time) Change {
 	w := t.path(domain)
-	w.probing, w.probedAt = false, r.Started
+	w.probing, w.probedAt, w.reached = false, r.Started, r.Reached > 0
 	c := Change{From: w.state, To: w.next(r), Since: w.since, Quiet: t.quiet(domain, r.Started)}
 	w.daemonsAnswer = w.daemonsAnswer || r.DaemonsAnswer
 	if r.Reached > 0 {
--- a/internal/core/reach/reach_test.go
+++ b/internal/core/reach/reach_test.go
@@ -11,9 +11,13 @@
 const (
 	quietAfter    = 150 * time.Millisecond
 	probeInterval = 200 * time.Millisecond
+	// suspectInterval is the least time between probes while they succeed.
+	suspectInterval = 20 * time.Millisecond
 )
 
-func newTracker() *Tracker { return New(Options{QuietAfter: quietAfter, ProbeInterval: probeInterval}) }
+func newTracker() *Tracker {
+	return New(Options{QuietAfter: quietAfter, ProbeInterval: probeInterval, SuspectInterval: suspectInterval})
+}
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
@@ -192,3 +196,32 @@
 		}
 	}
 }
+
+// TestSecondFailingUpstreamBringsTheNextProbeForward guards against a path that counts as direct for
+// long after it is lost, and against a dead upstream that has its domain probed all the time.
+func TestSecondFailingUpstreamBringsTheNextProbeForward(t *testing.T) {
+	for name, c := range map[string]struct {
+		failed []string
+		probe  ProbeResult
+		want   time.Duration
+	}{
+		"one upstream, twice": {[]string{"u1", "u1"}, successfulProbe(at(0)), probeInterval},
+		"two upstreams":       {[]string{"u1", "u2"}, successfulProbe(at(0)), suspectInterval},
+		"nothing is reached":  {[]string{"u1", "u2"}, failedProbe(at(0)), probeInterval},
+	} {
+		tr := newTracker()
+		tr.BeginProbe("far", at(0))
+		tr.EndProbe("far", c.probe, at(1))
+		for _, address := range c.failed {
+			tr.RecordFailure("far", address)
+		}
+		if got := tr.NextProbe("far", at(0)); got != c.want {
+			t.Errorf("%s: the next probe after %s", name, got)
+		}
+		tr.BeginProbe("far", at(200))
+		tr.EndProbe("far", successfulProbe(at(200)), at(201))
+		if got := tr.NextProbe("far", at(200)); got != probeInterval {
+			t.Errorf("%s: after another probe, the next one after %s", name, got)
+		}
+	}
+}
--- a/internal/paths/dial.go
+++ b/internal/paths/dial.go
@@ -10,7 +10,6 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/reach"
 	"github.com/buckthorndock/buckthorndock/internal/tunnel"
-	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // errNoGateway means that no other daemon opens a connection to the upstream.
@@ -24,7 +23,7 @@
 		return t.dialIndirect(ctx, domain, address)
 	}
 	conn, err := t.dialDirect(ctx, domain, address)
-	if err == nil || ctx.Err() != nil || !t.findsIndirect(ctx, domain) {
+	if err == nil || ctx.Err() != nil || !t.findsIndirect(ctx, domain, address) {
 		return conn, err
 	}
 	return t.dialIndirect(ctx, domain, address)
@@ -36,7 +35,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	suspicion := time.AfterFunc(dialPatience, func() {
-		if t.findsIndirect(ctx, domain) {
+		if state, ok := t.StateSince(ctx, domain, time.Now()); ok && state == reach.Indirect {
 			cancel()
 		}
 	})
@@ -44,15 +43,28 @@
 	return t.opts.Dial(ctx, address)
 }
 
-// findsIndirect waits for the probe of a domain, if there is to be one, and reports whether the
-// path is indirect.
-func (t *Tracker) findsIndirect(ctx context.Context, domain string) bool {
-	if done := t.Suspect(domain); done != nil && !wait.Until(ctx, done) {
-		return false
+// findsIndirect reports whether the path to a domain is indirect by now, after a connection to an
+// address has failed. It waits for a probe that did not begin before, unless none is due for long,
+// as a single upstream may be dead.
+func (t *Tracker) findsIndirect(ctx context.Context, domain, address string) bool {
+	if domain == "" {
+		return false // such upstreams are never probed
+	}
+	t.recordFailure(domain, address)
+	for since := time.Now(); t.probedAt(domain).Before(since) && t.nextProbe(domain) <= suspectInterval; {
+		if !t.awaitProbe(ctx, domain) {
+			return false
+		}
 	}
 	return t.State(domain) == reach.Indirect
 }
 
+func (t *Tracker) recordFailure(domain, address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.RecordFailure(domain, address)
+}
+
 // maxGatewaysTried is the number of daemons that are asked to open one connection.
 const maxGatewaysTried = 3
 
--- a/internal/paths/path.go
+++ b/internal/paths/path.go
@@ -75,7 +75,14 @@
 	if done := t.Suspect(domain); done != nil {
 		return wait.Until(ctx, done)
 	}
-	return wait.For(ctx, monitorInterval)
+	return wait.For(ctx, t.nextProbe(domain))
+}
+
+// nextProbe returns how long no probe of a domain may begin, zero while one is under way.
+func (t *Tracker) nextProbe(domain string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.NextProbe(domain, time.Now())
 }
 
 // probedAt returns the start of the last probe of a domain that had a valid result.
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -29,7 +29,7 @@
 	return &Tracker{
 		opts:     o,
 		wakeUp:   make(chan struct{}, 1),
-		state:    reach.New(reach.Options{QuietAfter: quietAfter, ProbeInterval: probeInterval}),
+		state:    reach.New(reach.Options{QuietAfter: quietAfter, ProbeInterval: probeInterval, SuspectInterval: suspectInterval}),
 		probes:   map[string]chan struct{}{},
 		gateways: map[string]*gateways{},
 	}
--- a/internal/paths/tracker_test.go
+++ b/internal/paths/tracker_test.go
@@ -279,3 +279,26 @@
 		}
 	})
 }
+
+// TestConnectionSoonAfterAProbeGoesThroughAnotherToo guards against requests that are refused
+// because a host has lost its paths just after a probe found them well. The first connection may
+// fail, because a single upstream may be dead; that to the next upstream does not.
+func TestConnectionSoonAfterAProbeGoesThroughAnotherToo(t *testing.T) {
+	for _, after := range []time.Duration{time.Nanosecond, time.Millisecond, 10 * time.Millisecond, 50 * time.Millisecond, 150 * time.Millisecond} {
+		for name, err := range map[string]error{"refused": syscall.ECONNREFUSED, "hangs": errHangs} {
+			t.Run(name+"/"+after.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					n := newNetwork(t, []string{"a"}, 3)
+					tr := n.trackers["a0"]
+					<-tr.Suspect("a")
+					time.Sleep(after)
+					n.partition(err, "a0")
+					if conn, err := tr.Dial(t.Context(), "a.u0:1"); err == nil {
+						conn.Close()
+					}
+					dialOK(t, tr, "a.u1:1")
+				})
+			})
+		}
+	}
+}
--- a/internal/paths/types.go
+++ b/internal/paths/types.go
@@ -58,6 +58,9 @@
 	// one that fails, so that the end of a cut of a few seconds is noticed within a tenth of
 	// its length.
 	probeInterval = 200 * time.Millisecond
+	// suspectInterval is that time if connections to two upstreams have failed since a probe
+	// that reached one. Such a probe takes a round trip.
+	suspectInterval = 20 * time.Millisecond
 	// monitorInterval is the interval at which domains are checked for silence.
 	monitorInterval = 50 * time.Millisecond
 	// probeTimeout bounds the connection attempts of a probe.
