Paths: a host whose gateways lose their paths too waits for others

What callers saw: 503 within milliseconds at a host that reaches no upstream, though other hosts do, when the hosts through which it goes have just lost their paths as well.

A gateway passed the refusal of its own lost path on as that of the upstream, and went on taking connections until its own traffic or a question told it better. And a host that knew of no gateway any more gave up at once, though the next probe, 0.2 s later at the most, looks for more.

Evidence: the logs of soak (six attempts within 2 ms, "no other daemon opens a connection"); TestHostWhoseGatewaysAreLostFindsOthers, virtual time, fails on the code before, with links that refuse ("connection refused") and that hang.

Ruled out: more gateways a domain (a partition of a domain takes them all at once); asking for others at each refusal (a dead upstream is the usual reason).

Change: a gateway whose connection fails has its path probed and, if that is lost, says that it is unwilling, so that the next one is asked. Without any, a connection waits for probes while the path is indirect.

Why it works: either a probe finds another gateway, or nobody reaches the domain: then the path is cut and the connection fails, as before.

--- a/internal/daemon/paths.go
+++ b/internal/daemon/paths.go
@@ -54,7 +54,7 @@
 		Log:      p.log,
 	})
 	p.tunnels = tunnel.NewHandler(tunnel.Options{
-		Dial:        direct,
+		Dial:        p.paths.DialForOther,
 		DialTimeout: tunnelDialTimeout,
 		Willing:     func(address string) bool { return !p.leaving.Load() && p.paths.Willing(address) },
 		MaxOpen:     maxTunnels,
--- a/internal/edge/paths.go
+++ b/internal/edge/paths.go
@@ -55,7 +55,7 @@
 		IdleMargin:  idleMargin,
 	})
 	p.tunnels = tunnel.NewHandler(tunnel.Options{
-		Dial:        direct,
+		Dial:        p.paths.DialForOther,
 		DialTimeout: dialTimeout,
 		Willing:     func(address string) bool { return !p.leaving.Load() && p.paths.Willing(address) },
 		MaxOpen:     p.cfg.MaxFiles / tunnelFilesDivisor,
--- a/internal/paths/dial.go
+++ b/internal/paths/dial.go
@@ -65,14 +65,29 @@
 	t.state.RecordFailure(domain, address)
 }
 
-// maxGatewaysTried is the number of daemons that are asked to open one connection.
-const maxGatewaysTried = 3
+// DialForOther opens a connection to an upstream for another daemon, over the network of this one
+// only. The error wraps tunnel.ErrUnwilling if this daemon turns out not to reach the domain.
+func (t *Tracker) DialForOther(ctx context.Context, address string) (net.Conn, error) {
+	domain := t.opts.DomainOf(address)
+	conn, err := t.dialDirect(ctx, domain, address)
+	if err == nil {
+		return conn, nil
+	}
+	if t.findsIndirect(ctx, domain, address) || t.State(domain) != reach.Direct {
+		return nil, merry.Wrap(err, merry.WithCause(tunnel.ErrUnwilling))
+	}
+	return nil, err
+}
+
+// maxGatewaysTried is the number of daemons that are asked to open one connection: those that are
+// known, and those that are found if none of them does.
+const maxGatewaysTried = 2 * wantGateways
 
 // dialIndirect opens a connection through another daemon.
 func (t *Tracker) dialIndirect(ctx context.Context, domain, address string) (net.Conn, error) {
 	err := error(errNoGateway)
 	for range maxGatewaysTried {
-		via, ok := t.gatewayOf(domain)
+		via, ok := t.awaitGateway(ctx, domain)
 		if !ok {
 			break
 		}
@@ -88,3 +103,17 @@
 	}
 	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
 }
+
+// awaitGateway returns a daemon through which a domain is reached. While none is known, it waits for
+// the probes, which look for others.
+func (t *Tracker) awaitGateway(ctx context.Context, domain string) (Daemon, bool) {
+	for t.State(domain) == reach.Indirect {
+		if via, ok := t.gatewayOf(domain); ok {
+			return via, true
+		}
+		if !t.awaitProbe(ctx, domain) {
+			break
+		}
+	}
+	return Daemon{}, false
+}
--- a/internal/paths/network_test.go
+++ b/internal/paths/network_test.go
@@ -139,7 +139,7 @@
 	if unwilling || !f.trackers[address].Willing(upstream) {
 		return nil, tunnel.ErrUnwilling
 	}
-	conn, err := f.dial(ctx, address, upstream)
+	conn, err := f.trackers[address].DialForOther(ctx, upstream)
 	if err == nil {
 		f.mu.Lock()
 		f.connected[address]++
--- a/internal/paths/tracker_test.go
+++ b/internal/paths/tracker_test.go
@@ -302,3 +302,27 @@
 		}
 	}
 }
+
+// TestHostWhoseGatewaysAreLostFindsOthers guards against callers that are refused at once, though
+// other hosts reach upstreams, because the hosts on the way have just lost their paths too.
+func TestHostWhoseGatewaysAreLostFindsOthers(t *testing.T) {
+	for name, err := range map[string]error{"refused": syscall.ECONNREFUSED, "hangs": errHangs} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(t, []string{"a", "b"}, 4)
+				tr := n.trackers["a0"]
+				n.partition(err, "a0")
+				dialOK(t, tr, "a.u0:1")
+				lost := tr.gatewayHosts("a")
+				n.partition(err, lost...)
+				dialOK(t, tr, "a.u0:1")
+				time.Sleep(time.Second) // probes under way end
+				for _, h := range lost {
+					if slices.Contains(tr.gatewayHosts("a"), h) && n.trackers[h].State("a") == reach.Direct {
+						t.Errorf("%s has not noticed that its path is lost", h)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/tunnel/handler.go
+++ b/internal/tunnel/handler.go
@@ -16,7 +16,8 @@
 
 // Options configure a Handler.
 type Options struct {
-	// Dial opens a connection to an upstream over the network, never through a tunnel.
+	// Dial opens a connection to an upstream over the network, never through a tunnel. Its
+	// error wraps ErrUnwilling if this daemon has lost its own path.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// DialTimeout bounds Dial.
 	DialTimeout time.Duration
@@ -88,7 +89,10 @@
 }
 
 func statusOf(err error) int {
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, ErrUnwilling):
+		return statusUnwilling
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return statusRefused
 	}
 	return statusSilent
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/peer"
@@ -50,6 +51,7 @@
 	stopFar  func()
 	near     *peer.Node
 	willing  bool
+	pathLost bool // by the daemon that is to open tunnels
 	upstream net.Listener
 }
 
@@ -76,6 +78,9 @@
 	var network net.Dialer
 	s.handler = tunnel.NewHandler(tunnel.Options{
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			if s.pathLost {
+				return nil, merry.Wrap(syscall.ECONNREFUSED, merry.WithCause(tunnel.ErrUnwilling))
+			}
 			return network.DialContext(ctx, "tcp", address)
 		},
 		DialTimeout: time.Second,
@@ -209,6 +214,11 @@
 		t.Errorf("unwilling: %v", err)
 	}
 	s.willing = true
+	s.pathLost = true
+	if _, err := s.dial(); !errors.Is(err, tunnel.ErrUnwilling) {
+		t.Errorf("the daemon has lost its own path: %v", err)
+	}
+	s.pathLost = false
 	s.upstream.Close()
 	if _, err := s.dial(); !errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, tunnel.ErrUnwilling) {
 		t.Errorf("refused: %v", err)
