--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -127,7 +127,7 @@
 	return max(0, w.lastProbe.Add(interval).Sub(now))
 }
 
-// begin begins a probe unless one is under way or it is to wait.
+// begin begins a probe, unless one is under way or none may begin for wait.
 func (w *path) begin(now time.Time, wait time.Duration) bool {
 	if w.probing || wait > 0 {
 		return false
@@ -155,6 +155,7 @@
 	return due
 }
 
+// beginPeriodic is BeginProbe at the pace of Options.ProbeInterval, whatever has failed.
 func (t *Tracker) beginPeriodic(domain string, now time.Time) bool {
 	w := t.path(domain)
 	return w.begin(now, w.lastProbe.Add(t.opts.ProbeInterval).Sub(now))
--- a/internal/paths/dial.go
+++ b/internal/paths/dial.go
@@ -51,7 +51,8 @@
 		return false // such upstreams are never probed
 	}
 	t.recordFailure(domain, address)
-	for since := time.Now(); t.probedAt(domain).Before(since) && t.nextProbe(domain) <= suspectInterval; {
+	since := time.Now()
+	for t.probedAt(domain).Before(since) && t.nextProbe(domain) <= suspectInterval {
 		if !t.awaitProbe(ctx, domain) {
 			return false
 		}
--- a/test/soak/partitions_test.go
+++ b/test/soak/partitions_test.go
@@ -33,7 +33,7 @@
 const (
 	partitionDelay = 3 * time.Second
 	minServedRatio = 2.0 / 3
-	// toleratedFailures and toleratedShare are the failures that may occur at any daemon.
+	// toleratedFailures, and toleratedShare of all first tries, may fail whatever the ratio is.
 	toleratedFailures = 10
 	toleratedShare    = 1.0 / 50
 )
