Soak: partitioned daemons are compared where the same ones stay partitioned

Cause: the check. Two partitions overlap, d0 and d2 for 7.3 s, d1 for 4.3 s from the middle of that on. It took d1 for one of "the others" of the first partition, and them for others of the second.

Change: the same bounds, over the periods in which the same daemons are partitioned; where all are, nothing is compared. Equally strict where the old one was right, and it now also compares the union of overlapping partitions with those that are in none. A test of the check: no finding for all, one where another daemon reaches servers and they do not serve.

--- a/test/soak/partitions_test.go
+++ b/test/soak/partitions_test.go
@@ -28,8 +28,8 @@
 	from, to time.Time
 }
 
-// Bounds of what partitioned daemons serve, from partitionDelay after their paths failed: first
-// tries there are served at least minServedRatio as often as those at other daemons.
+// Bounds of what partitioned daemons serve, from partitionDelay after the last change of which
+// daemons are: first tries there are served at least minServedRatio as often as those at the others.
 const (
 	partitionDelay = 3 * time.Second
 	minServedRatio = 2.0 / 3
@@ -103,10 +103,33 @@
 	}
 }
 
+// stablePartitions returns the periods in which the same daemons were partitioned. Those of
+// h.partitions may overlap, and a daemon of one is none of the others of another.
+func (h *history) stablePartitions() []partition {
+	var changes []time.Time
+	for _, p := range h.partitions {
+		changes = append(changes, p.from, p.to)
+	}
+	slices.SortFunc(changes, time.Time.Compare)
+	var stable []partition
+	for i := 1; i < len(changes); i++ {
+		s := partition{from: changes[i-1], to: changes[i]}
+		for _, p := range h.partitions {
+			if !p.from.After(s.from) && !p.to.Before(s.to) {
+				s.daemons = append(s.daemons, p.daemons...)
+			}
+		}
+		if len(s.daemons) > 0 {
+			stable = append(stable, s)
+		}
+	}
+	return stable
+}
+
 // checkPartitions checks that partitioned daemons serve their callers much as the others do, where
-// nothing else is at fault.
+// nothing else is at fault. Where all are partitioned, there is nothing to compare.
 func (h *history) checkPartitions(add findingFunc) {
-	for _, p := range h.partitions {
+	for _, p := range h.stablePartitions() {
 		from := p.from.Add(partitionDelay)
 		if h.disruptedBy(from, p.to, func(s *span) bool { return s.kind != partitionDaemons }) {
 			continue
@@ -130,6 +153,47 @@
 	}
 }
 
+// TestPartitionedDaemonsAreNotComparedWithEachOther guards against findings, and against partitions
+// that are not checked, where partitions overlap.
+func TestPartitionedDaemonsAreNotComparedWithEachOther(t *testing.T) {
+	start := time.Now()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	serves := func(h *history, daemon string, status, from, to int) {
+		for s := from; s < to; s++ {
+			for range 20 {
+				h.outcomes = append(h.outcomes, outcome{daemon: daemon, status: status, sent: at(s), done: at(s).Add(time.Second / 2)})
+			}
+		}
+	}
+	for _, c := range []struct {
+		name             string
+		statusWhileOther int // of d1, which is partitioned from 0 to 20, while d2 is, from 10 to 30
+		daemons          []string
+		want             int
+	}{
+		{"all daemons", http.StatusServiceUnavailable, []string{"d1", "d2"}, 0},
+		{"another one reaches servers", http.StatusServiceUnavailable, []string{"d1", "d2", "d3"}, 1},
+		{"another one reaches servers, and they are served through it", http.StatusOK, []string{"d1", "d2", "d3"}, 0},
+	} {
+		h := newHistory()
+		h.partitions = []partition{{[]string{"d1"}, at(0), at(20)}, {[]string{"d2"}, at(10), at(30)}}
+		for _, d := range c.daemons {
+			serves(h, d, http.StatusOK, 0, 10)
+			status := http.StatusOK
+			if d != "d3" {
+				status = c.statusWhileOther
+			}
+			serves(h, d, status, 10, 20)
+			serves(h, d, http.StatusOK, 20, 30)
+		}
+		found := 0
+		h.checkPartitions(func(string, string, ...any) { found++ })
+		if found != c.want {
+			t.Errorf("%s: %d findings, want %d", c.name, found, c.want)
+		}
+	}
+}
+
 // runDaemon runs a daemon as its binary does, but its connections to servers fail on command. They
 // are all at the IP address ip.
 func runDaemon(ip, file string) {
