--- a/test/soak/partitions_test.go
+++ b/test/soak/partitions_test.go
@@ -69,6 +69,14 @@
 	return some
 }
 
+func daemonNames(daemons []*daemon) []string {
+	var names []string
+	for _, d := range daemons {
+		names = append(names, d.name)
+	}
+	return names
+}
+
 // partition has the connections of some daemons to servers fail for the duration of a disruption.
 func (r *rig) partition(dis disruption) {
 	some := r.partitioned(dis)
