Deaths: the parts of prompts are read, carried and logged

What callers saw: requests no two alike, with one part in common, ended server after server.

Change: the adapter reads the parts that a request names, the last one left out; on the product's own path the parts are passages of the prompt, cut at lines and after words that their own hash selects, so that a text is cut alike wherever it stands. At most 32 a request. engine_died, suspect_started and trial_decided name them; attempt_failed names the work, which leads from a request's id to them. Nothing is decided by parts yet: a work is a fingerprint and its parts, in one type.

Tests: passages of two prompts with one text in common, at the begin, later, inside a long line; the parts of a header. Core, suspects, relay, front, platform and wire tests pass.

--- a/internal/core/quarantine/digest.go
+++ b/internal/core/quarantine/digest.go
@@ -69,8 +69,8 @@
 	}
 	d.Refused = append(d.Refused, t.derivedRefusals(now)...)
 	for _, r := range t.runs {
-		if s := t.Standing(r.fingerprint, now); s != Clear {
-			d.Holds = append(d.Holds, Hold{r.engine, r.fingerprint, s})
+		if s := t.Standing(r.Work, now); s != Clear {
+			d.Holds = append(d.Holds, Hold{r.engine, r.Fingerprint, s})
 		}
 	}
 	d.sort()
@@ -84,7 +84,7 @@
 		if _, stored := t.refused[fingerprint]; stored {
 			continue
 		}
-		if left := t.RefusedFor(fingerprint, now); left > 0 {
+		if left := t.fingerprintRefusedFor(fingerprint, now); left > 0 {
 			all = append(all, RefusedDigest{Fingerprint: fingerprint, Left: left, Derived: true})
 		}
 	}
--- a/internal/core/quarantine/site_property_test.go
+++ b/internal/core/quarantine/site_property_test.go
@@ -62,7 +62,7 @@
 			violations = append(violations, fmt.Sprintf("%d ran under two trials at once", w.fingerprint))
 		}
 		if !w.culprit && !w.done {
-			violations = append(violations, fmt.Sprintf("innocent %d is not served: %s", w.fingerprint, s.hosts[0].Standing(w.fingerprint, s.timeAt(s.now))))
+			violations = append(violations, fmt.Sprintf("innocent %d is not served: %s", w.fingerprint, s.hosts[0].Standing(workOf(w.fingerprint), s.timeAt(s.now))))
 		}
 	}
 	return violations
--- a/internal/core/quarantine/site_test.go
+++ b/internal/core/quarantine/site_test.go
@@ -209,12 +209,12 @@
 
 func (s *site) send(host int, w *work) {
 	h, now := s.hosts[host], s.timeAt(s.now)
-	switch h.Standing(w.fingerprint, now) {
+	switch h.Standing(workOf(w.fingerprint), now) {
 	case Refused, Held:
 	case Isolate:
 		if h.oldRelease {
 			s.place(host, w, "")
-		} else if h.loaded && !h.storeUnreachable && h.EvaluateTrial("", w.fingerprint, now) == TrialGranted && len(h.pendingTrials) == 0 {
+		} else if h.loaded && !h.storeUnreachable && h.EvaluateTrial("", workOf(w.fingerprint), now) == TrialGranted && len(h.pendingTrials) == 0 {
 			s.requestTrial(h, w)
 		}
 	default:
@@ -257,8 +257,8 @@
 		switch {
 		case !late && !h.HasStoredTrial(a.id):
 			h.pendingTrials = append(h.pendingTrials, a)
-		case late, h.EvaluateTrial(a.id, a.work.fingerprint, s.timeAt(s.now)) != TrialGranted,
-			h.Standing(a.work.fingerprint, s.timeAt(s.now)) != Isolate,
+		case late, h.EvaluateTrial(a.id, workOf(a.work.fingerprint), s.timeAt(s.now)) != TrialGranted,
+			h.Standing(workOf(a.work.fingerprint), s.timeAt(s.now)) != Isolate,
 			!s.place(slices.Index(s.hosts, h), a.work, a.id):
 			s.recordOutcome(h, a.id, a.work, TrialNotSent)
 		}
@@ -270,7 +270,7 @@
 	h := s.hosts[host]
 	for _, engine := range s.rng.Perm(len(s.incarnations)) {
 		name := fmt.Sprint("e", engine)
-		if !h.MayPlace(s.engineID(name, engine), w.fingerprint, s.timeAt(s.now)) {
+		if !h.MayPlace(s.engineID(name, engine), workOf(w.fingerprint), s.timeAt(s.now)) {
 			continue
 		}
 		begin := h.Started
@@ -282,7 +282,7 @@
 		}
 		s.runs = append(s.runs, &running{
 			work: w, host: host, engine: engine, incarnation: h.incarnation, trial: trial,
-			run: begin(s.engineID(name, engine), w.fingerprint), ends: s.now + 1 + s.rng.IntN(runTicks),
+			run: begin(s.engineID(name, engine), workOf(w.fingerprint)), ends: s.now + 1 + s.rng.IntN(runTicks),
 		})
 		w.arrivals = append(w.arrivals, arrival{s.now, s.connected(h)})
 		return true
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -46,13 +46,22 @@
 	return standingNames[s]
 }
 
-// Run identifies one attempt of a fingerprint on an engine.
+// MaxParts is the number of parts of one work that count. Adapters leave out the others.
+const MaxParts = 32
+
+// Work is what an engine runs for one request, and all its repeats.
+type Work struct {
+	Fingerprint uint64   // of the whole request
+	Parts       []uint64 // of its prompt that other requests may share, at most MaxParts
+}
+
+// Run identifies one attempt of a work on an engine.
 type Run uint64
 
 type run struct {
-	engine      string
-	fingerprint uint64
-	trial       bool
+	engine string
+	Work
+	trial bool
 }
 
 // brokenRun is a run that broke off, possibly because its engine died.
@@ -84,7 +93,7 @@
 	opts        Options
 	lastRun     Run
 	runs        map[Run]run
-	engines     map[string]map[Run]uint64
+	engines     map[string]map[Run]Work
 	records     map[RecordID]*record
 	openRecords map[uint64][]*record   // by fingerprint: records in which it is not cleared
 	refused     map[uint64]time.Time   // by fingerprint: end of the refusal
@@ -103,7 +112,7 @@
 func New(o Options) *Tracker {
 	t := &Tracker{
 		runs:        make(map[Run]run),
-		engines:     make(map[string]map[Run]uint64),
+		engines:     make(map[string]map[Run]Work),
 		records:     make(map[RecordID]*record),
 		openRecords: make(map[uint64][]*record),
 		refused:     make(map[uint64]time.Time),
@@ -126,8 +135,13 @@
 	t.opts = o
 }
 
-// Standing returns the standing of a fingerprint at a time.
-func (t *Tracker) Standing(fingerprint uint64, now time.Time) Standing {
+// Standing returns the standing of a work at a time.
+func (t *Tracker) Standing(w Work, now time.Time) Standing {
+	return t.fingerprintStanding(w.Fingerprint, now)
+}
+
+// fingerprintStanding returns the standing that follows from the deaths of one fingerprint.
+func (t *Tracker) fingerprintStanding(fingerprint uint64, now time.Time) Standing {
 	if t.isRefused(fingerprint, now) {
 		return Refused
 	}
@@ -169,9 +183,14 @@
 	return Refused
 }
 
-// RefusedFor returns how long a fingerprint stays refused, zero when it is not refused.
-func (t *Tracker) RefusedFor(fingerprint uint64, now time.Time) time.Duration {
-	if t.Standing(fingerprint, now) != Refused {
+// RefusedFor returns how long a work stays refused, zero when it is not refused.
+func (t *Tracker) RefusedFor(w Work, now time.Time) time.Duration {
+	return t.fingerprintRefusedFor(w.Fingerprint, now)
+}
+
+// fingerprintRefusedFor is RefusedFor for a fingerprint's own refusal.
+func (t *Tracker) fingerprintRefusedFor(fingerprint uint64, now time.Time) time.Duration {
+	if t.fingerprintStanding(fingerprint, now) != Refused {
 		return 0
 	}
 	until := t.refused[fingerprint]
@@ -183,25 +202,26 @@
 	return until.Sub(now)
 }
 
-// HeldFor returns the time until a fingerprint's last death settles, zero when all have settled.
-func (t *Tracker) HeldFor(fingerprint uint64, now time.Time) time.Duration {
+// HeldFor returns the time until the last death of a work's fingerprint settles, zero when all have
+// settled.
+func (t *Tracker) HeldFor(w Work, now time.Time) time.Duration {
 	var left time.Duration
-	for _, r := range t.openRecords[fingerprint] {
+	for _, r := range t.openRecords[w.Fingerprint] {
 		left = max(left, t.opts.SettleAfter-now.Sub(r.at))
 	}
 	return left
 }
 
-// MayPlace reports whether a fingerprint may start on an engine now.
-func (t *Tracker) MayPlace(engine string, fingerprint uint64, now time.Time) bool {
+// MayPlace reports whether a work may start on an engine now.
+func (t *Tracker) MayPlace(engine string, w Work, now time.Time) bool {
 	if len(t.openRecords) == 0 && len(t.refused) == 0 && len(t.peerHolds) == 0 && len(t.trials) == 0 {
 		return true
 	}
-	standing := t.Standing(fingerprint, now)
+	standing := t.Standing(w, now)
 	if standing == Held || standing == Refused {
 		return false
 	}
-	if standing != Clear && t.isRunning(fingerprint) {
+	if standing != Clear && t.isRunning(w.Fingerprint) {
 		return false
 	}
 	for _, other := range t.engines[engine] {
@@ -227,26 +247,25 @@
 	return a == Clear || b == Clear
 }
 
-// Started records that a fingerprint starts on an engine. End must be called with
-// the returned Run at its end.
-func (t *Tracker) Started(engine string, fingerprint uint64) Run {
-	return t.started(run{engine: engine, fingerprint: fingerprint})
+// Started records that a work starts on an engine. End must be called with the returned Run at
+// its end.
+func (t *Tracker) Started(engine string, w Work) Run {
+	return t.started(run{engine: engine, Work: w})
 }
 
 // StartedOnTrial is Started for a run under trial.
-func (t *Tracker) StartedOnTrial(engine string, fingerprint uint64) Run {
-	return t.started(run{engine: engine, fingerprint: fingerprint, trial: true})
+func (t *Tracker) StartedOnTrial(engine string, w Work) Run {
+	return t.started(run{engine: engine, Work: w, trial: true})
 }
 
 func (t *Tracker) started(r run) Run {
-	engine, fingerprint := r.engine, r.fingerprint
 	t.lastRun++
 	t.runs[t.lastRun] = r
-	if t.engines[engine] == nil {
-		t.engines[engine] = make(map[Run]uint64)
+	if t.engines[r.engine] == nil {
+		t.engines[r.engine] = make(map[Run]Work)
 	}
-	t.engines[engine][t.lastRun] = fingerprint
-	if len(t.openRecords[fingerprint]) > 0 {
+	t.engines[r.engine][t.lastRun] = r.Work
+	if len(t.openRecords[r.Fingerprint]) > 0 {
 		t.version++
 	}
 	return t.lastRun
@@ -261,14 +280,14 @@
 	}
 	t.removeRun(r, ended.engine)
 	if completed {
-		t.dropBrokenRuns(ended.fingerprint)
+		t.dropBrokenRuns(ended.Fingerprint)
 	}
-	if len(t.openRecords[ended.fingerprint]) == 0 {
+	if len(t.openRecords[ended.Fingerprint]) == 0 {
 		return
 	}
 	t.version++
 	if completed {
-		t.clearFromAll(ended.fingerprint)
+		t.clearFromAll(ended.Fingerprint)
 	}
 }
 
@@ -284,7 +303,7 @@
 // dropBrokenRuns drops the broken runs of a fingerprint that has completed since.
 func (t *Tracker) dropBrokenRuns(fingerprint uint64) {
 	for engine, runs := range t.brokenRuns {
-		runs = slices.DeleteFunc(runs, func(r brokenRun) bool { return r.fingerprint == fingerprint })
+		runs = slices.DeleteFunc(runs, func(r brokenRun) bool { return r.Fingerprint == fingerprint })
 		t.brokenRuns[engine] = runs
 		if len(runs) == 0 {
 			delete(t.brokenRuns, engine)
@@ -307,18 +326,21 @@
 }
 
 // EngineDied records that an engine died and makes all that ran on it suspects. It
-// returns their fingerprints, each once. The incarnation that died identifies reports
+// returns these works, each once. The incarnation that died identifies reports
 // of the same death. It must not be called for an engine that was merely unreachable.
-func (t *Tracker) EngineDied(engine, incarnation string, now time.Time) []uint64 {
+func (t *Tracker) EngineDied(engine, incarnation string, now time.Time) []Work {
 	tried := make(map[uint64]bool) // all fingerprints that ran: whether under trial
+	works := make(map[uint64]Work) // the same
 	for r := range t.engines[engine] {
 		dead := t.runs[r]
-		tried[dead.fingerprint] = tried[dead.fingerprint] || dead.trial
+		tried[dead.Fingerprint] = tried[dead.Fingerprint] || dead.trial
+		works[dead.Fingerprint] = dead.Work
 		delete(t.runs, r)
 	}
 	for _, broke := range t.brokenRuns[engine] {
 		if now.Sub(broke.at) < brokenRunTTL {
-			tried[broke.fingerprint] = tried[broke.fingerprint] || broke.trial
+			tried[broke.Fingerprint] = tried[broke.Fingerprint] || broke.trial
+			works[broke.Fingerprint] = broke.Work
 		}
 	}
 	delete(t.engines, engine)
@@ -332,12 +354,12 @@
 		r.own[fingerprint] = true
 		t.markTried(r, fingerprint, trial)
 	}
-	return ran
+	return slices.Collect(maps.Values(works))
 }
 
 func (t *Tracker) isRunning(fingerprint uint64) bool {
 	for _, r := range t.runs {
-		if r.fingerprint == fingerprint {
+		if r.Fingerprint == fingerprint {
 			return true
 		}
 	}
--- a/internal/core/quarantine/tracker_test.go
+++ b/internal/core/quarantine/tracker_test.go
@@ -87,17 +87,17 @@
 
 func (w *world) place(j *job) {
 	t := w.hosts[j.host]
-	if t.Standing(j.fingerprint, w.now) == Refused {
+	if t.Standing(workOf(j.fingerprint), w.now) == Refused {
 		w.innocentRefused = w.innocentRefused || !j.culprit
 		j.done = true
 		return
 	}
 	engine := w.rng.IntN(w.engines)
-	if !t.MayPlace(fmt.Sprint(engine), j.fingerprint, w.now) {
+	if !t.MayPlace(fmt.Sprint(engine), workOf(j.fingerprint), w.now) {
 		return
 	}
 	j.engine = engine
-	j.run = t.Started(fmt.Sprint(engine), j.fingerprint)
+	j.run = t.Started(fmt.Sprint(engine), workOf(j.fingerprint))
 	j.left = 1 + w.rng.IntN(5)
 }
 
@@ -166,7 +166,7 @@
 // crashEngine starts fingerprints on an engine and records its death.
 func crashEngine(t *Tracker, engine, incarnation string, now time.Time, fingerprints ...uint64) {
 	for _, f := range fingerprints {
-		t.Started(engine, f)
+		t.Started(engine, workOf(f))
 	}
 	t.EngineDied(engine, incarnation, now)
 }
@@ -176,41 +176,41 @@
 	crashEngine(tr, "e1", "1", start, 1, 2)
 	crashEngine(tr, "e1", "1", start, 2) // the same death, reported again
 	now := start.Add(DefaultSettleAfter)
-	if got := tr.Standing(1, now); got != Suspect {
+	if got := tr.Standing(workOf(1), now); got != Suspect {
 		t.Fatalf("after one death: %s", got)
 	}
-	tr.Started("e2", 1)
+	tr.Started("e2", workOf(1))
 	for _, c := range []struct {
 		engine      string
 		fingerprint uint64
 		want        bool
 	}{{"e2", 2, false}, {"e3", 2, true}, {"e2", 3, true}, {"e3", 1, false}} {
-		if got := tr.MayPlace(c.engine, c.fingerprint, now); got != c.want {
+		if got := tr.MayPlace(c.engine, workOf(c.fingerprint), now); got != c.want {
 			t.Errorf("beside suspect 1 on e2: MayPlace(%s, %d) = %v", c.engine, c.fingerprint, got)
 		}
 	}
-	tr.Started("e2", 3)
+	tr.Started("e2", workOf(3))
 	tr.EngineDied("e2", "1", now)
-	if got := tr.Standing(1, now); got != Held || tr.MayPlace("e3", 1, now) {
+	if got := tr.Standing(workOf(1), now); got != Held || tr.MayPlace("e3", workOf(1), now) {
 		t.Errorf("just after its second death: %s", got)
 	}
 	now = now.Add(DefaultSettleAfter)
-	tr.Started("e3", 4)
-	if got := tr.Standing(1, now); got != Isolate || tr.MayPlace("e3", 1, now) || !tr.MayPlace("e4", 1, now) {
+	tr.Started("e3", workOf(4))
+	if got := tr.Standing(workOf(1), now); got != Isolate || tr.MayPlace("e3", workOf(1), now) || !tr.MayPlace("e4", workOf(1), now) {
 		t.Errorf("twice beside others: %s", got)
 	}
-	run := tr.Started("e4", 1)
-	if tr.MayPlace("e4", 5, now) {
+	run := tr.Started("e4", workOf(1))
+	if tr.MayPlace("e4", workOf(5), now) {
 		t.Error("a clear request may start beside an isolated one")
 	}
 	tr.End(run, false)
-	tr.End(tr.Started("e3", 2), true)
-	tr.End(tr.Started("e3", 3), true)
-	if got := tr.Standing(1, now); got != Refused || tr.RefusedFor(1, now) != DefaultQuarantineTime {
+	tr.End(tr.Started("e3", workOf(2)), true)
+	tr.End(tr.Started("e3", workOf(3)), true)
+	if got := tr.Standing(workOf(1), now); got != Refused || tr.RefusedFor(workOf(1), now) != DefaultQuarantineTime {
 		t.Errorf("when all beside it have completed: %s", got)
 	}
 	now = now.Add(DefaultQuarantineTime)
-	if got := tr.Standing(1, now); got != Clear || len(tr.records) != 0 || len(tr.openRecords) != 0 {
+	if got := tr.Standing(workOf(1), now); got != Clear || len(tr.records) != 0 || len(tr.openRecords) != 0 {
 		t.Errorf("when its time is over: %s, %d records", got, len(tr.records))
 	}
 }
@@ -225,7 +225,7 @@
 			for i := range 4 {
 				crashEngine(tr, fmt.Sprint(i), "1", start, rng.Uint64N(5), rng.Uint64N(5))
 			}
-			tr.End(tr.Started("x", rng.Uint64N(5)), true)
+			tr.End(tr.Started("x", workOf(rng.Uint64N(5))), true)
 			digests = append(digests, tr.Digest(start))
 		}
 		merge := func(order []int) Digest {
@@ -245,25 +245,25 @@
 	a, b := New(Options{Host: "a", SettleAfter: -1}), New(Options{Host: "b"})
 	crashEngine(a, "e1", "1", start, 7)
 	crashEngine(a, "e2", "1", start, 7)
-	if got := a.Standing(7, start); got != Refused {
+	if got := a.Standing(workOf(7), start); got != Refused {
 		t.Fatalf("alone in two deaths: %s", got)
 	}
 	b.Merge(a.Digest(start), start)
 	later := start.Add(time.Minute)
 	a.Merge(b.Digest(later), later.Add(time.Second)) // a slow message
-	if x, y := a.RefusedFor(7, later), b.RefusedFor(7, later); x != y || x != DefaultQuarantineTime-time.Minute {
+	if x, y := a.RefusedFor(workOf(7), later), b.RefusedFor(workOf(7), later); x != y || x != DefaultQuarantineTime-time.Minute {
 		t.Errorf("refused for %v and %v", x, y)
 	}
-	a.Standing(8, start.Add(DefaultQuarantineTime-expireEvery/2))
-	if got := a.Standing(7, start.Add(DefaultQuarantineTime)); got != Clear {
+	a.Standing(workOf(8), start.Add(DefaultQuarantineTime-expireEvery/2))
+	if got := a.Standing(workOf(7), start.Add(DefaultQuarantineTime)); got != Clear {
 		t.Errorf("when its time is over: %s", got)
 	}
 	crashEngine(a, "e1", "2", start, 1, 2)
 	crashEngine(a, "e2", "2", start, 1, 3)
 	b.Merge(a.Digest(start), start)
-	a.End(a.Started("e3", 2), true)
+	a.End(a.Started("e3", workOf(2)), true)
 	b.Merge(a.Digest(start), start)
-	if got := b.Standing(1, start.Add(DefaultSettleAfter)); got != Refused {
+	if got := b.Standing(workOf(1), start.Add(DefaultSettleAfter)); got != Refused {
 		t.Errorf("when a peer has cleared the other: %s", got)
 	}
 	for i := range 2 * DefaultMaxRecords {
@@ -274,11 +274,11 @@
 	}
 	hold := Digest{Host: "c", Holds: []Hold{{"e9", 500, Isolate}}}
 	b.Merge(hold, start)
-	if b.MayPlace("e9", 9, start) {
+	if b.MayPlace("e9", workOf(9), start) {
 		t.Error("placed beside a peer's isolated request")
 	}
 	b.ForgetHost("c")
-	if !b.MayPlace("e9", 9, start) {
+	if !b.MayPlace("e9", workOf(9), start) {
 		t.Error("the hold of a forgotten host still counts")
 	}
 }
@@ -286,7 +286,7 @@
 func BenchmarkMayPlace(b *testing.B) {
 	t := New(Options{})
 	for i := range 100 {
-		t.Started("busy", uint64(i))
+		t.Started("busy", workOf(uint64(i)))
 	}
 	b.Run("no evidence", func(b *testing.B) { benchmarkMayPlace(b, t) })
 	for i := range 100 {
@@ -299,6 +299,6 @@
 func benchmarkMayPlace(b *testing.B, t *Tracker) {
 	b.ReportAllocs()
 	for b.Loop() {
-		t.MayPlace("busy", 1_000_000, start)
+		t.MayPlace("busy", workOf(1_000_000), start)
 	}
 }
--- a/internal/core/quarantine/trials.go
+++ b/internal/core/quarantine/trials.go
@@ -167,7 +167,12 @@
 
 // EvaluateTrial returns whether a trial that has been read from the store may run now or, with an
 // empty ID, whether a new trial may.
-func (t *Tracker) EvaluateTrial(id string, fingerprint uint64, now time.Time) TrialVerdict {
+func (t *Tracker) EvaluateTrial(id string, w Work, now time.Time) TrialVerdict {
+	return t.evaluateFingerprintTrial(id, w.Fingerprint, now)
+}
+
+// evaluateFingerprintTrial is EvaluateTrial for the trials of one fingerprint.
+func (t *Tracker) evaluateFingerprintTrial(id string, fingerprint uint64, now time.Time) TrialVerdict {
 	own := t.trials[id]
 	var ran, sent int
 	busy := false
@@ -219,7 +224,7 @@
 // trialsSpentUntil returns the end of a fingerprint's refusal when its trials are used up and none of
 // them may still be running.
 func (t *Tracker) trialsSpentUntil(fingerprint uint64, now time.Time) (until time.Time, spent bool) {
-	if len(t.trialsOf[fingerprint]) == 0 || t.EvaluateTrial("", fingerprint, now) != TrialSpent {
+	if len(t.trialsOf[fingerprint]) == 0 || t.evaluateFingerprintTrial("", fingerprint, now) != TrialSpent {
 		return time.Time{}, false
 	}
 	for _, r := range t.trialsOf[fingerprint] {
--- a/internal/core/quarantine/trials_test.go
+++ b/internal/core/quarantine/trials_test.go
@@ -10,9 +10,9 @@
 func dieUnderTrial(tr *Tracker, id string, fingerprint uint64, now time.Time, beside ...uint64) {
 	tr.ApplyStoredTrial(Trial{ID: id, Fingerprint: fingerprint, Life: time.Second}, now)
 	for _, f := range beside {
-		tr.Started(id, f)
+		tr.Started(id, workOf(f))
 	}
-	tr.StartedOnTrial(id, fingerprint)
+	tr.StartedOnTrial(id, workOf(fingerprint))
 	tr.EngineDied(id, id, now)
 	tr.ApplyStoredTrial(Trial{ID: id, Fingerprint: fingerprint, Life: time.Second, Outcome: TrialRan}, now)
 }
@@ -31,15 +31,15 @@
 func TestDeathUnderTrialProvesCauseUntilOthersDieAgain(t *testing.T) {
 	tr, now := newSuspect(1)
 	dieUnderTrial(tr, "c", 1, now, 95)
-	if got := tr.Standing(1, now); got != Held {
+	if got := tr.Standing(workOf(1), now); got != Held {
 		t.Errorf("before the death has settled: %s", got)
 	}
 	now = now.Add(DefaultSettleAfter)
-	if got, left := tr.Standing(1, now), tr.RefusedFor(1, now); got != Refused || left != DefaultQuarantineTime-DefaultSettleAfter {
+	if got, left := tr.Standing(workOf(1), now), tr.RefusedFor(workOf(1), now); got != Refused || left != DefaultQuarantineTime-DefaultSettleAfter {
 		t.Errorf("after the death has settled: %s for %v", got, left)
 	}
 	crashEngine(tr, "d", "1", now, 95)
-	if got := tr.Standing(1, now); got != Isolate {
+	if got := tr.Standing(workOf(1), now); got != Isolate {
 		t.Errorf("when the other one has died again: %s", got)
 	}
 }
@@ -64,7 +64,7 @@
 		for i, o := range c.outcomes {
 			tr.ApplyStoredTrial(Trial{ID: fmt.Sprint(i), Fingerprint: 1, Life: time.Second, Outcome: o}, now)
 		}
-		if got := tr.EvaluateTrial("", 1, now); got != c.want {
+		if got := tr.EvaluateTrial("", workOf(1), now); got != c.want {
 			t.Errorf("%s: %s", c.name, got)
 		}
 	}
@@ -79,11 +79,11 @@
 	}
 	dieUnderTrial(tr, "c", 1, now, 95)
 	dieUnderTrial(tr, "d", 1, now, 95)
-	if got := tr.EvaluateTrial("", 1, now); got != TrialGranted {
+	if got := tr.EvaluateTrial("", workOf(1), now); got != TrialGranted {
 		t.Errorf("after two: %s", got)
 	}
 	dieUnderTrial(tr, "e", 1, now, 95)
-	if got := tr.EvaluateTrial("", 1, now); got != TrialSpent {
+	if got := tr.EvaluateTrial("", workOf(1), now); got != TrialSpent {
 		t.Errorf("after three: %s", got)
 	}
 }
@@ -95,13 +95,13 @@
 	for _, id := range []string{"first", "second"} {
 		tr.ApplyStoredTrial(Trial{ID: id, Fingerprint: 1, Life: time.Second}, now)
 	}
-	if got := tr.EvaluateTrial("first", 1, now); got != TrialGranted {
+	if got := tr.EvaluateTrial("first", workOf(1), now); got != TrialGranted {
 		t.Errorf("the first: %s", got)
 	}
-	if got := tr.EvaluateTrial("second", 1, now); got != TrialBusy {
+	if got := tr.EvaluateTrial("second", workOf(1), now); got != TrialBusy {
 		t.Errorf("the second: %s", got)
 	}
-	if got := tr.EvaluateTrial("second", 1, now.Add(time.Second)); got != TrialGranted {
+	if got := tr.EvaluateTrial("second", workOf(1), now.Add(time.Second)); got != TrialGranted {
 		t.Errorf("the second, after the first has expired: %s", got)
 	}
 }
@@ -110,18 +110,18 @@
 // and against evidence from an engine that has served since.
 func TestBrokenRunCountsWhenItsEngineDied(t *testing.T) {
 	tr := New(Options{})
-	tr.EndBroken(tr.Started("a", 1), start)
-	tr.EndBroken(tr.Started("b", 2), start)
+	tr.EndBroken(tr.Started("a", workOf(1)), start)
+	tr.EndBroken(tr.Started("b", workOf(2)), start)
 	tr.EngineAlive("b")
-	tr.EndBroken(tr.Started("c", 3), start)
-	tr.EndBroken(tr.Started("d", 4), start)
-	tr.End(tr.Started("e", 4), true)
+	tr.EndBroken(tr.Started("c", workOf(3)), start)
+	tr.EndBroken(tr.Started("d", workOf(4)), start)
+	tr.End(tr.Started("e", workOf(4)), true)
 	for _, engine := range []string{"a", "b", "d"} {
 		tr.EngineDied(engine, "1", start.Add(time.Second))
 	}
 	tr.EngineDied("c", "1", start.Add(brokenRunTTL))
 	for fingerprint, want := range map[uint64]Standing{1: Suspect, 2: Clear, 3: Clear, 4: Clear} {
-		if got := tr.Standing(fingerprint, start); got != want {
+		if got := tr.Standing(workOf(fingerprint), start); got != want {
 			t.Errorf("%d: %s", fingerprint, got)
 		}
 	}
@@ -134,7 +134,7 @@
 	dieUnderTrial(tr, "c", 1, now, 95)
 	now = now.Add(DefaultSettleAfter)
 	told := tr.Version()
-	if tr.Standing(1, now) != Refused || tr.Version() == told {
+	if tr.Standing(workOf(1), now) != Refused || tr.Version() == told {
 		t.Error("the refusal does not change the version")
 	}
 	d := tr.Digest(now)
@@ -143,11 +143,11 @@
 	}
 	other := New(Options{Host: "other"})
 	other.Merge(Digest{Host: "h", Refused: d.Refused}, now)
-	if got := other.Standing(1, now); got != Clear {
+	if got := other.Standing(workOf(1), now); got != Clear {
 		t.Errorf("without the evidence: %s", got)
 	}
 	other.Merge(d, now)
-	if got := other.Standing(1, now); got != Refused {
+	if got := other.Standing(workOf(1), now); got != Refused {
 		t.Errorf("with the evidence: %s", got)
 	}
 }
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -62,6 +62,7 @@
 	MaxTokens    int      // upper bound of the answer
 	Prefix       []uint64 // chained hashes of the prompt's leading blocks
 	Fingerprint  uint64   // hash of customer, target and whole body
+	PromptParts  []uint64 // hashes of the passages of the prompt that other requests may share
 
 	Priority   Priority
 	Arrived    time.Time
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -132,7 +132,7 @@
 // blocked returns the engines on which a job must not start now, because the job or
 // a request that runs there is suspected of crashing engines.
 func (s *Server) blocked(j *job) []string {
-	return s.opts.Suspects.Blocked(s.opts.Router.UpstreamNames(j.pool.Name), j.req.Fingerprint, time.Now())
+	return s.opts.Suspects.Blocked(s.opts.Router.UpstreamNames(j.pool.Name), j.work(), time.Now())
 }
 
 // retryAfter returns the time after which the caller of a request that was not placed
--- a/internal/front/build.go
+++ b/internal/front/build.go
@@ -11,6 +11,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/claims"
 	"github.com/buckthorndock/buckthorndock/internal/core/claim"
 	"github.com/buckthorndock/buckthorndock/internal/core/placement"
+	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 )
@@ -52,6 +53,11 @@
 	neededWithoutCaller func() bool          // reports whether the answer is needed even if the caller disconnects; set with recording
 }
 
+// work returns what the job makes an upstream do.
+func (j *job) work() quarantine.Work {
+	return quarantine.Work{Fingerprint: j.req.Fingerprint, Parts: j.req.PromptParts}
+}
+
 // callDefaults holds the defaults of one request, from the settings or the operation.
 type callDefaults struct {
 	deadline   time.Duration
@@ -131,6 +137,7 @@
 	}
 	req.Prefix = placement.PrefixBlocks(text.text, prefixBlockBytes, maxPrefixBlocks)
 	req.Fingerprint = fingerprint(c.Name, model, "", text.text, req.MaxTokens)
+	req.PromptParts = promptParts(text.text)
 	return &job{req: req, customer: c, routing: m.Routing, pool: m.Pool, prompt: text.text}, nil
 }
 
--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -74,7 +74,7 @@
 }
 
 func (g *generation) tryStart(t *target) (ok bool) {
-	t.run, ok = g.s.opts.Suspects.TryStart(t.name(), g.job.req.Fingerprint, g.trial, time.Now())
+	t.run, ok = g.s.opts.Suspects.TryStart(t.name(), g.job.work(), g.trial, time.Now())
 	return ok
 }
 
@@ -154,7 +154,7 @@
 // admitSuspect gets the trial under which a request that is suspected of crashing engines
 // must run, or returns why there is none. Other requests may be placed at once.
 func (g *generation) admitSuspect(ctx context.Context) *placementFailure {
-	trial, refusal := g.s.opts.Suspects.Admit(ctx, g.job.req.Fingerprint, g.trial, time.Until(g.job.req.Deadline))
+	trial, refusal := g.s.opts.Suspects.Admit(ctx, g.job.work(), g.trial, time.Until(g.job.req.Deadline))
 	g.trial = trial
 	if refusal == nil {
 		return nil
--- a/internal/relay/admitter.go
+++ b/internal/relay/admitter.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
 )
@@ -28,6 +29,7 @@
 	Header       http.Header // headers to forward to the upstream
 	PromptTokens int         // length of the prompt
 	MaxTokens    int         // limit on the answer
+	PromptParts  []uint64    // hashes of the parts of the prompt that other calls may share
 	LastEvent    string
 	Timeout      time.Duration // how long the caller waits; zero if it does not say
 	Arrived      time.Time
@@ -172,6 +174,7 @@
 		PromptTokens: c.PromptTokens,
 		MaxTokens:    c.MaxTokens,
 		LastEvent:    c.LastEvent,
+		Work:         quarantine.Work{Parts: c.PromptParts},
 		Arrived:      c.Arrived,
 		Deadline:     c.Arrived.Add(r.Timeout),
 	}
@@ -214,7 +217,7 @@
 func (d *Admitter) Serve(ctx context.Context, req *Request, sink Sink) *request.Refusal {
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
-	req.Fingerprint = fingerprint(req)
+	req.Work.Fingerprint = fingerprint(req)
 	return d.relay.Run(ctx, req, sink)
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -197,7 +197,7 @@
 	sends := 0
 	for range 5 { // the caller sends the same work repeatedly
 		req := streamRequest(true)
-		req.Fingerprint = 77
+		req.Work.Fingerprint = 77
 		f.relay.Run(t.Context(), req, &recordingSink{})
 		sends = len(f.script.sent)
 	}
@@ -244,7 +244,7 @@
 	f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2"), onEngine("e1"), onEngine("e2"), onEngine("e1"), onEngine("e2")}
 	for range 3 {
 		req := streamRequest(true)
-		req.Fingerprint = 78
+		req.Work.Fingerprint = 78
 		refusal := f.relay.Run(t.Context(), req, &recordingSink{})
 		if refusal == nil || refusal.Code == request.CodeQuarantined {
 			t.Fatalf("got %v", refusal)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -211,6 +212,7 @@
 		"upstreams": g.sentTo,
 		"path":      g.path,
 		"blamed":    e.blamed,
+		"work":      strconv.FormatUint(g.req.Work.Fingerprint, 16),
 		"end":       e.end.String(),
 		"action":    d.Action.String(),
 		"after":     g.lastEvent,
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -23,7 +23,7 @@
 
 // admitTrial checks that the request may be placed, under a trial if it needs one.
 func (g *run) admitTrial(ctx context.Context) *request.Refusal {
-	trial, refusal := g.relay.opts.Suspects.Admit(ctx, g.req.Fingerprint, g.trial, g.timeLeft())
+	trial, refusal := g.relay.opts.Suspects.Admit(ctx, g.req.Work, g.trial, g.timeLeft())
 	g.trial = trial
 	return refusal
 }
@@ -31,7 +31,7 @@
 // noteStart records that the attempt starts on an upstream. It returns false if it must not
 // start there now.
 func (g *run) noteStart(u fleet.Upstream) (quarantine.Run, bool) {
-	return g.relay.opts.Suspects.TryStart(u.ID, g.req.Fingerprint, g.trial, time.Now())
+	return g.relay.opts.Suspects.TryStart(u.ID, g.req.Work, g.trial, time.Now())
 }
 
 // noteEnd records how the attempt on an upstream ended. An attempt that broke off because
--- a/internal/relay/suspect_test.go
+++ b/internal/relay/suspect_test.go
@@ -57,7 +57,7 @@
 			return reach(ctx, address)
 		}
 		req := streamRequest(true)
-		req.Fingerprint = 81
+		req.Work.Fingerprint = 81
 		f.relay.Run(t.Context(), req, &recordingSink{})
 		time.Sleep(time.Second)
 		if got := deathsOf(t, f); got != 1 {
@@ -101,7 +101,7 @@
 			f.list.Replace(append(list, entry(other)), time.Now())
 			f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("far")}
 			req := streamRequest(true)
-			req.Fingerprint = 80
+			req.Work.Fingerprint = 80
 			gone, _ := f.relay.opts.Upstreams().Get("e1")
 			f.relay.Run(t.Context(), req, &recordingSink{})
 			if got := deathsOf(t, f); got != c.before {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -35,9 +35,9 @@
 	MaxTokens    int    // limit on the answer in tokens
 	LastEvent    string // ID of the last event that the caller has received
 
-	Fingerprint uint64 // identifies the work; see fingerprint
-	Arrived     time.Time
-	Deadline    time.Time // the earlier of the caller's and the route's
+	Work     quarantine.Work // what it makes an upstream do; see fingerprint
+	Arrived  time.Time
+	Deadline time.Time // the earlier of the caller's and the route's
 }
 
 // firstEventObjectives is the time assumed until a stream's first event when its end is
@@ -157,10 +157,10 @@
 type Suspects interface {
 	// Admit reports whether a request may be placed now, and under which trial, if it needs
 	// one. The trial in has is kept if nothing was sent under it yet.
-	Admit(ctx context.Context, fingerprint uint64, has *suspects.Trial, life time.Duration) (*suspects.Trial, *request.Refusal)
+	Admit(ctx context.Context, w quarantine.Work, has *suspects.Trial, life time.Duration) (*suspects.Trial, *request.Refusal)
 	// TryStart records that a request starts on an upstream. It returns false if it must not
 	// run there now.
-	TryStart(upstream string, fingerprint uint64, trial *suspects.Trial, now time.Time) (quarantine.Run, bool)
+	TryStart(upstream string, w quarantine.Work, trial *suspects.Trial, now time.Time) (quarantine.Run, bool)
 	// End records that a run is over.
 	End(run quarantine.Run, completed bool)
 	// EndBroken records that a run broke off, perhaps because its upstream died; a later
--- a/internal/suspects/previous_release_test.go
+++ b/internal/suspects/previous_release_test.go
@@ -49,12 +49,12 @@
 	if got := tr.core.Deaths(culprit); got != 1 {
 		t.Errorf("%d deaths after the merge", got)
 	}
-	if _, ok := tr.TryStart("e8", culprit, nil, now); ok {
+	if _, ok := tr.TryStart("e8", workOf(culprit), nil, now); ok {
 		t.Error("started while a daemon of the previous release runs a copy")
 	}
 	tr.ForgetHost("old")
-	tr.core.Started("e2", 103)
-	run := tr.core.StartedOnTrial("e2", culprit)
+	tr.core.Started("e2", workOf(103))
+	run := tr.core.StartedOnTrial("e2", workOf(culprit))
 	tr.EngineDied("e2", "2", now.Add(-time.Minute))
 	tr.End(run, false)
 	trial := quarantine.Trial{ID: "new/1", Fingerprint: culprit, Outcome: quarantine.TrialRan, Age: time.Minute}
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -80,10 +81,10 @@
 }
 
 // Refusal returns the refusal of a quarantined request, nil when the request is not quarantined.
-func (t *Tracker) Refusal(fingerprint uint64, now time.Time) *request.Refusal {
+func (t *Tracker) Refusal(w quarantine.Work, now time.Time) *request.Refusal {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	left := t.core.RefusedFor(fingerprint, now)
+	left := t.core.RefusedFor(w, now)
 	if left == 0 {
 		return nil
 	}
@@ -91,12 +92,12 @@
 }
 
 // Blocked returns those of the engines on which a request must not start now.
-func (t *Tracker) Blocked(engines []string, fingerprint uint64, now time.Time) []string {
+func (t *Tracker) Blocked(engines []string, w quarantine.Work, now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var blocked []string
 	for _, e := range engines {
-		if !t.core.MayPlace(e, fingerprint, now) {
+		if !t.core.MayPlace(e, w, now) {
 			blocked = append(blocked, e)
 		}
 	}
@@ -107,39 +108,39 @@
 // there now. If it returns true, End must be called with the Run. The check and the
 // record are one atomic step, so that two suspects never both find the same engine
 // free. With a store, a request of standing Isolate starts only under a trial.
-func (t *Tracker) TryStart(engine string, fingerprint uint64, trial *Trial, now time.Time) (quarantine.Run, bool) {
+func (t *Tracker) TryStart(engine string, w quarantine.Work, trial *Trial, now time.Time) (quarantine.Run, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.core.MayPlace(engine, fingerprint, now) {
+	if !t.core.MayPlace(engine, w, now) {
 		return 0, false
 	}
-	standing := t.core.Standing(fingerprint, now)
+	standing := t.core.Standing(w, now)
 	if standing == quarantine.Isolate && t.store != nil && trial == nil {
 		return 0, false
 	}
 	if standing != quarantine.Clear {
 		t.log.WithFields(logrus.Fields{
-			"work": formatFingerprint(fingerprint), "standing": standing.String(),
-			"deaths": t.core.Deaths(fingerprint), "upstream": engine,
+			"work": formatHash(w.Fingerprint), "parts": formatHashes(w.Parts), "standing": standing.String(),
+			"deaths": t.core.Deaths(w.Fingerprint), "upstream": engine,
 		}).Info("suspect_started")
 	}
 	if trial != nil {
-		return t.core.StartedOnTrial(engine, fingerprint), true
+		return t.core.StartedOnTrial(engine, w), true
 	}
-	return t.core.Started(engine, fingerprint), true
+	return t.core.Started(engine, w), true
 }
 
-// formatFingerprint returns a fingerprint in hexadecimal, for logs.
-func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+// formatHash returns a fingerprint, or the hash of a part, in hexadecimal, for logs.
+func formatHash(hash uint64) string { return strconv.FormatUint(hash, 16) }
 
-// maxLoggedFingerprints limits the number of fingerprints in one log line.
-const maxLoggedFingerprints = 16
+// maxLoggedHashes limits the number of hashes in one log field.
+const maxLoggedHashes = 16
 
-// formatFingerprints formats up to maxLoggedFingerprints fingerprints for a log line.
-func formatFingerprints(fingerprints []uint64) []string {
-	names := make([]string, 0, maxLoggedFingerprints)
-	for _, f := range fingerprints[:min(maxLoggedFingerprints, len(fingerprints))] {
-		names = append(names, formatFingerprint(f))
+// formatHashes formats up to maxLoggedHashes hashes for a log line.
+func formatHashes(hashes []uint64) []string {
+	names := make([]string, 0, maxLoggedHashes)
+	for _, h := range hashes[:min(maxLoggedHashes, len(hashes))] {
+		names = append(names, formatHash(h))
 	}
 	return names
 }
@@ -194,7 +195,20 @@
 		return
 	}
 	metrics.GetOrCreateCounter("buckthorndock_engine_deaths_total").Inc()
-	t.log.WithFields(logrus.Fields{"upstream": engine, "incarnation": incarnation, "suspects": len(ran), "works": formatFingerprints(ran)}).Warn("engine_died")
+	works, parts := hashesOf(ran)
+	t.log.WithFields(logrus.Fields{
+		"upstream": engine, "incarnation": incarnation, "suspects": len(ran), "works": formatHashes(works), "parts": formatHashes(parts),
+	}).Warn("engine_died")
+}
+
+// hashesOf returns the fingerprints of works, and their parts, each once.
+func hashesOf(works []quarantine.Work) (fingerprints, parts []uint64) {
+	for _, w := range works {
+		fingerprints = append(fingerprints, w.Fingerprint)
+		parts = append(parts, w.Parts...)
+	}
+	slices.Sort(parts)
+	return fingerprints, slices.Compact(parts)
 }
 
 // Digest returns the encoded evidence for the other daemons, and its version.
--- a/internal/suspects/sync_test.go
+++ b/internal/suspects/sync_test.go
@@ -172,7 +172,7 @@
 func crashUnderCulprit(t *testing.T, tr *Tracker, engine string, beside uint64) {
 	t.Helper()
 	for _, fingerprint := range []uint64{culprit, beside} {
-		if _, ok := tr.TryStart(engine, fingerprint, nil, time.Now()); !ok {
+		if _, ok := tr.TryStart(engine, workOf(fingerprint), nil, time.Now()); !ok {
 			t.Fatalf("%d may not start on %s", fingerprint, engine)
 		}
 	}
@@ -209,7 +209,7 @@
 		var asked sync.WaitGroup
 		for _, tr := range all {
 			asked.Go(func() {
-				trial, refusal := tr.Admit(t.Context(), culprit, nil, time.Second)
+				trial, refusal := tr.Admit(t.Context(), workOf(culprit), nil, time.Second)
 				mu.Lock()
 				defer mu.Unlock()
 				if trial != nil {
@@ -227,7 +227,7 @@
 		granted[0].End(quarantine.TrialCompleted)
 		time.Sleep(settleTime)
 		for _, tr := range all {
-			if trial, refusal := tr.Admit(t.Context(), culprit, nil, time.Second); trial != nil || refusal != nil {
+			if trial, refusal := tr.Admit(t.Context(), workOf(culprit), nil, time.Second); trial != nil || refusal != nil {
 				t.Errorf("%s does not know that it has completed: %v", tr.host, refusal)
 			}
 		}
@@ -242,12 +242,12 @@
 		crashUnderCulprit(t, tr, "e1", 101)
 		crashUnderCulprit(t, tr, "e2", 102)
 		time.Sleep(settleTime)
-		trial, _ := tr.Admit(t.Context(), culprit, nil, time.Minute)
-		if again, refusal := tr.Admit(t.Context(), culprit, trial, time.Minute); trial == nil || again != trial || refusal != nil {
+		trial, _ := tr.Admit(t.Context(), workOf(culprit), nil, time.Minute)
+		if again, refusal := tr.Admit(t.Context(), workOf(culprit), trial, time.Minute); trial == nil || again != trial || refusal != nil {
 			t.Fatalf("got %v after %v: %v", again, trial, refusal)
 		}
-		tr.End(tr.core.Started("e3", 101), true) // leaves the culprit as the only cause of the first death
-		if again, refusal := tr.Admit(t.Context(), culprit, trial, time.Minute); again != nil || refusal == nil || refusal.Code != request.CodeQuarantined {
+		tr.End(tr.core.Started("e3", workOf(101)), true) // leaves the culprit as the only cause of the first death
+		if again, refusal := tr.Admit(t.Context(), workOf(culprit), trial, time.Minute); again != nil || refusal == nil || refusal.Code != request.CodeQuarantined {
 			t.Errorf("got %v, %v", again, refusal)
 		}
 		if o := tr.trials[trial.id].trial.Outcome; o != quarantine.TrialNotSent {
@@ -265,20 +265,20 @@
 		crashUnderCulprit(t, all[0], "e2", 102)
 		time.Sleep(settleTime)
 		m.setUnreachable(true)
-		trial, refusal := all[0].Admit(t.Context(), culprit, nil, time.Second)
+		trial, refusal := all[0].Admit(t.Context(), workOf(culprit), nil, time.Second)
 		if trial == nil {
 			t.Fatalf("two deaths: %v", refusal)
 		}
-		if _, ok := all[0].TryStart("e3", culprit, trial, time.Now()); !ok {
+		if _, ok := all[0].TryStart("e3", workOf(culprit), trial, time.Now()); !ok {
 			t.Fatal("it may not start")
 		}
 		trial.MarkSent()
-		all[0].TryStart("e3", 103, nil, time.Now())
+		all[0].TryStart("e3", workOf(103), nil, time.Now())
 		all[0].EngineDied("e3", "e3", time.Now())
 		trial.End(quarantine.TrialRan)
 		time.Sleep(settleTime)
 		began := time.Now()
-		trial, refusal = all[0].Admit(t.Context(), culprit, nil, time.Second)
+		trial, refusal = all[0].Admit(t.Context(), workOf(culprit), nil, time.Second)
 		if trial != nil || refusal == nil || time.Since(began) > trialTimeout {
 			t.Errorf("three deaths: %v after %s", refusal, time.Since(began))
 		}
@@ -334,11 +334,11 @@
 		crashUnderCulprit(t, all[0], "e2", 102)
 		time.Sleep(settleTime)
 		for i, tr := range all {
-			trial, refusal := tr.Admit(t.Context(), culprit, nil, 5*time.Second)
+			trial, refusal := tr.Admit(t.Context(), workOf(culprit), nil, 5*time.Second)
 			if got, want := trial != nil, i < quarantine.MaxTrialSends; got != want {
 				t.Fatalf("%s: %v, %v", tr.host, got, refusal)
 			}
-			if _, again := all[(i+1)%len(all)].Admit(t.Context(), culprit, nil, time.Second); again == nil {
+			if _, again := all[(i+1)%len(all)].Admit(t.Context(), workOf(culprit), nil, time.Second); again == nil {
 				t.Errorf("another daemon gets a trial during that of %s", tr.host)
 			}
 			time.Sleep(5*time.Second + 2*trialMargin)
--- a/internal/suspects/trial.go
+++ b/internal/suspects/trial.go
@@ -30,9 +30,9 @@
 // Trial is the permission to run a request of standing Isolate once. End must be called when it is
 // over. A nil Trial is valid and does nothing.
 type Trial struct {
-	tracker     *Tracker
-	id          string
-	fingerprint uint64
+	tracker *Tracker
+	id      string
+	work    quarantine.Work
 
 	mu   sync.Mutex
 	sent bool
@@ -87,7 +87,7 @@
 	t.mu.Unlock()
 	t.signalEvidence()
 	notify(t.urgentWrite)
-	t.log.WithFields(logrus.Fields{"work": formatFingerprint(r.fingerprint), "trial": r.id, "outcome": outcome.String()}).Info("trial_ended")
+	t.log.WithFields(logrus.Fields{"work": formatHash(r.work.Fingerprint), "trial": r.id, "outcome": outcome.String()}).Info("trial_ended")
 }
 
 // Admit decides whether a request may be placed now. It returns a trial if the request may run only
@@ -95,8 +95,8 @@
 // request of standing Isolate runs one copy at a time among all daemons, in the store's order. The
 // trial that the request already has, nil if none, is returned again unless its request was sent.
 // life is the time that the request has left.
-func (t *Tracker) Admit(ctx context.Context, fingerprint uint64, has *Trial, life time.Duration) (*Trial, *request.Refusal) {
-	if refusal := t.Refusal(fingerprint, time.Now()); refusal != nil {
+func (t *Tracker) Admit(ctx context.Context, w quarantine.Work, has *Trial, life time.Duration) (*Trial, *request.Refusal) {
+	if refusal := t.Refusal(w, time.Now()); refusal != nil {
 		has.End(quarantine.TrialNotSent)
 		return nil, refusal
 	}
@@ -105,8 +105,8 @@
 	}
 	now := time.Now()
 	t.mu.Lock()
-	standing, held := t.core.Standing(fingerprint, now), t.core.HeldFor(fingerprint, now)
-	verdict, deaths := t.core.EvaluateTrial("", fingerprint, now), t.core.Deaths(fingerprint)
+	standing, held := t.core.Standing(w, now), t.core.HeldFor(w, now)
+	verdict, deaths := t.core.EvaluateTrial("", w, now), t.core.Deaths(w.Fingerprint)
 	store := t.store
 	t.mu.Unlock()
 	switch {
@@ -117,7 +117,7 @@
 	case verdict != quarantine.TrialGranted:
 		return nil, refuseForNow(trialRetryAfter)
 	}
-	return t.requestTrial(ctx, store, fingerprint, life+trialMargin, deaths)
+	return t.requestTrial(ctx, store, w, life+trialMargin, deaths)
 }
 
 func refuseForNow(after time.Duration) *request.Refusal {
@@ -126,12 +126,12 @@
 
 // requestTrial requests a trial through the store. While the store does not answer, a request in at
 // most maxUnconfirmedDeaths deaths gets an unconfirmed trial.
-func (t *Tracker) requestTrial(ctx context.Context, store Store, fingerprint uint64, life time.Duration, deaths int) (*Trial, *request.Refusal) {
+func (t *Tracker) requestTrial(ctx context.Context, store Store, w quarantine.Work, life time.Duration, deaths int) (*Trial, *request.Refusal) {
 	start := time.Now()
-	r, own := t.newTrial(fingerprint, life, start)
-	verdict, err := t.decideTrial(ctx, store, own)
+	r, own := t.newTrial(w, life, start)
+	verdict, err := t.decideTrial(ctx, store, own, w)
 	log := t.log.WithFields(logrus.Fields{
-		"work": formatFingerprint(fingerprint), "trial": r.id, "deaths": deaths, "took_ms": time.Since(start).Milliseconds(),
+		"work": formatHash(w.Fingerprint), "parts": formatHashes(w.Parts), "trial": r.id, "deaths": deaths, "took_ms": time.Since(start).Milliseconds(),
 	})
 	switch {
 	case err == nil:
@@ -155,7 +155,7 @@
 
 // decideTrial writes a trial to the store, waits until it has been read back, and returns the verdict
 // that follows from the store's order.
-func (t *Tracker) decideTrial(ctx context.Context, store Store, own *ownTrial) (quarantine.TrialVerdict, error) {
+func (t *Tracker) decideTrial(ctx context.Context, store Store, own *ownTrial, w quarantine.Work) (quarantine.TrialVerdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
 	if err := putTrial(ctx, store, own.withAge(own.requestedAt)); err != nil {
@@ -167,10 +167,10 @@
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.core.Standing(own.trial.Fingerprint, now) != quarantine.Isolate {
+	if t.core.Standing(w, now) != quarantine.Isolate {
 		return quarantine.TrialBusy, nil // the read brought other evidence
 	}
-	return t.core.EvaluateTrial(own.trial.ID, own.trial.Fingerprint, now), nil
+	return t.core.EvaluateTrial(own.trial.ID, w, now), nil
 }
 
 // mergeUnconfirmedTrial makes this daemon and, through digests, its peers aware of a trial that may
@@ -199,17 +199,17 @@
 	return r
 }
 
-func (t *Tracker) newTrial(fingerprint uint64, life time.Duration, now time.Time) (*Trial, *ownTrial) {
+func (t *Tracker) newTrial(w quarantine.Work, life time.Duration, now time.Time) (*Trial, *ownTrial) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.trialCount++
 	id := fmt.Sprintf("%s/%x/%d", t.host, t.startedAt, t.trialCount)
 	own := &ownTrial{
-		trial:       quarantine.Trial{ID: id, Fingerprint: fingerprint, Host: t.host, Life: life},
+		trial:       quarantine.Trial{ID: id, Fingerprint: w.Fingerprint, Host: t.host, Life: life},
 		requestedAt: now,
 	}
 	t.trials[id] = own
-	return &Trial{tracker: t, id: id, fingerprint: fingerprint}, own
+	return &Trial{tracker: t, id: id, work: w}, own
 }
 
 // awaitReadBack waits until a trial has been read from the store, and thus all trials before it.
