--- a/test/soak/roles_test.go
+++ b/test/soak/roles_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -106,7 +107,7 @@
 			return s.AnswerNotExecuted(w, r, seconds)
 		}
 		writeReport(report{What: "ran", ID: id, Server: name, At: time.Now().UnixNano()})
-		if r.URL.Query().Has("crash") {
+		if r.URL.Query().Has("crash") || slices.ContainsFunc(standin.PromptParts(r.Header), isCrashingPart) {
 			time.Sleep(crashAfter)
 			writeReport(report{What: "crashed", ID: id, Server: name, At: time.Now().UnixNano()})
 			os.Exit(crashExitStatus)
