Deaths: a part of prompts that crashes servers is found and kept from them

Cause: evidence was by the fingerprint of a whole request. Requests that are each new have nothing in common then: each may end as many servers as it has tries, and nothing is ever proved. The class: what is counted is not what causes. Both paths share the package, so both had it.

Change: the record of a death also names the parts of the works that ran there and whose answers had not begun. An answer that has gone on for 300 ms clears its parts of all deaths, past ones and those of the next minute: a part that crashes what begins to write would have crashed it. A part in three deaths under three works is a suspect: works with it run under a trial, one at a time by the store's order, as fingerprints do. A death under trial proves the suspect parts of that work, as one set: works with all of these are refused for the usual time, those with fewer are tried, so a popular part is cleared by works that have it alone. A part that died under two trials is tried only where it is the one suspect. A begun answer ends a trial.

Why it works: a crashing part is never cleared, so it is a suspect after three deaths, and each death under trial takes at least one part out of the sets that hold it. Sound parts are cleared by any answer on any host.

--- a/internal/core/quarantine/digest.go
+++ b/internal/core/quarantine/digest.go
@@ -24,6 +24,15 @@
 	Open    []uint64 // fingerprints that may have caused it
 	Cleared []uint64 // fingerprints that completed afterwards
 	Tried   []uint64 // those of Open and Cleared that ran under trial
+
+	Works      []WorkDigest // those of Open and Cleared whose answers had not begun
+	BegunParts []uint64     // parts of prompts of which an answer has begun, before or afterwards
+}
+
+// WorkDigest names the parts of a work's prompt that may have caused a death.
+type WorkDigest struct {
+	Fingerprint uint64
+	Parts       []uint64
 }
 
 // RefusedDigest is one refused fingerprint.
@@ -58,6 +67,7 @@
 			}
 		}
 		rd.Tried = slices.Collect(maps.Keys(r.tried))
+		rd.setParts(r, r.works)
 		rd.sort()
 		d.Records = append(d.Records, rd)
 	}
@@ -111,6 +121,9 @@
 			}
 		}
 		if len(r.own) > 0 {
+			own := maps.Clone(r.works)
+			maps.DeleteFunc(own, func(fingerprint uint64, _ []uint64) bool { return !r.own[fingerprint] })
+			rd.setParts(r, own)
 			rd.sort()
 			d.Records = append(d.Records, rd)
 		}
@@ -133,7 +146,24 @@
 	}
 }
 
+// setParts sets the parts of the given works of a record, and those that are cleared in it.
+func (rd *RecordDigest) setParts(r *record, works map[uint64][]uint64) {
+	for fingerprint, parts := range works {
+		rd.Works = append(rd.Works, WorkDigest{fingerprint, slices.Clone(parts)})
+	}
+	for part, begun := range r.parts {
+		if begun {
+			rd.BegunParts = append(rd.BegunParts, part)
+		}
+	}
+}
+
 func (rd *RecordDigest) sort() {
+	slices.SortFunc(rd.Works, func(a, b WorkDigest) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	for i := range rd.Works {
+		slices.Sort(rd.Works[i].Parts)
+	}
+	slices.Sort(rd.BegunParts)
 	slices.Sort(rd.Open)
 	slices.Sort(rd.Cleared)
 	slices.Sort(rd.Tried)
@@ -184,6 +214,12 @@
 	for _, fingerprint := range rd.Tried {
 		t.markTried(r, fingerprint, true)
 	}
+	for _, part := range rd.BegunParts {
+		t.clearPart(r, part)
+	}
+	for _, w := range rd.Works {
+		t.addParts(r, w.Fingerprint, w.Parts)
+	}
 }
 
 // ForgetHost drops the holds of a peer that has left or is silent.
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -26,7 +26,10 @@
 	r := t.records[id]
 	if r == nil {
 		t.evictOldestRecord()
-		r = &record{at: at, cleared: make(map[uint64]bool), tried: make(map[uint64]bool), own: make(map[uint64]bool)}
+		r = &record{
+			at: at, cleared: make(map[uint64]bool), tried: make(map[uint64]bool), own: make(map[uint64]bool),
+			works: make(map[uint64][]uint64), parts: make(map[uint64]bool),
+		}
 		t.records[id] = r
 	}
 	for _, fingerprint := range ran {
@@ -87,6 +90,11 @@
 			t.unlink(r, fingerprint)
 		}
 	}
+	for part, cleared := range r.parts {
+		if !cleared {
+			t.unlinkPart(r, part)
+		}
+	}
 	t.version++
 }
 
--- a/internal/core/quarantine/site_store_test.go
+++ b/internal/core/quarantine/site_store_test.go
@@ -12,7 +12,7 @@
 	if h.oldRelease {
 		d.Trials = nil
 		for i := range d.Records {
-			d.Records[i].Tried = nil
+			d.Records[i].Tried, d.Records[i].Works, d.Records[i].BegunParts = nil, nil, nil
 		}
 	}
 	for k, other := range s.hosts {
--- a/internal/core/quarantine/site_test.go
+++ b/internal/core/quarantine/site_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -45,15 +46,23 @@
 	record stored
 }
 
-// work is a request that is sent repeatedly until it is done; a culprit forever.
+// work is a request that is sent repeatedly until it is done; a culprit forever, unless it is one of
+// many with a crashing part.
 type work struct {
 	fingerprint  uint64
+	parts        []uint64
+	crashingPart uint64 // one of parts; 0: none
 	culprit      bool
 	callerLeaves bool // its caller aborts it before its end and does not return
 	done         bool
 	arrivals     []arrival
 }
 
+func (w *work) work() Work { return Work{Fingerprint: w.fingerprint, Parts: w.parts} }
+
+// cause returns the fingerprint or part that crashes engines.
+func (w *work) cause() uint64 { return cmp.Or(w.crashingPart, w.fingerprint) }
+
 // meanInterval returns the mean number of ticks between two sends.
 func (w *work) meanInterval() int {
 	if w.culprit {
@@ -113,7 +122,7 @@
 	incarnations     []int // of each engine
 	runs             []*running
 	works            []*work
-	deaths           map[uint64][]int // by fingerprint: ticks at which it crashed engines
+	deaths           map[uint64][]int // by cause: ticks at which it crashed engines
 	lossy            bool             // messages and writes may be lost or late
 	noGossip         bool             // no digests are delivered
 	healed           bool
@@ -209,16 +218,12 @@
 
 func (s *site) send(host int, w *work) {
 	h, now := s.hosts[host], s.timeAt(s.now)
-	switch h.Standing(workOf(w.fingerprint), now) {
-	case Refused, Held:
-	case Isolate:
-		if h.oldRelease {
-			s.place(host, w, "")
-		} else if h.loaded && !h.storeUnreachable && h.EvaluateTrial("", workOf(w.fingerprint), now) == TrialGranted && len(h.pendingTrials) == 0 {
-			s.requestTrial(h, w)
-		}
-	default:
+	switch {
+	case h.Standing(w.work(), now) >= Held:
+	case h.oldRelease || !h.NeedsTrial(w.work(), now):
 		s.place(host, w, "")
+	case h.loaded && !h.storeUnreachable && h.EvaluateTrial("", w.work(), now) == TrialGranted && len(h.pendingTrials) == 0:
+		s.requestTrial(h, w)
 	}
 }
 
@@ -227,7 +232,7 @@
 	h.trials++
 	id := fmt.Sprintf("%s/%d/%d", h.name, h.incarnation, h.trials)
 	h.pendingTrials = append(h.pendingTrials, pendingTrial{w, id, s.now})
-	s.put(h, stored{key: id, trial: &Trial{ID: id, Fingerprint: w.fingerprint, Host: h.name, Life: trialLife * tick}})
+	s.put(h, stored{key: id, trial: &Trial{ID: id, Fingerprint: w.fingerprint, Parts: h.SuspectParts(w.work()), Host: h.name, Life: trialLife * tick}})
 }
 
 // put sends a record to the store. A lost record may still arrive much later.
@@ -242,7 +247,7 @@
 
 // recordOutcome merges the outcome of a trial and writes it to the store.
 func (s *site) recordOutcome(h *siteHost, id string, w *work, o TrialOutcome) {
-	told := Trial{ID: id, Fingerprint: w.fingerprint, Host: h.name, Life: trialLife * tick, Outcome: o}
+	told := Trial{ID: id, Fingerprint: w.fingerprint, Parts: w.parts, Host: h.name, Life: trialLife * tick, Outcome: o}
 	h.Merge(Digest{Trials: []Trial{told}}, s.timeAt(s.now))
 	s.put(h, stored{key: id, trial: &told})
 }
@@ -257,8 +262,8 @@
 		switch {
 		case !late && !h.HasStoredTrial(a.id):
 			h.pendingTrials = append(h.pendingTrials, a)
-		case late, h.EvaluateTrial(a.id, workOf(a.work.fingerprint), s.timeAt(s.now)) != TrialGranted,
-			h.Standing(workOf(a.work.fingerprint), s.timeAt(s.now)) != Isolate,
+		case late, h.EvaluateTrial(a.id, a.work.work(), s.timeAt(s.now)) != TrialGranted,
+			h.Standing(a.work.work(), s.timeAt(s.now)) >= Held,
 			!s.place(slices.Index(s.hosts, h), a.work, a.id):
 			s.recordOutcome(h, a.id, a.work, TrialNotSent)
 		}
@@ -270,7 +275,7 @@
 	h := s.hosts[host]
 	for _, engine := range s.rng.Perm(len(s.incarnations)) {
 		name := fmt.Sprint("e", engine)
-		if !h.MayPlace(s.engineID(name, engine), workOf(w.fingerprint), s.timeAt(s.now)) {
+		if !h.MayPlace(s.engineID(name, engine), w.work(), s.timeAt(s.now)) {
 			continue
 		}
 		begin := h.Started
@@ -282,7 +287,7 @@
 		}
 		s.runs = append(s.runs, &running{
 			work: w, host: host, engine: engine, incarnation: h.incarnation, trial: trial,
-			run: begin(s.engineID(name, engine), workOf(w.fingerprint)), ends: s.now + 1 + s.rng.IntN(runTicks),
+			run: begin(s.engineID(name, engine), w.work()), ends: s.now + 1 + s.rng.IntN(runTicks),
 		})
 		w.arrivals = append(w.arrivals, arrival{s.now, s.connected(h)})
 		return true
@@ -304,7 +309,7 @@
 		}
 		if r.work.culprit {
 			dead = append(dead, r.engine)
-			s.deaths[r.work.fingerprint] = append(s.deaths[r.work.fingerprint], s.now)
+			s.deaths[r.work.cause()] = append(s.deaths[r.work.cause()], s.now)
 			continue
 		}
 		r.work.done = true
@@ -318,6 +323,9 @@
 
 func (s *site) finishRun(r *running, completed bool) {
 	h := s.hosts[r.host]
+	if completed {
+		h.Began(r.run, s.timeAt(s.now))
+	}
 	h.End(r.run, completed)
 	if r.trial == "" {
 		return
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -61,7 +61,9 @@
 type run struct {
 	engine string
 	Work
-	trial bool
+	trial          bool
+	answeringSince time.Time // arrival of the first piece of its answer; zero before it
+	begun          bool      // its answer has gone on for BeginTime, or is complete
 }
 
 // brokenRun is a run that broke off, possibly because its engine died.
@@ -86,6 +88,9 @@
 	openCount int             // not cleared
 	tried     map[uint64]bool // those that ran under trial
 	own       map[uint64]bool // those that ran for this host
+
+	works map[uint64][]uint64 // by fingerprint: parts of those whose answers had not begun
+	parts map[uint64]bool     // these parts: whether an answer with them has begun
 }
 
 // Tracker holds the evidence of one host. It is not safe for concurrent use.
@@ -106,6 +111,9 @@
 	lastExpiry  time.Time // time of the last scan by expire
 
 	lastPosition uint64 // store position of the newest trial read
+
+	begins    recentBegins
+	openParts map[uint64][]*record // by part: records in which it is not cleared
 }
 
 // New returns a Tracker without evidence.
@@ -121,6 +129,7 @@
 		trials:      make(map[string]*trial),
 		trialsOf:    make(map[uint64][]*trial),
 		derived:     make(map[uint64]bool),
+		openParts:   make(map[uint64][]*record),
 	}
 	t.SetOptions(o)
 	return t
@@ -137,9 +146,40 @@
 
 // Standing returns the standing of a work at a time.
 func (t *Tracker) Standing(w Work, now time.Time) Standing {
-	return t.fingerprintStanding(w.Fingerprint, now)
+	standing := t.fingerprintStanding(w.Fingerprint, now)
+	switch parts, _ := t.evaluateParts(w, now); parts {
+	case partsOnTrial:
+		return max(standing, Suspect)
+	case partsHeld:
+		return max(standing, Held)
+	case partsRefused:
+		return Refused
+	}
+	return standing
 }
 
+// NeedsTrial reports whether a work may start only under a trial.
+func (t *Tracker) NeedsTrial(w Work, now time.Time) bool {
+	if t.fingerprintStanding(w.Fingerprint, now) == Isolate {
+		return true
+	}
+	parts, _ := t.evaluateParts(w, now)
+	return parts == partsOnTrial
+}
+
+// MayRunUnconfirmed reports whether a work that needs a trial may run under one that the store has
+// not confirmed: it has just enough deaths to need one.
+func (t *Tracker) MayRunUnconfirmed(w Work) bool {
+	if len(t.openRecords[w.Fingerprint]) > maxUnconfirmedDeaths {
+		return false
+	}
+	return !slices.ContainsFunc(t.SuspectParts(w), func(p uint64) bool { return len(t.openParts[p]) > PartThreshold })
+}
+
+// maxUnconfirmedDeaths is the number of deaths up to which a fingerprint may run under a trial that
+// the store has not confirmed.
+const maxUnconfirmedDeaths = 2
+
 // fingerprintStanding returns the standing that follows from the deaths of one fingerprint.
 func (t *Tracker) fingerprintStanding(fingerprint uint64, now time.Time) Standing {
 	if t.isRefused(fingerprint, now) {
@@ -185,7 +225,11 @@
 
 // RefusedFor returns how long a work stays refused, zero when it is not refused.
 func (t *Tracker) RefusedFor(w Work, now time.Time) time.Duration {
-	return t.fingerprintRefusedFor(w.Fingerprint, now)
+	left := t.fingerprintRefusedFor(w.Fingerprint, now)
+	if parts, until := t.evaluateParts(w, now); parts == partsRefused {
+		left = max(left, until.Sub(now))
+	}
+	return left
 }
 
 // fingerprintRefusedFor is RefusedFor for a fingerprint's own refusal.
@@ -214,14 +258,14 @@
 
 // MayPlace reports whether a work may start on an engine now.
 func (t *Tracker) MayPlace(engine string, w Work, now time.Time) bool {
-	if len(t.openRecords) == 0 && len(t.refused) == 0 && len(t.peerHolds) == 0 && len(t.trials) == 0 {
+	if len(t.openRecords) == 0 && len(t.openParts) == 0 && len(t.refused) == 0 && len(t.peerHolds) == 0 && len(t.trials) == 0 {
 		return true
 	}
 	standing := t.Standing(w, now)
 	if standing == Held || standing == Refused {
 		return false
 	}
-	if standing != Clear && t.isRunning(w.Fingerprint) {
+	if standing != Clear && (t.isRunning(w.Fingerprint) || t.isSuspectPartRunning(w)) {
 		return false
 	}
 	for _, other := range t.engines[engine] {
@@ -329,32 +373,38 @@
 // returns these works, each once. The incarnation that died identifies reports
 // of the same death. It must not be called for an engine that was merely unreachable.
 func (t *Tracker) EngineDied(engine, incarnation string, now time.Time) []Work {
-	tried := make(map[uint64]bool) // all fingerprints that ran: whether under trial
-	works := make(map[uint64]Work) // the same
-	for r := range t.engines[engine] {
-		dead := t.runs[r]
-		tried[dead.Fingerprint] = tried[dead.Fingerprint] || dead.trial
-		works[dead.Fingerprint] = dead.Work
-		delete(t.runs, r)
+	dead := t.takeRuns(engine, now)
+	if len(dead) == 0 {
+		return nil
+	}
+	works := make(map[uint64]Work)
+	for _, d := range dead {
+		works[d.Fingerprint] = d.Work
+	}
+	r := t.addRecord(RecordID{engine, incarnation}, now, slices.Collect(maps.Keys(works)))
+	for _, d := range dead {
+		r.own[d.Fingerprint] = true
+		t.markTried(r, d.Fingerprint, d.trial)
+	}
+	t.addPartsOf(r, dead)
+	return slices.Collect(maps.Values(works))
+}
+
+// takeRuns removes and returns the runs on an engine, and those that broke off there.
+func (t *Tracker) takeRuns(engine string, now time.Time) []run {
+	var dead []run
+	for id := range t.engines[engine] {
+		dead = append(dead, t.runs[id])
+		delete(t.runs, id)
 	}
 	for _, broke := range t.brokenRuns[engine] {
 		if now.Sub(broke.at) < brokenRunTTL {
-			tried[broke.Fingerprint] = tried[broke.Fingerprint] || broke.trial
-			works[broke.Fingerprint] = broke.Work
+			dead = append(dead, broke.run)
 		}
 	}
 	delete(t.engines, engine)
 	delete(t.brokenRuns, engine)
-	ran := slices.Collect(maps.Keys(tried))
-	if len(ran) == 0 {
-		return nil
-	}
-	r := t.addRecord(RecordID{engine, incarnation}, now, ran)
-	for fingerprint, trial := range tried {
-		r.own[fingerprint] = true
-		t.markTried(r, fingerprint, trial)
-	}
-	return slices.Collect(maps.Values(works))
+	return dead
 }
 
 func (t *Tracker) isRunning(fingerprint uint64) bool {
--- a/internal/core/quarantine/trials.go
+++ b/internal/core/quarantine/trials.go
@@ -29,9 +29,10 @@
 	TrialDeclined                      // it was sent and the upstream did not run it
 	TrialNotSent                       // it was not sent to an upstream
 	TrialCompleted                     // the request completed
+	TrialBegun                         // its answer has begun, which is all that a trial of parts has to show
 )
 
-var trialOutcomeNames = [...]string{"open", "ran", "declined", "not_sent", "completed"}
+var trialOutcomeNames = [...]string{"open", "ran", "declined", "not_sent", "completed", "begun"}
 
 // String returns the outcome's name for logs.
 func (o TrialOutcome) String() string {
@@ -49,6 +50,7 @@
 type Trial struct {
 	ID          string // unique over all hosts and their incarnations
 	Fingerprint uint64
+	Parts       []uint64 // suspect parts of the request's prompt
 	Host        string
 	Life        time.Duration // time since the request for it after which it counts as ended
 	Age         time.Duration // time since the request for it, when it was sent or read
@@ -72,7 +74,9 @@
 
 // countsAsSent reports whether the trial's request may have reached an upstream without completing.
 // One whose host never reported its end may have.
-func (r *trial) countsAsSent() bool { return r.Outcome != TrialNotSent && r.Outcome != TrialCompleted }
+func (r *trial) countsAsSent() bool {
+	return r.Outcome != TrialNotSent && r.Outcome != TrialCompleted && r.Outcome != TrialBegun
+}
 
 // ApplyStoredTrial adds or updates a trial read from the store. Calls must follow the store's order.
 func (t *Tracker) ApplyStoredTrial(stored Trial, now time.Time) {
@@ -102,8 +106,12 @@
 	if r.Outcome == TrialOpen && received.Outcome != TrialOpen {
 		r.Outcome = received.Outcome
 		t.version++
-		if received.Outcome == TrialCompleted {
+		switch received.Outcome {
+		case TrialCompleted:
 			t.clearAfterTrial(r.Fingerprint)
+			t.clearParts(r.Parts)
+		case TrialBegun:
+			t.clearParts(r.Parts)
 		}
 	}
 	return r
@@ -168,7 +176,10 @@
 // EvaluateTrial returns whether a trial that has been read from the store may run now or, with an
 // empty ID, whether a new trial may.
 func (t *Tracker) EvaluateTrial(id string, w Work, now time.Time) TrialVerdict {
-	return t.evaluateFingerprintTrial(id, w.Fingerprint, now)
+	if verdict := t.evaluateFingerprintTrial(id, w.Fingerprint, now); verdict != TrialGranted {
+		return verdict
+	}
+	return t.evaluatePartTrial(id, w, now)
 }
 
 // evaluateFingerprintTrial is EvaluateTrial for the trials of one fingerprint.
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -131,10 +131,20 @@
 
 var errGap = merry.Sentinel("tokens are missing from the stream")
 
+// noteAnswering records that the target is sending its answer.
+func (g *generation) noteAnswering(t *target) {
+	if t.begun = g.s.opts.Suspects.Answering(t.run, time.Now()); t.begun {
+		g.trial.Began()
+	}
+}
+
 // deliver sends text to the caller, records it and reports the first token. An error
 // means that the caller has disconnected and the answer is not needed without it.
 func (g *generation) deliver(t *target, step stream.Output, cached int) error {
 	g.resumes = 0
+	if !t.begun {
+		g.noteAnswering(t)
+	}
 	if g.firstTokenAt.IsZero() {
 		g.firstTokenAt = time.Now()
 		g.s.recordFirstToken(g.job, t, cached, g.firstTokenAt)
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -17,6 +17,7 @@
 	placement placement.Placement
 
 	run         quarantine.Run         // identifies the attempt in the quarantine
+	begun       bool                   // its answer has begun, as the quarantine counts it
 	incarnation string                 // of the engine when it was chosen, empty when unknown
 	reservation string                 // id of the reserved memory, empty when none
 	gang        []placement.GangMember // the receiver first; nil for one engine
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -236,6 +236,7 @@
 		t.longestGap = max(t.longestGap, now.Sub(t.lastEventAt))
 	}
 	t.lastEventAt = now
+	t.noteAnswering(now)
 }
 
 // noteFirstEvent records the arrival of the first part of an answer.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -33,7 +33,9 @@
 	sentTo           []string // IDs of the upstreams of the last attempt, for the log
 	path             string   // state of the path to the upstream of the last attempt, for the log
 
-	trial *suspects.Trial // under which it is sent next; nil if none is needed
+	trial   *suspects.Trial // under which it is sent next; nil if none is needed
+	started quarantine.Run  // of the last attempt
+	begun   bool            // the answer of the last attempt has begun
 
 	lastEvent   string    // ID of the last event passed on
 	headSent    bool      // the head of the answer has been passed on
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -31,7 +31,19 @@
 // noteStart records that the attempt starts on an upstream. It returns false if it must not
 // start there now.
 func (g *run) noteStart(u fleet.Upstream) (quarantine.Run, bool) {
-	return g.relay.opts.Suspects.TryStart(u.ID, g.req.Work, g.trial, time.Now())
+	started, ok := g.relay.opts.Suspects.TryStart(u.ID, g.req.Work, g.trial, time.Now())
+	g.started, g.begun = started, false
+	return started, ok
+}
+
+// noteAnswering records that the attempt's upstream is sending its answer.
+func (g *run) noteAnswering(now time.Time) {
+	if g.begun {
+		return
+	}
+	if g.begun = g.relay.opts.Suspects.Answering(g.started, now); g.begun {
+		g.trial.Began()
+	}
 }
 
 // noteEnd records how the attempt on an upstream ended. An attempt that broke off because
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -161,6 +161,9 @@
 	// TryStart records that a request starts on an upstream. It returns false if it must not
 	// run there now.
 	TryStart(upstream string, w quarantine.Work, trial *suspects.Trial, now time.Time) (quarantine.Run, bool)
+	// Answering records that a run is sending its answer. It reports whether the answer has
+	// begun; from then on it need not be called again.
+	Answering(run quarantine.Run, now time.Time) bool
 	// End records that a run is over.
 	End(run quarantine.Run, completed bool)
 	// EndBroken records that a run broke off, perhaps because its upstream died; a later
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -88,7 +88,7 @@
 	if left == 0 {
 		return nil
 	}
-	return request.Refuse(request.CodeQuarantined, left, "this request has crashed the engines that ran it")
+	return request.Refuse(request.CodeQuarantined, left, "this request, or others with a part of its prompt, have crashed the engines that ran them")
 }
 
 // Blocked returns those of the engines on which a request must not start now.
@@ -107,7 +107,7 @@
 // TryStart records that a request starts on an engine, unless it must not start
 // there now. If it returns true, End must be called with the Run. The check and the
 // record are one atomic step, so that two suspects never both find the same engine
-// free. With a store, a request of standing Isolate starts only under a trial.
+// free. With a store, a request that needs a trial starts only under one.
 func (t *Tracker) TryStart(engine string, w quarantine.Work, trial *Trial, now time.Time) (quarantine.Run, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -115,7 +115,7 @@
 		return 0, false
 	}
 	standing := t.core.Standing(w, now)
-	if standing == quarantine.Isolate && t.store != nil && trial == nil {
+	if trial == nil && t.store != nil && t.core.NeedsTrial(w, now) {
 		return 0, false
 	}
 	if standing != quarantine.Clear {
@@ -149,6 +149,9 @@
 func (t *Tracker) End(run quarantine.Run, completed bool) {
 	t.mu.Lock()
 	before := t.core.Version()
+	if completed {
+		t.core.Began(run, time.Now())
+	}
 	t.core.End(run, completed)
 	changed := t.core.Version() != before
 	t.mu.Unlock()
@@ -158,6 +161,21 @@
 	}
 }
 
+// Answering records that a run is sending its answer. It reports whether the answer has begun, which
+// clears the parts of its prompt; from then on it need not be called again.
+func (t *Tracker) Answering(run quarantine.Run, now time.Time) bool {
+	t.mu.Lock()
+	before := t.core.Version()
+	begun := t.core.Answering(run, now)
+	changed := t.core.Version() != before
+	t.mu.Unlock()
+	if changed {
+		t.signalEvidence()
+		notify(t.urgentWrite)
+	}
+	return begun
+}
+
 // EndBroken ends a run that broke off, possibly because its engine died. EngineDelisted or
 // EngineAlive follows when that is known.
 func (t *Tracker) EndBroken(run quarantine.Run, now time.Time) {
--- a/internal/suspects/trial.go
+++ b/internal/suspects/trial.go
@@ -22,23 +22,29 @@
 	// trialRetryAfter is the retry delay sent to callers whose request has to wait for another
 	// trial or for the store.
 	trialRetryAfter = time.Second
-	// maxUnconfirmedDeaths is the number of deaths up to which a request may run under a trial that
-	// the store has not confirmed.
-	maxUnconfirmedDeaths = 2
 )
 
-// Trial is the permission to run a request of standing Isolate once. End must be called when it is
+// Trial is the permission to run a request that needs one once. End must be called when it is
 // over. A nil Trial is valid and does nothing.
 type Trial struct {
 	tracker *Tracker
 	id      string
 	work    quarantine.Work
 
+	ofParts bool // the request needs it for parts of its prompt only
+
 	mu   sync.Mutex
 	sent bool
 	done bool
 }
 
+// Began records that the request's answer has begun. That ends a trial of parts.
+func (r *Trial) Began() {
+	if r != nil && r.ofParts {
+		r.End(quarantine.TrialBegun)
+	}
+}
+
 // MarkSent records that the request is sent to an upstream.
 func (r *Trial) MarkSent() {
 	if r == nil {
@@ -91,8 +97,8 @@
 }
 
 // Admit decides whether a request may be placed now. It returns a trial if the request may run only
-// under one, a refusal if it must wait or is refused, and neither if it may run like any other. A
-// request of standing Isolate runs one copy at a time among all daemons, in the store's order. The
+// under one, a refusal if it must wait or is refused, and neither if it may run like any other. Of
+// requests that need one for the same cause, one runs at a time among all daemons, in the store's order. The
 // trial that the request already has, nil if none, is returned again unless its request was sent.
 // life is the time that the request has left.
 func (t *Tracker) Admit(ctx context.Context, w quarantine.Work, has *Trial, life time.Duration) (*Trial, *request.Refusal) {
@@ -106,38 +112,38 @@
 	now := time.Now()
 	t.mu.Lock()
 	standing, held := t.core.Standing(w, now), t.core.HeldFor(w, now)
-	verdict, deaths := t.core.EvaluateTrial("", w, now), t.core.Deaths(w.Fingerprint)
+	needed, verdict := t.core.NeedsTrial(w, now), t.core.EvaluateTrial("", w, now)
 	store := t.store
 	t.mu.Unlock()
 	switch {
 	case standing == quarantine.Held && store != nil:
-		return nil, refuseForNow(held)
-	case standing != quarantine.Isolate || store == nil:
+		return nil, refuseForNow(max(held, trialRetryAfter))
+	case !needed || store == nil:
 		return nil, nil
 	case verdict != quarantine.TrialGranted:
 		return nil, refuseForNow(trialRetryAfter)
 	}
-	return t.requestTrial(ctx, store, w, life+trialMargin, deaths)
+	return t.requestTrial(ctx, store, w, life+trialMargin)
 }
 
 func refuseForNow(after time.Duration) *request.Refusal {
 	return request.Refuse(request.CodeSuspect, after, "servers have crashed while running this request; it has to wait for its turn to be tried")
 }
 
-// requestTrial requests a trial through the store. While the store does not answer, a request in at
-// most maxUnconfirmedDeaths deaths gets an unconfirmed trial.
-func (t *Tracker) requestTrial(ctx context.Context, store Store, w quarantine.Work, life time.Duration, deaths int) (*Trial, *request.Refusal) {
+// requestTrial requests a trial through the store. While the store does not answer, a request with
+// just enough deaths to need one gets an unconfirmed trial.
+func (t *Tracker) requestTrial(ctx context.Context, store Store, w quarantine.Work, life time.Duration) (*Trial, *request.Refusal) {
 	start := time.Now()
 	r, own := t.newTrial(w, life, start)
 	verdict, err := t.decideTrial(ctx, store, own, w)
 	log := t.log.WithFields(logrus.Fields{
-		"work": formatHash(w.Fingerprint), "parts": formatHashes(w.Parts), "trial": r.id, "deaths": deaths, "took_ms": time.Since(start).Milliseconds(),
+		"work": formatHash(w.Fingerprint), "parts": formatHashes(w.Parts), "trial": r.id, "of_parts": r.ofParts, "took_ms": time.Since(start).Milliseconds(),
 	})
 	switch {
 	case err == nil:
 		log.WithField("verdict", verdict.String()).Info("trial_decided")
 		countTrial(verdict.String())
-	case deaths <= maxUnconfirmedDeaths && ctx.Err() == nil:
+	case ctx.Err() == nil && t.mayRunUnconfirmed(w):
 		log.WithError(err).Warn("trial_run_without_store")
 		countTrial("unasked")
 		t.mergeUnconfirmedTrial(own)
@@ -167,12 +173,18 @@
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.core.Standing(w, now) != quarantine.Isolate {
+	if t.core.Standing(w, now) >= quarantine.Held {
 		return quarantine.TrialBusy, nil // the read brought other evidence
 	}
 	return t.core.EvaluateTrial(own.trial.ID, w, now), nil
 }
 
+func (t *Tracker) mayRunUnconfirmed(w quarantine.Work) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.MayRunUnconfirmed(w)
+}
+
 // mergeUnconfirmedTrial makes this daemon and, through digests, its peers aware of a trial that may
 // be missing in the store.
 func (t *Tracker) mergeUnconfirmedTrial(own *ownTrial) {
@@ -205,11 +217,12 @@
 	t.trialCount++
 	id := fmt.Sprintf("%s/%x/%d", t.host, t.startedAt, t.trialCount)
 	own := &ownTrial{
-		trial:       quarantine.Trial{ID: id, Fingerprint: w.Fingerprint, Host: t.host, Life: life},
+		trial:       quarantine.Trial{ID: id, Fingerprint: w.Fingerprint, Parts: t.core.SuspectParts(w), Host: t.host, Life: life},
 		requestedAt: now,
 	}
 	t.trials[id] = own
-	return &Trial{tracker: t, id: id, work: w}, own
+	ofParts := t.core.Standing(quarantine.Work{Fingerprint: w.Fingerprint}, now) < quarantine.Isolate
+	return &Trial{tracker: t, id: id, work: w, ofParts: ofParts}, own
 }
 
 // awaitReadBack waits until a trial has been read from the store, and thus all trials before it.
