Edge: callers' connections are bounded, so that files are left for upstreams

At 4,200 files, 280 new connections a second fill the process; it can then open none to upstreams, and requests that it has read fail.

Cause: the only bounds on files were those of other daemons and tunnels. Evidence: the new test, 400 of 400 connections open with 200 files allowed.

Ruled out: processor time.

Change: a quarter of the files for callers. A new connection beyond that closes the one that has been idle for longest; if none is idle, it is itself closed unread, so that its caller can try another daemon at once. Requests in progress are never cut.

Tests: TestCrowdOfConnectionsLeavesFilesForUpstreams failed before (400 open); TestFullDaemonTurnsOff... covers the case without an idle connection. Edge and platform tests pass.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,13 +16,17 @@
 	defaultCallerIdle = 15 * time.Second
 )
 
+// callerFilesDivisor limits the connections of callers to 1/callerFilesDivisor of the process's files.
+// The others are for other daemons, tunnels and upstreams.
+const callerFilesDivisor = 4
+
 func (p *process) callerServer() *http.Server {
-	idle := &idleConns{limit: p.callerIdle, timers: map[net.Conn]*time.Timer{}}
+	conns := newCallerConns(p.cfg.MaxFiles/callerFilesDivisor, p.callerIdle)
 	return &http.Server{
 		Handler:           p.provider.CallerHandler(p.admitter, p.leaving.Load),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         idle.connStateChanged,
+		ConnState:         conns.stateChanged,
 	}
 }
 
@@ -37,38 +39,6 @@
 	return defaultCallerIdle
 }
 
-// idleConns closes callers' connections that stay idle for longer than a limit. It replaces
-// http.Server.IdleTimeout, which cannot change while the server runs.
-type idleConns struct {
-	limit func() time.Duration
-
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
-}
-
-// connStateChanged is the http.Server's ConnState hook.
-func (i *idleConns) connStateChanged(c net.Conn, s http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if t := i.timers[c]; t != nil {
-		t.Stop()
-		delete(i.timers, c)
-	}
-	if s == http.StateIdle {
-		i.timers[c] = time.AfterFunc(i.limit(), func() { i.expire(c) })
-	}
-}
-
-func (i *idleConns) expire(c net.Conn) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.timers[c] == nil {
-		return // a request has arrived in the meantime
-	}
-	delete(i.timers, c)
-	_ = c.Close() // no request is in progress on it
-}
-
 // Times of a graceful shutdown.
 const (
 	// lameDuck is how long a leaving daemon still accepts all requests, until the balancer, which
