Relay: a suspect finds the engine on which no other one runs

Cause: the planner does not know suspects. Each try excluded the one engine that it had met, and eight tries are all.

Others do not look: the check costs some microseconds an engine.

Test: TestSuspectFindsTheEngineWithoutAnother failed before ("attempts used up (attempt 8: not_written)"). Relay's tests pass.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -63,7 +63,7 @@
 		Objective: g.timeToNextEvent(),
 		Gap:       r.Route.GapObjective,
 		Left:      g.timeLeft(),
-		Exclude:   slices.Concat(g.exclude, g.relay.opts.Upstreams().Superseded),
+		Exclude:   slices.Concat(g.exclude, g.relay.opts.Upstreams().Superseded, g.suspectConflicts()),
 		Avoid:     g.toAvoid(),
 		Barred:    g.relay.opts.Notices.barred(),
 		Begun:     g.headSent,
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -37,6 +37,8 @@
 	started quarantine.Run  // of the last attempt
 	begun   bool            // the answer of the last attempt has begun
 
+	conflicted bool // an attempt met another suspect
+
 	lastEvent   string    // ID of the last event passed on
 	headSent    bool      // the head of the answer has been passed on
 	firstAt     time.Time // when the first part of an answer arrived
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -21,6 +21,19 @@
 	return attemptResult{end: retry.NotWritten, blamed: []string{from.ID}, err: errSuspectConflict}
 }
 
+// suspectConflicts returns the IDs of the engines on which the request must not start now, because
+// another suspect runs there. It looks only after a first conflict: few requests have any.
+func (g *run) suspectConflicts() []string {
+	if !g.conflicted {
+		return nil
+	}
+	var engines []string
+	for _, u := range g.relay.opts.Upstreams().Live(g.req.Service.Name) {
+		engines = append(engines, u.ID)
+	}
+	return g.relay.opts.Suspects.Blocked(engines, g.req.Work, time.Now())
+}
+
 // admitTrial checks that the request may be placed, under a trial if it needs one.
 func (g *run) admitTrial(ctx context.Context) *request.Refusal {
 	trial, refusal := g.relay.opts.Suspects.Admit(ctx, g.req.Work, g.trial, g.timeLeft())
@@ -33,6 +46,7 @@
 func (g *run) noteStart(u fleet.Upstream) (quarantine.Run, bool) {
 	started, ok := g.relay.opts.Suspects.TryStart(u.ID, g.req.Work, g.trial, time.Now())
 	g.started, g.begun = started, false
+	g.conflicted = g.conflicted || !ok
 	return started, ok
 }
 
--- a/internal/relay/suspect_test.go
+++ b/internal/relay/suspect_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"fmt"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -114,3 +116,50 @@
 		})
 	}
 }
+
+// freePlanner books the first of some engines that the request does not exclude.
+type freePlanner struct {
+	*fakePlanner
+	engines []string
+}
+
+func (p freePlanner) Place(_ context.Context, a booking.Request) booking.Plan {
+	for _, e := range p.engines {
+		if !slices.Contains(a.Exclude, e) {
+			return onEngine(e)
+		}
+	}
+	return booking.Plan{Verdict: booking.NoEngine}
+}
+
+// crashEngine makes a work a suspect: an engine dies under it.
+func crashEngine(tr *suspects.Tracker, engine string, w quarantine.Work) {
+	run, _ := tr.TryStart(engine, w, nil, time.Now())
+	tr.EngineDied(engine, engine, time.Now())
+	tr.End(run, false)
+}
+
+// TestSuspectFindsTheEngineWithoutAnother guards against a request that died beside the cause of a
+// crash and is refused after a few tries at engines where other such requests run, though one is
+// free.
+func TestSuspectFindsTheEngineWithoutAnother(t *testing.T) {
+	f := newFixture(t, answer(200, firstEvents+lastEvents))
+	tr := f.relay.opts.Suspects.(*suspects.Tracker)
+	var engines []string
+	for i := range 2 * maxSends {
+		engines = append(engines, fmt.Sprint("e", i))
+	}
+	f.listEngines(engines...)
+	f.relay.opts.Planner = freePlanner{f.planner, engines}
+	for i, e := range engines[:len(engines)-1] {
+		w := quarantine.Work{Fingerprint: uint64(1000 + i)}
+		crashEngine(tr, fmt.Sprint("dead", i), w)
+		tr.TryStart(e, w, nil, time.Now())
+	}
+	req := streamRequest(true)
+	req.Work.Fingerprint = 82
+	crashEngine(tr, "dead", req.Work)
+	if refusal := f.relay.Run(t.Context(), req, &recordingSink{}); refusal != nil {
+		t.Errorf("got %v", refusal)
+	}
+}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -161,6 +161,8 @@
 	// TryStart records that a request starts on an upstream. It returns false if it must not
 	// run there now.
 	TryStart(upstream string, w quarantine.Work, trial *suspects.Trial, now time.Time) (quarantine.Run, bool)
+	// Blocked returns those of some upstreams on which a request must not start now.
+	Blocked(upstreams []string, w quarantine.Work, now time.Time) []string
 	// Answering records that a run is sending its answer. It reports whether the answer has
 	// begun; from then on it need not be called again.
 	Answering(run quarantine.Run, now time.Time) bool
