Deaths: a part is a suspect after three deaths under two works; refused parts are logged

What callers would see: few requests of many tries each, as on the product's path (three a request), ended seven or eight engines before their part was proved: three works had to die first.

Change: two different works are enough for a suspect, still in three deaths.

--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -8,9 +8,10 @@
 
 // Bounds of the evidence against one part of prompts.
 const (
-	// PartThreshold is the number of deaths, under as many different works, from which a part is a
-	// suspect.
+	// PartThreshold is the number of deaths from which a part is a suspect, if they were under
+	// minPartWorks different works or more.
 	PartThreshold = 3
+	minPartWorks  = 2
 	// BeginTime is how long an answer has to go on until it has begun: an engine that a part crashes
 	// ends sooner.
 	BeginTime = 300 * time.Millisecond
@@ -165,8 +166,8 @@
 	deaths            int
 }
 
-// isSuspectPart reports whether a part is in PartThreshold deaths, under as many works. A work that
-// crashes engines by itself is the only one in its deaths.
+// isSuspectPart reports whether a part is in PartThreshold deaths, under minPartWorks works. A work
+// that crashes engines by itself is the only one in its deaths.
 func (t *Tracker) isSuspectPart(part uint64) bool {
 	rs := t.openParts[part]
 	if len(rs) < PartThreshold {
@@ -179,7 +180,7 @@
 				works[fingerprint] = true
 			}
 		}
-		if len(works) >= PartThreshold {
+		if len(works) >= minPartWorks {
 			return true
 		}
 	}
@@ -273,6 +274,25 @@
 	return true
 }
 
+// ProvedParts returns the sets of parts that are refused: each is of one death under trial, in order.
+func (t *Tracker) ProvedParts() [][]uint64 {
+	if len(t.openParts) == 0 {
+		return nil
+	}
+	var sets [][]uint64
+	for _, r := range t.records {
+		for fingerprint := range r.tried {
+			causes := t.openSuspects(r, fingerprint)
+			if t.provesAmong(r, fingerprint, causes) {
+				slices.Sort(causes)
+				sets = append(sets, causes)
+			}
+		}
+	}
+	slices.SortFunc(sets, slices.Compare)
+	return slices.CompactFunc(sets, slices.Equal)
+}
+
 // openSuspects returns the suspect parts of a work in a record that are not cleared there.
 func (t *Tracker) openSuspects(r *record, fingerprint uint64) []uint64 {
 	open := slices.Clone(r.works[fingerprint])
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -47,6 +47,7 @@
 	staleKeys        []string             // keys to remove from the store
 	trials           map[string]*ownTrial // of this process, by ID
 	trialCount       int
+	provedParts      [][]uint64 // as last logged
 }
 
 // New returns a Tracker without evidence.
@@ -168,6 +169,9 @@
 	before := t.core.Version()
 	begun := t.core.Answering(run, now)
 	changed := t.core.Version() != before
+	if changed {
+		t.logProvedParts()
+	}
 	t.mu.Unlock()
 	if changed {
 		t.signalEvidence()
@@ -206,6 +210,7 @@
 func (t *Tracker) EngineDied(engine, incarnation string, now time.Time) {
 	t.mu.Lock()
 	ran := t.core.EngineDied(engine, incarnation, now)
+	t.logProvedParts()
 	t.mu.Unlock()
 	t.signalEvidence()
 	notify(t.urgentWrite)
@@ -261,6 +266,9 @@
 	before := t.core.Version()
 	t.core.Merge(d, now)
 	changed := t.core.Version() != before
+	if changed {
+		t.logProvedParts()
+	}
 	t.mu.Unlock()
 	if changed {
 		t.signalEvidence()
--- a/internal/suspects/sync.go
+++ b/internal/suspects/sync.go
@@ -144,6 +144,9 @@
 	close(t.readDone)
 	t.readDone = make(chan struct{})
 	changed := t.core.Version() != before
+	if changed {
+		t.logProvedParts()
+	}
 	t.mu.Unlock()
 	if changed || batch.Whole {
 		t.log.WithFields(logrus.Fields{"records": len(batch.Records), "whole": batch.Whole}).Info("suspects_read")
--- a/test/soak/parts_test.go
+++ b/test/soak/parts_test.go
@@ -55,6 +55,7 @@
 	burst    int           // sent at once, in place of each
 	kinds    [][]uint32    // shared parts of each kind of crashing request, in order
 	between  func(r *rig)  // happens once, while crashing requests come
+	during   []disruption  // at times from the first crashing request
 }
 
 // partSite sends the requests of a partCase.
@@ -140,6 +141,12 @@
 	time.Sleep(quietTime)
 	began := time.Now()
 	s.all.Go(func() { s.sendCrashing(ctx) })
+	for _, dis := range c.during {
+		s.all.Go(func() {
+			time.Sleep(dis.at)
+			r.runDisruption(dis)
+		})
+	}
 	if c.between != nil {
 		time.Sleep(crashingTime / 4)
 		c.between(r)
@@ -217,6 +224,10 @@
 		{name: "few requests", daemons: 4, interval: 1500 * time.Millisecond, kinds: later},
 		{name: "bursts", daemons: 4, interval: 2 * time.Second, burst: 12, kinds: later},
 		{name: "daemons cut from each other", daemons: 4, interval: usual, isolated: true, kinds: later},
+		{name: "the store away", daemons: 4, interval: usual, kinds: later, during: []disruption{{kind: disruptStore, param: "hangs", duration: 4 * time.Second}}},
+		{name: "daemons lose the store", daemons: 4, interval: usual, kinds: later, isolated: true, during: []disruption{
+			{kind: disruptStoreLink, param: linkSilent, duration: 4 * time.Second, target: 0}, {kind: disruptStoreLink, param: linkSilent, duration: 4 * time.Second, target: 1, at: time.Second},
+		}},
 		{name: "daemons start again", daemons: 3, interval: usual, kinds: later, between: killAllDaemons},
 	} {
 		t.Run(c.name, func(t *testing.T) {
