Deaths: the parts in a record are few enough for the store

Cause, found on reading: a record bounded its different parts, not how often works name them. 50 works on one engine that share 32 open parts make 1,600 entries; 256 such records of a host exceed what the store takes in one record, and its evidence would never be written again.

Change: 40 entries of works and 40 cleared parts a record, so about 230 KB at the most for 256 deaths.

Tests: TestEvidenceOfPartsIsBounded fails without it (the second death holds 3,200 entries). test/wire has the messages with their new fields.

--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -19,8 +19,9 @@
 	partTrustTime = time.Minute
 	// maxTrustedParts limits the number of parts whose last begin is known.
 	maxTrustedParts = 1 << 16
-	// maxRecordParts limits the number of parts in one record.
-	maxRecordParts = 64
+	// maxRecordParts limits the parts of all works in one record, and those that are cleared there.
+	// DefaultMaxRecords of a host have to fit into one record of the store.
+	maxRecordParts = 40
 	// maxPartTrials is the number of trials with a part that may run within partTrialWindow without
 	// a begun answer or a death.
 	maxPartTrials   = 3
@@ -91,11 +92,9 @@
 // clearParts clears parts from all records.
 func (t *Tracker) clearParts(parts []uint64) {
 	for _, part := range parts {
-		for _, r := range t.openParts[part] {
-			r.parts[part] = true
-			t.version++
+		for _, r := range slices.Clone(t.openParts[part]) {
+			t.clearPart(r, part)
 		}
-		delete(t.openParts, part)
 	}
 }
 
@@ -107,15 +106,15 @@
 		switch {
 		case cleared || slices.Contains(r.works[fingerprint], part):
 			continue
-		case !known && len(r.parts) >= maxRecordParts:
-			continue
-		}
-		t.version++
-		if t.begins.trusts(part, r.at) {
+		case t.begins.trusts(part, r.at):
 			t.clearPart(r, part)
 			continue
+		case r.workParts >= maxRecordParts:
+			continue
 		}
+		t.version++
 		r.works[fingerprint] = append(r.works[fingerprint], part)
+		r.workParts++
 		if !known {
 			r.parts[part] = false
 			t.openParts[part] = append(t.openParts[part], r)
@@ -125,10 +124,12 @@
 
 // clearPart clears a part from one record.
 func (t *Tracker) clearPart(r *record, part uint64) {
-	if cleared, known := r.parts[part]; cleared || !known && len(r.parts) >= maxRecordParts {
+	cleared, known := r.parts[part]
+	if cleared || !known && r.clearedParts >= maxRecordParts {
 		return
 	}
 	r.parts[part] = true
+	r.clearedParts++
 	t.version++
 	t.unlinkPart(r, part)
 }
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -160,6 +160,19 @@
 	if got := len(d.openParts); got != maxRecordParts {
 		t.Errorf("a record holds %d parts", got)
 	}
+	for i := range uint64(100) {
+		d.Started("f", Work{i, parts(0, MaxParts)})
+	}
+	d.EngineDied("f", "f", start)
+	for _, r := range d.OwnRecords(start, true) {
+		held := len(r.BegunParts)
+		for _, w := range r.Works {
+			held += len(w.Parts)
+		}
+		if held > maxRecordParts {
+			t.Errorf("the death of %s holds %d parts of works", r.ID.Engine, held)
+		}
+	}
 }
 
 // parts returns n parts from first upwards.
@@ -249,3 +262,17 @@
 		t.Error("no trial later")
 	}
 }
+
+// BenchmarkMayPlaceWithParts measures the check of a work beside 100 others on an engine, all with a
+// part that is a suspect in 100 deaths.
+func BenchmarkMayPlaceWithParts(b *testing.B) {
+	t := New(Options{})
+	crashWith(t, 100, start, 7)
+	for i := range uint64(100) {
+		t.Started("busy", Work{i, []uint64{7, 1000 + i}})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		t.MayPlace("busy", Work{1_000_000, []uint64{7, 8, 9}}, start)
+	}
+}
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -89,8 +89,11 @@
 	tried     map[uint64]bool // those that ran under trial
 	own       map[uint64]bool // those that ran for this host
 
-	works map[uint64][]uint64 // by fingerprint: parts of those whose answers had not begun
-	parts map[uint64]bool     // these parts: whether an answer with them has begun
+	works     map[uint64][]uint64 // by fingerprint: parts of those whose answers had not begun
+	workParts int                 // in works
+	parts     map[uint64]bool     // these parts and others: whether an answer with them has begun
+
+	clearedParts int // in parts
 }
 
 // Tracker holds the evidence of one host. It is not safe for concurrent use.
--- a/test/wire/messages_test.go
+++ b/test/wire/messages_test.go
@@ -76,6 +76,9 @@
 	"suspects/trial":          quarantine.Trial{},
 	"suspects/log-record":     suspects.Record{},
 	"suspects/record-of-host": quarantine.RecordDigest{},
+	// Those of later releases, whose fields the entries above do not have.
+	"suspects/record-with-parts": quarantine.RecordDigest{},
+	"suspects/trial-of-parts":    quarantine.Trial{},
 }
 
 // golden is a message as an earlier release sent it, with a different value in each field.
