--- a/internal/edge/callerconns.go
+++ b/internal/edge/callerconns.go
@@ -13,8 +13,9 @@
 // callerConns bounds the connections of callers: their number, and how long each stays idle. The
 // latter replaces http.Server.IdleTimeout, which cannot change while the server runs.
 type callerConns struct {
-	maxOpen   int // 0: not limited
-	idleLimit func() time.Duration
+	maxOpen    int // 0: not limited
+	idleLimit  func() time.Duration
+	overloaded func() bool // new connections are to be closed unread, for other daemons can serve them
 
 	mu   sync.Mutex
 	open map[net.Conn]*callerConn
@@ -28,13 +29,14 @@
 	place *list.Element // in callerConns.idle; nil unless it is idle
 }
 
-func newCallerConns(maxOpen int, idleLimit func() time.Duration) *callerConns {
-	return &callerConns{maxOpen: maxOpen, idleLimit: idleLimit, open: map[net.Conn]*callerConn{}, idle: list.New()}
+func newCallerConns(maxOpen int, idleLimit func() time.Duration, overloaded func() bool) *callerConns {
+	return &callerConns{maxOpen: maxOpen, idleLimit: idleLimit, overloaded: overloaded, open: map[net.Conn]*callerConn{}, idle: list.New()}
 }
 
 var (
 	idleConnsEvicted  = metrics.GetOrCreateCounter(`buckthorndock_caller_connections_closed_total{reason="room"}`)
 	newConnsTurnedOff = metrics.GetOrCreateCounter(`buckthorndock_caller_connections_closed_total{reason="full"}`)
+	newConnsNotServed = metrics.GetOrCreateCounter(`buckthorndock_caller_connections_closed_total{reason="overload"}`)
 )
 
 // stateChanged is the http.Server's ConnState hook.
@@ -54,9 +56,14 @@
 	}
 }
 
-// add adds a new connection. If there are too many, the one that has been idle for longest is closed;
+// add adds a new connection, unless the daemon is overloaded. If there are too many, the one that has been idle for longest is closed;
 // if none is idle, the new one, whose caller can try another daemon at once.
 func (c *callerConns) add(conn net.Conn) {
+	if c.overloaded() {
+		newConnsNotServed.Inc()
+		_ = conn.Close() // nothing has been read from it
+		return
+	}
 	if c.maxOpen > 0 && len(c.open) >= c.maxOpen {
 		longest := c.idle.Front()
 		if longest == nil {
--- a/internal/edge/callerconns_test.go
+++ b/internal/edge/callerconns_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -20,7 +21,8 @@
 // against one that turns callers off although idle connections could make room.
 func TestFullDaemonTurnsOffNewConnections(t *testing.T) {
 	const maxOpen = 4
-	conns := newCallerConns(maxOpen, func() time.Duration { return time.Minute })
+	var overloaded atomic.Bool
+	conns := newCallerConns(maxOpen, func() time.Duration { return time.Minute }, overloaded.Load)
 	arrived, finish := make(chan bool, maxOpen), make(chan bool)
 	server := &http.Server{ConnState: conns.stateChanged, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		arrived <- true
@@ -72,4 +74,8 @@
 	if got := status(send()); got != http.StatusOK {
 		t.Errorf("a new connection beside idle ones gets %d", got)
 	}
+	overloaded.Store(true)
+	if got := status(send()); got != 0 {
+		t.Errorf("a new connection to an overloaded daemon gets %d", got)
+	}
 }
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/membership"
 )
 
 // Limits of the HTTP servers. Those for headers are fixed; defaultCallerIdle applies while the
@@ -21,7 +24,7 @@
 const callerFilesDivisor = 4
 
 func (p *process) callerServer() *http.Server {
-	conns := newCallerConns(p.cfg.MaxFiles/callerFilesDivisor, p.callerIdle)
+	conns := newCallerConns(p.cfg.MaxFiles/callerFilesDivisor, p.callerIdle, p.turnsCallersOff)
 	return &http.Server{
 		Handler:           p.provider.CallerHandler(p.admitter, p.leaving.Load),
 		ReadHeaderTimeout: headerTimeout,
@@ -30,6 +33,14 @@
 	}
 }
 
+// turnsCallersOff reports whether this daemon has more to do than its processor time allows for, while
+// callers can try others.
+func (p *process) turnsCallersOff() bool {
+	return p.lag.overloaded() && slices.ContainsFunc(p.node.Members(), func(m membership.Member) bool {
+		return m.Host != p.cfg.Host && m.State == membership.Live
+	})
+}
+
 // callerIdle returns how long a caller's connection may stay idle: the limit of the settings, or
 // defaultCallerIdle.
 func (p *process) callerIdle() time.Duration {
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -47,6 +47,7 @@
 	admitter *relay.Admitter
 
 	leaving atomic.Bool
+	lag     lagMonitor
 	serving atomic.Bool // settings and list are known to all components that choose upstreams
 	list    atomic.Pointer[fleet.Snapshot]
 
@@ -276,6 +277,7 @@
 		return p.suspects.SyncWithStore(ctx, suspects.NewKeyedStore(p.store, p.provider.EvidenceStream()), p.peers)
 	})
 	run("sweep", p.sweep)
+	run("lag", func(ctx context.Context) error { return p.lag.run(ctx, p.log) })
 	run("ways", p.relay.MonitorDomains)
 	run("opening", p.openWhenJoined)
 	return &wg
