Suspects, quarantine, soak: logic that stood twice stands once

Changes of evidence under the lock, with the lines on refused parts, go through one function; the two indexes of records share their removal; the soak's two senders share the exchange. No behaviour changes: EngineDied logs refused parts only if the evidence has changed, which it has whenever something ran.

--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -70,16 +70,17 @@
 	r.cleared[fingerprint] = true
 	r.openCount--
 	t.version++
-	t.unlink(r, fingerprint)
+	unlink(t.openRecords, fingerprint, r)
 }
 
-func (t *Tracker) unlink(r *record, fingerprint uint64) {
-	rs := slices.DeleteFunc(t.openRecords[fingerprint], func(o *record) bool { return o == r })
+// unlink removes a record from an index by fingerprint or by part.
+func unlink(index map[uint64][]*record, key uint64, r *record) {
+	rs := slices.DeleteFunc(index[key], func(o *record) bool { return o == r })
 	if len(rs) == 0 {
-		delete(t.openRecords, fingerprint)
+		delete(index, key)
 		return
 	}
-	t.openRecords[fingerprint] = rs
+	index[key] = rs
 }
 
 func (t *Tracker) dropRecord(id RecordID) {
@@ -87,12 +88,12 @@
 	delete(t.records, id)
 	for fingerprint, cleared := range r.cleared {
 		if !cleared {
-			t.unlink(r, fingerprint)
+			unlink(t.openRecords, fingerprint, r)
 		}
 	}
 	for part, cleared := range r.parts {
 		if !cleared {
-			t.unlinkPart(r, part)
+			unlink(t.openParts, part, r)
 		}
 	}
 	t.version++
--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -131,16 +131,7 @@
 	r.parts[part] = true
 	r.clearedParts++
 	t.version++
-	t.unlinkPart(r, part)
-}
-
-func (t *Tracker) unlinkPart(r *record, part uint64) {
-	rs := slices.DeleteFunc(t.openParts[part], func(o *record) bool { return o == r })
-	if len(rs) == 0 {
-		delete(t.openParts, part)
-		return
-	}
-	t.openParts[part] = rs
+	unlink(t.openParts, part, r)
 }
 
 // addPartsOf adds to a record the parts of the runs that died there before their answers had begun.
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -148,31 +148,34 @@
 
 // End records that a run is over and whether it completed.
 func (t *Tracker) End(run quarantine.Run, completed bool) {
-	t.mu.Lock()
-	before := t.core.Version()
-	if completed {
-		t.core.Began(run, time.Now())
-	}
-	t.core.End(run, completed)
-	changed := t.core.Version() != before
-	t.mu.Unlock()
+	changed := t.update(func() {
+		if completed {
+			t.core.Began(run, time.Now())
+		}
+		t.core.End(run, completed)
+	})
 	if changed {
 		t.signalEvidence()
 		t.requestWrite()
 	}
 }
 
-// Answering records that a run is sending its answer. It reports whether the answer has begun, which
-// clears the parts of its prompt; from then on it need not be called again.
-func (t *Tracker) Answering(run quarantine.Run, now time.Time) bool {
+// update changes the evidence by apply. It reports whether there is something new to share.
+func (t *Tracker) update(apply func()) (changed bool) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	before := t.core.Version()
-	begun := t.core.Answering(run, now)
-	changed := t.core.Version() != before
-	if changed {
+	apply()
+	if changed = t.core.Version() != before; changed {
 		t.logProvedParts()
 	}
-	t.mu.Unlock()
+	return changed
+}
+
+// Answering records that a run is sending its answer. It reports whether the answer has begun, which
+// clears the parts of its prompt; from then on it need not be called again.
+func (t *Tracker) Answering(run quarantine.Run, now time.Time) (begun bool) {
+	changed := t.update(func() { begun = t.core.Answering(run, now) })
 	if changed {
 		t.signalEvidence()
 		notify(t.urgentWrite)
@@ -208,10 +211,8 @@
 
 // EngineDied records that an engine's process ended while it ran requests of this daemon.
 func (t *Tracker) EngineDied(engine, incarnation string, now time.Time) {
-	t.mu.Lock()
-	ran := t.core.EngineDied(engine, incarnation, now)
-	t.logProvedParts()
-	t.mu.Unlock()
+	var ran []quarantine.Work
+	t.update(func() { ran = t.core.EngineDied(engine, incarnation, now) })
 	t.signalEvidence()
 	notify(t.urgentWrite)
 	if len(ran) == 0 {
@@ -262,15 +263,7 @@
 	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&d); err != nil {
 		return merry.Prepend(err, "decode evidence")
 	}
-	t.mu.Lock()
-	before := t.core.Version()
-	t.core.Merge(d, now)
-	changed := t.core.Version() != before
-	if changed {
-		t.logProvedParts()
-	}
-	t.mu.Unlock()
-	if changed {
+	if t.update(func() { t.core.Merge(d, now) }) {
 		t.signalEvidence()
 		t.log.WithFields(logrus.Fields{"from": d.Host, "deaths": len(d.Records), "refused": len(d.Refused)}).Info("evidence_merged")
 	}
--- a/internal/suspects/sync.go
+++ b/internal/suspects/sync.go
@@ -132,22 +132,17 @@
 		return err
 	}
 	now := time.Now()
-	t.mu.Lock()
-	before := t.core.Version()
-	for _, r := range batch.Records {
-		t.applyRecord(r, batch.Whole, now)
-	}
-	if batch.Whole {
-		t.writtenEvidence = nil // the store's copy of this host's evidence may be older or missing
-	}
-	t.storeLoaded = true
-	close(t.readDone)
-	t.readDone = make(chan struct{})
-	changed := t.core.Version() != before
-	if changed {
-		t.logProvedParts()
-	}
-	t.mu.Unlock()
+	changed := t.update(func() {
+		for _, r := range batch.Records {
+			t.applyRecord(r, batch.Whole, now)
+		}
+		if batch.Whole {
+			t.writtenEvidence = nil // the store's copy of this host's evidence may be older or missing
+		}
+		t.storeLoaded = true
+		close(t.readDone)
+		t.readDone = make(chan struct{})
+	})
 	if changed || batch.Whole {
 		t.log.WithFields(logrus.Fields{"records": len(batch.Records), "whole": batch.Whole}).Info("suspects_read")
 		t.signalEvidence()
--- a/test/soak/crashes_test.go
+++ b/test/soak/crashes_test.go
@@ -132,13 +132,19 @@
 		call.PromptTokens, call.MaxTokens, call.PromptPart = 2000, 100, 7
 	}
 	call.SetHeaders(req.Header)
-	o := outcome{id: id, kind: kind, daemon: d.name, sent: time.Now()}
+	return exchange(req, outcome{id: id, kind: kind, daemon: d.name}, expectedBody(kind, id, request))
+}
+
+// exchange sends a request on a connection of the default transport and completes its outcome. own is
+// the body that a server writes.
+func exchange(req *http.Request, o outcome, own string) outcome {
+	o.sent = time.Now()
 	res, err := http.DefaultTransport.RoundTrip(req)
 	if err == nil {
 		var text []byte
 		text, err = io.ReadAll(res.Body)
 		res.Body.Close()
-		o.status, o.own = res.StatusCode, string(text) == expectedBody(kind, id, request)
+		o.status, o.own = res.StatusCode, string(text) == own
 	}
 	o.failed, o.done = err, time.Now()
 	return o
--- a/test/soak/parts_test.go
+++ b/test/soak/parts_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -86,16 +85,7 @@
 	call := standin.Call{ID: id, Key: apiKey(s.r.history.newestVersion()), Timeout: callerDeadline}
 	call.PromptTokens, call.MaxTokens, call.SharedParts, call.PromptPart = 2000, 100, parts, uint32(n)
 	call.SetHeaders(req.Header)
-	o := outcome{id: id, kind: kindStream, daemon: d.name, sent: time.Now()}
-	res, err := http.DefaultTransport.RoundTrip(req)
-	if err == nil {
-		var text []byte
-		text, err = io.ReadAll(res.Body)
-		res.Body.Close()
-		o.status, o.own = res.StatusCode, string(text) == expectedBody(kindStream, id, id)
-	}
-	o.failed, o.done = err, time.Now()
-	return o
+	return exchange(req, outcome{id: id, kind: kindStream, daemon: d.name}, expectedBody(kindStream, id, id))
 }
 
 // sendSound sends sound requests to a daemon until the context ends: most share a part with those
