Quarantine: the parts of a trial that first came without them are kept

Cause, found on reading: a host of the release before passes trials on without their parts. A host that hears of a trial from it first kept it so, and would grant a second one for the same part meanwhile.

Change: parts that come later are added. The package comment says what parts are for.

Test: TestPartsOfATrialMayComeLater failed before ("another trial is granted").

--- a/internal/core/quarantine/doc.go
+++ b/internal/core/quarantine/doc.go
@@ -15,6 +15,11 @@
 // even if fingerprints beside it never return to be cleared, as long as these
 // have been in no other crash. The number of trials is limited.
 //
+// A work is a request's fingerprint and the parts of its prompt, which other requests
+// may share. Requests that are each new, with a part in common that crashes engines,
+// are found by that part: it is in deaths under several works, and no answer with it
+// begins. Works with such a part run under trials too; parts.go has the rules.
+//
 // Invariants, for a Tracker that knows of all runs on its engines:
 //   - a request that crashes no engine is never refused, however many crashes
 //     others cause beside it, because each record keeps its cause; except one
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -120,6 +120,20 @@
 	}
 }
 
+// TestPartsOfATrialMayComeLater guards against two trials of one part at once, where a host has heard
+// of the first one from a host of an earlier release, which passes it on without its parts.
+func TestPartsOfATrialMayComeLater(t *testing.T) {
+	tr := New(Options{})
+	crashWith(tr, PartThreshold, start, 7)
+	first := Trial{ID: "a", Fingerprint: 5, Life: time.Second}
+	tr.Merge(Digest{Host: "old", Trials: []Trial{first}}, start)
+	first.Parts = []uint64{7}
+	tr.ApplyStoredTrial(first, start)
+	if got := tr.EvaluateTrial("", Work{6, []uint64{7}}, start); got != TrialBusy {
+		t.Errorf("another trial is %s", got)
+	}
+}
+
 // TestEvidenceOfPartsReachesOtherHosts guards against parts and begins that a digest loses, in either
 // order, and against hosts that differ after they have heard each other.
 func TestEvidenceOfPartsReachesOtherHosts(t *testing.T) {
--- a/internal/core/quarantine/trials.go
+++ b/internal/core/quarantine/trials.go
@@ -103,6 +103,9 @@
 	if r == nil {
 		r = t.addTrial(received, now)
 	}
+	if len(r.Parts) == 0 {
+		r.Parts = received.Parts // it may have come first from a host of an earlier release, without them
+	}
 	if r.Outcome == TrialOpen && received.Outcome != TrialOpen {
 		r.Outcome = received.Outcome
 		t.version++
