Suspects: a trial that lasts over an hour ends; two kinds of news are told at once

- A trial that was open for an hour was removed as stale, and its End crashed the daemon (nil pointer, in the test too).
Open trials stay now.
Callers see it where max_deadline_ms is over an hour.
- A trial that runs without the store's word, and a fingerprint that a peer says has completed, were spread with the next change only.
They signal a change themselves now.

Quarantine's and suspects' tests pass.

--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -63,14 +63,16 @@
 
 // clearFromRecord clears a fingerprint from one record.
 func (t *Tracker) clearFromRecord(r *record, fingerprint uint64) {
-	if cleared, ok := r.cleared[fingerprint]; !ok || cleared {
-		r.cleared[fingerprint] = true
+	cleared, ok := r.cleared[fingerprint]
+	if cleared {
 		return
 	}
 	r.cleared[fingerprint] = true
-	r.openCount--
 	t.version++
-	unlink(t.openRecords, fingerprint, r)
+	if ok {
+		r.openCount--
+		unlink(t.openRecords, fingerprint, r)
+	}
 }
 
 // unlink removes a record from an index by fingerprint or by part.
--- a/internal/core/quarantine/trials_test.go
+++ b/internal/core/quarantine/trials_test.go
@@ -151,3 +151,19 @@
 		t.Errorf("with the evidence: %s", got)
 	}
 }
+
+// TestClearedFingerprintOfAnotherHostIsPassedOn guards against a host that learns from a peer that a
+// fingerprint has completed, and tells the others with the next change only.
+func TestClearedFingerprintOfAnotherHostIsPassedOn(t *testing.T) {
+	tr := New(Options{})
+	record := RecordDigest{ID: RecordID{"e1", "1"}, Open: []uint64{1}}
+	tr.Merge(Digest{Records: []RecordDigest{record}}, start)
+	record.Cleared = []uint64{2}
+	for round, want := range []bool{true, false} {
+		before := tr.Version()
+		tr.Merge(Digest{Records: []RecordDigest{record}}, start)
+		if got := tr.Version() != before; got != want {
+			t.Errorf("merge %d: something new to share: %v", round, got)
+		}
+	}
+}
--- a/internal/suspects/sync.go
+++ b/internal/suspects/sync.go
@@ -293,7 +293,8 @@
 	t.mu.Lock()
 	stale := t.staleKeys
 	for id, own := range t.trials {
-		if now.Sub(own.requestedAt) > staleAfter && !own.outcomeUnwritten {
+		ended := own.trial.Outcome != quarantine.TrialOpen && !own.outcomeUnwritten
+		if ended && now.Sub(own.requestedAt) > staleAfter {
 			stale = append(stale, trialPrefix+id)
 			delete(t.trials, id)
 		}
--- a/internal/suspects/trial.go
+++ b/internal/suspects/trial.go
@@ -189,9 +189,8 @@
 // be missing in the store.
 func (t *Tracker) mergeUnconfirmedTrial(own *ownTrial) {
 	now := time.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.core.Merge(quarantine.Digest{Trials: []quarantine.Trial{own.withAge(now)}}, now)
+	t.update(func() { t.core.Merge(quarantine.Digest{Trials: []quarantine.Trial{own.withAge(now)}}, now) })
+	t.signalEvidence()
 }
 
 func countTrial(verdict string) {
