Edge: the cold time of a server counts from the arrival of its entry

What callers would see: a server that is still cold gets more than its rate.

Cause: a read of the list waits for new entries, and the time that a server stays cold was counted from the beginning of that read, though the entry was written after it.

Ruled out: turns.

Change: the time since the read began is added, so that the end is never too early. It is too late by the time that the entry was on its way.

--- a/internal/edge/cold.go
+++ b/internal/edge/cold.go
@@ -49,6 +49,17 @@
 	return cold
 }
 
+// countColdFromArrival makes the cold times of entries count from now, the given time after the read
+// that returned them began. A read waits for new entries: these were written after it began, and
+// counted from there a server would be taken for warm too early.
+func countColdFromArrival(changes []fleet.Change, sinceRead time.Duration) {
+	for _, c := range changes {
+		if c.Upstream != nil && c.Upstream.ColdFor > 0 {
+			c.Upstream.ColdFor += max(sinceRead, 0)
+		}
+	}
+}
+
 // recordCold records how much longer an upstream stays cold, as one of its answers says.
 func (p *process) recordCold(id string, left time.Duration) {
 	now := time.Now()
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -203,6 +203,7 @@
 	for _, r := range b.Records {
 		changes = append(changes, p.decodeChange(r))
 	}
+	countColdFromArrival(changes, time.Since(b.At))
 	p.changeList(func(l *fleet.List) bool {
 		if b.Whole {
 			l.Replace(changes, b.At)
