Quarantine: a work that crashes engines by itself proves nothing of its parts

Cause, found on reading: sound requests that share a part with one request that crashes engines, and that died beside it, make the part a suspect (three deaths, two works); the culprit's own third death under its trial then proved the part, and all requests with it were refused for ten minutes.

Change: a work in more than two deaths is no proof against parts. One of many requests with a crashing part has two at the most before its part is tried.

Test: TestWorkThatCrashesEnginesItselfProvesNothingOfItsParts failed before ("another request with the part is refused").

--- a/internal/core/quarantine/parts.go
+++ b/internal/core/quarantine/parts.go
@@ -250,8 +250,11 @@
 
 // provesAmong reports whether the death of a record, in which a work ran under trial, proves that one
 // of the given parts crashes engines: all suspect parts of that work are among them, and nothing else
-// that ran there has others.
+// that ran there has others. A work in more than CrashThreshold deaths may crash engines by itself.
 func (t *Tracker) provesAmong(r *record, tried uint64, parts []uint64) bool {
+	if len(t.openRecords[tried]) > t.opts.CrashThreshold {
+		return false
+	}
 	causes := t.openSuspects(r, tried)
 	if len(causes) == 0 || !containsAll(parts, causes) {
 		return false
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -258,6 +258,29 @@
 	}
 }
 
+// TestWorkThatCrashesEnginesItselfProvesNothingOfItsParts guards against sound requests that are
+// refused because they share a part with a single work that crashes engines, beside which one of
+// them has died.
+func TestWorkThatCrashesEnginesItselfProvesNothingOfItsParts(t *testing.T) {
+	tr := New(Options{})
+	culprit, sound := Work{1, []uint64{7}}, Work{2, []uint64{7}}
+	for i := range DefaultCrashThreshold {
+		engine := fmt.Sprint("e", i)
+		tr.Started(engine, culprit)
+		tr.Started(engine, sound)
+		tr.EngineDied(engine, engine, start)
+	}
+	tr.StartedOnTrial("tried", culprit)
+	tr.EngineDied("tried", "tried", start)
+	settled := start.Add(DefaultSettleAfter)
+	if got := tr.Standing(Work{3, []uint64{7}}, settled); got != Suspect {
+		t.Errorf("another request with the part is %s", got)
+	}
+	if got := tr.Standing(culprit, settled); got != Refused {
+		t.Errorf("the culprit is %s", got)
+	}
+}
+
 // TestTrialsOfAPartWithoutResultAreFew guards against requests that reach servers under trial again
 // and again, and end before they show anything.
 func TestTrialsOfAPartWithoutResultAreFew(t *testing.T) {
