--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(e *environment) (broken bool, err error){
 	"garbage": playGarbage,
 	"path":    playPath,
+	"cold":    playCold,
 }
 
 // environment is what all cases have in common.
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -140,6 +140,9 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nAt-Server: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.id(), s.id, s.address())
 		return err == nil
 	}
+	if r.method == "GET" && r.target == "/health" {
+		return s.answerHealth(c)
+	}
 	if r.id() == "" {
 		_, err := fmt.Fprintf(c, "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
@@ -158,6 +161,17 @@
 	return err == nil
 }
 
+// answerHealth answers a health check; a cold server says for how long it stays so.
+func (s *server) answerHealth(c net.Conn) bool {
+	s.rec.add("server %s is asked for its health", s.id)
+	cold := ""
+	if left := s.coldUntil.Load() - time.Now().UnixMilli(); left > 0 {
+		cold = fmt.Sprintf("Cold-Ms: %d\r\n", left)
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", s.id, cold)
+	return err == nil
+}
+
 // linkBytesPerSecond is the bandwidth of a machine's link, 1,000 Mbit/s.
 const linkBytesPerSecond = 125_000_000
 
