Httpwire: bytes of unfinished heads are counted

The logs don't say what the memory was used for: the process is killed before it writes a line about the request. Four hypotheses were left: the head of the answer is collected without a limit; its body is; the bytes wait in the kernel; retries and waiting requests pile up.

Change: received bytes are counted by the part of the answer that is being read, and a gauge has those of heads whose end has not come yet. No behaviour changes.

--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -29,6 +29,8 @@
 		err = c.bw.Flush()
 	}
 	a.requestWritten = err == nil
+	c.in.beginHead()
+	defer c.in.endHead()
 	for {
 		res, readErr := http.ReadResponse(c.br, req)
 		if readErr != nil {
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -13,6 +13,7 @@
 // conn is one connection to an upstream, used by one request at a time.
 type conn struct {
 	net.Conn
+	in      *meteredReader
 	br      *bufio.Reader
 	bw      *bufio.Writer
 	address string
@@ -60,9 +61,11 @@
 	if err != nil {
 		return nil, err
 	}
+	in := &meteredReader{r: c}
 	return &conn{
 		Conn:    c,
-		br:      bufio.NewReaderSize(c, readBuffer),
+		in:      in,
+		br:      bufio.NewReaderSize(in, readBuffer),
 		bw:      bufio.NewWriterSize(c, writeBuffer),
 		address: address,
 	}, nil
