Httpwire: heads of answers are bounded, each and all together

Cause: httpwire reads heads with http.ReadResponse, whose limit on their size lies in http.Transport, which httpwire replaces. Whatever comes until the empty line is kept: one line without an end, fields, continued lines, or interim responses one after the other.

Change: the source of a connection counts the bytes of a head, and 128 bytes for each line, since a field of three bytes takes far more as an entry of an http.Header. A head of more than 64 KB, together with the interim responses before it, ends the exchange at once; what is above 8 KB is reserved in a memory that all exchanges share (package inbound, new) until the answer is closed. Bytes of a body that come with the head don't count, so bodies of many short lines, long heads and some interims still arrive. The error names the cause, two counters do too.

Why it works: the bound is applied to the bytes before net/http's parser gets them.

Before, with the limits taken out: TestEndlessHeadEndsTheExchange times out in each of its five endless forms, TestHeadsInProgressShareTheirMemory times out.

--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -40,6 +40,10 @@
 			return readErr
 		}
 		if res.StatusCode < firstFinalStatus && res.StatusCode != http.StatusSwitchingProtocols {
+			buffered, _ := c.br.Peek(c.br.Buffered()) // never fails: no more is asked for than there is
+			if err := c.in.nextHead(buffered); err != nil {
+				return err
+			}
 			continue
 		}
 		a.Response = res
@@ -70,6 +74,7 @@
 // otherwise.
 func (a *Answer) Close() {
 	stopped := a.stopWatch()
+	a.conn.in.release()
 	if !stopped || !a.reusable() {
 		a.conn.Close()
 		return
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -13,7 +13,7 @@
 // conn is one connection to an upstream, used by one request at a time.
 type conn struct {
 	net.Conn
-	in      *meteredReader
+	in      *source
 	br      *bufio.Reader
 	bw      *bufio.Writer
 	address string
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &meteredReader{r: c}
+	in := newSource(c, p.opts.Memory)
 	return &conn{
 		Conn:    c,
 		in:      in,
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
 )
 
 // Options configure a Pool. All durations must be positive.
@@ -20,6 +22,7 @@
 	// IdleMargin is subtracted from the time for which an upstream says it keeps an
 	// idle connection.
 	IdleMargin time.Duration
+	Memory     *inbound.Memory // for the heads of answers; not bounded in all if nil
 }
 
 // Pool opens connections and keeps idle ones for reuse. It is safe for concurrent
