Relay: what is held of answers is bounded for all requests together

A line of a stream without end was bounded to 1 MB for each stream, and for nothing in all: 160 of them fill the smallest host (160 MB), each growing by doubling.

Cause: bounds were set for one answer, and not for the answers in progress.

Change: a memory for answers, a tenth of the process's, beside the quarter for bodies of requests, which stays. Without memory a long plain answer is passed on as it comes, instead of being held to 256 KB first; sound streams with events up to 8 KB never need it. IDs of events are bounded to 4 KB, since they are kept and sent back in a header. An event, an ID or a head that is too long ends as garbage and no longer as a broken connection, so that it isn't looked at as the possible death of an engine.

Tests changed: held is now read by Held(), newEventReader takes the memory, and the error of a long event is compared by errors.Is: as strict as before.

--- a/internal/edge/paths.go
+++ b/internal/edge/paths.go
@@ -53,6 +53,7 @@
 		MaxIdle:     idlePerServer,
 		IdleTimeout: idleTimeout,
 		IdleMargin:  idleMargin,
+		Memory:      p.answers,
 	})
 	p.tunnels = tunnel.NewHandler(tunnel.Options{
 		Dial:        p.paths.DialForOther,
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
 	"github.com/buckthorndock/buckthorndock/internal/core/notice"
 	"github.com/buckthorndock/buckthorndock/internal/httpwire"
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/keyed"
 	"github.com/buckthorndock/buckthorndock/internal/paths"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
@@ -44,6 +45,7 @@
 	paths    *paths.Tracker
 	tunnels  *tunnel.Handler
 	pool     *httpwire.Pool
+	answers  *inbound.Memory // of upstreams
 	notices  *relay.Notices
 	relay    *relay.Relay
 	admitter *relay.Admitter
@@ -105,6 +107,7 @@
 		speedLog:  speedlog.New(log),
 		upstreams: fleet.New(fleet.Options{OutageAfter: outageAfter(cfg), ReturnGrace: relistTime}),
 	}
+	p.answers = inbound.NewMemory("answers", p.memoryShare(answerMemoryShare))
 	p.list.Store(&fleet.Snapshot{})
 	p.currentConfig.Store(cfg)
 	p.fileChanged()
@@ -184,7 +187,8 @@
 		OnReplaced:      p.recordReplaced,
 		OnDomainReached: p.assumeCold,
 		Notices:         p.notices,
-		BodyMemory:      relay.NewBodyMemory(int64(bodyMemoryShare * p.cfg.MemoryMB * (1 << 20))),
+		BodyMemory:      relay.NewBodyMemory(p.memoryShare(bodyMemoryShare)),
+		AnswerMemory:    p.answers,
 		Budget:          p.retryBudget,
 		Log:             p.log,
 	})
@@ -221,9 +225,14 @@
 	return !p.leaving.Load() && p.serving.Load()
 }
 
-// bodyMemoryShare is the part of the process's memory that bodies of requests and large answers
-// may use.
-const bodyMemoryShare = 0.25
+// Parts of the process's memory.
+const (
+	bodyMemoryShare   = 0.25 // bodies of requests
+	answerMemoryShare = 0.1  // what is held of answers, beyond what each exchange may hold
+)
+
+// memoryShare returns a part of the process's memory in bytes.
+func (p *process) memoryShare(part float64) int64 { return int64(part * p.cfg.MemoryMB * (1 << 20)) }
 
 // gcMemoryShare is the part of the process's memory that is the garbage collector's soft limit;
 // the rest is for the kernel's buffers and for allocations between two collections.
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -22,7 +22,7 @@
 	// IdleMargin is subtracted from the time for which an upstream says it keeps an
 	// idle connection.
 	IdleMargin time.Duration
-	Memory     *inbound.Memory // for the heads of answers; not bounded in all if nil
+	Memory     *inbound.Memory // for what is held of answers; not bounded in all if nil
 }
 
 // Pool opens connections and keeps idle ones for reuse. It is safe for concurrent
@@ -40,6 +40,9 @@
 	return &Pool{opts: o, idle: map[string][]*conn{}}
 }
 
+// Memory returns the memory for what is held of answers; nil if it is not bounded in all.
+func (p *Pool) Memory() *inbound.Memory { return p.opts.Memory }
+
 // Dialed returns the number of connections opened for requests so far.
 func (p *Pool) Dialed() uint64 {
 	p.mu.Lock()
@@ -136,15 +139,15 @@
 	}
 }
 
-// Sweep closes the idle connections that have expired at now, and those to addresses
-// for which keep reports false.
+// Sweep closes the idle connections that have expired at now, that the upstream has closed or sent
+// bytes on, and those to addresses for which keep reports false.
 func (p *Pool) Sweep(now time.Time, keep func(address string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, kept := range p.idle {
 		alive := kept[:0]
 		for _, c := range kept {
-			if now.Before(c.expires) && keep(address) {
+			if now.Before(c.expires) && keep(address) && c.isUsable() {
 				alive = append(alive, c)
 				continue
 			}
--- a/internal/relay/bodies.go
+++ b/internal/relay/bodies.go
@@ -3,10 +3,11 @@
 import (
 	"errors"
 	"io"
-	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
+
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
 )
 
 var (
@@ -20,28 +21,14 @@
 var bodiesRefused = metrics.GetOrCreateCounter(`buckthorndock_bodies_refused_total`)
 
 // BodyMemory bounds the memory of request bodies, each of which is held until its request
-// has ended, and of large answers: callers and upstreams may be slow. It is safe for
-// concurrent use.
-type BodyMemory struct {
-	capacity int64 // bytes
-	held     atomic.Int64
-}
+// has ended: callers and upstreams may be slow. It is safe for concurrent use.
+type BodyMemory struct{ *inbound.Memory }
 
 // NewBodyMemory returns a BodyMemory with the given capacity in bytes.
-func NewBodyMemory(capacity int64) *BodyMemory { return &BodyMemory{capacity: capacity} }
-
-// reserve reserves n bytes. It returns false if they are not available.
-func (b *BodyMemory) reserve(n int64) bool {
-	if b.held.Add(n) <= b.capacity {
-		return true
-	}
-	b.release(n)
-	return false
+func NewBodyMemory(capacity int64) *BodyMemory {
+	return &BodyMemory{inbound.NewMemory("requests", capacity)}
 }
 
-// release returns n reserved bytes.
-func (b *BodyMemory) release(n int64) { b.held.Add(-n) }
-
 // initialBodyBuffer is the size in bytes of the first buffer for a body of unknown length.
 const initialBodyBuffer = 4 << 10
 
@@ -49,8 +36,8 @@
 // bytes, zero means no limit. The function that it returns releases the memory and must be
 // called after an error as well.
 func (b *BodyMemory) Read(r io.Reader, length, limit int64) (body []byte, free func(), err error) {
-	var taken int64
-	free = func() { b.release(taken) }
+	share := b.Share()
+	free = share.Release
 	if limit > 0 && length > limit {
 		return nil, free, merry.Wrap(ErrBodyTooLarge)
 	}
@@ -59,11 +46,10 @@
 		size = initialBodyBuffer
 	}
 	for {
-		if !b.reserve(size - taken) {
+		if !share.Grow(size) {
 			bodiesRefused.Inc()
 			return nil, free, merry.Wrap(ErrBodiesFull)
 		}
-		taken = size
 		grown := make([]byte, size)
 		n := copy(grown, body)
 		more, err := io.ReadFull(r, grown[n:])
--- a/internal/relay/bodies_test.go
+++ b/internal/relay/bodies_test.go
@@ -36,7 +36,7 @@
 	for _, done := range free {
 		done()
 	}
-	if n := b.held.Load(); n != 0 {
+	if n := b.Held(); n != 0 {
 		t.Errorf("%d bytes are left", n)
 	}
 }
@@ -48,11 +48,11 @@
 		want := bytes.Repeat([]byte("y"), size)
 		b := NewBodyMemory(100 * initialBodyBuffer)
 		got, free, err := b.Read(iotest.HalfReader(bytes.NewReader(want)), -1, 0)
-		if err != nil || !bytes.Equal(got, want) || b.held.Load() < int64(size) {
-			t.Errorf("%d bytes: got %d, %v, %d held", size, len(got), err, b.held.Load())
+		if err != nil || !bytes.Equal(got, want) || b.Held() < int64(size) {
+			t.Errorf("%d bytes: got %d, %v, %d held", size, len(got), err, b.Held())
 		}
 		free()
-		if n := b.held.Load(); n != 0 {
+		if n := b.Held(); n != 0 {
 			t.Errorf("%d bytes: %d are left", size, n)
 		}
 		if _, free, err = b.Read(bytes.NewReader(want), -1, initialBodyBuffer); size > 2*initialBodyBuffer && !errors.Is(err, ErrBodyTooLarge) {
@@ -74,7 +74,7 @@
 	} else {
 		free()
 	}
-	if n := b.held.Load(); n != 0 {
+	if n := b.Held(); n != 0 {
 		t.Errorf("%d bytes are left", n)
 	}
 }
@@ -89,7 +89,7 @@
 		})
 	}
 	all.Wait()
-	if n := b.held.Load(); n != 0 {
+	if n := b.Held(); n != 0 {
 		t.Errorf("%d bytes are left", n)
 	}
 }
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -14,13 +14,24 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
 )
 
-// maxHeldAnswer is the size in bytes up to which an answer is read completely before any of
-// it is passed on, so that one that breaks off can be replaced.
-const maxHeldAnswer = 256 << 10
+// Sizes in bytes up to which an answer is read completely before any of it is passed on, so that one
+// that breaks off can be replaced. The rest of a longer answer is passed
+// on as it comes, and so is what there is no memory for.
+const (
+	freeAnswerBytes = 8 << 10 // held for every exchange; what is above is counted
+	maxHeldAnswer   = 256 << 10
+)
+
+// heldAnswerSteps are the sizes to which an answer grows in memory.
+var heldAnswerSteps = []int{copyBufferBytes, maxHeldAnswer}
 
-// copyBufferBytes is the size of the pieces in which longer answers are passed on.
+// heldAnswerFactor is the memory for a byte of an answer while it grows.
+const heldAnswerFactor = 2
+
+// copyBufferBytes is the size of the pieces in which longer answers are passed on if there is memory.
 const copyBufferBytes = 32 << 10
 
 // attempt is one attempt in progress.
@@ -117,25 +128,25 @@
 	if isFailure {
 		return attemptResult{end: f.End, faultyAddress: f.FaultyAddress, err: f.Err}
 	}
+	if errors.Is(err, inbound.ErrTooLong) {
+		return attemptResult{end: retry.InvalidAnswer, err: err}
+	}
 	return attemptResult{end: retry.Broken, err: err}
 }
 
 // passAnswer passes on an answer that is not a stream.
 func (t *attempt) passAnswer(answer *Answer) attemptResult {
-	whole, rest, err := readUpTo(answer.Body, copyBufferBytes)
-	if bodies := t.relay.opts.BodyMemory; rest != nil && bodies.reserve(maxHeldAnswer) {
-		defer bodies.release(maxHeldAnswer)
-		var more []byte
-		more, rest, err = readUpTo(rest, maxHeldAnswer-copyBufferBytes)
-		whole = append(whole, more...)
+	memory := t.relay.opts.AnswerMemory.Share()
+	whole, rest, err := readHeld(answer.Body, memory)
+	if err == nil && answer.Status >= http.StatusInternalServerError && rest == nil {
+		t.silence.stop()
+		return attemptResult{end: retry.Faulted, heldAnswer: &heldAnswer{head: answer.Head, body: whole, memory: memory}, err: errFaulted}
 	}
+	defer memory.Release()
 	if err != nil {
 		return t.resultOf(err)
 	}
 	t.silence.stop()
-	if answer.Status >= http.StatusInternalServerError && rest == nil {
-		return attemptResult{end: retry.Faulted, heldAnswer: &heldAnswer{head: answer.Head, body: whole}, err: errFaulted}
-	}
 	head := answer.Head
 	if rest == nil {
 		head.Length = int64(len(whole))
@@ -151,11 +162,27 @@
 	if rest == nil {
 		return attemptResult{delivered: true}
 	}
-	return t.copyRest(rest)
+	memory.Release()
+	return t.copyRest(rest, memory)
 }
 
 var errFaulted = merry.Sentinel("the upstream failed the request")
 
+// readHeld reads a body up to the size that there is memory for. rest is the remainder, nil if the body
+// has ended.
+func readHeld(body io.Reader, memory *inbound.Share) (whole []byte, rest io.Reader, err error) {
+	whole, rest, err = readUpTo(body, freeAnswerBytes)
+	for _, size := range heldAnswerSteps {
+		if err != nil || rest == nil || !memory.Grow(int64(heldAnswerFactor*size)) {
+			break
+		}
+		var more []byte
+		more, rest, err = readUpTo(rest, size-len(whole))
+		whole = append(whole, more...)
+	}
+	return whole, rest, err
+}
+
 // readUpTo reads up to limit bytes of a body. rest is the remainder, nil if the body has
 // ended.
 func readUpTo(body io.Reader, limit int) (whole []byte, rest io.Reader, err error) {
@@ -167,8 +194,8 @@
 }
 
 // copyRest passes on the remainder of a long answer as it arrives.
-func (t *attempt) copyRest(rest io.Reader) attemptResult {
-	buf := make([]byte, copyBufferBytes)
+func (t *attempt) copyRest(rest io.Reader, memory *inbound.Share) attemptResult {
+	buf := make([]byte, copyBufferSize(memory))
 	for {
 		n, err := rest.Read(buf)
 		if n > 0 {
@@ -185,10 +212,19 @@
 	}
 }
 
+// copyBufferSize returns the size in bytes of the pieces in which an answer is passed on.
+func copyBufferSize(memory *inbound.Share) int {
+	if memory.Grow(copyBufferBytes) {
+		return copyBufferBytes
+	}
+	return freeAnswerBytes
+}
+
 // passStream passes on the events of an answer, which follow the last one that the caller
 // has.
 func (t *attempt) passStream(answer *Answer) attemptResult {
-	events := newEventReader(answer.Body)
+	events := newEventReader(answer.Body, t.relay.opts.AnswerMemory)
+	defer events.close()
 	for {
 		ev, err := events.next()
 		if err == io.EOF {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -6,17 +6,20 @@
 	"io"
 
 	"github.com/ansel1/merry/v2"
-)
 
-// maxEventBytes bounds the size of one event of a stream.
-const maxEventBytes = 1 << 20
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
+)
 
-// eventBufferBytes is larger than a typical event.
-const eventBufferBytes = 2 << 10
+// Sizes of the events of a stream, in bytes.
+const (
+	eventBufferBytes = 2 << 10 // more than a typical event
+	freeEventBytes   = 8 << 10 // held for every stream; what is above is counted
+	maxEventBytes    = 1 << 20
+	maxEventIDBytes  = 4 << 10 // an ID is sent back in a header
+)
 
 var (
-	errEventTooLong = merry.Sentinel("an event of the stream is too long")
-	errEventCut     = merry.Sentinel("the stream ends inside an event")
+	errEventCut = merry.Sentinel("the stream ends inside an event")
 )
 
 // event is one event of a text/event-stream.
@@ -29,13 +32,20 @@
 // that stops inside one can be continued by another upstream.
 type eventReader struct {
 	br  *bufio.Reader
-	buf bytes.Buffer
+	buf *inbound.Buffer
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{br: bufio.NewReaderSize(r, eventBufferBytes)}
+// newEventReader returns a reader of the events of r. close must be called after its last event.
+func newEventReader(r io.Reader, m *inbound.Memory) *eventReader {
+	return &eventReader{
+		br:  bufio.NewReaderSize(r, eventBufferBytes),
+		buf: inbound.NewBuffer(m, freeEventBytes, maxEventBytes),
+	}
 }
 
+// close returns the memory of the last event.
+func (r *eventReader) close() { r.buf.Reset() }
+
 var idField = []byte("id:")
 
 // next returns the next event. The error is io.EOF after the last event, if that is
@@ -45,9 +55,8 @@
 	var ev event
 	for {
 		line, err := r.br.ReadSlice('\n')
-		r.buf.Write(line)
-		if r.buf.Len() > maxEventBytes {
-			return event{}, errEventTooLong
+		if bufErr := r.buf.Append(line); bufErr != nil {
+			return event{}, merry.Prepend(bufErr, "an event of the stream")
 		}
 		if err == bufio.ErrBufferFull {
 			continue
@@ -64,6 +73,9 @@
 			return ev, nil
 		}
 		if id, ok := bytes.CutPrefix(text, idField); ok {
+			if len(id) > maxEventIDBytes {
+				return event{}, merry.Prepend(inbound.ErrTooLong, "the ID of an event of the stream")
+			}
 			ev.id = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/deaths"
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/paths"
 )
 
@@ -43,8 +44,10 @@
 	OnDomainReached func(domain string)
 	// Notices holds what upstreams report about themselves; the Sender fills it.
 	Notices *Notices
-	// BodyMemory bounds the memory held for slow callers and upstreams.
+	// BodyMemory bounds the bodies of requests.
 	BodyMemory *BodyMemory
+	// AnswerMemory bounds what is held of the answers of upstreams.
+	AnswerMemory *inbound.Memory
 	// Budget returns the site's limit on repeats.
 	Budget func() BudgetOptions
 	Log    *logrus.Entry
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"syscall"
@@ -15,6 +16,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
 )
 
 func TestDeadlineAfterDispatchIsNotReportedAsNotRun(t *testing.T) {
@@ -180,8 +182,8 @@
 }
 
 func TestEventsOverTheBoundAreRefused(t *testing.T) {
-	events := newEventReader(strings.NewReader("data: " + strings.Repeat("x", maxEventBytes) + "\n\n"))
-	if _, err := events.next(); err != errEventTooLong {
+	events := newEventReader(strings.NewReader("data: "+strings.Repeat("x", maxEventBytes)+"\n\n"), nil)
+	if _, err := events.next(); !errors.Is(err, inbound.ErrTooLong) {
 		t.Errorf("got %v", err)
 	}
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -15,6 +15,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
 )
 
@@ -69,8 +70,16 @@
 
 // heldAnswer is a complete answer that is held back while another attempt may do better.
 type heldAnswer struct {
-	head Head
-	body []byte
+	head   Head
+	body   []byte
+	memory *inbound.Share // of the body
+}
+
+// release returns the memory of the answer. The answer may be nil.
+func (h *heldAnswer) release() {
+	if h != nil {
+		h.memory.Release()
+	}
 }
 
 // errSilent cancels an attempt whose upstream has been silent for too long.
@@ -93,11 +102,13 @@
 		}
 		refusal, again := g.next(ctx, e)
 		if again {
+			e.heldAnswer.release()
 			continue
 		}
 		if e.heldAnswer != nil && !g.headSent {
-			return g.passHeldAnswer(e.heldAnswer)
+			refusal = g.passHeldAnswer(e.heldAnswer)
 		}
+		e.heldAnswer.release()
 		return refusal
 	}
 }
