--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -52,16 +53,21 @@
 	return opened, nil
 }
 
+// maxAnswerBytes bounds the answer to CONNECT, which has no body.
+const maxAnswerBytes = 16 << 10
+
 func connect(conn net.Conn, upstream string) (net.Conn, error) {
 	req := &http.Request{Method: http.MethodConnect, URL: &url.URL{Opaque: upstream}, Host: upstream, Header: http.Header{"User-Agent": {""}}}
 	if err := req.Write(conn); err != nil {
 		return nil, merry.Wrap(err, merry.WithCause(ErrUnwilling))
 	}
-	reader := bufio.NewReader(conn)
+	limited := &io.LimitedReader{R: conn, N: maxAnswerBytes}
+	reader := bufio.NewReader(limited)
 	res, err := http.ReadResponse(reader, req)
 	if err != nil {
 		return nil, merry.Wrap(err, merry.WithCause(ErrUnwilling))
 	}
+	limited.N = math.MaxInt64
 	switch res.StatusCode {
 	case http.StatusOK:
 		return &bufferedConn{Conn: conn, reader: reader}, nil
