Upstream: answers on the product's own path are bounded

Of eight endless answers to each of the five kinds of calls, 31 of 40 went on until the deadline or were held whole: a call, a poll, a probe or a cancellation by a body without end, each by many fields or interim responses, a stream by its refusal.

Cause: the generated client reads whole bodies, and reads what is left of one to its end before it closes it; http.Transport allows 10 MB for a head. Text of a generation was collected for the caller as long as the engine sent tokens of up to 1 MB each, and so were answers relayed from other daemons.

Change: dispatches go through httpwire, as on the platform's path, and so have its bounds on heads; polls and orders allow 16 KB. Bodies that are read whole are bounded to 8 MB each, and all together, with the copies that decoding makes, to 64 MB; refusals of streams to 64 KB, and they are closed, which the generated client does not do. Lines of a stream are bounded to 64 KB in place of 1 MB: a line has one token's text. What is collected for a caller is counted too. Nothing decompresses answers. Running out of this memory is not blamed on the engine.

Evidence: TestEndlessAnswersEndTheExchange, on the code before: 31 of 40 fail. After: all pass; a stream of whole lines of another request, which need no memory, lasts until its request's deadline.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -19,6 +19,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/follow"
 	"github.com/buckthorndock/buckthorndock/internal/front"
 	"github.com/buckthorndock/buckthorndock/internal/gate"
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/join"
 	"github.com/buckthorndock/buckthorndock/internal/netfault"
 	"github.com/buckthorndock/buckthorndock/internal/obs"
@@ -52,6 +53,19 @@
 // bytes per second. In a large domain they are sent less often to stay within it.
 const digestBudget = 3000
 
+// Bounds of what is held of answers, in bytes.
+const (
+	answerMemory       = 64 << 20 // of upstreams, all answers in progress together
+	maxPlatformMessage = 64 << 20 // of one answer of the platform, as large as a settings snapshot
+)
+
+// platformClient returns a client of one of the platform's services.
+func platformClient(purpose string) *http.Client {
+	c := obs.CountedClient(purpose)
+	c.Transport = &inbound.Transport{RoundTripper: c.Transport, Limits: inbound.BodyLimits{Bytes: maxPlatformMessage}}
+	return c
+}
+
 // process holds the components of a running daemon.
 type process struct {
 	cfg         *config.Daemon
@@ -72,6 +86,7 @@
 	tunnels *tunnel.Handler
 	leaving atomic.Bool
 	client  *upstream.Client
+	answers *inbound.Memory // of upstreams
 	watcher *upstream.Watcher
 	router  *router.Router
 	engines *owner.HTTPEngines
@@ -110,15 +125,15 @@
 func formatIncarnation(incarnation uint64) string { return strconv.FormatUint(incarnation, 10) }
 
 func (p *process) buildPlatform() error {
-	logService, err := platform.NewHTTP(p.cfg.Platform.Log, obs.CountedClient(obs.PurposeLog))
+	logService, err := platform.NewHTTP(p.cfg.Platform.Log, platformClient(obs.PurposeLog))
 	if err != nil {
 		return err
 	}
-	hosts, err := platform.NewHTTP(p.cfg.Platform.Hosts, obs.CountedClient(obs.PurposeHosts))
+	hosts, err := platform.NewHTTP(p.cfg.Platform.Hosts, platformClient(obs.PurposeHosts))
 	if err != nil {
 		return err
 	}
-	weights, err := platform.NewHTTP(p.cfg.Platform.Weights, obs.CountedClient(obs.PurposeWeights))
+	weights, err := platform.NewHTTP(p.cfg.Platform.Weights, platformClient(obs.PurposeWeights))
 	if err != nil {
 		return err
 	}
@@ -169,14 +184,15 @@
 
 func (p *process) buildUpstreams() error {
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return p.paths.Dial(ctx, address) }
-	p.client = upstream.NewClient(upstream.Options{Dial: dial})
+	p.answers = inbound.NewMemory("answers", answerMemory)
+	p.client = upstream.NewClient(upstream.Options{Dial: dial, Memory: p.answers})
 	p.router = router.New(router.Options{
 		Domain:       p.cfg.Domain,
 		SpillDomains: p.peers.reachableDomains,
 		Seed:         p.incarnation,
 	})
 	p.watcher = upstream.NewWatcher(p.client, p.router, upstream.WatchOptions{Interval: watchInterval, Timeout: watchTimeout})
-	p.engines = owner.NewHTTPEngines(obs.CountedClientOver(obs.PurposeEngines, dial), time.Now)
+	p.engines = owner.NewHTTPEngines(upstream.NewOrderClient(dial, p.answers), time.Now)
 	return nil
 }
 
@@ -250,6 +266,7 @@
 		Router:              p.router,
 		Journal:             router.NewJournal(journalSize),
 		Client:              p.client,
+		AnswerMemory:        p.answers,
 		Holder:              p.holder,
 		Gate:                p.gate,
 		Claims:              p.claims,
--- a/internal/front/build.go
+++ b/internal/front/build.go
@@ -45,6 +45,8 @@
 	body   []byte // of a service call
 	sink   sink   // of a generation
 
+	answer *answerSize // counts what is held of the answer
+
 	gatePlacement       *placement.Decision  // place found during admission, recorded with the router
 	deliveredTokens     int                  // tokens delivered to the caller
 	relayedText         strings.Builder      // text delivered from the answer of another run
@@ -138,7 +140,7 @@
 	req.Prefix = placement.PrefixBlocks(text.text, prefixBlockBytes, maxPrefixBlocks)
 	req.Fingerprint = fingerprint(c.Name, model, "", text.text, req.MaxTokens)
 	req.PromptParts = promptParts(text.text)
-	return &job{req: req, customer: c, routing: m.Routing, pool: m.Pool, prompt: text.text}, nil
+	return &job{req: req, customer: c, routing: m.Routing, pool: m.Pool, prompt: text.text, answer: newAnswerSize(s.opts.AnswerMemory)}, nil
 }
 
 // newCall builds the job of a service call.
@@ -163,7 +165,7 @@
 	req.Target = service
 	req.Operation = operation
 	req.Fingerprint = fingerprint(c.Name, service, operation, string(body), 0)
-	return &job{req: req, customer: c, routing: op.Service.Routing, pool: op.Service.Pool, body: body}, nil
+	return &job{req: req, customer: c, routing: op.Service.Routing, pool: op.Service.Pool, body: body, answer: newAnswerSize(s.opts.AnswerMemory)}, nil
 }
 
 // asRefusal returns err as a refusal. An error of another type becomes
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -9,6 +9,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/placement"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
@@ -81,7 +82,11 @@
 		ctx, cancel = context.WithTimeout(ctx, max(c.job.req.Remaining(time.Now())/2, minAttemptTime))
 		defer cancel()
 	}
-	return c.s.opts.Client.Call(ctx, d.Chosen.Address, c.job.req.Operation, c.job.req.ID, c.attempt, c.job.body)
+	result, err := c.s.opts.Client.Call(ctx, d.Chosen.Address, c.job.req.Operation, c.job.req.ID, c.attempt, c.job.body)
+	if err != nil {
+		return nil, err
+	}
+	return result, c.job.answer.add(len(result))
 }
 
 // noteSpeed records the time of a call that its first server answered.
@@ -130,8 +135,11 @@
 	if _, ok := upstream.RefusalCode(err); ok {
 		return retry.Refused
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
 		return retry.Silent
+	case errors.Is(err, inbound.ErrTooLong):
+		return retry.InvalidAnswer
 	}
 	return retry.Broken
 }
--- a/internal/front/handlers.go
+++ b/internal/front/handlers.go
@@ -74,6 +74,7 @@
 		s.refuseInput(w, id, refusal)
 		return
 	}
+	defer j.answer.release()
 	meta := answerMeta{shape: gen.shape, id: id, model: gen.model, created: time.Now().Unix(), promptTokens: j.req.PromptTokens, writeTimeout: DefaultWriteTimeout}
 	if gen.stream {
 		j.sink = &eventSink{w: w, meta: meta}
@@ -102,6 +103,7 @@
 		s.refuseInput(w, id, refusal)
 		return nil
 	}
+	defer j.answer.release()
 	var result []byte
 	run := func(ctx context.Context) *request.Refusal {
 		var refusal *request.Refusal
@@ -112,7 +114,7 @@
 		return refusal
 	}
 	readAnswer := func(r io.Reader) (err error) {
-		result, err = io.ReadAll(r)
+		result, err = io.ReadAll(j.answer.reader(r))
 		return err
 	}
 	if !j.req.Repeatable {
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -220,7 +220,7 @@
 // relayTokens returns a function that delivers a recorded generation to the job's sink.
 func relayTokens(j *job) readAnswerFunc {
 	return func(r io.Reader) error {
-		lines := bufio.NewReader(r)
+		lines := bufio.NewReader(j.answer.reader(r))
 		for {
 			line, err := lines.ReadBytes('\n')
 			if err == io.EOF {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -18,6 +18,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 	"github.com/buckthorndock/buckthorndock/internal/deaths"
 	"github.com/buckthorndock/buckthorndock/internal/gate"
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/join"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/router"
@@ -42,13 +43,15 @@
 	Router      *router.Router
 	Journal     *router.Journal
 	Client      *upstream.Client
-	Holder      *owner.Holder
-	Gate        *gate.Gate
-	Claims      *claims.Service
-	Join        *join.Service
-	Suspects    *suspects.Tracker
-	Deaths      *deaths.Checker
-	Operator    Operator // status and settings
+	// AnswerMemory bounds what is held of the answers of upstreams.
+	AnswerMemory *inbound.Memory
+	Holder       *owner.Holder
+	Gate         *gate.Gate
+	Claims       *claims.Service
+	Join         *join.Service
+	Suspects     *suspects.Tracker
+	Deaths       *deaths.Checker
+	Operator     Operator // status and settings
 	// OperatorTokenSHA256 is the SHA-256 hash, in hex, of the site's first operator token.
 	OperatorTokenSHA256 string
 	// OnDispatchPoint is called at each DispatchPoint and may block; nil except in fault tests.
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -11,6 +11,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/placement"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/stream"
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
 
@@ -105,6 +106,9 @@
 	if a.chunk.Error != "" {
 		return streamEnd{end: retry.InvalidAnswer, err: merry.Wrap(errEngine, merry.AppendMessage(a.chunk.Error))}, true
 	}
+	if err := g.job.answer.add(len(a.chunk.Text)); err != nil {
+		return unheldEnd(err), true
+	}
 	step := g.asm.Accept(stream.Chunk{
 		RequestID: a.chunk.RequestID,
 		Attempt:   a.chunk.Attempt,
@@ -129,6 +133,15 @@
 	return streamEnd{}, false
 }
 
+// unheldEnd is the end of a stream of which no more can be held: it is too long, or there is no memory,
+// for which its engine is not to blame.
+func unheldEnd(err error) streamEnd {
+	if errors.Is(err, inbound.ErrNoMemory) {
+		return streamEnd{end: retry.Broken, reachable: true, err: err}
+	}
+	return streamEnd{end: retry.InvalidAnswer, err: err}
+}
+
 var errGap = merry.Sentinel("tokens are missing from the stream")
 
 // noteAnswering records that the target is sending its answer.
@@ -171,6 +184,9 @@
 	if _, ok := upstream.RefusalCode(err); ok {
 		return streamEnd{end: retry.Refused, err: err}
 	}
+	if errors.Is(err, inbound.ErrNoMemory) {
+		return unheldEnd(err)
+	}
 	var syntax interface{ Timeout() bool }
 	if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &syntax) {
 		return streamEnd{end: retry.InvalidAnswer, err: err}
--- a/internal/obs/bytes.go
+++ b/internal/obs/bytes.go
@@ -21,6 +21,9 @@
 // DefaultDialTimeout limits the time to open a counted connection.
 const DefaultDialTimeout = 2 * time.Second
 
+// MaxHeadBytes bounds the head of an answer on connections that are kept, in bytes.
+const MaxHeadBytes = 16 << 10
+
 // CountedClient returns an HTTP client without an overall timeout that counts the
 // bytes sent and received on its connections under a purpose.
 func CountedClient(purpose string) *http.Client {
@@ -30,9 +33,11 @@
 // CountedClientOver is like CountedClient over connections that dial opens.
 func CountedClientOver(purpose string, dial DialFunc) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         CountBytes(purpose, WithDialTimeout(dial, DefaultDialTimeout)),
-		MaxIdleConnsPerHost: 2,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            CountBytes(purpose, WithDialTimeout(dial, DefaultDialTimeout)),
+		MaxIdleConnsPerHost:    2,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true, // a few bytes must not become many
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}}
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,6 +10,8 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/buckthorndock/buckthorndock/internal/api/engineapi"
+	"github.com/buckthorndock/buckthorndock/internal/httpwire"
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/obs"
 )
 
@@ -18,6 +20,8 @@
 	Dial        obs.DialFunc  // opens connections; over the network by default
 	DialTimeout time.Duration // of opening a connection; 500 ms by default
 	PollTimeout time.Duration // of polls and short calls such as Cancel; 2 s by default
+	// Memory bounds what is held of answers, of all exchanges together; it is not bounded if nil.
+	Memory *inbound.Memory
 }
 
 // Defaults of Options.
@@ -53,13 +57,34 @@
 		opts.Dial = new(net.Dialer).DialContext
 	}
 	dial := obs.WithDialTimeout(opts.Dial, opts.DialTimeout)
-	fresh := &http.Transport{DialContext: dialWithPermit(dial), DisableKeepAlives: true}
-	shared := &http.Transport{DialContext: obs.CountBytes(obs.PurposeEngines, dial), MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	fresh := httpwire.Transport{Pool: httpwire.NewPool(httpwire.Options{
+		Dial:        dialWithPermit(dial),
+		DialTimeout: opts.DialTimeout,
+		Memory:      opts.Memory,
+	})}
+	shared := &http.Transport{
+		DialContext:            obs.CountBytes(obs.PurposeEngines, dial),
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: obs.MaxHeadBytes,
+	}
 	return &Client{
-		opts:            opts,
-		dial:            dial,
-		dispatch:        &http.Client{Transport: backOffRecorder{fresh}, CheckRedirect: doNotFollowRedirects},
-		poll:            &http.Client{Transport: shared, Timeout: opts.PollTimeout},
+		opts: opts,
+		dial: dial,
+		dispatch: &http.Client{
+			Transport: backOffRecorder{refusalReader{&inbound.Transport{
+				RoundTripper: fresh,
+				Memory:       opts.Memory,
+				Limits:       ReplyLimits,
+				IsStream:     isStream,
+			}}},
+			CheckRedirect: doNotFollowRedirects,
+		},
+		poll: &http.Client{
+			Transport: &inbound.Transport{RoundTripper: shared, Memory: opts.Memory, Limits: ReplyLimits},
+			Timeout:   opts.PollTimeout,
+		},
 		pollPool:        shared,
 		dispatchClients: map[string]*engineapi.Client{},
 		pollClients:     map[string]*engineapi.Client{},
--- a/internal/upstream/permit.go
+++ b/internal/upstream/permit.go
@@ -7,6 +7,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/buckthorndock/buckthorndock/internal/httpwire"
 	"github.com/buckthorndock/buckthorndock/internal/obs"
 )
 
@@ -24,9 +25,9 @@
 
 // dialWithPermit returns a dial function that calls the permit of its context, if
 // any, on an open connection.
-func dialWithPermit(dial obs.DialFunc) obs.DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
+func dialWithPermit(dial obs.DialFunc) httpwire.DialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial(ctx, "tcp", address)
 		if err != nil {
 			return nil, err
 		}
