--- a/internal/httpwire/pool_test.go
+++ b/internal/httpwire/pool_test.go
@@ -256,3 +256,49 @@
 		t.Error("a connection to an unlisted address is kept")
 	}
 }
+
+// TestSweepClosesConnectionsWithUnreadBytes guards against bytes that a faulty upstream sends on an idle
+// connection, and that wait in the kernel until it is used again.
+func TestSweepClosesConnectionsWithUnreadBytes(t *testing.T) {
+	answered := make(chan struct{})
+	srv := newScriptedServer(t, func(int, int) (string, bool) { return wholeAnswer, true })
+	extra := newExtraServer(t, answered)
+	p := newTestPool()
+	for _, address := range []string{srv.listener.Addr().String(), extra} {
+		if _, err := exchange(t, p, address, false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(answered)
+	for len(p.idle[extra]) > 0 { // the bytes take a moment; the test's timeout bounds it
+		p.Sweep(time.Now(), func(string) bool { return true })
+		time.Sleep(time.Millisecond)
+	}
+	if len(p.idle[srv.listener.Addr().String()]) != 1 {
+		t.Error("a sound connection was closed")
+	}
+}
+
+// newExtraServer starts a server that answers one request, and sends more bytes once answered is closed.
+func newExtraServer(t *testing.T, answered <-chan struct{}) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = c.Read(make([]byte, 1<<10))
+		_, _ = io.WriteString(c, wholeAnswer)
+		<-answered
+		for err == nil {
+			_, err = io.WriteString(c, "extra")
+		}
+	}()
+	return l.Addr().String()
+}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -241,3 +241,19 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// TestEndlessAnswerOpensNoTunnel guards against a daemon that exceeds its memory by an answer to CONNECT
+// without end.
+func TestEndlessAnswerOpensNoTunnel(t *testing.T) {
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		_, _ = far.Read(make([]byte, 1<<10))
+		for err := error(nil); err == nil; {
+			_, err = io.WriteString(far, strings.Repeat("0", 1<<10))
+		}
+	}()
+	if _, err := tunnel.Connect(t.Context(), near, "127.0.0.1:1"); !errors.Is(err, tunnel.ErrUnwilling) {
+		t.Errorf("got %v", err)
+	}
+}
