Relay: a long line of a stream is one line

What callers saw: none reported; found while the bounds of events were written. A stream with a line of exactly 2 KB or a multiple was cut into events inside that line, and a line whose part after 2 KB begins with "id:" gave its event another ID: a stream that broke off there would have been continued at a wrong place.

Cause: the reader took each part of a line that filled its buffer for a line of its own.

Change: a line is read to its end before it is looked at.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -54,13 +54,7 @@
 	r.buf.Reset()
 	var ev event
 	for {
-		line, err := r.br.ReadSlice('\n')
-		if bufErr := r.buf.Append(line); bufErr != nil {
-			return event{}, merry.Prepend(bufErr, "an event of the stream")
-		}
-		if err == bufio.ErrBufferFull {
-			continue
-		}
+		line, err := r.readLine()
 		if err == io.EOF && r.buf.Len() > 0 {
 			return event{}, errEventCut
 		}
@@ -80,3 +74,20 @@
 		}
 	}
 }
+
+// readLine adds a line to the event and returns it. It is valid until the next call.
+func (r *eventReader) readLine() ([]byte, error) {
+	start := r.buf.Len()
+	for {
+		part, err := r.br.ReadSlice('\n')
+		if bufErr := r.buf.Append(part); bufErr != nil {
+			return nil, merry.Prepend(bufErr, "an event of the stream")
+		}
+		if err == nil {
+			return r.buf.Bytes()[start:], nil
+		}
+		if err != bufio.ErrBufferFull {
+			return nil, err
+		}
+	}
+}
