Relay: a chunked body that is cut off is not run

What callers saw: none reported; found while the memory of bodies was gone through. A caller that broke off in the middle of a chunked body could have the part that had come run as a whole request.

Cause: io.ReadFull returns io.ErrUnexpectedEOF both for a body that ends before the buffer is full and for one whose own reader says that it was cut, and the former was assumed.

Change: bodies are read by a loop that takes io.EOF alone for the end.

Evidence: TestCutBodyOfUnknownLengthIsRejected, 4 of 4 sizes accepted before; rejected after.

--- a/internal/relay/bodies.go
+++ b/internal/relay/bodies.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"errors"
 	"io"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -52,24 +51,34 @@
 		}
 		grown := make([]byte, size)
 		n := copy(grown, body)
-		more, err := io.ReadFull(r, grown[n:])
+		more, ended, err := fill(r, grown[n:])
 		body = grown[:n+more]
 		switch {
-		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-			if length >= 0 && int64(len(body)) < length {
-				return nil, free, io.ErrUnexpectedEOF
-			}
-			if limit > 0 && int64(len(body)) > limit {
-				return nil, free, merry.Wrap(ErrBodyTooLarge)
-			}
-			return body, free, nil
 		case err != nil:
 			return nil, free, err
-		case length >= 0:
-			return body, free, nil
-		case limit > 0 && size > limit:
+		case ended && length >= 0 && int64(len(body)) < length:
+			return nil, free, io.ErrUnexpectedEOF
+		case limit > 0 && int64(len(body)) > limit:
 			return nil, free, merry.Wrap(ErrBodyTooLarge)
+		case ended, length >= 0:
+			return body, free, nil
 		}
 		size *= 2
 	}
 }
+
+// fill reads until p is full or the body has ended. A body that is cut off gives an error, which may be
+// io.ErrUnexpectedEOF; it is not the end.
+func fill(r io.Reader, p []byte) (n int, ended bool, err error) {
+	for n < len(p) {
+		more, err := r.Read(p[n:])
+		n += more
+		if err == io.EOF {
+			return n, true, nil
+		}
+		if err != nil {
+			return n, false, err
+		}
+	}
+	return n, false, nil
+}
--- a/internal/relay/bodies_test.go
+++ b/internal/relay/bodies_test.go
@@ -93,3 +93,19 @@
 		t.Errorf("%d bytes are left", n)
 	}
 }
+
+// TestCutBodyOfUnknownLengthIsRejected guards against a chunked body whose caller has broken off, and that is
+// taken for whole and run.
+func TestCutBodyOfUnknownLengthIsRejected(t *testing.T) {
+	for _, size := range []int{0, 3, initialBodyBuffer, initialBodyBuffer + 1} {
+		b := NewBodyMemory(100 * initialBodyBuffer)
+		body, free, err := b.Read(brokenBody(strings.Repeat("x", size)), -1, 0)
+		if !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("%d bytes: got %d, %v", size, len(body), err)
+		}
+		free()
+		if n := b.Held(); n != 0 {
+			t.Errorf("%d bytes: %d are left", size, n)
+		}
+	}
+}
