Soak: servers send answers without end

The check that nothing is cut at a healthy daemon passes over requests whose server reported that it answers them without end: their end is the server's to send (the users' pages: bytes without end until the caller closes). No other request is passed over.

residentMB is now processMB, which the new test uses too; the test of slow readers still fails when its daemon ends.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -52,6 +52,7 @@
 	limits         []limit
 	leavingAnswers map[string]time.Time // since when a server's answers say that it leaves
 	turned         []turnedAway
+	endless        map[string]bool        // requests that a server answered without end
 	full           map[string]string      // the server that was full when it turned a request away, by request id
 	domains        map[string]string      // failure domain of each server
 	crashes        map[string][]time.Time // when servers crashed while running a request, by its id
@@ -70,7 +71,7 @@
 func (f finding) String() string { return f.check + ": " + f.text }
 
 func newHistory() *history {
-	return &history{full: map[string]string{}, runs: map[string][]run{}, leavingInStore: map[string]time.Time{}, leavingAnswers: map[string]time.Time{}, domains: map[string]string{}, crashes: map[string][]time.Time{}, daemonOf: map[string]string{}, written: map[int]time.Time{}}
+	return &history{endless: map[string]bool{}, full: map[string]string{}, runs: map[string][]run{}, leavingInStore: map[string]time.Time{}, leavingAnswers: map[string]time.Time{}, domains: map[string]string{}, crashes: map[string][]time.Time{}, daemonOf: map[string]string{}, written: map[int]time.Time{}}
 }
 
 func (h *history) addOutcome(o outcome) {
@@ -94,6 +95,13 @@
 	}
 }
 
+// addEndless records a request that a server answers without end.
+func (h *history) addEndless(r report) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.endless[r.ID] = true
+}
+
 func (h *history) recordSettings(version int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -267,6 +275,9 @@
 	if refused && o.retryAfter == "" {
 		add("a refusal says when to come back", "%s got %d", o.id, o.status)
 	}
+	if h.endless[o.id] {
+		return // the server has not ended its answer; nobody else can
+	}
 	// A server may cut a stream; nothing else is cut at a healthy daemon.
 	broken := targetIs(o.daemon)
 	if o.kind == kindStream {
--- a/test/soak/main_test.go
+++ b/test/soak/main_test.go
@@ -63,12 +63,12 @@
 	Value  string   `json:"value,omitempty"`
 	To     string   `json:"to,omitempty"`
 	List   []string `json:"list,omitempty"`
-	Number float64  `json:"number,omitempty"` // of a limit, requests a second; of a back-off, seconds; of slowness, a factor
+	Number float64  `json:"number,omitempty"` // of a limit, requests a second; of a back-off, seconds; of slowness, a factor; of endless answers, a share
 }
 
 // report is an event that a stand-in reports to the test: one line of JSON on its output.
 type report struct {
-	What    string  `json:"what"` // listening, ran, ended, beat, limits, leaves, turned, full, crashed or cold
+	What    string  `json:"what"` // listening, ran, ended, beat, limits, leaves, turned, full, crashed, cold or endless
 	Address string  `json:"address,omitempty"`
 	ID      string  `json:"id,omitempty"`
 	Server  string  `json:"server,omitempty"`
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -47,6 +47,8 @@
 	pauseServer = "pause server"
 	// A server takes several times as long for what it begins. It counts as planned.
 	slowServer = "slow server"
+	// A server sends some answers without end.
+	endlessServer = "endless server"
 	// Planned: an operation of operators, and a state that a server announces.
 	evacuateDomain = "evacuate domain"
 	coldServer     = "cold server"
@@ -199,7 +201,7 @@
 // targets returns the names of what a disruption affects, as in the spans of the history.
 func (r *rig) targets(dis disruption) []string {
 	switch dis.kind {
-	case killServer, freezeServer, rollServer, disruptServerLink, restartServer, foreignEntry, lateEntry, limitServer, turnAway, coldServer, pauseServer, slowServer:
+	case killServer, freezeServer, rollServer, disruptServerLink, restartServer, foreignEntry, lateEntry, limitServer, turnAway, coldServer, pauseServer, slowServer, endlessServer:
 		return []string{r.servers[dis.target].name}
 	case disruptStore, restoreStore:
 		return []string{"store"}
@@ -233,6 +235,7 @@
 		r.disruptDaemon(r.daemons[dis.target], dis)
 	case killAll:
 		for _, d := range r.daemons {
+			r.checkMemory(d)
 			d.proc.kill()
 		}
 		time.Sleep(dis.duration)
@@ -251,6 +254,8 @@
 		r.advertise(r.servers[dis.target], "turn away", dis)
 	case slowServer:
 		r.advertise(r.servers[dis.target], "slow", dis)
+	case endlessServer:
+		r.sendEndless(r.servers[dis.target], dis)
 	case newSettings:
 		r.publishSettings()
 	case evacuateDomain:
@@ -332,6 +337,7 @@
 }
 
 func (r *rig) disruptDaemon(d *daemon, dis disruption) {
+	r.checkMemory(d)
 	switch dis.kind {
 	case killDaemon:
 		d.proc.kill()
@@ -354,6 +360,7 @@
 // shutDown shuts a daemon down, and records a finding if it does not exit cleanly within its grace
 // time. A daemon that does not listen yet has nothing to finish, and may be ended by the signal.
 func (r *rig) shutDown(d *daemon) {
+	r.checkMemory(d)
 	listened := canConnect(d.front)
 	d.proc.signal(r.stopSignal)
 	select {
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -106,6 +107,7 @@
 	sameAddress    bool // as in scenario
 	isolated       bool // as in scenario
 	partitions     bool // as in scenario
+	memoryMB       int  // limit of each daemon
 	logPrefix      string
 	stopped        chan struct{}
 }
@@ -122,6 +124,7 @@
 		sameAddress: p.sameAddress,
 		isolated:    p.isolated,
 		partitions:  p.partitions,
+		memoryMB:    cmp.Or(p.memoryMB, memoryMB),
 		logPrefix:   p.logPrefix,
 		ip:          fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%maxByte, 1+numRigs.Add(1)%maxByte),
 	}
@@ -171,7 +174,7 @@
 grace_s: %g
 retry: {ratio: %g, window_s: %g, slack: %d}
 `, d.name, domainName(i%2), d.front, d.ready, ip, d.metrics, strings.Repeat("soak", 10), r.seeds(ip), r.link("store-"+d.name, storeAt),
-		memoryMB, grace.Seconds(), retryRatio, retryWindow.Seconds(), retrySlack)
+		r.memoryMB, grace.Seconds(), retryRatio, retryWindow.Seconds(), retrySlack)
 	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		r.t.Fatal(err)
 	}
@@ -261,6 +264,8 @@
 			r.history.addCold(rep)
 		case "turned":
 			r.history.addTurned(rep)
+		case "endless":
+			r.history.addEndless(rep)
 		case "full":
 			r.history.addFull(rep)
 		default:
--- a/test/soak/roles_test.go
+++ b/test/soak/roles_test.go
@@ -103,6 +103,7 @@
 	backOff.Store(0.0)
 	var slowness atomic.Value // factor of the time for what it begins; 0: the usual time
 	slowness.Store(0.0)
+	var endless atomic.Pointer[command] // nil: it sends no endless answers
 	slots := newSlotCounter(name)
 	s.SetAnswer(func(w *bufio.Writer, r *http.Request) bool {
 		id := standin.ID(r.Header)
@@ -121,6 +122,10 @@
 			writeReport(report{What: "crashed", ID: id, Server: name, At: time.Now().UnixNano()})
 			os.Exit(crashExitStatus)
 		}
+		if answer := endlessAnswer(s, endless.Load()); answer != nil {
+			writeReport(report{What: "endless", ID: id, Server: name, At: time.Now().UnixNano()})
+			return answer(w, r)
+		}
 		whole := writeAnswer(s, w, r, id, max(slowness.Load().(float64), 1))
 		writeReport(report{What: "ended", ID: id, Server: name, Whole: whole, At: time.Now().UnixNano()})
 		return whole
@@ -141,6 +146,8 @@
 			writeReport(report{What: "leaves", Server: name, At: time.Now().UnixNano()})
 		case "turn away":
 			backOff.Store(c.Number)
+		case "endless":
+			endless.Store(&c)
 		case "slow":
 			slowness.Store(c.Number)
 		case "cool":
--- a/test/soak/slow_test.go
+++ b/test/soak/slow_test.go
@@ -3,9 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"os"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -42,10 +39,13 @@
 		case <-done:
 			left--
 		case <-time.After(20 * time.Millisecond):
-			maxMB = max(maxMB, residentMB(t, d.proc.cmd.Process.Pid))
+			maxMB = max(maxMB, processMB(d.proc.cmd.Process.Pid, "VmRSS:"))
 		}
 	}
 	t.Logf("%d MB at most", maxMB)
+	if maxMB == 0 {
+		t.Error("the daemon has ended")
+	}
 	if maxMB >= memoryMB {
 		t.Errorf("the daemon took %d MB; its limit is %d", maxMB, memoryMB)
 	}
@@ -70,21 +70,3 @@
 	_, _ = c.Write(make([]byte, slowBody)) // the daemon may refuse it meanwhile
 	time.Sleep(slowWork)
 }
-
-// residentMB returns the resident memory of a process in MB (2^20 bytes).
-func residentMB(t *testing.T, pid int) int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, rest, _ := strings.Cut(string(text), "VmRSS:")
-	fields := strings.Fields(rest)
-	if len(fields) == 0 {
-		t.Fatal("the daemon has ended")
-	}
-	kb, err := strconv.Atoi(fields[0])
-	if err != nil {
-		t.Fatal(err)
-	}
-	return kb / 1024
-}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -28,6 +28,7 @@
 	sameAddress      bool   // a server that starts again listens where its former incarnation did
 	direct           bool   // servers are reached without a link, so that one that has exited refuses connections
 	partitions       bool   // daemons can be partitioned from the servers
+	memoryMB         int    // limit of each daemon; 0: memoryMB
 	mutant           string
 	fewServers       int           // of fewService, for which competitors compete; 0: there are none
 	fewWork          time.Duration // of each request to fewService
@@ -237,6 +238,7 @@
 		p.plan = append(p.plan, drawRestores(p.seed, p.length)...)
 		p.plan = append(p.plan, drawCrashingRequests(p.seed, p.length)...)
 		p.plan = append(p.plan, drawColds(p.seed, p.length, 2*p.servers)...)
+		p.plan = append(p.plan, drawEndless(p.seed, p.length, 2*p.servers)...)
 		p.plan = append(p.plan, drawPauses(p.seed, p.length, 2*p.servers)...)
 		p.fewServers, p.fewWork = usualFewServers, scarceWork
 		p.plan = append(p.plan, drawScarcity(p.seed, p.length, 2*p.servers, p.fewServers)...)
