--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -55,6 +55,12 @@
 	return s.Endless(form, stall, 2*callerDeadline)
 }
 
+// greedy is the mutant whose daemons are allowed less memory than any daemon takes.
+const (
+	greedy         = "greedy"
+	greedyMemoryMB = 8
+)
+
 // checkMemory checks that a daemon has not taken more memory than its file allows. One that has is
 // killed where the platform applies the limit.
 func (r *rig) checkMemory(d *daemon) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -306,6 +306,7 @@
 		{"dead", "all serve again after the troubles", nil},
 		{"dead", "a server that lives gets work", nil},
 		{"leaky", "engines get their memory back", nil},
+		{greedy, "memory stays within its limit", nil},
 	} {
 		t.Run(c.mutant+"/"+c.check, func(t *testing.T) {
 			t.Parallel()
@@ -317,6 +318,9 @@
 			if len(c.plan) > 0 && c.plan[0].kind == partitionDaemons {
 				p.daemons, p.partitions = 2, true // the check compares the daemons
 			}
+			if c.mutant == greedy {
+				p.mutant, p.memoryMB = "", greedyMemoryMB
+			}
 			if slices.Contains(scarcityMutants, c.mutant) {
 				p.fewServers, p.fewWork = 1, scarceWork
 			}
