--- a/internal/standin/base.go
+++ b/internal/standin/base.go
@@ -177,7 +177,7 @@
 	}
 }
 
-// injectFailure answers the call with the error or garbage of a fault that is on,
+// injectFailure answers the call with the error, the garbage or the endless bytes of a fault that is on,
 // and reports whether it did.
 func (b *base) injectFailure(w http.ResponseWriter, r *http.Request) bool {
 	if _, hit := b.faults.trigger(FaultOutage, r.URL.Path); hit {
@@ -193,6 +193,9 @@
 		b.writeFailure(w, http.StatusServiceUnavailable, "turned away")
 		return true
 	}
+	if b.answerEndlessly(w, r) {
+		return true
+	}
 	if r.URL.Path == generatePath {
 		return false // chunkWriter writes the garbage into the stream
 	}
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -24,6 +24,8 @@
 	FaultSlow          FaultKind = "slow"           // wait Ms before each call
 	FaultOutage        FaultKind = "outage"         // every call fails with 503
 	FaultGarbage       FaultKind = "garbage"        // answers are not JSON
+	FaultEndlessHead   FaultKind = "endless_head"   // bytes without end in place of an answer, until the caller closes
+	FaultEndlessBody   FaultKind = "endless_body"   // the same after a sound head
 	FaultDuplicate     FaultKind = "duplicate"      // append twice, answer once: log
 	FaultRestore       FaultKind = "restore"        // go back to a backup that is Ms old: log; set a Count
 	FaultGapEvents     FaultKind = "gap_events"     // every other cache event is lost: engine
@@ -37,7 +39,7 @@
 
 var faultKinds = []FaultKind{
 	FaultDie, FaultFreeze, FaultSilent, FaultDropAnswer, FaultRefuse, FaultTurnAway, FaultSlow, FaultOutage,
-	FaultGarbage, FaultDuplicate, FaultRestore, FaultGapEvents, FaultLateEvents, FaultLoadLag,
+	FaultGarbage, FaultEndlessHead, FaultEndlessBody, FaultDuplicate, FaultRestore, FaultGapEvents, FaultLateEvents, FaultLoadLag,
 	FaultCrossChunks, FaultTruncate, FaultIgnoreFencing, FaultLeaving,
 }
 
