--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -42,15 +42,23 @@
 // anyEndless stands for all forms, each also broken off with the connection kept open.
 const anyEndless = "any"
 
-// endlessAnswer returns what the command asks for in place of an answer, nil for the usual answer.
-func endlessAnswer(s *standin.Server, c *command) standin.Answer {
-	if c == nil || rand.Float64() >= c.Number {
+// Choices among the answers of a server, which follow from their number.
+const (
+	endlessCycle = 10
+	stallStep    = 131_071
+	maxStall     = 1 << 20 // bytes
+)
+
+// endlessAnswer returns what the command asks for in place of the server's nth answer, nil for the usual
+// answer.
+func endlessAnswer(s *standin.Server, c *command, n int) standin.Answer {
+	if c == nil || float64(n%endlessCycle) >= c.Number*endlessCycle {
 		return nil
 	}
 	form, stall := standin.EndlessForm(c.Fault), 0
 	if c.Fault == anyEndless {
-		form = standin.EndlessForms[rand.IntN(len(standin.EndlessForms))]
-		stall = rand.IntN(2) * rand.IntN(1<<20)
+		form = standin.EndlessForms[n%len(standin.EndlessForms)]
+		stall = n % 2 * (n * stallStep % maxStall)
 	}
 	return s.Endless(form, stall, 2*callerDeadline)
 }
--- a/test/soak/roles_test.go
+++ b/test/soak/roles_test.go
@@ -104,6 +104,7 @@
 	var slowness atomic.Value // factor of the time for what it begins; 0: the usual time
 	slowness.Store(0.0)
 	var endless atomic.Pointer[command] // nil: it sends no endless answers
+	var answers atomic.Int64
 	slots := newSlotCounter(name)
 	s.SetAnswer(func(w *bufio.Writer, r *http.Request) bool {
 		id := standin.ID(r.Header)
@@ -122,7 +123,7 @@
 			writeReport(report{What: "crashed", ID: id, Server: name, At: time.Now().UnixNano()})
 			os.Exit(crashExitStatus)
 		}
-		if answer := endlessAnswer(s, endless.Load()); answer != nil {
+		if answer := endlessAnswer(s, endless.Load(), int(answers.Add(1))); answer != nil {
 			writeReport(report{What: "endless", ID: id, Server: name, At: time.Now().UnixNano()})
 			return answer(w, r)
 		}
