--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -184,20 +184,6 @@
 	})
 }
 
-// turnAwayInterval is the mean interval at which servers start to turn requests away.
-const turnAwayInterval = 6 * time.Second
-
-var turnAwaySeconds = []string{"0.7", "2", "5"} // seconds
-
-// drawTurnAways returns periods in which servers turn requests away.
-func drawTurnAways(seed uint64, length time.Duration, servers int) []disruption {
-	return drawEach(seed, 5, turnAwayInterval, length, func(rng *rand.Rand) disruption {
-		seconds := turnAwaySeconds[rng.IntN(len(turnAwaySeconds))]
-		lasts := minDuration + time.Duration(rng.Int64N(int64(maxDuration)))
-		return disruption{kind: turnAway, param: seconds, target: rng.IntN(servers), duration: lasts}
-	})
-}
-
 // targets returns the names of what a disruption affects, as in the spans of the history.
 func (r *rig) targets(dis disruption) []string {
 	switch dis.kind {
--- a/test/soak/server_signals_test.go
+++ b/test/soak/server_signals_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -148,6 +149,20 @@
 	}
 }
 
+// turnAwayInterval is the mean interval at which servers start to turn requests away.
+const turnAwayInterval = 6 * time.Second
+
+var turnAwaySeconds = []string{"0.7", "2", "5"} // seconds
+
+// drawTurnAways returns periods in which servers turn requests away.
+func drawTurnAways(seed uint64, length time.Duration, servers int) []disruption {
+	return drawEach(seed, 5, turnAwayInterval, length, func(rng *rand.Rand) disruption {
+		seconds := turnAwaySeconds[rng.IntN(len(turnAwaySeconds))]
+		lasts := minDuration + time.Duration(rng.Int64N(int64(maxDuration)))
+		return disruption{kind: turnAway, param: seconds, target: rng.IntN(servers), duration: lasts}
+	})
+}
+
 // turnedAway is a request that a server turned away with a back-off.
 type turnedAway struct {
 	id, server string
