Upstream: a call ends with its request also while its permit is asked

A caller whose front was held before its first byte got no answer at its deadline.

Cause: dispatches go through httpwire since then, which opens connections in the goroutine of the request, and the permit is asked there, without a look at the context. http.Transport opened them in a goroutine of its own. In production a permit is answered at once; only the fault switch of the scenarios holds it.

Change: the permit is awaited together with the context; one that comes later is not used, and its connection is closed. The time allowed for opening a connection no longer includes the permit, as before.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -30,6 +30,10 @@
 	DefaultPollTimeout = 2 * time.Second
 )
 
+// permitTimeout bounds opening a connection with the time in which its permit is asked. Requests end
+// before it; the connection itself has Options.DialTimeout.
+const permitTimeout = time.Hour
+
 // Client calls upstreams by IP:port. Work is dispatched on a new connection each
 // time, since an idle one may be broken unnoticed; polls share connections, which
 // are closed after a failed poll.
@@ -59,7 +63,7 @@
 	dial := obs.WithDialTimeout(opts.Dial, opts.DialTimeout)
 	fresh := httpwire.Transport{Pool: httpwire.NewPool(httpwire.Options{
 		Dial:        dialWithPermit(dial),
-		DialTimeout: opts.DialTimeout,
+		DialTimeout: permitTimeout,
 		Memory:      opts.Memory,
 	})}
 	shared := &http.Transport{
--- a/internal/upstream/permit.go
+++ b/internal/upstream/permit.go
@@ -31,15 +31,34 @@
 		if err != nil {
 			return nil, err
 		}
-		permitted, ok := ctx.Value(permitKey{}).(func() bool)
-		if ok && !permitted() {
+		if err := awaitPermit(ctx); err != nil {
 			_ = conn.Close()
-			return nil, ErrNotPermitted
+			return nil, err
 		}
 		return conn, nil
 	}
 }
 
+// awaitPermit asks the permit of the context, if any. It returns ErrNotPermitted, or the context's error
+// if that ends while the permit is asked: a permit that comes later is not used, and nothing is sent.
+func awaitPermit(ctx context.Context) error {
+	permitted, ok := ctx.Value(permitKey{}).(func() bool)
+	if !ok {
+		return nil
+	}
+	answer := make(chan bool, 1)
+	go func() { answer <- permitted() }()
+	select {
+	case granted := <-answer:
+		if !granted {
+			return ErrNotPermitted
+		}
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // failedBeforeOpen reports whether an error came before a connection could be
 // written to: the dial failed or was not permitted.
 func failedBeforeOpen(err error) bool {
