review: stand-ins for a case with entries of another writer

Cause: entries of a service that no configuration names displace live servers. Change: the stand-ins play a drain or another writer. Nothing is fixed.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 [ -x "$root/target/buckthorndockd" ] && [ -x "$root/target/review-stand2" ] || exit 2
-exec "$root/target/review-stand2" "$root" "$here"
+exec "$root/target/review-stand2" "$root" "$here" drain
--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -25,6 +25,7 @@
 // parts with helpers, and then writes its events.
 type engine struct {
 	id, address string
+	born        int64 // Unix milliseconds
 	site        *site
 
 	mu      sync.Mutex
@@ -45,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	e.address, e.tickets = l.Addr().String(), map[string]*ticket{}
+	e.address, e.born, e.tickets = l.Addr().String(), time.Now().UnixMilli(), map[string]*ticket{}
 	go func() { _ = (&http.Server{Handler: e}).Serve(l) }()
 	return nil
 }
@@ -92,7 +93,7 @@
 		list = append(list, map[string]any{"id": id, "tokens": t.tokens, "state": state, "age_ms": time.Since(t.made).Milliseconds()})
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"stage": "unified", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}},
+	_ = json.NewEncoder(w).Encode(map[string]any{"born": e.born, "stage": "unified", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}},
 		"busy": false, "seq": 0, "queued": 0, "running": e.running, "kv_used": used, "kv_total": kvTokens, "handles": 0, "admission_tickets": list})
 }
 
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -96,7 +96,7 @@
 	for seq := 1; ; seq++ {
 		for i, e := range s.engines {
 			text, _ := json.Marshal(map[string]any{"service": service, "address": e.address, "zone": zones[i%len(zones)], "version": "v1",
-				"slots": engineSlot, "state": "ready", "cold_remaining_ms": 0, "seq": seq})
+				"slots": engineSlot, "state": "ready", "cold_remaining_ms": 0, "seq": seq, "born": e.born})
 			s.store.append("keyed.servers", record{e.id, text})
 		}
 		time.Sleep(1200 * time.Millisecond)
@@ -264,7 +264,8 @@
 		}
 		fail(fmt.Errorf("interrupted, or not done in time"))
 	}()
-	code := s.play(root, os.Getenv("TROUBLE") != "0")
+	play := map[string]func(string, bool) int{"drain": s.playDrain, "writer": s.playOtherWriter}[os.Args[3]]
+	code := play(root, os.Getenv("TROUBLE") != "0")
 	os.RemoveAll(tmp)
 	os.Exit(code)
 }
@@ -278,9 +279,8 @@
 	timeLimit = 90 * time.Second
 )
 
-// play sends long prompts, on connections that callers keep, to a daemon that has got SIGTERM. It returns 1 if one of them ends
-// without an answer though no server ever got it.
-func (s *site) play(root string, trouble bool) int {
+// start starts the store, the engines and the daemons, and waits until all are ready.
+func (s *site) start(root string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		fail(err)
@@ -308,6 +308,12 @@
 			fail(fmt.Errorf("%s is not ready", d.name))
 		}
 	}
+}
+
+// playDrain sends long prompts, on connections that callers keep, to a daemon that has got SIGTERM.
+// It returns 1 if one of them ends without an answer though no server ever got it.
+func (s *site) playDrain(root string, trouble bool) int {
+	s.start(root)
 	first := daemons[0]
 	var callers []*caller
 	for i := range prompts {
