--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# A daemon gets SIGTERM, and half a second later a handful of long prompts. Exits with 1 if one of
+# A daemon gets SIGTERM, and a second later long prompts on connections that callers keep. Exits with 1 if one of
 # them ends without an answer though no server ever got it, 0 if none does, 2 if the case could not
 # run. TROUBLE=0: the same without the SIGTERM.
 here=$(cd "$(dirname "$0")" && pwd)
