Keyed: logs and metrics tell how old a stream is, from whom, for whom it waits

Cause not known yet: the logs of such a host name neither the age of its settings nor its sources. Change: one line stream_old when the data has not been renewed for 0.6 of the bound, with age, source, the sources that have not answered and since when, and how the last attempts ended (eight at the most); stream_current when it is renewed; gauges of age and wait, a counter. Bounded: one pair of lines in 0.6 of the bound. Result: go test ./internal/keyed ./internal/edge pass; no logic changed.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -29,6 +29,9 @@
 	// peerHoldFraction is how long a peer that has nothing new holds its answer back: a little
 	// longer than the time between two reads of the store, so that each read causes an answer.
 	peerHoldFraction = 0.3
+	// oldFraction is the age from which data counts as old: more than the data of a tree whose
+	// daemons all answer ever reaches.
+	oldFraction = 0.6
 )
 
 const (
@@ -111,6 +114,7 @@
 	return keyed.Options{
 		Store:            p.store,
 		PeerHold:         fractionOf(ms, peerHoldFraction),
+		OldAfter:         fractionOf(ms, oldFraction),
 		PeerReadInterval: peerReadInterval,
 		StartupDelay:     p.startupDelay(),
 		DoubtTime:        restoredCopyDoubt,
--- a/internal/keyed/apply.go
+++ b/internal/keyed/apply.go
@@ -102,9 +102,12 @@
 
 // applyBatch passes the result of a read to Options.Apply. The caller holds the lock.
 func (f *Follower) applyBatch(b Batch) {
+	f.oldest = time.Since(f.state.at)
 	f.state.at = later(f.state.at, b.At)
+	f.source = b.From
 	f.opts.Apply(b)
 	f.resolve()
+	f.watchAge()
 	close(f.readDone) // answers the held requests of peers
 	f.readDone = make(chan struct{})
 }
--- a/internal/keyed/feed.go
+++ b/internal/keyed/feed.go
@@ -203,11 +203,13 @@
 	era := f.position().era
 	req := SinceRequest{Stream: f.opts.Stream, From: from, Era: era, Hold: f.opts.PeerHold}
 	timeout := f.opts.PeerTimeout + f.opts.PeerHold
+	end := f.attempts.begin(m.Host)
 	err := f.opts.Feed.call(ctx, m, req, timeout, &reply)
 	if err == nil && reply.Era > era && !reply.Whole && req.From != allKeys {
 		req.From, reply = allKeys, SinceReply{}
 		err = f.opts.Feed.call(ctx, m, req, timeout, &reply)
 	}
+	end(outcomeOf(ctx, err))
 	if err != nil {
 		return reply, nil, false
 	}
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -34,6 +34,9 @@
 	// read of the store: two intervals between its reads, the transfer time, and the time for
 	// which its reads stay open, during which the copy ages although nothing changes.
 	MaxAge time.Duration
+	// OldAfter is the age from which the data counts as old in logs, which name the sources that have
+	// not answered; zero: never.
+	OldAfter time.Duration
 	// RankOf reads the ranks of values; nil: values are ordered by their offsets.
 	RankOf RankOf
 	// RewriteTime is how long writers take at most to write again what the store has lost when it
@@ -73,17 +76,24 @@
 	// records.
 	eraUnknown bool
 
+	attempts attempts
+
 	mu         sync.Mutex
 	state      streamState
+	source     string // host whose copy was applied last, or fromStore
 	replies    replyCache
 	cancelRead context.CancelFunc // cancels the read in progress
 	readDone   chan struct{}      // closed and replaced after each successful read
+	old        bool               // stream_old was logged
+	oldest     time.Duration      // age of the data before it was renewed
+	oldTimer   *time.Timer        // calls logOld
 }
 
 // New returns a Follower that has no data yet.
 func New(o Options) *Follower {
 	f := &Follower{opts: o, log: o.Log.WithField("stream", o.Stream), started: time.Now(), readDone: make(chan struct{})}
 	f.state = newStreamState(o.RankOf)
+	f.registerAge()
 	if o.Feed != nil {
 		o.Feed.add(o.Stream, f)
 	}
@@ -288,7 +298,9 @@
 	next := f.beginRead(cancelRead)
 	defer f.beginRead(nil)
 	storeReads(f.opts.Stream).Inc()
+	end := f.attempts.begin(storeSource)
 	err := f.readFrom(readCtx, next, began)
+	end(outcomeOf(readCtx, err))
 	if err != nil && readCtx.Err() != nil && ctx.Err() == nil && outer.Err() == nil {
 		return errRestarted
 	}
