Keyed: a read that begins with old data hears of an outage before it reads the store

Cause: where the usual readers were refused for long, every other daemon read the store at once when its data had become old, before its sources could say that the store fails; and a reader repeated a read that had already been refused. Change: the own read comes a gap after the start of a read; a refused daemon's word holds for four times the bound, what others said for half of it. The second read of a reader is made only while the first is open. Tests: groups of daemons run in virtual time, since the age of the data decides; same bounds. The fake of the peers is safe for requests that outlive a read.

--- a/internal/keyed/fake_test.go
+++ b/internal/keyed/fake_test.go
@@ -89,12 +89,25 @@
 type fakePeers struct {
 	hosts      []string // by rank
 	feeds      map[string]*Feed
-	sameDomain []string // hosts in the failure domain of the daemon that reads
-	mu         sync.Mutex
+	sameDomain []string       // hosts in the failure domain of the daemon that reads
+	mu         sync.Mutex     // guards what follows, and feeds
 	calls      map[string]int // by host
 	bytes      map[string]int // of packed records in the answers, by host
 }
 
+func (p *fakePeers) feed(host string) *Feed {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.feeds[host]
+}
+
+// setFeed adds a daemon, or removes it if its Feed is nil.
+func (p *fakePeers) setFeed(host string, feed *Feed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.feeds[host] = feed
+}
+
 func (p *fakePeers) Members() []membership.Member { return p.Rank("", len(p.hosts)) }
 
 func (p *fakePeers) Rank(_ string, n int) []membership.Member {
@@ -113,7 +126,7 @@
 }
 
 func (p *fakePeers) Call(_ context.Context, address, _ string, args, reply any) error {
-	s := p.feeds[address]
+	s := p.feed(address)
 	if s == nil {
 		return merry.New("no such daemon")
 	}
--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -59,7 +60,9 @@
 	}
 }
 
-func TestFollowsChangesAndRemovals(t *testing.T) {
+func TestFollowsChangesAndRemovals(t *testing.T) { synctest.Test(t, testFollowsChangesAndRemovals) }
+
+func testFollowsChangesAndRemovals(t *testing.T) {
 	store := &fakeStore{}
 	store.put("a", "1")
 	f, tb := newFollower(store, nil)
@@ -73,7 +76,9 @@
 	}
 }
 
-func TestTrimmedStreamIsReadAgain(t *testing.T) {
+func TestTrimmedStreamIsReadAgain(t *testing.T) { synctest.Test(t, testTrimmedStreamIsReadAgain) }
+
+func testTrimmedStreamIsReadAgain(t *testing.T) {
 	store := &fakeStore{}
 	store.put("a", "1")
 	store.put("gone", "1")
@@ -92,7 +97,9 @@
 	}
 }
 
-func TestOldCopyIsRefused(t *testing.T) {
+func TestOldCopyIsRefused(t *testing.T) { synctest.Test(t, testOldCopyIsRefused) }
+
+func testOldCopyIsRefused(t *testing.T) {
 	store := &fakeStore{}
 	store.put("a", "1")
 	store.put("a", "2")
@@ -109,12 +116,16 @@
 }
 
 func TestDaemonsReadFromReadersInOrder(t *testing.T) {
+	synctest.Test(t, testDaemonsReadFromReadersInOrder)
+}
+
+func testDaemonsReadFromReadersInOrder(t *testing.T) {
 	peers := &fakePeers{hosts: []string{"t1", "t2", "x"}, feeds: map[string]*Feed{}}
 	stores, followers, tables := map[string]*fakeStore{}, map[string]*Follower{}, map[string]*table{}
 	for _, h := range peers.hosts {
 		stores[h] = &fakeStore{}
-		peers.feeds[h] = NewFeed(h, peers)
-		followers[h], tables[h] = newFollower(stores[h], peers.feeds[h])
+		peers.setFeed(h, NewFeed(h, peers))
+		followers[h], tables[h] = newFollower(stores[h], peers.feed(h))
 		for _, value := range []string{"1", "2"} {
 			stores[h].put("a", value)
 		}
@@ -129,14 +140,14 @@
 		t.Error("the second reader reads the store as well as the first")
 	}
 	// The first is gone: the second reads the store, the others read from it.
-	first := peers.feeds["t1"]
-	delete(peers.feeds, "t1")
+	first := peers.feed("t1")
+	peers.setFeed("t1", nil)
 	mustRead(t, followers["t2"])
 	mustRead(t, followers["x"])
 	if stores["t2"].reads != 1 || stores["x"].reads != 0 {
 		t.Errorf("the second reader has read the store %d times, another daemon %d", stores["t2"].reads, stores["x"].reads)
 	}
-	peers.feeds["t1"] = first
+	peers.setFeed("t1", first)
 	// The store refuses t2.
 	stores["t2"].set(func(s *fakeStore) { s.down = true })
 	mustRead(t, followers["t2"])
@@ -144,7 +155,7 @@
 		t.Errorf("got %v", tables["t2"].values)
 	}
 	// A removal reaches daemons that read from peers, once t1 is no longer avoided.
-	peers.feeds["x"].unresponsive = avoid.New(avoid.Options{})
+	peers.feed("x").unresponsive = avoid.New(avoid.Options{})
 	stores["t1"].put("a", "")
 	mustRead(t, followers["t1"])
 	mustRead(t, followers["x"])
@@ -152,8 +163,8 @@
 		t.Errorf("got %v", tables["x"].values)
 	}
 	// No peer with data answers: the store is read.
-	delete(peers.feeds, "t1")
-	delete(peers.feeds, "t2")
+	peers.setFeed("t1", nil)
+	peers.setFeed("t2", nil)
 	mustRead(t, followers["x"])
 	if stores["x"].reads != 1 {
 		t.Errorf("%d reads of the store", stores["x"].reads)
@@ -213,13 +224,17 @@
 // TestPeersGetTheRecordBeforeALateOne has a key whose newest record was written late. A
 // daemon that reads from a peer must get the record before it too, as one that reads the store.
 func TestPeersGetTheRecordBeforeALateOne(t *testing.T) {
+	synctest.Test(t, testPeersGetTheRecordBeforeALateOne)
+}
+
+func testPeersGetTheRecordBeforeALateOne(t *testing.T) {
 	peers := &fakePeers{hosts: []string{"t1", "x"}, feeds: map[string]*Feed{}}
 	store := &fakeStore{}
 	var seen []string
 	followers := map[string]*Follower{}
 	for _, h := range peers.hosts {
-		peers.feeds[h] = NewFeed(h, peers)
-		followers[h], _ = newFollower(store, peers.feeds[h])
+		peers.setFeed(h, NewFeed(h, peers))
+		followers[h], _ = newFollower(store, peers.feed(h))
 	}
 	followers["x"].opts.Apply = func(b Batch) {
 		for _, r := range b.Records {
@@ -255,16 +270,20 @@
 // TestFullReadOfPeerDoesNotHideRemoval has a reader that read all keys right after one was
 // removed, so that it has no record of the removal.
 func TestFullReadOfPeerDoesNotHideRemoval(t *testing.T) {
+	synctest.Test(t, testFullReadOfPeerDoesNotHideRemoval)
+}
+
+func testFullReadOfPeerDoesNotHideRemoval(t *testing.T) {
 	peers := &fakePeers{hosts: []string{"t1", "x"}, feeds: map[string]*Feed{}}
 	store := &fakeStore{}
 	store.put("gone", "1")
 	store.put("stays", "1")
-	peers.feeds["x"] = NewFeed("x", peers)
-	x, table := newFollower(store, peers.feeds["x"])
+	peers.setFeed("x", NewFeed("x", peers))
+	x, table := newFollower(store, peers.feed("x"))
 	mustRead(t, x)
 	store.put("gone", "")
-	peers.feeds["t1"] = NewFeed("t1", peers)
-	t1, _ := newFollower(store, peers.feeds["t1"])
+	peers.setFeed("t1", NewFeed("t1", peers))
+	t1, _ := newFollower(store, peers.feed("t1"))
 	mustRead(t, t1)
 	mustRead(t, x)
 	if table.get("gone") != "" || table.get("stays") != "1" {
@@ -276,12 +295,16 @@
 // domain is cut off from the store and the other domains: only one peer answers, whose copy is as
 // old as the cut.
 func TestDaemonStartedInCutDomainAcceptsOldCopy(t *testing.T) {
+	synctest.Test(t, testDaemonStartedInCutDomainAcceptsOldCopy)
+}
+
+func testDaemonStartedInCutDomainAcceptsOldCopy(t *testing.T) {
 	hosts := []string{"far1", "far2", "far3", "far4", "far5", "far6", "near", "new"}
 	peers := &fakePeers{hosts: hosts, feeds: map[string]*Feed{}, sameDomain: []string{"near", "new"}}
 	store := &fakeStore{}
 	store.put("a", "1")
-	peers.feeds["near"] = NewFeed("near", peers)
-	near, _ := newFollower(store, peers.feeds["near"])
+	peers.setFeed("near", NewFeed("near", peers))
+	near, _ := newFollower(store, peers.feed("near"))
 	mustRead(t, near)
 	near.state.at = near.state.at.Add(-time.Hour)
 	store.set(func(s *fakeStore) { s.down = true })
--- a/internal/keyed/group_test.go
+++ b/internal/keyed/group_test.go
@@ -39,8 +39,8 @@
 	for _, h := range f.peers.hosts {
 		f.stores[h] = &fakeStore{}
 		f.stores[h].put("a", "1")
-		f.peers.feeds[h] = NewFeed(h, f.peers)
-		f.followers[h], f.tables[h] = newFollower(f.stores[h], f.peers.feeds[h])
+		f.peers.setFeed(h, NewFeed(h, f.peers))
+		f.followers[h], f.tables[h] = newFollower(f.stores[h], f.peers.feed(h))
 		mustRead(t, f.followers[h])
 	}
 	return f
@@ -74,6 +74,10 @@
 // TestFewDaemonsTryAnUnavailableStore covers a store that is down for all of many daemons. Each
 // try costs the store something, and one successful read is enough for all daemons.
 func TestFewDaemonsTryAnUnavailableStore(t *testing.T) {
+	synctest.Test(t, testFewDaemonsTryAnUnavailableStore)
+}
+
+func testFewDaemonsTryAnUnavailableStore(t *testing.T) {
 	const daemons, rounds = 300, 10
 	f := newGroup(t, daemons)
 	f.makeStale()
@@ -92,6 +96,10 @@
 // TestDaemonReadingFromPeersLogsStoreLoss checks that a daemon that does not read the store logs
 // store_lost and store_regained.
 func TestDaemonReadingFromPeersLogsStoreLoss(t *testing.T) {
+	synctest.Test(t, testDaemonReadingFromPeersLogsStoreLoss)
+}
+
+func testDaemonReadingFromPeersLogsStoreLoss(t *testing.T) {
 	const daemons = 300
 	f := newGroup(t, daemons)
 	last := f.peers.hosts[daemons-1]
@@ -155,13 +163,15 @@
 
 // TestDaemonsTakeTurnsToRead guards against tries at which no daemon of a failure domain reads the
 // store, or many do: by chance, none did at seven tries in a row.
-func TestDaemonsTakeTurnsToRead(t *testing.T) {
+func TestDaemonsTakeTurnsToRead(t *testing.T) { synctest.Test(t, testDaemonsTakeTurnsToRead) }
+
+func testDaemonsTakeTurnsToRead(t *testing.T) {
 	f := newGroup(t, 300)
 	seen := map[string]bool{}
 	for try := range 60 { // as many as the domain has daemons
 		var turns []string
 		for _, h := range f.peers.sameDomain {
-			if f.peers.feeds[h].isTurnToRead(try) {
+			if f.peers.feed(h).isTurnToRead(try) {
 				turns = append(turns, h)
 			}
 		}
--- a/internal/keyed/hedge.go
+++ b/internal/keyed/hedge.go
@@ -13,6 +13,7 @@
 // step is a part of a read: requests to one or more sources at the same time.
 type step struct {
 	store bool // the source is the store
+	again bool // of the store: only while a read of it is open, whose answer may be lost
 	// peers returns the sources otherwise. It is called when the step begins.
 	peers  func(*hedgedRead) []membership.Member
 	maxAge time.Duration // up to which a copy counts as fresh
@@ -169,7 +170,9 @@
 	s := r.steps[i]
 	r.steps = slices.Delete(r.steps, i, i+1)
 	if s.store {
-		r.readStore(&s, done)
+		if !s.again || r.f.attempts.isOpen(storeSource) {
+			r.readStore(&s, done)
+		}
 		return
 	}
 	if r.open > 0 {
--- a/internal/keyed/outage.go
+++ b/internal/keyed/outage.go
@@ -10,6 +10,7 @@
 type outage struct {
 	mu       sync.Mutex
 	failedAt time.Time            // end of the last read that failed; zero: the last one succeeded
+	lastAt   time.Time            // when the store was last known not to answer; zero: never
 	open     map[int]time.Time    // by number: when reads in progress are overdue
 	reads    int                  // number of the last read
 	reports  map[string]time.Time // by host: the last report that the store fails
@@ -19,6 +20,9 @@
 	// overdueFraction of Options.Within is how long a read of the store takes at most while the
 	// store is sound, beyond the time for which it may be kept open.
 	overdueFraction = 0.08
+	// outageSpans times Options.Within is how long a failed read counts if none follows: a daemon that
+	// gets fresh data from others does not read the store.
+	outageSpans = 4
 	// minOutageReports is the number of daemons whose word counts as an outage of the store.
 	minOutageReports = 3
 )
@@ -38,16 +42,28 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		delete(o.open, number)
+		now := time.Now()
+		if now.After(overdue) || !answered && !ignore {
+			o.lastAt = now
+		}
 		switch {
 		case answered:
 			o.failedAt = time.Time{}
 		case !ignore:
-			o.failedAt = time.Now()
+			o.failedAt = now
 		}
 	}
 }
 
-// failing reports whether the store has failed to answer this daemon within the given time.
+// last returns when the store was last known not to answer this daemon, zero for never.
+func (o *outage) last() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lastAt
+}
+
+// failing reports whether the store has failed to answer this daemon: a read is overdue, or the last
+// one failed within outageSpans times the given time.
 func (o *outage) failing(within time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -57,7 +73,7 @@
 			return true
 		}
 	}
-	return !o.failedAt.IsZero() && now.Sub(o.failedAt) < within
+	return !o.failedAt.IsZero() && now.Sub(o.failedAt) < outageSpans*within
 }
 
 // report records a daemon's word on whether the store fails to answer it.
@@ -74,8 +90,8 @@
 	o.reports[host] = time.Now()
 }
 
-// reported reports whether enough daemons, this one included, have found within the given time that
-// the store fails.
+// reported reports whether enough daemons, this one included, find that the store fails. The word of
+// others counts for half of the given time: they may be silent since.
 func (o *outage) reported(within time.Duration) bool {
 	failing := o.failing(within)
 	o.mu.Lock()
@@ -85,7 +101,7 @@
 		n++
 	}
 	for host, at := range o.reports {
-		if now.Sub(at) > within {
+		if now.Sub(at) > within/2 {
 			delete(o.reports, host)
 			continue
 		}
--- a/internal/keyed/plan.go
+++ b/internal/keyed/plan.go
@@ -101,7 +101,7 @@
 	}
 	steps = append(steps,
 		step{store: true, eager: always, due: ownRead},
-		step{store: true, due: ownRead.Add(f.part(gapFraction))}, // the first answer may be lost
+		step{store: true, again: true, due: ownRead.Add(f.part(gapFraction))},
 		step{peers: peersOnly(from.after...), maxAge: f.maxAge(0), eager: always, due: ownRead.Add(f.part(gapFraction / 2))},
 		step{peers: f.lastHelper, maxAge: f.maxAge(0), eager: always, due: ownRead.Add(f.part(gapFraction / 2))},
 		f.fallbackStep(ownRead.Add(f.part(gapFraction)), noData),
@@ -195,7 +195,9 @@
 	if noData {
 		return time.Time{} // see isTurn
 	}
-	return later(base.Add(f.part(besideSteps*gapFraction)), f.postponeOwnRead())
+	due := base.Add(f.part(besideSteps * gapFraction))
+	due = later(due, time.Now().Add(f.part(gapFraction))) // others are to tell of an outage before
+	return later(due, f.postponeOwnRead())
 }
 
 // postponeOwnRead returns before when this daemon must not read the store unless it is its turn: while
--- a/internal/keyed/tree_test.go
+++ b/internal/keyed/tree_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/platform"
@@ -30,6 +31,10 @@
 // TestCallsPerDaemonAreBoundedAtAnyFleetSize guards against one daemon that all others
 // call, whose load grows with the fleet.
 func TestCallsPerDaemonAreBoundedAtAnyFleetSize(t *testing.T) {
+	synctest.Test(t, testCallsPerDaemonAreBoundedAtAnyFleetSize)
+}
+
+func testCallsPerDaemonAreBoundedAtAnyFleetSize(t *testing.T) {
 	for _, daemons := range []int{100, 200, 400} {
 		f := newDomainGroup(t, daemons)
 		f.setDown(func(string) bool { return false })
@@ -42,12 +47,14 @@
 
 // TestTreeHasFewLevels checks that the levels between a daemon and a reader grow with the
 // logarithm of the fleet's size.
-func TestTreeHasFewLevels(t *testing.T) {
+func TestTreeHasFewLevels(t *testing.T) { synctest.Test(t, testTreeHasFewLevels) }
+
+func testTreeHasFewLevels(t *testing.T) {
 	for daemons, levels := range map[int]int{9: 1, 70: 2, 300: 3} {
 		f := newDomainGroup(t, daemons)
 		deepest := 0
 		for _, h := range f.peers.hosts {
-			deepest = max(deepest, f.peers.feeds[h].sources().levels)
+			deepest = max(deepest, f.peers.feed(h).sources().levels)
 		}
 		if deepest > levels {
 			t.Errorf("%d daemons: %d levels", daemons, deepest)
@@ -56,13 +63,15 @@
 }
 
 // TestTreeRepairsItself removes every third daemon: the others read from further ancestors.
-func TestTreeRepairsItself(t *testing.T) {
+func TestTreeRepairsItself(t *testing.T) { synctest.Test(t, testTreeRepairsItself) }
+
+func testTreeRepairsItself(t *testing.T) {
 	const daemons = 200
 	f := newDomainGroup(t, daemons)
 	f.setDown(func(string) bool { return false })
 	for i, h := range f.peers.hosts {
 		if i%3 == 1 {
-			delete(f.peers.feeds, h)
+			f.peers.setFeed(h, nil)
 			delete(f.followers, h)
 		}
 	}
@@ -93,15 +102,17 @@
 
 // TestHeartbeatsAreNotSentToPeers guards against traffic that grows with upstreams times daemons:
 // heartbeats alone are not significant to peers.
-func TestHeartbeatsAreNotSentToPeers(t *testing.T) {
+func TestHeartbeatsAreNotSentToPeers(t *testing.T) { synctest.Test(t, testHeartbeatsAreNotSentToPeers) }
+
+func testHeartbeatsAreNotSentToPeers(t *testing.T) {
 	bytes := map[int]int{}
 	for _, upstreams := range []int{100, 200, 400} {
 		peers := &fakePeers{hosts: []string{"t1", "x"}, feeds: map[string]*Feed{}, calls: map[string]int{}, bytes: map[string]int{}}
 		store := &fakeStore{}
 		followers, tables := map[string]*Follower{}, map[string]*table{}
 		for _, h := range peers.hosts {
-			peers.feeds[h] = NewFeed(h, peers)
-			followers[h], tables[h] = newFollower(store, peers.feeds[h])
+			peers.setFeed(h, NewFeed(h, peers))
+			followers[h], tables[h] = newFollower(store, peers.feed(h))
 			followers[h].opts.IsSignificant = contentDiffers
 		}
 		heartbeat := func(n int) {
@@ -139,9 +150,10 @@
 	peers := &fakePeers{hosts: []string{"t1", "x"}, feeds: map[string]*Feed{}}
 	store := &fakeStore{}
 	store.put("a", "1")
-	peers.feeds["t1"], peers.feeds["x"] = NewFeed("t1", peers), NewFeed("x", peers)
-	t1, _ := newFollower(store, peers.feeds["t1"])
-	x, tb := newFollower(store, peers.feeds["x"])
+	peers.setFeed("t1", NewFeed("t1", peers))
+	peers.setFeed("x", NewFeed("x", peers))
+	t1, _ := newFollower(store, peers.feed("t1"))
+	x, tb := newFollower(store, peers.feed("x"))
 	x.opts.PeerHold = time.Hour // limited by the peer
 	mustRead(t, t1)
 	mustRead(t, x)
@@ -170,6 +182,10 @@
 // TestDaemonWithStaleDataAnswersAtOnce guards against a reader that takes over from other
 // readers only after each of them has held its answer back.
 func TestDaemonWithStaleDataAnswersAtOnce(t *testing.T) {
+	synctest.Test(t, testDaemonWithStaleDataAnswersAtOnce)
+}
+
+func testDaemonWithStaleDataAnswersAtOnce(t *testing.T) {
 	f := newDomainGroup(t, 10)
 	f.makeStale()
 	for _, h := range f.peers.hosts {
@@ -189,14 +205,18 @@
 // TestFewDaemonsReadStoreAtCommonStart guards against a number of reads of the store that grows
 // with the number of daemons that start.
 func TestFewDaemonsReadStoreAtCommonStart(t *testing.T) {
+	synctest.Test(t, testFewDaemonsReadStoreAtCommonStart)
+}
+
+func testFewDaemonsReadStoreAtCommonStart(t *testing.T) {
 	const daemons = 300
 	f := newDomainGroup(t, daemons)
 	start := func(began time.Time, demand chan struct{}) {
 		for h, x := range f.followers {
 			x.state = streamState{next: -1, records: map[string]platform.KeyedRecord{}}
 			x.started, x.opts.StartupDelay, x.opts.Demand = began, time.Hour, demand
-			f.peers.feeds[h] = NewFeed(h, f.peers)
-			f.peers.feeds[h].add("s", x)
+			f.peers.setFeed(h, NewFeed(h, f.peers))
+			f.peers.feed(h).add("s", x)
 		}
 		f.setDown(func(string) bool { return false })
 	}
@@ -214,7 +234,7 @@
 		}
 	}
 	start(time.Now().Add(-3*time.Hour), nil)
-	delete(f.peers.feeds, f.peers.hosts[0])
+	f.peers.setFeed(f.peers.hosts[0], nil)
 	if err := f.followers[f.peers.hosts[9]].read(t.Context()); err != nil {
 		t.Errorf("a daemon that has waited long: %v", err)
 	}
