Fleet: silent sources are no outage of the store

Cause: a daemon whose list was older than 1.5 s took that for an outage of the store and used removed entries for 2 s more, since entries lapse during outages. But its reads were late because the daemon that it reads from was silent; the store answered. Change: copies tell when the store last did not answer the daemon that read it. If it has answered all the time, a gap between reads is no outage. Copies of earlier releases tell nothing, and the age decides as before.

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -224,3 +224,25 @@
 		})
 	}
 }
+
+// TestRemovalAfterSilentSourcesIsNoLapse guards against work for servers that have left: the reads
+// were late because other daemons were silent, and the store was not.
+func TestRemovalAfterSilentSourcesIsNoLapse(t *testing.T) {
+	const late = 1800 * time.Millisecond
+	for name, c := range map[string]struct {
+		outageAt time.Time
+		lapsed   bool
+	}{
+		"no outage is known":       {},
+		"outage before the reads":  {outageAt: start.Add(-time.Second)},
+		"outage between the reads": {outageAt: start.Add(time.Second), lapsed: true},
+	} {
+		l := newList()
+		l.Apply([]Change{newEntry("a", 1)}, start)
+		l.RecordNoOutage(c.outageAt, start.Add(late))
+		l.Apply([]Change{{Name: "a"}}, start.Add(late))
+		if l.has("a") != c.lapsed {
+			t.Errorf("%s: still listed: %v", name, l.has("a"))
+		}
+	}
+}
--- a/internal/core/fleet/list.go
+++ b/internal/core/fleet/list.go
@@ -99,6 +99,16 @@
 	l.Expire(now)
 }
 
+// RecordNoOutage records that the store was last unavailable at outageAt, zero for never, and has
+// answered since until a time: a gap between reads that ended then is no outage. The reads of this
+// daemon may have been late because other daemons, which it reads from, were silent.
+func (l *List) RecordNoOutage(outageAt, until time.Time) {
+	if l.lastRead.IsZero() || outageAt.After(l.lastRead) || !until.After(l.lastRead) {
+		return
+	}
+	l.lastRead = until
+}
+
 // Replace applies a successful read of the whole list: known servers that are not in it were
 // removed.
 func (l *List) Replace(all []Change, now time.Time) {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -211,6 +211,9 @@
 	}
 	countColdFromArrival(changes, time.Since(b.At))
 	p.changeList(func(l *fleet.List) bool {
+		if b.OutageKnown {
+			l.RecordNoOutage(b.OutageAt, b.At)
+		}
 		if b.Whole {
 			l.Replace(changes, b.At)
 		} else {
--- a/internal/keyed/apply.go
+++ b/internal/keyed/apply.go
@@ -99,6 +99,11 @@
 	f.oldest = time.Since(f.state.at)
 	f.state.at = later(f.state.at, b.At)
 	f.source = b.From
+	f.lineage = f.offered
+	if b.From == fromStore {
+		f.lineage = f.storeLineage()
+	}
+	b.OutageAt, b.OutageKnown = f.lineage.outageAt, f.lineage.known
 	f.opts.Apply(b)
 	f.resolve()
 	f.watchAge()
--- a/internal/keyed/feed.go
+++ b/internal/keyed/feed.go
@@ -110,6 +110,10 @@
 	EraCertain int64
 	// StoreFailing says that the store does not answer the peer.
 	StoreFailing bool
+	// OutageAge is the time since the store last did not answer the daemon that has read it, zero
+	// for never. It is not known if KnowsOutages is false, as from daemons of earlier releases.
+	OutageAge    time.Duration
+	KnowsOutages bool
 }
 
 // versionOfEras is the version of answers that have the store's era.
@@ -139,6 +143,10 @@
 	reply.Version, reply.Next = versionOfEras, f.state.next
 	reply.Age = time.Since(f.state.at)
 	reply.StoreFailing = f.outage.failing(f.opts.Within)
+	reply.KnowsOutages = f.lineage.known
+	if !f.lineage.outageAt.IsZero() {
+		reply.OutageAge = time.Since(f.lineage.outageAt)
+	}
 	reply.Era, reply.EraAge, reply.EraCertain = f.state.era, time.Since(f.state.unresolved.eraSeen), f.state.unresolved.certainFrom
 	from := req.From
 	if from < f.state.recentFrom || f.otherEra(req) {
@@ -211,6 +219,7 @@
 	f.eraUnknown = f.eraUnknown || reply.Version < versionOfEras && pos.era == platform.NoEra
 	page := platform.KeyedPage{Records: records, NextOffset: reply.Next, Era: reply.Era}
 	read := began.Add(reply.Held - reply.Age)
+	f.offered = lineageOf(reply)
 	switch {
 	case pos.next < 0 && reply.Age > maxAge:
 		return false
@@ -240,6 +249,15 @@
 	return reply.Age <= maxAge
 }
 
+// lineageOf returns the lineage of a peer's copy.
+func lineageOf(r SinceReply) lineage {
+	l := lineage{known: r.KnowsOutages}
+	if r.OutageAge > 0 {
+		l.outageAt = time.Now().Add(-r.OutageAge)
+	}
+	return l
+}
+
 // recoverFromPeers calls other daemons, until one answers, for records that the store may have
 // lost before this daemon started: so far it only has data of the store itself.
 func (f *Follower) recoverFromPeers(ctx context.Context) {
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -20,6 +20,10 @@
 	Records []platform.KeyedRecord
 	At      time.Time // start of the read of the store: the data is at least as new
 	From    string    // the host whose copy was read; empty: the store
+	// OutageAt is when the store last did not answer the daemon that has read it, zero for never. It
+	// is not known from daemons of earlier releases.
+	OutageAt    time.Time
+	OutageKnown bool
 }
 
 // Options configure a Follower. All durations must be positive, except that LongPoll and
@@ -75,6 +79,7 @@
 	helper        string        // host of the daemon that gave fresh data last
 	ownRead       time.Time     // start of the last read of the store
 	searchedAt    time.Time     // when all daemons were asked last
+	offered       lineage       // of the peer's copy that is being applied
 	recovering    chan struct{} // closed when recoverFromPeers has ended; nil: it was not called
 	// eraUnknown says that the data came from a daemon of an earlier release, which does not
 	// send the store's era. The data may be of any era, and offsets of a former era may hide newer
@@ -86,6 +91,7 @@
 
 	mu         sync.Mutex
 	state      streamState
+	lineage    lineage
 	source     string // host whose copy was applied last, or fromStore
 	replies    replyCache
 	cancelRead context.CancelFunc // cancels the read in progress
@@ -294,6 +300,15 @@
 	}
 }
 
+// lineage tells of the reads of the store from which the data comes.
+type lineage struct {
+	outageAt time.Time // see Batch.OutageAt
+	known    bool      // see Batch.OutageKnown
+}
+
+// storeLineage returns the lineage of data that this daemon reads from the store.
+func (f *Follower) storeLineage() lineage { return lineage{outageAt: f.outage.last(), known: true} }
+
 func storeReads(stream string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(`buckthorndock_store_reads_total{stream="` + stream + `"}`)
 }
