Keyed: a daemon that stood still does not ask all others at once

Cause: the steps of a read are due by the clock; after four seconds without running all were due together, so that a daemon asked 58 others, each by a new connection. Change: lateness of more than a gap delays the steps that follow. Result: TestDaemonThatStoodStillAsksOneByOne, without the change all five steps begin at once.

--- a/internal/keyed/bound_test.go
+++ b/internal/keyed/bound_test.go
@@ -369,3 +369,21 @@
 func (w *boundWorld) firstSources(n int) []membership.Member {
 	return NewFeed(w.self(), w).sources().before[:n]
 }
+
+// TestDaemonThatStoodStillAsksOneByOne guards against requests to all daemons, and a connection to
+// each, when a daemon goes on after it stood still: all steps of its read are due then.
+func TestDaemonThatStoodStillAsksOneByOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newBoundWorld(boundCase{within: 3 * time.Second, hosts: 59, position: 58, anchor: true})
+		f := New(w.options(&boundStore{w: w, of: storeName}, NewFeed(w.self(), w), w.apply))
+		r := &hedgedRead{f: f, ctx: t.Context(), asked: map[string]bool{}}
+		for i := range 5 {
+			r.steps = append(r.steps, step{peers: peersOnly(), due: time.Now().Add(time.Duration(i+1) * f.part(gapFraction))})
+		}
+		time.Sleep(4 * time.Second)
+		r.beginDue(nil)
+		if len(r.steps) != 4 {
+			t.Errorf("%d of 5 steps begin at once", 5-len(r.steps))
+		}
+	})
+}
--- a/internal/keyed/hedge.go
+++ b/internal/keyed/hedge.go
@@ -61,6 +61,7 @@
 // hedge reads once by the steps. It returns nil if a source had fresh data.
 func (f *Follower) hedge(ctx context.Context, steps []step) error {
 	r := &hedgedRead{f: f, ctx: ctx, steps: steps, asked: map[string]bool{}, err: errNothingFresh}
+	r.notBefore(time.Now())
 	var restart, cancel context.CancelFunc
 	r.restarted, restart = context.WithCancel(ctx)
 	defer restart()
@@ -111,21 +112,49 @@
 
 // nextDue returns a channel that receives a value when the next step is due; nil if none will be.
 func (r *hedgedRead) nextDue() <-chan time.Time {
+	next := r.firstDue()
+	if next.IsZero() {
+		return nil
+	}
+	return time.After(time.Until(next))
+}
+
+// firstDue returns when the next step is due, zero if none will be.
+func (r *hedgedRead) firstDue() time.Time {
 	var next time.Time
 	for _, s := range r.steps {
 		if !s.due.IsZero() && (next.IsZero() || s.due.Before(next)) {
 			next = s.due
 		}
 	}
-	if next.IsZero() {
-		return nil
+	return next
+}
+
+// notBefore makes no step due before a time.
+func (r *hedgedRead) notBefore(t time.Time) {
+	for i := range r.steps {
+		if s := &r.steps[i]; !s.due.IsZero() {
+			s.due = later(s.due, t)
+		}
+	}
+}
+
+// delay makes all steps due later.
+func (r *hedgedRead) delay(d time.Duration) {
+	for i := range r.steps {
+		if s := &r.steps[i]; !s.due.IsZero() {
+			s.due = s.due.Add(d)
+		}
 	}
-	return time.After(time.Until(next))
 }
 
-// beginDue begins all steps that are due.
+// beginDue begins all steps that are due. After a time in which this process stood still, sources
+// must have time to answer between two steps as before.
 func (r *hedgedRead) beginDue(done chan struct{}) {
 	now := time.Now()
+	if late := now.Sub(r.firstDue()); !r.firstDue().IsZero() && late > r.f.part(gapFraction) {
+		r.delay(late)
+	}
 	for {
 		i := slices.IndexFunc(r.steps, func(s step) bool { return !s.due.IsZero() && !now.Before(s.due) })
 		if i < 0 {
