--- a/internal/keyed/hedge.go
+++ b/internal/keyed/hedge.go
@@ -53,9 +53,8 @@
 	asked   map[string]bool // peers that were asked in this read
 	err     error           // of the store, or errNothingFresh
 
-	storeCtx    context.Context // of requests to the store; ends with the read
-	cancelStore context.CancelFunc
-	restarted   context.Context // is canceled by Follower.RestartRead
+	storeCtx  context.Context // of requests to the store; ends with the read
+	restarted context.Context // is canceled by Follower.RestartRead
 }
 
 // hedge reads once by the steps. It returns nil if a source had fresh data.
