Keyed: the first source has a gap before the next is asked; a refused reader reads once

Cause: a daemon without data asked its first two sources at once, and a reader whose data was old made its second read, meant for a lost answer, together with the first. Change: the steps of a read that begins with old data, or none, count from a gap after its start; those of a reader's store keep their distance.

--- a/internal/keyed/plan.go
+++ b/internal/keyed/plan.go
@@ -87,7 +87,7 @@
 func (f *Follower) planReader(from sources) []step {
 	base, noData := f.base(takeOverFraction)
 	position := len(from.before)
-	ownRead := base.Add(f.part(readerFraction * float64(position)))
+	ownRead := later(base.Add(f.part(readerFraction*float64(position))), time.Now())
 	var steps []step
 	for i, m := range from.before {
 		s := step{peers: peersOnly(m), maxAge: f.maxAge(0), hold: f.opts.PeerHold, readers: true, eager: always, due: time.Now()}
@@ -138,21 +138,22 @@
 
 // base returns when the data will have an age, given as a fraction of Options.Within. If that has
 // passed, it returns when reads began to fail, so that the next read goes on where the last one has
-// ended, and now if they do not fail. noData says that there is no data.
+// ended. Otherwise, and without data, it leaves the first source a gap to answer.
 func (f *Follower) base(fraction float64) (base time.Time, noData bool) {
 	now := time.Now()
+	soon := now.Add(f.part(gapFraction))
 	at, ok := f.readAt()
 	if !ok {
-		return now, true
+		return soon, true
 	}
 	base = at.Add(f.part(fraction))
-	if base.After(now) {
+	switch {
+	case base.After(now):
 		return base, false
-	}
-	if f.stale {
+	case f.stale:
 		return later(base, f.staleSince), false
 	}
-	return now, false
+	return soon, false
 }
 
 // fallbackStep returns the step that asks a few random daemons.
