--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -44,6 +44,8 @@
 
 // history records what callers and servers have seen, and the disruptions of the site.
 type history struct {
+	settingsWithin time.Duration // max time until settings are in force
+
 	mu             sync.Mutex
 	outcomes       []outcome
 	runs           map[string][]run
@@ -71,7 +73,7 @@
 func (f finding) String() string { return f.check + ": " + f.text }
 
 func newHistory() *history {
-	return &history{endless: map[string]bool{}, full: map[string]string{}, runs: map[string][]run{}, leavingInStore: map[string]time.Time{}, leavingAnswers: map[string]time.Time{}, domains: map[string]string{}, crashes: map[string][]time.Time{}, daemonOf: map[string]string{}, written: map[int]time.Time{}}
+	return &history{settingsWithin: settingsDelay, endless: map[string]bool{}, full: map[string]string{}, runs: map[string][]run{}, leavingInStore: map[string]time.Time{}, leavingAnswers: map[string]time.Time{}, domains: map[string]string{}, crashes: map[string][]time.Time{}, daemonOf: map[string]string{}, written: map[int]time.Time{}}
 }
 
 func (h *history) addOutcome(o outcome) {
--- a/test/soak/restored_test.go
+++ b/test/soak/restored_test.go
@@ -13,7 +13,8 @@
 	restoreInterval = 8 * time.Second
 	// storeAway is how long the store refuses all calls before it is restored from its copy.
 	storeAway = 300 * time.Millisecond
-	// settingsDelay is the max time until settings are in force at an undisrupted daemon.
+	// settingsDelay is the max time until settings are in force at an undisrupted daemon, unless the
+	// scenario names another.
 	settingsDelay = 5 * time.Second
 )
 
@@ -45,15 +46,15 @@
 	}
 }
 
-// checkInForce checks that a key that was added more than settingsDelay ago, and that the newest
+// checkInForce checks that a key that was added more than settingsWithin ago, and that the newest
 // settings allow, is not refused.
 func (h *history) checkInForce(add findingFunc) {
 	for _, o := range h.outcomes {
-		if o.status != http.StatusUnauthorized || o.abandoned || o.key < h.versionAt(o.done)-1 || o.key > h.versionAt(o.sent.Add(-settingsDelay)) {
+		if o.status != http.StatusUnauthorized || o.abandoned || o.key < h.versionAt(o.done)-1 || o.key > h.versionAt(o.sent.Add(-h.settingsWithin)) {
 			continue
 		}
 		touched := func(target string) bool { return target == o.daemon || target == "store" }
-		if !h.disrupted(o.sent.Add(-settingsDelay), o.done, touched) {
+		if !h.disrupted(o.sent.Add(-h.settingsWithin), o.done, touched) {
 			add("settings are in force in time", "%s refused %s with the key of version %d", o.daemon, o.id, o.key)
 			return // one finding is enough; each later request would give another
 		}
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -128,6 +128,7 @@
 		logPrefix:   p.logPrefix,
 		ip:          fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%maxByte, 1+numRigs.Add(1)%maxByte),
 	}
+	r.history.settingsWithin = cmp.Or(p.settingsWithin, settingsDelay)
 	if mutantName == crasher {
 		r.stopSignal, mutantName = syscall.SIGABRT, ""
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -30,6 +30,7 @@
 	partitions       bool   // daemons can be partitioned from the servers
 	memoryMB         int    // limit of each daemon; 0: memoryMB
 	mutant           string
+	settingsWithin   time.Duration // max time until settings are in force; 0: settingsDelay
 	fewServers       int           // of fewService, for which competitors compete; 0: there are none
 	fewWork          time.Duration // of each request to fewService
 	recovery         time.Duration // max time from the end of the last disruption until all serve again
@@ -240,6 +241,7 @@
 		p.plan = append(p.plan, drawColds(p.seed, p.length, 2*p.servers)...)
 		p.plan = append(p.plan, drawEndless(p.seed, p.length, 2*p.servers)...)
 		p.plan = append(p.plan, drawPauses(p.seed, p.length, 2*p.servers)...)
+		p.plan = append(p.plan, drawStandstills(p.seed, p.length, p.daemons)...)
 		p.fewServers, p.fewWork = usualFewServers, scarceWork
 		p.plan = append(p.plan, drawScarcity(p.seed, p.length, 2*p.servers, p.fewServers)...)
 		p.domains = numDomains
