Keyed: the store's return restarts reads of the store only

Cause: since reads ask several sources, RestartRead ended those from peers too. When the store is back, every daemon would have left its source, which still holds the request, for the next one. Change: only while a request to the store is open, as before the hedged reads. Result: TestRestartReadLeavesRequestsToPeers, which fails without it.

--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -256,12 +256,12 @@
 // errRestarted is returned by a read that was canceled in order to start it again.
 var errRestarted = errors.New("the read was restarted")
 
-// RestartRead cancels a read that is in progress, so that it is started again: the store may have
-// been unreachable in the meantime and may never answer it.
+// RestartRead cancels a read of the store that is in progress, so that it is started again: the store
+// may have been unreachable in the meantime and may never answer it.
 func (f *Follower) RestartRead() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cancelRead != nil {
+	if f.cancelRead != nil && f.attempts.isOpen(storeSource) {
 		f.cancelRead()
 	}
 }
--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -183,6 +183,31 @@
 	}
 }
 
+// TestRestartReadLeavesRequestsToPeers guards against all daemons leaving their sources at once when the
+// store is back.
+func TestRestartReadLeavesRequestsToPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newBoundWorld(boundCase{within: 3 * time.Second, hosts: 59, position: 58, anchor: true})
+		f := New(w.options(&boundStore{w: w, of: storeName}, NewFeed(w.self(), w), w.apply))
+		w.behavior[w.firstSources(1)[0].Host] = mute
+		result := make(chan error, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			result <- f.hedge(ctx, []step{{peers: peersOnly(w.firstSources(1)...), due: time.Now(), hold: time.Second}})
+		}()
+		time.Sleep(10 * time.Millisecond)
+		f.RestartRead()
+		time.Sleep(10 * time.Millisecond)
+		select {
+		case err := <-result:
+			t.Errorf("the read ended: %v", err)
+		default:
+		}
+		cancel()
+		<-result
+	})
+}
+
 type hangingStore struct{ entered chan struct{} }
 
 func (s *hangingStore) Newest(ctx context.Context, _ string) (platform.KeyedPage, error) {
