--- a/internal/schedule/slot_scarcity.go
+++ b/internal/schedule/slot_scarcity.go
@@ -21,8 +21,9 @@
 	// reportInterval is the time between two reports of a scarcity to a daemon. It is shorter than
 	// the time for which one of them counts.
 	reportInterval = time.Second
-	// maxReports is the number of reports sent at once.
-	maxReports = 8
+	// maxReports is the number of reports sent at once. With placeTimeout for each, a fleet of a
+	// thousand daemons of which most are silent is told within reportInterval.
+	maxReports = 64
 )
 
 // ScarceRequest reports the services that are scarce.
@@ -118,7 +119,7 @@
 	g.SetLimit(maxReports)
 	for _, m := range to {
 		g.Go(func() error {
-			err := s.call(ctx, m, "ReportScarce", notifyTimeout, req, &ScarceReply{})
+			err := s.call(ctx, m, "ReportScarce", placeTimeout, req, &ScarceReply{})
 			s.recordReport(m.Host, err)
 			return nil
 		})
