Keyed: the property test draws its pauses under its lock

Cause: go test -race found that the test's random source was used by two goroutines. Result: the package passes with -race but for the long tests left out there (TestRecordsOnly..., TestFleetReads..., TestFewDaemonsTry...).

--- a/internal/keyed/bound_test.go
+++ b/internal/keyed/bound_test.go
@@ -127,6 +127,13 @@
 	}
 }
 
+// pause draws the time between two disturbances.
+func (w *boundWorld) pause() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(w.rng.Float64() * 4 * float64(time.Second))
+}
+
 // play writes changes and returns the longest time that one took. disturb is called at random times.
 func (w *boundWorld) play(t *testing.T, disturb func()) time.Duration {
 	ctx, cancel := context.WithCancel(t.Context())
@@ -143,7 +150,7 @@
 	wg.Go(func() {
 		for ctx.Err() == nil {
 			disturb()
-			time.Sleep(time.Duration(w.rng.Float64() * 4 * float64(time.Second)))
+			time.Sleep(w.pause())
 		}
 	})
 	writes := rand.New(rand.NewPCG(w.seed, 1))
