Keyed: a daemon that was cut off from the store knows that it was

Cause: since silence alone is no outage, a failure domain that had been cut off heard from outside that the store had answered all the time, and dropped its own live servers, whose entries had lapsed meanwhile, at once in place of keeping them for 2 s. Change: what this daemon's own reads, or its sources' word, tell of an outage counts beside the lineage of the copy.

--- a/internal/keyed/apply.go
+++ b/internal/keyed/apply.go
@@ -103,7 +103,8 @@
 	if b.From == fromStore {
 		f.lineage = f.storeLineage()
 	}
-	b.OutageAt, b.OutageKnown = f.lineage.outageAt, f.lineage.known
+	// This daemon may have been cut off from the store and from those whom it answers.
+	b.OutageAt, b.OutageKnown = later(f.lineage.outageAt, f.outage.last()), f.lineage.known
 	f.opts.Apply(b)
 	f.resolve()
 	f.watchAge()
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -20,8 +20,8 @@
 	Records []platform.KeyedRecord
 	At      time.Time // start of the read of the store: the data is at least as new
 	From    string    // the host whose copy was read; empty: the store
-	// OutageAt is when the store last did not answer the daemon that has read it, zero for never. It
-	// is not known from daemons of earlier releases.
+	// OutageAt is when the store last did not answer this daemon or the one that has read it, zero for
+	// never. It is not known from daemons of earlier releases.
 	OutageAt    time.Time
 	OutageKnown bool
 }
--- a/internal/keyed/outage.go
+++ b/internal/keyed/outage.go
@@ -59,9 +59,23 @@
 func (o *outage) last() time.Time {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	now := time.Now()
+	for _, overdue := range o.open {
+		if now.After(overdue) {
+			return now
+		}
+	}
 	return o.lastAt
 }
 
+// recordReported records that the store does not answer this daemon's sources, so that it does not
+// read the store itself.
+func (o *outage) recordReported() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lastAt = time.Now()
+}
+
 // failing reports whether the store has failed to answer this daemon: a read is overdue, or the last
 // one failed within outageSpans times the given time.
 func (o *outage) failing(within time.Duration) bool {
--- a/internal/keyed/outage_test.go
+++ b/internal/keyed/outage_test.go
@@ -59,6 +59,26 @@
 	})
 }
 
+// TestDaemonThatWasCutOffKnowsOfItsOutage guards against a failure domain that was cut off and drops its
+// live servers, whose entries have lapsed, when it is back: daemons outside have read the store all the time.
+func TestDaemonThatWasCutOffKnowsOfItsOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, reader, other, last := outageWorld()
+		mustRead(t, reader)
+		mustRead(t, other)
+		if err := other.readStore(t.Context()); err == nil {
+			t.Fatal("the store answered")
+		}
+		failed := time.Now()
+		time.Sleep(5 * time.Second)
+		mustRead(t, reader)
+		mustRead(t, other)
+		if last.OutageAt.Before(failed) {
+			t.Errorf("outage at %v, the store failed at %v", last.OutageAt, failed)
+		}
+	})
+}
+
 // TestCopyOfAnEarlierReleaseTellsNothingOfOutages checks that the age of such a copy decides as before.
 func TestCopyOfAnEarlierReleaseTellsNothingOfOutages(t *testing.T) {
 	_, _, other, last := outageWorld()
--- a/internal/keyed/plan.go
+++ b/internal/keyed/plan.go
@@ -205,6 +205,7 @@
 // other daemons say that the store fails, they take turns.
 func (f *Follower) postponeOwnRead() time.Time {
 	if f.outage.reported(f.opts.Within) {
+		f.outage.recordReported()
 		return time.Now().Add(f.opts.Within)
 	}
 	return f.ownRead.Add(f.part(retryFraction))
