Logs: what a leaving daemon's requests wait for when it exits

Why: four hypotheses (waits for a plan, a turn, a lease, or sent and not read) stand in docs/incidents/review4-drain-end.md, and no log line could tell them apart: these requests never end, so they leave no request_ended.

Change: each request knows its stage; request_unfinished tells it for each that is in progress when the process exits, and request_ended has it. No logic changes.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -102,4 +102,5 @@
 			p.log.WithFields(logrus.Fields{"in_flight": p.admitter.InFlight()}).WithError(err).Warn("connections_closed_early")
 		}
 	}
+	p.relay.LogUnfinished()
 }
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -64,6 +64,7 @@
 // exchange sends an attempt and passes its answer on. limit bounds the silence before the
 // head and, for streams, before the first event; gap bounds the silence between two events.
 func (g *run) exchange(ctx context.Context, a Attempt, limit, gap time.Duration, onFirst func()) attemptResult {
+	g.stage.enter(stageUpstream)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	t := &attempt{run: g, id: g.attemptID(), ctx: ctx, cancel: cancel, onFirstEvent: onFirst, upstream: a.Upstream, helpers: a.Helpers}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -108,6 +108,7 @@
 
 // place books engines. It waits for room as long as the deadline allows.
 func (g *run) place(ctx context.Context) (booking.Plan, *request.Refusal) {
+	g.stage.enter(stagePlan)
 	waiting := g.relay.tally.waiter(g.req)
 	defer waiting.stop()
 	for {
@@ -182,6 +183,7 @@
 		if refusal != nil {
 			return p, refusal
 		}
+		g.stage.enter(stageTurn)
 		planned := time.Now()
 		if !wait.For(ctx, p.Wait) {
 			g.relay.opts.Planner.End(g.attemptID())
@@ -248,6 +250,7 @@
 	for _, part := range p.Parts {
 		g.sentTo = append(g.sentTo, part.Upstream)
 	}
+	g.stage.enter(stageLease)
 	leases, failed := g.reserveMemory(ctx, id, p.Parts)
 	defer leases.release()
 	if failed != nil {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -27,6 +27,7 @@
 // pickServer chooses a server that a request may be sent to now. If all have limits, it
 // waits for a turn at one of them, as long as the answer may still be in time.
 func (g *run) pickServer(ctx context.Context) (fleet.Upstream, func(), *request.Refusal) {
+	g.stage.enter(stageTurn)
 	minTurn := maxRetryAfter
 	for _, within := range []time.Duration{0, g.timeToNextEvent()} {
 		var refusing []string // servers that grant no turn in time
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -67,6 +67,7 @@
 	log          *logrus.Entry
 	leaseTimes   leaseTimes
 	running      runningAttempts
+	inProgress   runsInProgress
 	deaths       *deaths.Checker
 	tally        *tally
 	endLog       *endLog
@@ -119,6 +120,7 @@
 	defer cancel()
 	r.countRequest(req.Service.Name, time.Now())
 	g := &run{relay: r, req: req, sink: sink, lastEvent: req.LastEvent}
+	defer r.inProgress.add(g)()
 	refusal := jitterRetryAfter(g.loop(ctx))
 	g.logEnd(refusal)
 	return refusal
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -52,6 +52,7 @@
 	longestGap  time.Duration // between two events
 	times       *streamTimes  // of the present attempt, nil if it gives no sample of its engine's speed
 	status      int           // of the last answer
+	stage       stageTracker
 }
 
 // attemptResult is how an attempt ended.
@@ -114,6 +115,7 @@
 }
 
 func (g *run) try(ctx context.Context) attemptResult {
+	g.stage.enter(stageTrial)
 	if refusal := g.admitTrial(ctx); refusal != nil {
 		return attemptResult{refusal: refusal}
 	}
@@ -264,6 +266,7 @@
 		"sent":     g.sentTo,
 		"path":     g.path,
 		"plan":     g.verdict,
+		"stage":    string(g.stage.now()),
 		"took_ms":  now.Sub(g.req.Arrived).Milliseconds(),
 		"outcome":  string(request.Complete),
 	}
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -55,6 +55,7 @@
 	if !planner.SlotsScarce(g.req.Service.Name) {
 		return nil, nil
 	}
+	g.stage.enter(stageSlot)
 	ask := slots.Request{
 		ID:       g.relay.nextLease(),
 		Host:     g.relay.opts.Host,
