Relay, edge: a daemon that leaves answers every request that it has read

A daemon gets SIGTERM, and long prompts on kept connections wait for an engine in it; when the grace is over the process exits and closes their connections, though no server ever got them.

Change: package shutdown derives the times of a shutdown from the grace and ends contexts at them. What waits is refused when nothing may be sent any more, or as soon as a plan, a turn or the engines' figures tell that it cannot be served in what is left; what servers work on is waited for until the end and then gets a true 502. Margins are at most 1/8 of the grace.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 )
 
 // Limits of the HTTP servers. Those for headers are fixed; defaultCallerIdle applies while the
@@ -50,18 +51,18 @@
 	return defaultCallerIdle
 }
 
-// Times of a graceful shutdown.
+// Times of a graceful shutdown; see package shutdown for the others.
 const (
 	// lameDuck is how long a leaving daemon still accepts all requests, until the balancer, which
 	// checks once a second and acts on the second answer, has noticed. Requests that arrive within
 	// these 3 s, including the network delay, may be in progress until the end of the grace period.
 	lameDuck = 2900 * time.Millisecond
+	// lameDuckDivisor limits it to 1/lameDuckDivisor of the grace period.
+	lameDuckDivisor = 2
 	// quietTime is how long no new request must have come before a leaving daemon may stop: if too
 	// few other daemons are ready, the balancer still sends it requests.
 	quietTime         = 300 * time.Millisecond
 	drainPollInterval = 30 * time.Millisecond
-	// closeMargin is the time reserved before the end of the grace period.
-	closeMargin = 500 * time.Millisecond
 )
 
 // awaitIdle waits until no request is in progress, none has arrived for quietTime and no other
@@ -80,22 +81,25 @@
 }
 
 // drain shuts down gracefully: it announces to the balancer and the peers that this daemon
-// leaves, waits for the requests in progress, and closes the servers.
+// leaves, waits for the requests in progress, and closes the servers. It returns when the process
+// has to exit at the latest.
 func (p *process) drain(servers []*http.Server) {
-	end := time.Now().Add(p.current().Grace() - closeMargin)
+	grace := p.current().Grace()
+	times := shutdown.TimesOf(time.Now(), grace)
 	p.leaving.Store(true)
+	p.shutdown.Begin(times)
 	p.log.WithField("in_flight", p.admitter.InFlight()).Info("leaving")
-	ctx, cancel := context.WithTimeout(context.Background(), lameDuck)
+	ctx, cancel := context.WithTimeout(context.Background(), min(lameDuck, grace/lameDuckDivisor))
 	defer cancel()
 	if err := p.node.Leave(ctx); err != nil {
 		p.log.WithError(err).Warn("leave_not_announced")
 	}
 	<-ctx.Done()
-	p.admitter.SetShutdownDeadline(end)
+	p.admitter.SetShutdownDeadline(times.End)
 	p.log.WithField("in_flight", p.admitter.InFlight()).Info("refusing_requests")
-	p.awaitIdle(end)
+	p.awaitIdle(times.End)
 	p.admitter.SetShutdownDeadline(time.Time{})
-	closing, cancelClosing := context.WithDeadline(context.Background(), end)
+	closing, cancelClosing := context.WithDeadline(context.Background(), times.Exit)
 	defer cancelClosing()
 	for _, s := range servers {
 		if err := s.Shutdown(closing); err != nil {
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -23,6 +23,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 	"github.com/buckthorndock/buckthorndock/internal/relay"
 	"github.com/buckthorndock/buckthorndock/internal/schedule"
+	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 	"github.com/buckthorndock/buckthorndock/internal/speedlog"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
 	"github.com/buckthorndock/buckthorndock/internal/tunnel"
@@ -50,10 +51,11 @@
 	relay    *relay.Relay
 	admitter *relay.Admitter
 
-	leaving atomic.Bool
-	lag     lagMonitor
-	serving atomic.Bool // settings and list are known to all components that choose upstreams
-	list    atomic.Pointer[fleet.Snapshot]
+	leaving  atomic.Bool
+	shutdown *shutdown.Control
+	lag      lagMonitor
+	serving  atomic.Bool // settings and list are known to all components that choose upstreams
+	list     atomic.Pointer[fleet.Snapshot]
 
 	undecodable undecodableLog // of entries of the list
 
@@ -98,6 +100,7 @@
 	}
 	p := &process{
 		cfg:       cfg,
+		shutdown:  shutdown.New(),
 		started:   time.Now(),
 		provider:  provider,
 		log:       log,
@@ -190,6 +193,7 @@
 		BodyMemory:      relay.NewBodyMemory(p.memoryShare(bodyMemoryShare)),
 		AnswerMemory:    p.answers,
 		Budget:          p.retryBudget,
+		Shutdown:        p.shutdown,
 		Log:             p.log,
 	})
 	p.admitter = relay.NewAdmitter(p.relay, p.log)
--- a/internal/relay/admitter.go
+++ b/internal/relay/admitter.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/quarantine"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
+	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 )
 
 // Call is a request as the caller binding has read it, before anything was decided.
@@ -119,6 +120,9 @@
 // Admitted returns how many calls have been admitted.
 func (d *Admitter) Admitted() int64 { return d.admitted.Load() }
 
+// Shutdown tells when this daemon ends.
+func (d *Admitter) Shutdown() *shutdown.Control { return d.relay.opts.Shutdown }
+
 // InFlight returns the number of requests in progress.
 func (d *Admitter) InFlight() int { return int(d.inFlight.Load()) }
 
@@ -156,7 +160,7 @@
 	}
 	req := d.newRequest(c, t, r, customer)
 	if by := d.shutdownDeadline.Load(); by != nil && req.expectedEnd().After(*by) {
-		return req, request.Refuse(request.CodeLeaving, retryAfterLeaving, "this daemon shuts down")
+		return req, leavingRefusal()
 	}
 	d.admitted.Add(1)
 	return req, nil
@@ -196,12 +200,22 @@
 	return req
 }
 
-// ReadBody reads the body of an admitted request into req. length is -1 if the caller did
-// not give it. The returned function releases the body's memory and must be called when the
-// request has ended.
-func (d *Admitter) ReadBody(req *Request, body io.Reader, length int64) (free func(), refusal *request.Refusal) {
+// Body is the body of a call.
+type Body struct {
+	io.Reader
+	Length int64 // in bytes; -1 if the caller did not give it
+	// Interrupt makes a read that waits for the caller fail, now and later.
+	Interrupt func()
+}
+
+// ReadBody reads the body of an admitted request into req. It refuses the request if the daemon shuts
+// down before the whole body has arrived. The returned function releases the body's memory and must
+// be called when the request has ended.
+func (d *Admitter) ReadBody(req *Request, body Body) (free func(), refusal *request.Refusal) {
 	limit := d.Table().Limits().BodyBytes
-	data, free, err := d.relay.opts.BodyMemory.Read(body, length, limit)
+	stop := d.relay.opts.Shutdown.AfterSending(body.Interrupt)
+	data, free, err := d.relay.opts.BodyMemory.Read(body, body.Length, limit)
+	interrupted := !stop()
 	switch {
 	case errors.Is(err, ErrBodyTooLarge):
 		// A caller that is still sending when its connection is closed would not see the answer.
@@ -209,6 +223,8 @@
 		refusal = request.Refuse(request.CodeTooLarge, 0, "the body exceeds %d bytes", limit)
 	case errors.Is(err, ErrBodiesFull):
 		refusal = request.Refuse(request.CodeQueueFull, retryAfterFailure, "no memory is left for the body")
+	case interrupted:
+		refusal = leavingRefusal()
 	case err != nil:
 		refusal = request.Refuse(request.CodeBadRequest, 0, "the body cannot be read")
 	}
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -15,6 +15,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
 	"github.com/buckthorndock/buckthorndock/internal/inbound"
+	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 )
 
 // Sizes in bytes up to which an answer is read completely before any of it is passed on, so that one
@@ -122,6 +123,10 @@
 		return attemptResult{end: retry.Silent, faultyAddress: lost.part.Address, err: cause}
 	case errors.Is(cause, errUpstreamEnded):
 		return attemptResult{end: retry.Broken, err: cause}
+	case errors.Is(cause, shutdown.ErrLeaving) && isFailure:
+		return attemptResult{end: f.End, faultyAddress: f.FaultyAddress, err: cause}
+	case errors.Is(cause, shutdown.ErrLeaving):
+		return attemptResult{end: retry.Broken, err: cause}
 	}
 	if t.ctx.Err() != nil && !errors.Is(t.ctx.Err(), context.DeadlineExceeded) {
 		return attemptResult{callerGone: true}
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -16,7 +16,6 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
-	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // Silence after which a stream is moved to another engine. A late stream has already missed
@@ -148,9 +147,12 @@
 		if g.timeLeft() < 2*pause {
 			return p, request.Refuse(request.CodeQueueFull, retryAfterFailure, "no engine has had room")
 		}
+		if refusal := g.cannotWait(p); refusal != nil {
+			return p, refusal
+		}
 		waiting.start()
-		if !wait.For(ctx, pause) {
-			return p, g.contextRefusal(ctx)
+		if refusal := g.pause(ctx, pause); refusal != nil {
+			return p, refusal
 		}
 	}
 }
@@ -185,16 +187,16 @@
 		}
 		g.stage.enter(stageTurn)
 		planned := time.Now()
-		if !wait.For(ctx, p.Wait) {
+		if refusal := g.awaitTurn(ctx, p, planned); refusal != nil {
 			g.relay.opts.Planner.End(g.attemptID())
-			return p, g.contextRefusal(ctx)
+			return p, refusal
 		}
 		if !missedTurn(planned, p.Wait) && g.allTakeWork(p) {
 			return p, nil
 		}
 		g.relay.opts.Planner.End(g.attemptID())
-		if !wait.For(ctx, replanDelay) {
-			return p, g.contextRefusal(ctx)
+		if refusal := g.pause(ctx, replanDelay); refusal != nil {
+			return p, refusal
 		}
 	}
 }
@@ -229,9 +231,9 @@
 	return true
 }
 
-// tryEngine makes one attempt on engines.
-func (g *run) tryEngine(ctx context.Context) attemptResult {
-	p, refusal := g.placeAndWait(ctx)
+// tryEngine makes one attempt on engines. unsent ends when it is not sent any more.
+func (g *run) tryEngine(ctx, unsent context.Context) attemptResult {
+	p, refusal := g.placeAndWait(unsent)
 	if refusal != nil {
 		return attemptResult{refusal: refusal}
 	}
@@ -251,8 +253,12 @@
 		g.sentTo = append(g.sentTo, part.Upstream)
 	}
 	g.stage.enter(stageLease)
-	leases, failed := g.reserveMemory(ctx, id, p.Parts)
+	leases, failed := g.reserveMemory(unsent, id, p.Parts)
 	defer leases.release()
+	if unsent.Err() != nil {
+		g.relay.opts.Suspects.End(started, false)
+		return attemptResult{refusal: g.contextRefusal(unsent)}
+	}
 	if failed != nil {
 		g.relay.opts.Suspects.End(started, false)
 		g.relay.noteFailures(failed.blamed, retry.Declined) // whether reached or not, it granted no memory
@@ -284,7 +290,7 @@
 	}
 	e.blamed = g.enginesAtFault(e, p)
 	e.unreached = e.end == retry.NotWritten
-	if !errors.Is(e.err, errDisplaced) {
+	if !errors.Is(e.err, errDisplaced) && !e.givenUp() {
 		g.relay.noteFailures(e.blamed, e.end)
 	}
 	return e
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -10,7 +10,6 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
-	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // Silence after which a call that may be repeated is moved: plainSilenceFactor times the
@@ -29,7 +28,7 @@
 func (g *run) pickServer(ctx context.Context) (fleet.Upstream, func(), *request.Refusal) {
 	g.stage.enter(stageTurn)
 	minTurn := maxRetryAfter
-	for _, within := range []time.Duration{0, g.timeToNextEvent()} {
+	for _, within := range []time.Duration{0, g.withinShutdown(g.timeToNextEvent())} {
 		var refusing []string // servers that grant no turn in time
 		for {
 			u, done, ok := g.pickExcept(refusing)
@@ -41,8 +40,15 @@
 			}
 			turn, ok := g.requestTurn(ctx, u, within)
 			asked := time.Now()
-			if ok && wait.For(ctx, turn) && !missedTurn(asked, turn) && g.takesWork(u) {
-				return u, done, nil
+			if ok {
+				refusal := g.pause(ctx, turn)
+				if refusal == nil && !missedTurn(asked, turn) && g.takesWork(u) {
+					return u, done, nil
+				}
+				if refusal != nil {
+					done()
+					return u, nil, refusal
+				}
 			}
 			done()
 			if ctx.Err() != nil {
@@ -113,12 +119,12 @@
 	return turn, ok
 }
 
-// tryPlain makes one attempt at a plain service.
-func (g *run) tryPlain(ctx context.Context) attemptResult {
+// tryPlain makes one attempt at a plain service. unsent ends when it is not sent any more.
+func (g *run) tryPlain(ctx, unsent context.Context) attemptResult {
 	if refusal := g.cutOffRefusal(); refusal != nil {
 		return attemptResult{refusal: refusal}
 	}
-	u, done, refusal := g.pickPlain(ctx)
+	u, done, refusal := g.pickPlain(unsent)
 	if refusal != nil {
 		return attemptResult{refusal: refusal}
 	}
@@ -147,7 +153,7 @@
 	}
 	e.blamed = []string{u.ID}
 	e.unreached = e.end == retry.NotWritten
-	if e.end != retry.Faulted {
+	if e.end != retry.Faulted && !e.givenUp() {
 		g.relay.noteFailures(e.blamed, e.end)
 	}
 	if e.full {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/deaths"
 	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/paths"
+	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 )
 
 // Options configures a Relay and holds the components that it uses.
@@ -50,7 +51,9 @@
 	AnswerMemory *inbound.Memory
 	// Budget returns the site's limit on repeats.
 	Budget func() BudgetOptions
-	Log    *logrus.Entry
+	// Shutdown tells when the daemon ends; nil if it never does.
+	Shutdown *shutdown.Control
+	Log      *logrus.Entry
 }
 
 // BudgetOptions is this site's limit on repeated sends to a service.
@@ -91,6 +94,9 @@
 
 // New returns a Relay with the given options.
 func New(o Options) *Relay {
+	if o.Shutdown == nil {
+		o.Shutdown = shutdown.New()
+	}
 	r := &Relay{
 		opts:         o,
 		leaseTimes:   leaseTimes{renew: leaseRenewInterval, useBy: leaseUseTimeout},
@@ -118,6 +124,8 @@
 func (r *Relay) Run(ctx context.Context, req *Request, sink Sink) *request.Refusal {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	ctx, stop := r.opts.Shutdown.WhileServing(ctx)
+	defer stop()
 	r.countRequest(req.Service.Name, time.Now())
 	g := &run{relay: r, req: req, sink: sink, lastEvent: req.LastEvent}
 	defer r.inProgress.add(g)()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
 	"github.com/buckthorndock/buckthorndock/internal/inbound"
+	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
 )
 
@@ -69,6 +70,10 @@
 	heldAnswer    *heldAnswer // the upstream's own error answer, complete
 }
 
+// givenUp reports whether this daemon ended the attempt because it shuts down. That says nothing
+// about the upstream.
+func (e *attemptResult) givenUp() bool { return errors.Is(e.err, shutdown.ErrLeaving) }
+
 // heldAnswer is a complete answer that is held back while another attempt may do better.
 type heldAnswer struct {
 	head   Head
@@ -114,15 +119,22 @@
 	}
 }
 
+// try makes one attempt. What it waits for before the attempt is sent ends when a daemon that leaves
+// sends nothing any more.
 func (g *run) try(ctx context.Context) attemptResult {
+	unsent, stop := g.whileSending(ctx)
+	defer stop()
 	g.stage.enter(stageTrial)
-	if refusal := g.admitTrial(ctx); refusal != nil {
+	if refusal := g.admitTrial(unsent); refusal != nil {
+		if unsent.Err() != nil {
+			refusal = g.contextRefusal(unsent)
+		}
 		return attemptResult{refusal: refusal}
 	}
 	if g.req.Service.Engine != nil {
-		return g.tryEngine(ctx)
+		return g.tryEngine(ctx, unsent)
 	}
-	return g.tryPlain(ctx)
+	return g.tryPlain(ctx, unsent)
 }
 
 // next decides what follows a failed attempt.
@@ -135,6 +147,9 @@
 	if ctx.Err() != nil {
 		return g.correctOutcome(g.contextRefusal(ctx)), false
 	}
+	if g.leavesUnsent() {
+		return g.correctOutcome(leavingRefusal()), false
+	}
 	decision := g.relay.retryDecision(g.req.Service.Name, retry.Attempt{
 		Number:         g.attempt,
 		End:            e.end,
@@ -182,7 +197,10 @@
 
 // contextRefusal returns the refusal for a context that has ended.
 func (g *run) contextRefusal(ctx context.Context) *request.Refusal {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(context.Cause(ctx), shutdown.ErrLeaving):
+		return leavingRefusal()
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return request.Refuse(request.CodeDeadline, retryAfterFailure, "no answer within the deadline")
 	}
 	return g.callerGoneRefusal()
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -14,7 +14,6 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/slots"
-	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
 // slotLease is a lease on a slot of a server.
@@ -79,10 +78,10 @@
 			g.logSlot(grant.Verdict.String(), grant, n, asked)
 			return g.leaseOf(ask.ID, grant)
 		}
-		if !wait.For(ctx, grant.Wait) {
+		if refusal := g.pause(ctx, grant.Wait); refusal != nil {
 			planner.ReleaseSlot(ask.ID)
 			g.logSlot(slotOutcomeAbandoned, grant, n, asked)
-			return nil, g.contextRefusal(ctx)
+			return nil, refusal
 		}
 	}
 }
@@ -144,7 +143,7 @@
 	}
 	turn, ok := g.requestTurn(ctx, u, g.timeToNextEvent())
 	asked := time.Now()
-	if u.ID != server || !ok || !wait.For(ctx, turn) || missedTurn(asked, turn) || !g.takesWork(u) {
+	if u.ID != server || !ok || g.pause(ctx, turn) != nil || missedTurn(asked, turn) || !g.takesWork(u) {
 		done()
 		return u, nil, false
 	}
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -69,7 +69,7 @@
 	if errors.Is(e.err, syscall.ECONNREFUSED) && suspects.HasBrokenRuns(u.ID) {
 		g.relay.recheckDeath(u, g.req.Service.Engine != nil)
 	}
-	if e.end != retry.Broken || e.delivered || e.callerGone {
+	if e.end != retry.Broken || e.delivered || e.callerGone || e.givenUp() {
 		suspects.End(r, e.delivered)
 		return
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -55,18 +55,28 @@
 	if e == nil {
 		return r.Deadline
 	}
-	answer := r.MaxTokens
-	if answer == 0 {
-		answer = e.UsualAnswer
-	}
-	context := int64(e.Slots) * int64(e.UsualPrompt+e.UsualAnswer)
-	takes := firstEventObjectives*r.Route.Objective + e.DecodeTime(answer, e.Slots, context+int64(r.PromptTokens))
+	takes := firstEventObjectives*r.Route.Objective + r.decodeTime()
 	if end := r.Arrived.Add(takes); end.Before(r.Deadline) {
 		return end
 	}
 	return r.Deadline
 }
 
+// answerTokens returns the length in tokens that is assumed for the answer of an engine.
+func (r *Request) answerTokens() int {
+	if r.MaxTokens > 0 {
+		return r.MaxTokens
+	}
+	return r.Service.Engine.UsualAnswer
+}
+
+// decodeTime returns the time that an engine whose slots are all in use takes to decode the answer.
+func (r *Request) decodeTime() time.Duration {
+	e := r.Service.Engine
+	context := int64(e.Slots) * int64(e.UsualPrompt+e.UsualAnswer)
+	return e.DecodeTime(r.answerTokens(), e.Slots, context+int64(r.PromptTokens))
+}
+
 // Head is the status line and the headers of an upstream's answer.
 type Head struct {
 	Status int
--- /dev/null
+++ b/internal/shutdown/control.go
@@ -0,0 +1,98 @@
+package shutdown
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// ErrLeaving is the cause of the end of contexts that a shutdown ends.
+var ErrLeaving = merry.Sentinel("this daemon shuts down")
+
+// Control tells requests in progress of a shutdown. It is safe for concurrent use.
+type Control struct {
+	begun   chan struct{}
+	sending context.Context // ends at Times.LastSend
+	serving context.Context // ends at Times.End
+
+	stopSending, stopServing context.CancelCauseFunc
+
+	mu    sync.Mutex
+	times *Times // nil before Begin
+}
+
+// New returns the Control of a daemon that is not shutting down.
+func New() *Control {
+	c := &Control{begun: make(chan struct{})}
+	c.serving, c.stopServing = context.WithCancelCause(context.Background())
+	c.sending, c.stopSending = context.WithCancelCause(c.serving)
+	return c
+}
+
+// Begin begins the shutdown. Only the first call counts.
+func (c *Control) Begin(t Times) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.times != nil {
+		return
+	}
+	c.times = &t
+	close(c.begun)
+	time.AfterFunc(time.Until(t.LastSend), func() { c.stopSending(ErrLeaving) })
+	time.AfterFunc(time.Until(t.End), func() { c.stopServing(ErrLeaving) })
+}
+
+// Begun returns a channel that is closed when the shutdown begins.
+func (c *Control) Begun() <-chan struct{} { return c.begun }
+
+// Times returns the times of the shutdown; ok is false before it begins.
+func (c *Control) Times() (t Times, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.times == nil {
+		return Times{}, false
+	}
+	return *c.times, true
+}
+
+// MaySendAt reports whether something may be sent to an upstream at a time.
+func (c *Control) MaySendAt(at time.Time) bool {
+	t, leaving := c.Times()
+	return !leaving || !at.After(t.LastSend)
+}
+
+// ServesUntil reports whether a request that ends at a time is waited for.
+func (c *Control) ServesUntil(at time.Time) bool {
+	t, leaving := c.Times()
+	return !leaving || !at.After(t.End)
+}
+
+// SendingEnded reports whether nothing is sent any more.
+func (c *Control) SendingEnded() bool { return c.sending.Err() != nil }
+
+// WhileSending returns a context that ends with ctx and, with the cause ErrLeaving, when nothing
+// may be sent any more. stop releases its resources.
+func (c *Control) WhileSending(ctx context.Context) (until context.Context, stop context.CancelFunc) {
+	return bounded(ctx, c.sending)
+}
+
+// WhileServing returns a context that ends with ctx and, with the cause ErrLeaving, when requests
+// in progress are given up. stop releases its resources.
+func (c *Control) WhileServing(ctx context.Context) (until context.Context, stop context.CancelFunc) {
+	return bounded(ctx, c.serving)
+}
+
+// AfterSending calls fn when nothing may be sent any more, unless stop is called before.
+func (c *Control) AfterSending(fn func()) (stop func() bool) { return context.AfterFunc(c.sending, fn) }
+
+// bounded returns a context that ends with ctx, or with the cause of by when that has ended.
+func bounded(ctx, by context.Context) (context.Context, context.CancelFunc) {
+	until, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(by, func() { cancel(context.Cause(by)) })
+	return until, func() {
+		stop()
+		cancel(nil)
+	}
+}
--- /dev/null
+++ b/internal/shutdown/times.go
@@ -0,0 +1,31 @@
+package shutdown
+
+import "time"
+
+// Bounds of the times of a shutdown. Each is at most 1/marginDivisor of the grace period, so that
+// upstreams have three quarters of a short one too.
+const (
+	marginDivisor = 8
+	// maxAnswerMargin is the time in which callers of requests that were not sent get their answers,
+	// also over a slow link.
+	maxAnswerMargin = 500 * time.Millisecond
+	// maxExitMargin is the time reserved for the end of the process. Half of it is for the last
+	// answers to callers, the rest for all else.
+	maxExitMargin = 500 * time.Millisecond
+)
+
+// Times are the moments of a graceful shutdown, in their order.
+type Times struct {
+	LastSend time.Time // nothing is sent to an upstream after it
+	End      time.Time // requests in progress are given up
+	Exit     time.Time // the process ends
+}
+
+// TimesOf returns the times of a shutdown that began at a time and must be over a grace period
+// later.
+func TimesOf(begun time.Time, grace time.Duration) Times {
+	exitMargin := min(maxExitMargin, grace/marginDivisor)
+	answerMargin := min(maxAnswerMargin, grace/marginDivisor)
+	end := begun.Add(grace - exitMargin)
+	return Times{LastSend: end.Add(-answerMargin), End: end, Exit: end.Add(exitMargin / 2)}
+}
