Front, daemon: a limited shutdown answers every request that was read

What callers saw: on the product's own path with shutdown_timeout_seconds, all requests in progress when the time is over lose their connection, also those that wait in the queue or for a key and have run nowhere.

Change: the queue, placement, keys, joined runs and bodies end with the contexts of package shutdown; what was sent ends at the end with its true outcome. A request of an engine is refused as soon as less than its service time is left.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -28,6 +28,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/peer"
 	"github.com/buckthorndock/buckthorndock/internal/platform"
 	"github.com/buckthorndock/buckthorndock/internal/router"
+	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
 	"github.com/buckthorndock/buckthorndock/internal/tunnel"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
@@ -85,17 +86,19 @@
 	paths   *paths.Tracker
 	tunnels *tunnel.Handler
 	leaving atomic.Bool
-	client  *upstream.Client
-	answers *inbound.Memory // of upstreams
-	watcher *upstream.Watcher
-	router  *router.Router
-	engines *owner.HTTPEngines
-	owner   *owner.Service
-	holder  *owner.Holder
-	orders  *owner.Orders
-	claims  *claims.Service
-	join    *join.Service
-	gate    *gate.Gate
+	// shutdown tells requests in progress of the end, if it is bounded by cfg.ShutdownTimeout.
+	shutdown *shutdown.Control
+	client   *upstream.Client
+	answers  *inbound.Memory // of upstreams
+	watcher  *upstream.Watcher
+	router   *router.Router
+	engines  *owner.HTTPEngines
+	owner    *owner.Service
+	holder   *owner.Holder
+	orders   *owner.Orders
+	claims   *claims.Service
+	join     *join.Service
+	gate     *gate.Gate
 
 	suspects *suspects.Tracker
 
@@ -105,7 +108,7 @@
 
 // newProcess builds a daemon. Its peer listener is open, but nothing runs yet.
 func newProcess(workCtx context.Context, cfg *config.Daemon, log *logrus.Entry) (*process, error) {
-	p := &process{cfg: cfg, log: log, workCtx: workCtx, incarnation: uint64(time.Now().UnixMilli())}
+	p := &process{cfg: cfg, log: log, workCtx: workCtx, incarnation: uint64(time.Now().UnixMilli()), shutdown: shutdown.New()}
 	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildPaths, p.buildUpstreams, p.buildOwner, p.buildOrders, p.buildClaims, p.buildJoin, p.buildFront}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -259,6 +262,7 @@
 	var err error
 	p.front, err = front.NewServer(front.Options{
 		OnDispatchPoint:     onDispatchPoint,
+		Shutdown:            p.shutdown,
 		Host:                p.cfg.Host,
 		Domain:              p.cfg.Domain,
 		Incarnation:         p.selfHolder().Incarnation,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/config"
+	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
 )
 
@@ -106,6 +107,9 @@
 // the requests in progress finish and then closes the server.
 func (p *process) drain() {
 	p.log.WithField("in_flight", p.front.InFlight()).Info("leaving")
+	if limit := p.cfg.ShutdownTimeout; limit > 0 {
+		p.shutdown.Begin(shutdown.TimesOf(time.Now(), lameDuckPeriod+limit))
+	}
 	p.front.MarkLeaving()
 	p.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), lameDuckPeriod)
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -105,11 +105,18 @@
 // minServiceTime implements gate.PoolOptions.MinServiceTime: it returns the minimum
 // time from a request's start to its end.
 func (s *Server) minServiceTime(req *request.Request) time.Duration {
-	pending := s.pending.get(req.ID)
-	if pending == nil || req.Kind != request.Generate || !isLengthAware(pending.job) {
+	if pending := s.pending.get(req.ID); pending != nil {
+		return s.serviceTime(pending.job)
+	}
+	return 0
+}
+
+// serviceTime returns the minimum time from a job's start to its end, zero if it is not known.
+func (s *Server) serviceTime(j *job) time.Duration {
+	if j.req.Kind != request.Generate || !isLengthAware(j) {
 		return 0
 	}
-	return s.opts.Router.ServiceTime(router.NewPlacementRequest(req, pending.job.pool.Name, pending.job.routing))
+	return s.opts.Router.ServiceTime(router.NewPlacementRequest(j.req, j.pool.Name, j.routing))
 }
 
 // maxPlacedWait implements gate.PoolOptions.MaxPlacedWait: it returns how long a request
--- a/internal/front/auth.go
+++ b/internal/front/auth.go
@@ -15,6 +15,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/api/callerapi"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 )
 
 // maxOperatorBody is the maximum size of a body that is not sent by a customer, in
@@ -46,7 +47,11 @@
 		if id.customer != nil {
 			limit = int64(id.customer.Requests.MaxBodyBytes)
 		}
-		r.Body = newPacedBody(w, http.MaxBytesReader(w, r.Body, limit))
+		if r.ContentLength != 0 { // without a body, a read is only waiting for the caller to leave
+			body, release := newPacedBody(w, http.MaxBytesReader(w, r.Body, limit), s.opts.Shutdown)
+			defer release()
+			r.Body = body
+		}
 		ctx := context.WithValue(r.Context(), identityKey{}, id)
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
@@ -127,6 +132,8 @@
 			return request.Refuse(request.CodeNotReady, retryElsewhere, "this daemon has no settings yet")
 		}
 		return request.Refuse(request.CodeUnauthorized, 0, "%s", errNotAuthorized.Error())
+	case errors.Is(err, shutdown.ErrLeaving):
+		return leavingRefusal()
 	case errors.As(err, &tooLarge):
 		return request.Refuse(request.CodeTooLarge, 0, "the body is larger than %d bytes", tooLarge.Limit)
 	case errors.As(err, &params), errors.As(err, &body):
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -31,6 +31,9 @@
 	c := &serviceCall{s: s, job: j, attempt: 1}
 	ctx = upstream.WithPermit(ctx, s.dispatchPermit(j))
 	for {
+		if s.opts.Shutdown.SendingEnded() {
+			return nil, c.leavingRefusal()
+		}
 		d, refusal := c.place()
 		if refusal != nil {
 			return nil, refusal
@@ -99,6 +102,10 @@
 // decideNext decides what follows a failed attempt: nil means another attempt, a
 // refusal ends the call.
 func (c *serviceCall) decideNext(ctx context.Context, d placement.Decision, err error) *request.Refusal {
+	if endedByShutdown(ctx) {
+		c.earlierWritten = c.earlierWritten || classifyCallError(err) != retry.NotWritten
+		return c.leavingRefusal()
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return callerGoneRefusal(c.job)
 	}
@@ -127,6 +134,18 @@
 	return nil
 }
 
+// leavingRefusal refuses the call because this daemon shuts down.
+func (c *serviceCall) leavingRefusal() *request.Refusal {
+	refusal := leavingRefusal()
+	switch {
+	case c.earlierWritten && c.job.req.Repeatable:
+		refusal.Outcome = request.Failed
+	case c.earlierWritten:
+		refusal.Outcome = request.Unknown
+	}
+	return refusal
+}
+
 // classifyCallError classifies the error of a failed attempt.
 func classifyCallError(err error) retry.End {
 	if upstream.IsNotStarted(err) {
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -117,6 +117,11 @@
 	return refusal
 }
 
+// leavingRefusal refuses a job that this daemon does not run, because it shuts down.
+func leavingRefusal() *request.Refusal {
+	return request.Refuse(request.CodeLeaving, retryElsewhere, "this daemon is shutting down")
+}
+
 // notPermittedRefusal returns the refusal of a job whose dispatch permit had expired.
 // That is no fault of the upstream, and no other upstream may be tried.
 func notPermittedRefusal() *request.Refusal {
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -13,6 +13,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/stream"
 	"github.com/buckthorndock/buckthorndock/internal/deaths"
+	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
@@ -47,7 +48,7 @@
 	g.text.WriteString(j.relayedText.String())
 	defer func() { g.trial.End(quarantine.TrialNotSent) }()
 	for {
-		target, refusal := g.place(ctx)
+		target, refusal := g.placeWhileServable(ctx)
 		if refusal != nil {
 			return refusal
 		}
@@ -58,6 +59,17 @@
 	}
 }
 
+// placeWhileServable is place for a request that the daemon, if it shuts down, can still run to its end.
+// One of whose answer a part was delivered cannot be refused any more: it is placed until the end.
+func (g *generation) placeWhileServable(ctx context.Context) (*target, *request.Refusal) {
+	if g.job.deliveredTokens > 0 {
+		return g.place(ctx)
+	}
+	unsent, stop := g.s.opts.Shutdown.WhileServable(ctx, g.s.serviceTime(g.job))
+	defer stop()
+	return g.place(unsent)
+}
+
 // runAttempt runs one attempt on its target, resuming the stream as often as the retry
 // policy allows. again is true when another attempt must follow.
 func (g *generation) runAttempt(ctx context.Context, t *target) (refusal *request.Refusal, again bool) {
@@ -151,6 +163,10 @@
 	if res.callerGone {
 		return retry.Decision{Action: retry.GiveUp, Refusal: callerGoneRefusal(g.job)}
 	}
+	if errors.Is(res.err, shutdown.ErrLeaving) {
+		g.earlierWritten = true // as far as is known
+		return retry.Decision{Action: retry.GiveUp, Refusal: g.correctOutcome(leavingRefusal())}
+	}
 	if errors.Is(res.err, upstream.ErrNotPermitted) {
 		return retry.Decision{Action: retry.GiveUp, Refusal: notPermittedRefusal()}
 	}
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"time"
 
@@ -12,6 +13,8 @@
 	"github.com/buckthorndock/buckthorndock/internal/claims"
 	"github.com/buckthorndock/buckthorndock/internal/core/claim"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/gate"
+	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 )
 
 // After its holder has released a key, the key is acquired again with a delay, because
@@ -39,13 +42,18 @@
 	case j.req.Key == "":
 		return s.runWithoutKey(ctx, j, run)
 	}
+	unsent, stop := s.opts.Shutdown.WhileSending(ctx)
+	defer stop()
 	for attempt := range maxSupersedes {
-		res, err := s.opts.Claims.Acquire(ctx, claims.AcquireRequest{
+		res, err := s.opts.Claims.Acquire(unsent, claims.AcquireRequest{
 			Customer:    j.req.Customer,
 			Key:         j.req.Key,
 			Fingerprint: j.req.Fingerprint,
 			NotAfter:    j.req.Deadline,
 		})
+		if err != nil && endedByShutdown(unsent) {
+			return leavingRefusal()
+		}
 		if err != nil {
 			return asRefusal(err)
 		}
@@ -61,10 +69,13 @@
 		if end.State != claims.AnswerReleased {
 			return end.Refusal()
 		}
-		if !s.pause(ctx, supersedeWait<<attempt, j.req.Deadline) {
+		if !s.pause(unsent, supersedeWait<<attempt, j.req.Deadline) {
 			break
 		}
 	}
+	if endedByShutdown(unsent) {
+		return leavingRefusal()
+	}
 	return request.Refuse(request.CodeKeyUnavailable, retryElsewhere, "the idempotency key was released and taken again too often")
 }
 
@@ -86,7 +97,9 @@
 func (s *Server) runAdmitted(ctx context.Context, j *job, run runFunc) *request.Refusal {
 	ctx, cancel := context.WithDeadline(ctx, j.req.Deadline)
 	defer cancel()
-	ticket, refusal := s.admit(ctx, j)
+	ctx, stop := s.opts.Shutdown.WhileServing(ctx)
+	defer stop()
+	ticket, refusal := s.admitWhileServable(ctx, j)
 	if refusal != nil {
 		return refusal
 	}
@@ -99,6 +112,18 @@
 	return refusal
 }
 
+// admitWhileServable is admit for a job that the daemon, if it shuts down, can still run to its end.
+func (s *Server) admitWhileServable(ctx context.Context, j *job) (*gate.Ticket, *request.Refusal) {
+	unsent, stop := s.opts.Shutdown.WhileServable(ctx, s.serviceTime(j))
+	defer stop()
+	return s.admit(unsent, j)
+}
+
+// endedByShutdown reports whether a context has ended because this daemon shuts down.
+func endedByShutdown(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), shutdown.ErrLeaving)
+}
+
 // runWithoutKey runs a job that may be dispatched at most once and has no key.
 func (s *Server) runWithoutKey(ctx context.Context, j *job, run runFunc) *request.Refusal {
 	j.permit = claim.NewPermit(j.req.Deadline)
@@ -161,6 +186,8 @@
 func (s *Server) relayAnswer(ctx context.Context, j *job, readAnswer readAnswerFunc, copyAnswer func(context.Context, io.Writer) (claims.Ending, error)) (claims.Ending, error) {
 	ctx, cancel := context.WithDeadline(ctx, j.req.Deadline)
 	defer cancel()
+	ctx, stop := s.opts.Shutdown.WhileServing(ctx)
+	defer stop()
 	r, w := io.Pipe()
 	readDone := make(chan error, 1)
 	go func() {
--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -84,6 +84,9 @@
 
 // contextRefusal returns the refusal of a request whose context has ended.
 func (g *generation) contextRefusal(ctx context.Context) *request.Refusal {
+	if endedByShutdown(ctx) {
+		return leavingRefusal()
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return request.Refuse(request.CodeDeadline, g.s.retryAfter(g.job, 0), "no upstream had room within the deadline")
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -22,6 +22,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/join"
 	"github.com/buckthorndock/buckthorndock/internal/owner"
 	"github.com/buckthorndock/buckthorndock/internal/router"
+	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
 	"github.com/buckthorndock/buckthorndock/internal/upstream"
 )
@@ -52,6 +53,8 @@
 	Suspects     *suspects.Tracker
 	Deaths       *deaths.Checker
 	Operator     Operator // status and settings
+	// Shutdown tells when the daemon ends; nil if it never does.
+	Shutdown *shutdown.Control
 	// OperatorTokenSHA256 is the SHA-256 hash, in hex, of the site's first operator token.
 	OperatorTokenSHA256 string
 	// OnDispatchPoint is called at each DispatchPoint and may block; nil except in fault tests.
@@ -78,6 +81,9 @@
 
 // NewServer returns a Server; Handler serves it.
 func NewServer(opts Options) (*Server, error) {
+	if opts.Shutdown == nil {
+		opts.Shutdown = shutdown.New()
+	}
 	s := &Server{opts: opts, log: opts.Log, retries: newRetries(), pending: newPendingJobs(), notices: newNotices()}
 	api, err := callerapi.NewServer(s, s, s,
 		callerapi.WithErrorHandler(s.handleAPIError),
@@ -110,7 +116,7 @@
 	s.inFlight.Add(1)
 	if s.refusing.Load() {
 		s.inFlight.Add(-1)
-		return request.Refuse(request.CodeLeaving, retryElsewhere, "this daemon is shutting down")
+		return leavingRefusal()
 	}
 	return nil
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -254,9 +254,12 @@
 	return streamEnd{end: otherwise, unanswered: true, err: err}
 }
 
-// classifyInterruption returns whether the deadline has passed or the caller has
-// disconnected.
+// classifyInterruption returns whether this daemon shuts down, the deadline has passed or the caller
+// has disconnected.
 func (g *generation) classifyInterruption(ctx context.Context) streamEnd {
+	if endedByShutdown(ctx) {
+		return streamEnd{end: retry.Broken, err: context.Cause(ctx)}
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(g.job.req.Deadline) {
 		return streamEnd{end: retry.Silent, deadlinePassed: true, err: context.DeadlineExceeded}
 	}
--- a/internal/gate/pool.go
+++ b/internal/gate/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/admission"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 )
 
 // pool holds the queue of one pool. Lock order: pool.mu before Gate.mu.
@@ -153,7 +154,14 @@
 	p.processQueue(p.gate.opts.Now())
 }
 
+// leavingRetryAfter is the time to retry after a refusal because this daemon shuts down: another one
+// serves at once.
+const leavingRetryAfter = 100 * time.Millisecond
+
 func contextRefusal(ctx context.Context) *request.Refusal {
+	if errors.Is(context.Cause(ctx), shutdown.ErrLeaving) {
+		return request.Refuse(request.CodeLeaving, leavingRetryAfter, "this daemon shuts down")
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return request.Refuse(request.CodeDeadline, 0, "the deadline passed in the queue")
 	}
--- a/internal/shutdown/control.go
+++ b/internal/shutdown/control.go
@@ -13,11 +13,11 @@
 
 // Control tells requests in progress of a shutdown. It is safe for concurrent use.
 type Control struct {
-	begun   chan struct{}
+	begun   context.Context // ends when the shutdown begins
 	sending context.Context // ends at Times.LastSend
 	serving context.Context // ends at Times.End
 
-	stopSending, stopServing context.CancelCauseFunc
+	begin, stopSending, stopServing context.CancelCauseFunc
 
 	mu    sync.Mutex
 	times *Times // nil before Begin
@@ -25,7 +25,8 @@
 
 // New returns the Control of a daemon that is not shutting down.
 func New() *Control {
-	c := &Control{begun: make(chan struct{})}
+	c := &Control{}
+	c.begun, c.begin = context.WithCancelCause(context.Background())
 	c.serving, c.stopServing = context.WithCancelCause(context.Background())
 	c.sending, c.stopSending = context.WithCancelCause(c.serving)
 	return c
@@ -39,13 +40,13 @@
 		return
 	}
 	c.times = &t
-	close(c.begun)
+	c.begin(ErrLeaving)
 	time.AfterFunc(time.Until(t.LastSend), func() { c.stopSending(ErrLeaving) })
 	time.AfterFunc(time.Until(t.End), func() { c.stopServing(ErrLeaving) })
 }
 
 // Begun returns a channel that is closed when the shutdown begins.
-func (c *Control) Begun() <-chan struct{} { return c.begun }
+func (c *Control) Begun() <-chan struct{} { return c.begun.Done() }
 
 // Times returns the times of the shutdown; ok is false before it begins.
 func (c *Control) Times() (t Times, ok bool) {
@@ -78,6 +79,22 @@
 	return bounded(ctx, c.sending)
 }
 
+// WhileServable returns the context of WhileSending for a request that takes a time at an upstream. It
+// ends as well when less than that time is left before Times.End.
+func (c *Control) WhileServable(ctx context.Context, takes time.Duration) (until context.Context, stop context.CancelFunc) {
+	ctx, stopSending := c.WhileSending(ctx)
+	until, cancel := context.WithCancelCause(ctx)
+	stopBegun := context.AfterFunc(c.begun, func() {
+		t, _ := c.Times()
+		time.AfterFunc(time.Until(t.End.Add(-takes)), func() { cancel(ErrLeaving) })
+	})
+	return until, func() {
+		stopBegun()
+		cancel(nil)
+		stopSending()
+	}
+}
+
 // WhileServing returns a context that ends with ctx and, with the cause ErrLeaving, when requests
 // in progress are given up. stop releases its resources.
 func (c *Control) WhileServing(ctx context.Context) (until context.Context, stop context.CancelFunc) {
