Relay: a plan is compared with the list again once its memory is reserved

The list may be most of its bound old at the comparison, so the prompt can arrive after it.

Change: the comparison is made again after the leases, and the request planned anew without an engine that leaves.

Test: EngineThatLeavesWhileMemoryIsReservedGetsNothing, which failed before (the prompt was sent to the engine that had left).

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
@@ -201,6 +202,9 @@
 	}
 }
 
+// errPlanOutdated ends an attempt before it is sent: an engine of its plan takes no new work any more.
+var errPlanOutdated = merry.Sentinel("an engine of the plan takes no new work any more")
+
 // maxTurnDelay is how much later than its turn a request may be sent. A later one was held
 // up because this daemon stalled, and all requests that waited with it would be sent at
 // once.
@@ -259,6 +263,10 @@
 		g.relay.opts.Suspects.End(started, false)
 		return attemptResult{refusal: g.contextRefusal(unsent)}
 	}
+	if len(leases.held) > 0 && !g.allTakeWork(p) { // reserving takes time, too
+		g.relay.opts.Suspects.End(started, false)
+		return attemptResult{end: retry.NotWritten, err: errPlanOutdated}
+	}
 	if failed != nil {
 		g.relay.opts.Suspects.End(started, false)
 		g.relay.noteFailures(failed.blamed, retry.Declined) // whether reached or not, it granted no memory
--- a/internal/relay/leases_test.go
+++ b/internal/relay/leases_test.go
@@ -175,3 +175,40 @@
 		t.Errorf("memory may be idle for %s", longest)
 	}
 }
+
+// leaveWhileReserving is a Sender with which an engine leaves while memory is reserved.
+type leaveWhileReserving struct {
+	Sender
+	leave func()
+}
+
+func (s leaveWhileReserving) Reserve(ctx context.Context, on booking.Part, life time.Duration) error {
+	s.leave()
+	return s.Sender.Reserve(ctx, on, life)
+}
+
+// TestEngineThatLeavesWhileMemoryIsReservedGetsNothing guards against a prompt that reaches an engine
+// late after it has left: its plan was compared with the list, which may be old, before the leases were
+// taken, and that takes up to leaseCallTimeout.
+func TestEngineThatLeavesWhileMemoryIsReservedGetsNothing(t *testing.T) {
+	f := newFixture(t, answer(200, firstEvents+lastEvents))
+	f.listEngines("e1", "e2", "e3")
+	both := onEngine("e1", "e2")
+	both.Parts[1].Reserve = 1
+	f.planner.plans = []booking.Plan{both, onEngine("e3")}
+	f.relay.opts.Sender = leaveWhileReserving{f.script, func() {
+		f.listMu.Lock()
+		defer f.listMu.Unlock()
+		leaving := fleet.Upstream{Incarnation: fleet.Incarnation{Name: "e1"}, Service: "llm", Address: "e1:1", Leaving: true}
+		f.list.Apply([]fleet.Change{entry(leaving)}, time.Now())
+	}}
+	if refusal := f.relay.Run(t.Context(), streamRequest(true), &recordingSink{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if len(f.script.sent) != 1 || f.script.sent[0].Upstream.ID != "e3" {
+		t.Errorf("sent %+v", f.script.sent)
+	}
+	for f.script.held() > 0 { // the release is a separate call; the test's timeout bounds it
+		time.Sleep(time.Millisecond)
+	}
+}
