--- a/cmd/buckthorndockd/main_test.go
+++ b/cmd/buckthorndockd/main_test.go
@@ -42,6 +42,18 @@
 `, "IP", ip)
 }
 
+// startDaemon starts the daemon with a file. out is its output, to be read when it has ended.
+func startDaemon(t *testing.T, file string) (cmd *exec.Cmd, out *bytes.Buffer) {
+	t.Helper()
+	cmd, out = exec.Command(os.Args[0], "edge", "--config", file), &bytes.Buffer{}
+	cmd.Env = append(os.Environ(), runAsDaemonEnv+"=1")
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return cmd, out
+}
+
 // TestSignalsDuringTheStartDoNotKill makes the daemon block on reading its file, a
 // named pipe, and signals it meanwhile.
 func TestSignalsDuringTheStartDoNotKill(t *testing.T) {
@@ -49,13 +61,7 @@
 	if err := syscall.Mkfifo(file, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(os.Args[0], "edge", "--config", file)
-	cmd.Env = append(os.Environ(), runAsDaemonEnv+"=1")
-	var out bytes.Buffer
-	cmd.Stdout, cmd.Stderr = &out, &out
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
+	cmd, out := startDaemon(t, file)
 	pipe, err := os.OpenFile(file, os.O_WRONLY, 0) // waits for the daemon to read
 	if err != nil {
 		t.Fatal(err)
@@ -114,13 +120,7 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(os.Args[0], "edge", "--config", file)
-	cmd.Env = append(os.Environ(), runAsDaemonEnv+"=1")
-	var out bytes.Buffer
-	cmd.Stdout, cmd.Stderr = &out, &out
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
+	cmd, out := startDaemon(t, file)
 	status, err := askStatus(ip + ":8001")
 	for err != nil { // until it listens; the test's timeout bounds it
 		status, err = askStatus(ip + ":8001")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,7 +70,7 @@
 	log          *logrus.Entry
 	leaseTimes   leaseTimes
 	running      runningAttempts
-	inProgress   runsInProgress
+	inProgress   liveSet[*run]
 	deaths       *deaths.Checker
 	tally        *tally
 	endLog       *endLog
--- a/internal/relay/running.go
+++ b/internal/relay/running.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -19,45 +18,7 @@
 
 // runningAttempts is the set of attempts in progress. The zero value is ready for use. It is
 // safe for concurrent use.
-type runningAttempts struct {
-	mu       sync.Mutex
-	attempts map[*attempt]bool
-}
-
-// add adds an attempt and returns the function that removes it.
-func (r *runningAttempts) add(a *attempt) (remove func()) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.attempts == nil {
-		r.attempts = map[*attempt]bool{}
-	}
-	r.attempts[a] = true
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		delete(r.attempts, a)
-	}
-}
-
-// empty reports whether no attempt is in progress.
-func (r *runningAttempts) empty() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.attempts) == 0
-}
-
-// filter returns the attempts for which ok returns true.
-func (r *runningAttempts) filter(ok func(*attempt) bool) []*attempt {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var matching []*attempt
-	for a := range r.attempts {
-		if ok(a) {
-			matching = append(matching, a)
-		}
-	}
-	return matching
-}
+type runningAttempts struct{ liveSet[*attempt] }
 
 // streamingDomains returns the failure domains of the upstreams that are sending a stream.
 func (r *runningAttempts) streamingDomains() []string {
--- a/internal/relay/running_test.go
+++ b/internal/relay/running_test.go
@@ -28,8 +28,8 @@
 	if refusal := f.relay.Run(t.Context(), streamRequest(true), &recordingSink{}); refusal != nil {
 		t.Fatal(refusal)
 	}
-	if len(f.script.sent) != 2 || len(f.relay.running.attempts) != 0 {
-		t.Errorf("%d sends, still noted: %v", len(f.script.sent), f.relay.running.attempts)
+	if len(f.script.sent) != 2 || len(f.relay.running.members) != 0 {
+		t.Errorf("%d sends, still noted: %v", len(f.script.sent), f.relay.running.members)
 	}
 }
 
--- a/internal/relay/stage.go
+++ b/internal/relay/stage.go
@@ -47,34 +47,10 @@
 	return now.Sub(t.since)
 }
 
-// runsInProgress is the set of requests that have not ended. The zero value is ready for use. It is
-// safe for concurrent use.
-type runsInProgress struct {
-	mu   sync.Mutex
-	runs map[*run]bool
-}
-
-// add adds a request and returns the function that removes it.
-func (r *runsInProgress) add(g *run) (remove func()) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.runs == nil {
-		r.runs = map[*run]bool{}
-	}
-	r.runs[g] = true
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		delete(r.runs, g)
-	}
-}
-
 // LogUnfinished logs each request in progress. It is called before the process exits.
 func (r *Relay) LogUnfinished() {
 	now := time.Now()
-	r.inProgress.mu.Lock()
-	defer r.inProgress.mu.Unlock()
-	for g := range r.inProgress.runs {
+	for _, g := range r.inProgress.all() {
 		r.log.WithFields(logrus.Fields{
 			"request":  g.req.ID,
 			"service":  g.req.Service.Name,
