--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -246,3 +246,20 @@
 		}
 	}
 }
+
+// TestRemovalAfterAShortGapIsInForceInTime guards against a server that left and still gets work after
+// the bound on leaving servers: the data of a daemon is a little old because the store fails for the
+// daemon that it reads from, which counts as an outage of the store for all, and the removal is then
+// doubted for ReturnGrace from the read on.
+func TestRemovalAfterAShortGapIsInForceInTime(t *testing.T) {
+	const within, outageAfter, returnGrace = 3 * time.Second, 1500 * time.Millisecond, 2 * time.Second
+	const gap = outageAfter + 100*time.Millisecond
+	l := New(Options{OutageAfter: outageAfter, ReturnGrace: returnGrace})
+	l.Apply([]Change{newEntry("a", 1)}, start)
+	l.RecordNoOutage(start.Add(time.Second), start.Add(gap)) // the other daemon's store has failed since
+	l.Apply([]Change{{Name: "a"}}, start.Add(gap))           // removed right after start
+	l.Expire(start.Add(within))
+	if l.has("a") {
+		t.Errorf("a server that was removed is still used after %s", within)
+	}
+}
