Obs: lines that are logged after the log was closed are dropped

Cause: the log is closed when edge.Run has returned, and timers (here logOld of a stream whose data has got old while the store hangs) or requests that have not ended may still log; Write must not be called then, and sent on a closed channel.

Change: a closed writer drops lines. Test: LinesAfterTheCloseAreDropped, which panics before.

--- a/internal/obs/bounded.go
+++ b/internal/obs/bounded.go
@@ -16,6 +16,9 @@
 	lines  chan []byte
 	queued atomic.Int64 // bytes of lines
 	done   sync.WaitGroup
+
+	mu     sync.RWMutex // held for writing by Close
+	closed bool
 }
 
 // Sizes in bytes. Lines tell what upstreams have sent, which may be long.
@@ -71,8 +74,13 @@
 	return len(p), nil
 }
 
-// enqueue adds a line to the queue. It returns false if there is no room.
+// enqueue adds a line to the queue. It returns false if there is no room or the writer is closed.
 func (w *BoundedWriter) enqueue(line []byte) bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		return false
+	}
 	size := int64(len(line))
 	if w.queued.Add(size) <= maxQueuedBytes {
 		select {
@@ -95,9 +103,14 @@
 	return append(line, lineCut...)
 }
 
-// Close writes the queued lines and returns when that is done. Write must not be
-// called afterwards.
+// Close writes the queued lines and returns when that is done. Lines written afterwards, by what still
+// runs when the process exits, are dropped.
 func (w *BoundedWriter) Close() {
-	close(w.lines)
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	w.done.Wait()
 }
--- a/internal/obs/bounded_test.go
+++ b/internal/obs/bounded_test.go
@@ -50,3 +50,19 @@
 		}
 	}
 }
+
+// TestLinesAfterTheCloseAreDropped guards against a daemon that panics when it exits, because a timer or
+// a request that has not ended logs after the log was closed.
+func TestLinesAfterTheCloseAreDropped(t *testing.T) {
+	var out bytes.Buffer
+	w := NewBoundedWriter(&out, 4)
+	_, _ = w.Write([]byte("before\n"))
+	w.Close()
+	if n, err := w.Write([]byte("after\n")); n != len("after\n") || err != nil {
+		t.Errorf("wrote %d, %v", n, err)
+	}
+	w.Close()
+	if out.String() != "before\n" {
+		t.Errorf("the output is %q", out.String())
+	}
+}
