--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -293,7 +293,7 @@
 		return // its answer had begun; the server may be at work on it when the grace ends
 	}
 	if o.failed != nil && read && !h.disrupted(o.sent, o.done, broken) {
-		add("planned work cuts nothing", "%s, after %s: %v", o.id, o.done.Sub(o.sent), o.failed)
+		add("planned work cuts nothing", "%s, after %s, run %d times: %v", o.id, o.done.Sub(o.sent), len(h.runs[o.id]), o.failed)
 	}
 }
 
