Edge: a daemon that was held up sends its last answers before it exits

Cause: requests are given up at End, and the process ended at Exit, 1/16 of a short grace (62 to 190 ms) later, by the clock. A process that got no processor time in between ended the moment it ran again, with answers that it had decided on and not written: Shutdown was called with a deadline that had passed.

On a quiet machine the soak test passes before, too: it is a race.

Change: ExitBy gives the last answers 250 ms from the moment at which the daemon gives up, also if that is late. It still ends as soon as they are out; if it is over the grace, the platform ends it.

Ruled out: leases are released and plans ended in the background, so neither holds up a refusal.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -99,12 +100,20 @@
 	p.log.WithField("in_flight", p.admitter.InFlight()).Info("refusing_requests")
 	p.awaitIdle(times.End)
 	p.admitter.SetShutdownDeadline(time.Time{})
-	closing, cancelClosing := context.WithDeadline(context.Background(), times.Exit)
-	defer cancelClosing()
-	for _, s := range servers {
-		if err := s.Shutdown(closing); err != nil {
-			p.log.WithFields(logrus.Fields{"in_flight": p.admitter.InFlight()}).WithError(err).Warn("connections_closed_early")
-		}
+	if err := closeServers(servers, times); err != nil {
+		p.log.WithFields(logrus.Fields{"in_flight": p.admitter.InFlight()}).WithError(err).Warn("connections_closed_early")
 	}
 	p.relay.LogUnfinished()
 }
+
+// closeServers closes the servers when their answers are out. It returns an error if a connection
+// was still in use when the process had to end.
+func closeServers(servers []*http.Server, times shutdown.Times) error {
+	ctx, cancel := context.WithDeadline(context.Background(), times.ExitBy(time.Now()))
+	defer cancel()
+	var errs []error
+	for _, s := range servers {
+		errs = append(errs, s.Shutdown(ctx))
+	}
+	return errors.Join(errs...)
+}
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -28,6 +28,19 @@
 	props.TestingRun(t)
 }
 
+// TestProcessThatWasHeldUpHasTimeForItsLastAnswers guards against a process that ends the moment it runs
+// again, with requests that it has given up and not answered yet.
+func TestProcessThatWasHeldUpHasTimeForItsLastAnswers(t *testing.T) {
+	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(73))
+	props.Property("it ends at Exit, or when the answers have had their time", prop.ForAll(func(ms, late int64) bool {
+		times := TimesOf(time.Unix(0, 0), time.Duration(ms)*time.Millisecond)
+		now := times.End.Add(time.Duration(late) * time.Millisecond)
+		by := times.ExitBy(now)
+		return !by.Before(times.Exit) && by.Sub(now) >= lastAnswerTime && (by.Equal(times.Exit) || by.Sub(now) == lastAnswerTime)
+	}, gen.Int64Range(100, 60_000), gen.Int64Range(0, 5_000)))
+	props.TestingRun(t)
+}
+
 // TestContextsEndAtTheTimesOfTheShutdown draws when contexts are made, when the shutdown begins and how
 // long requests take, and guards against a wait that goes on although it is known to be in vain.
 func TestContextsEndAtTheTimesOfTheShutdown(t *testing.T) {
--- a/internal/shutdown/times.go
+++ b/internal/shutdown/times.go
@@ -12,6 +12,9 @@
 	// maxExitMargin is the time reserved for the end of the process. Half of it is for the last
 	// answers to callers, the rest for all else.
 	maxExitMargin = 500 * time.Millisecond
+	// lastAnswerTime is the least time for the answers to requests that were given up. A process that
+	// stood still at End has it, too, though it may end after its grace period then.
+	lastAnswerTime = maxExitMargin / 2
 )
 
 // Times are the moments of a graceful shutdown, in their order.
@@ -29,3 +32,12 @@
 	end := begun.Add(grace - exitMargin)
 	return Times{LastSend: end.Add(-answerMargin), End: end, Exit: end.Add(exitMargin / 2)}
 }
+
+// ExitBy returns the time at which the process ends at the latest if it gives up the requests in
+// progress now: Exit, or later if it was held up.
+func (t Times) ExitBy(now time.Time) time.Time {
+	if by := now.Add(lastAnswerTime); by.After(t.Exit) {
+		return by
+	}
+	return t.Exit
+}
--- a/test/soak/leaving_test.go
+++ b/test/soak/leaving_test.go
@@ -29,6 +29,26 @@
 	}
 }
 
+// endStandstill is the param of a stopDaemon whose process stands still, as on a busy machine, from
+// shortly before it gives up what waits until shortly before its grace is over.
+const endStandstill = "standstill at the end"
+
+// Parts of the grace after which an endStandstill begins and ends.
+const (
+	standstillFrom = 0.7
+	standstillTo   = 0.96
+)
+
+// standStillAtEnd freezes a process that shuts down near the end of its grace.
+func (r *rig) standStillAtEnd(p *proc) {
+	part := func(of float64) time.Duration { return time.Duration(of * float64(r.grace)) }
+	select {
+	case <-time.After(part(standstillFrom)):
+		p.freeze(part(standstillTo - standstillFrom))
+	case <-p.ended:
+	}
+}
+
 // Times of daemons that leave beside long queues. Their grace is shorter than what callers wait.
 const (
 	leaveInterval = 4 * time.Second
@@ -69,19 +89,36 @@
 	return plan
 }
 
+// newLeavingScenario returns a scenario of daemons that leave beside long queues.
+func newLeavingScenario(seed uint64) scenario {
+	rng := rand.New(rand.NewPCG(seed, 15))
+	p := scenario{
+		seed: seed, length: time.Duration(*flagMinutes * float64(time.Minute)), daemons: *flagDaemons, servers: *flagServers, recovery: recoveryWait,
+		grace: shortGrace + time.Duration(rng.Int64N(int64(longGrace-shortGrace))), queueCallers: queueCallers, domains: numDomains,
+	}
+	p.plan = drawLeaving(seed, p.length, p.daemons)
+	return p
+}
+
 // TestDaemonsThatLeaveAnswerWhatTheyHaveRead guards against requests that wait in a daemon and lose
 // their connection when it exits (review/4): failure domains and all daemons together get SIGTERM beside
 // queues for engines, with a grace that is shorter than what callers wait.
 func TestDaemonsThatLeaveAnswerWhatTheyHaveRead(t *testing.T) {
 	t.Parallel()
 	for i := range *flagSeeds {
-		seed := *flagSeed + uint64(i)
-		rng := rand.New(rand.NewPCG(seed, 15))
-		p := scenario{
-			seed: seed, length: time.Duration(*flagMinutes * float64(time.Minute)), daemons: *flagDaemons, servers: *flagServers, recovery: recoveryWait,
-			grace: shortGrace + time.Duration(rng.Int64N(int64(longGrace-shortGrace))), queueCallers: queueCallers, domains: numDomains,
-		}
-		p.plan = drawLeaving(seed, p.length, p.daemons)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { reportFindings(t, p, p.run(t)) })
+		p := newLeavingScenario(*flagSeed + uint64(i))
+		t.Run(fmt.Sprint(p.seed), func(t *testing.T) { reportFindings(t, p, p.run(t)) })
+	}
+}
+
+// TestDaemonsThatStandStillAsTheirGraceEndsAnswer guards against a daemon that exits on time with
+// requests that it has given up and not answered yet, because it got no processor time.
+func TestDaemonsThatStandStillAsTheirGraceEndsAnswer(t *testing.T) {
+	t.Parallel()
+	p := newLeavingScenario(*flagSeed)
+	p.grace = shortGrace
+	for i := range p.plan {
+		p.plan[i].param = endStandstill
 	}
+	reportFindings(t, p, p.run(t))
 }
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -330,8 +330,12 @@
 		time.Sleep(dis.duration)
 		r.startDaemon(d)
 	case stopDaemon:
-		if dis.param == signalStorm {
-			r.restarting.Go(func() { r.sendSignals(d.proc, stormSignals) })
+		p := d.proc
+		switch dis.param {
+		case signalStorm:
+			r.restarting.Go(func() { r.sendSignals(p, stormSignals) })
+		case endStandstill:
+			r.restarting.Go(func() { r.standStillAtEnd(p) })
 		}
 		r.shutDown(d)
 		time.Sleep(dis.duration)
