Httpwire, tunnel: a reset that a write was told of is no end of an answer

Cause: an answer without a length ends with its connection, and one that is reset is not complete. The kernel tells of a reset once. Where the rest of a request is still being written, the write is told, and the read after it ends like that of a connection that was closed. httpwire reads on after a failed write, since an upstream may answer before it has read a long body; the tunnel writes and reads side by side. A server that closes with unread bytes resets too, so "stopped and closed" is enough.

Change: after a failed write, the end of the connection is no end of an answer without a length; a tunnel whose upload has failed passes on what came and does not announce an end. Answers with a length or in chunks, and refusals in a head, are as before.

Ruled out: net/http does not lose the error between lines of a head: a head that is cut is rejected by a close and by a reset.

--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // Answer is the answer of an upstream. It is used by one goroutine.
@@ -51,13 +53,21 @@
 	}
 }
 
+// errMaybeReset replaces io.EOF where the end of the connection would be that of the body: the failed
+// write of the request has taken the error of a reset, after which a read tells of an ordinary end.
+var errMaybeReset = merry.Wrap(ErrBroken, merry.WithMessage("the connection ended in the middle of the request"))
+
 // Read reads the body. It returns io.EOF only at the end that the framing defines:
 // if the answer has a length, after that many bytes.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
-	if err == io.EOF {
-		a.bodyEnded = true
+	if err != io.EOF {
+		return n, err
+	}
+	if !a.requestWritten && !a.SelfDelimited() {
+		return n, errMaybeReset
 	}
+	a.bodyEnded = true
 	return n, err
 }
 
--- a/internal/tunnel/handler.go
+++ b/internal/tunnel/handler.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -100,34 +102,66 @@
 
 // carry copies bytes in both directions until either end has gone.
 func carry(client net.Conn, fromClient io.Reader, upstream net.Conn) {
+	up := &upload{to: upstream}
 	uploaded := make(chan struct{})
 	go func() {
 		defer close(uploaded)
-		_, _ = io.Copy(upstream, fromClient)
+		_, _ = io.Copy(up, fromClient)
 		// An upstream may answer before it has read the whole request. The client writes
 		// the rest of that before it reads.
 		_, _ = io.Copy(io.Discard, fromClient)
 		_ = upstream.Close() // the client has gone
 	}()
-	_, err := io.Copy(client, upstream)
-	if err == nil {
-		endCleanly(client, uploaded)
+	if _, err := io.Copy(client, upstream); err == nil {
+		if !up.stop() {
+			announceEnd(client)
+		}
+		awaitClose(uploaded)
 	}
 	_ = client.Close()
 	<-uploaded
 }
 
+// upload writes what the client sends to the upstream.
+type upload struct {
+	to net.Conn
+
+	mu     sync.Mutex // held during a write
+	failed bool       // the upstream's connection broke
+}
+
+// Write implements io.Writer.
+func (u *upload) Write(p []byte) (int, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n, err := u.to.Write(p)
+	u.failed = u.failed || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	return n, err
+}
+
+// stop ends the upload, since the upstream has ended its answer. It reports whether a write has failed:
+// that takes the error of a reset, after which a read tells of an ordinary end.
+func (u *upload) stop() (failed bool) {
+	_ = u.to.SetWriteDeadline(time.Now()) // a write that waits for the upstream holds the lock
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.failed
+}
+
+// announceEnd tells the client that the upstream's answer has ended.
+func announceEnd(client net.Conn) {
+	if half, ok := client.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite() // a client that has gone needs no end
+	}
+}
+
 // drainTime bounds how long a tunnel whose upstream has ended its answer waits for the other
 // daemon to close it.
 const drainTime = time.Second
 
-// endCleanly tells the client that the upstream's answer has ended, and waits for it to close
-// the tunnel: closed with unread bytes, the connection would be reset, and the end lost.
-func endCleanly(client net.Conn, closed <-chan struct{}) {
-	half, ok := client.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
+// awaitClose waits until the client closes the tunnel: closed with unread bytes, the connection would
+// be reset, and what was written last lost.
+func awaitClose(closed <-chan struct{}) {
 	timer := time.NewTimer(drainTime)
 	defer timer.Stop()
 	select {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -51,7 +51,8 @@
 	stopFar  func()
 	near     *peer.Node
 	willing  bool
-	pathLost bool // by the daemon that is to open tunnels
+	pathLost bool                    // by the daemon that is to open tunnels
+	wrap     func(net.Conn) net.Conn // around connections to the upstream; nil: none
 	upstream net.Listener
 }
 
@@ -81,7 +82,11 @@
 			if s.pathLost {
 				return nil, merry.Wrap(syscall.ECONNREFUSED, merry.WithCause(tunnel.ErrUnwilling))
 			}
-			return network.DialContext(ctx, "tcp", address)
+			c, err := network.DialContext(ctx, "tcp", address)
+			if err == nil && s.wrap != nil {
+				c = s.wrap(c)
+			}
+			return c, err
 		},
 		DialTimeout: time.Second,
 		Willing:     func(string) bool { return s.willing },
@@ -162,6 +167,40 @@
 	}
 }
 
+// resetConn is a connection that its other end resets after a part of its answer, as the kernel shows
+// it: the write that waits is told of the reset, and a read after it of an ordinary end.
+type resetConn struct {
+	net.Conn
+	answer io.Reader
+	failed chan struct{} // closed when the write has failed
+}
+
+func (c *resetConn) Write([]byte) (int, error) {
+	close(c.failed)
+	return 0, syscall.ECONNRESET
+}
+
+func (c *resetConn) Read(p []byte) (int, error) {
+	<-c.failed
+	return c.answer.Read(p)
+}
+
+func (c *resetConn) SetWriteDeadline(time.Time) error { return nil }
+
+// TestResetBesideAnUnsentRequestDoesNotLookWhole guards against an answer without a length that is taken
+// for whole because the write of the request, not a read, was told of the upstream's reset.
+func TestResetBesideAnUnsentRequestDoesNotLookWhole(t *testing.T) {
+	const part = "part"
+	s := newSite(t, func(c *net.TCPConn) { c.Close() })
+	s.wrap = func(c net.Conn) net.Conn {
+		return &resetConn{Conn: c, answer: strings.NewReader(part), failed: make(chan struct{})}
+	}
+	got, err := io.ReadAll(s.open())
+	if string(got) != part || err == nil {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
 // TestClosedTunnelEndsTheUpstreamsWork guards against upstreams that work on for callers that
 // have gone.
 func TestClosedTunnelEndsTheUpstreamsWork(t *testing.T) {
