Relay: a stream is resumed with a stream only

Cause: the answer to the request that resumes a stream was passed on like a first answer unless it was a 200 or a failure of 500 and above: its body was written into the caller's stream, whose head had long been sent.

Change: such an answer counts as a failure of its server, so that another one may go on, and without one the stream breaks off and does not look complete.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -83,12 +83,17 @@
 	defer answer.Close()
 	g.relay.opts.Paths.RecordActivity(a.Upstream.Domain)
 	g.status = answer.Status
-	if g.req.Route.Kind == route.Stream && answer.Status == http.StatusOK {
+	switch {
+	case g.req.Route.Kind == route.Stream && answer.Status == http.StatusOK:
 		return t.passStream(answer)
+	case g.headSent: // of a stream, to which no other answer belongs
+		return attemptResult{end: retry.Faulted, err: merry.Wrap(errNotResumed, merry.AppendMessagef("status %d", answer.Status))}
 	}
 	return t.passAnswer(answer)
 }
 
+var errNotResumed = merry.Sentinel("the upstream does not go on with the stream")
+
 // identify reports which upstream answered the attempt, if several are listed at its address or
 // another one than the listed one answered. A connection that was kept from an earlier exchange may
 // still lead to a server that has left the address, and an answer that names nobody may be about a
