--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/url"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -13,6 +17,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/httpwire"
 	"github.com/buckthorndock/buckthorndock/internal/peer"
 	"github.com/buckthorndock/buckthorndock/internal/tunnel"
 )
@@ -201,6 +206,53 @@
 	}
 }
 
+// TestAnswerThatIsCutDoesNotLookWholeThroughATunnel guards against a 200 with an empty or short body for an
+// answer whose upstream, at the far end of a tunnel, stopped at any byte and closed or reset.
+func TestAnswerThatIsCutDoesNotLookWholeThroughATunnel(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: x\r\n"
+	for framing, text := range map[string]string{
+		"length":   head + "Content-Length: 4\r\n\r\nbody",
+		"chunks":   head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"unframed": head + "\r\n",
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/reset %v", framing, reset), func(t *testing.T) {
+				var cut atomic.Int64
+				s := newSite(t, func(c *net.TCPConn) {
+					defer c.Close()
+					_, _ = c.Read(make([]byte, 1<<10))
+					_, _ = io.WriteString(c, text[:cut.Load()])
+					if reset {
+						time.Sleep(time.Millisecond) // a reset could overtake the bytes
+						_ = c.SetLinger(0)
+					}
+				})
+				pool := httpwire.NewPool(httpwire.Options{
+					Dial:        func(context.Context, string) (net.Conn, error) { return s.dial() },
+					DialTimeout: time.Second,
+				})
+				for n := range text {
+					cut.Store(int64(n))
+					if body, err := exchange(t.Context(), pool); err == nil {
+						t.Errorf("cut after %q: %q looks whole", text[:n], body)
+					}
+				}
+			})
+		}
+	}
+}
+
+// exchange sends a request through a pool and reads the body of its answer.
+func exchange(ctx context.Context, pool *httpwire.Pool) ([]byte, error) {
+	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}}
+	a, err := pool.Do(ctx, "upstream", req, true)
+	if err != nil {
+		return nil, err
+	}
+	defer a.Close()
+	return io.ReadAll(a)
+}
+
 // TestClosedTunnelEndsTheUpstreamsWork guards against upstreams that work on for callers that
 // have gone.
 func TestClosedTunnelEndsTheUpstreamsWork(t *testing.T) {
