Relay: a stream whose connection ends before the first event is not whole

Callers saw (by the test): an empty 200 on a streaming route, framed as whole, from a server that wrote a head without a length and closed before its first event (the operators' report: "a 200 with an empty body").

Cause: an answer without a length ends with its connection, which is right for plain answers, whose body may be empty. A stream without any event has no last piece; only where one is resumed may nothing be left.

Change: such an attempt counts as broken, so that another server may run it where the route allows it, and the caller gets a 502 otherwise. Streams in chunks or with a length, and resumed ones, are as before.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -260,8 +260,14 @@
 	}
 }
 
-// endStream ends a stream that is complete; one without events still gets its head.
+var errEmptyStream = merry.Sentinel("the connection ended before the first event")
+
+// endStream ends a stream that is complete; one without events still gets its head. Nothing tells one
+// that only its connection ends from one that broke off before its first event.
 func (t *attempt) endStream(answer *Answer) attemptResult {
+	if answer.EndsWithConnection && t.lastEventAt.IsZero() && t.req.LastEvent == "" {
+		return attemptResult{end: retry.Broken, err: errEmptyStream}
+	}
 	if err := t.passHead(answer); err != nil {
 		return attemptResult{callerGone: true, err: err}
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -111,6 +111,8 @@
 	Head
 	Body  io.Reader
 	Close func() // to be called after the last read; releases the answer's resources
+	// EndsWithConnection is set if nothing but the end of the connection tells where the body ends.
+	EndsWithConnection bool
 }
 
 // Sender sends attempts to upstreams. The errors of Send are of type *Failure.
