Relay: a stream that comes late in a shutdown is served whole or not begun

Callers saw: streams that were cut 7.5 s after a SIGTERM (grace 8 s) though they had been sent 3.5 to 5.2 s after it.

Cause: what waits for an engine was bounded by the exit, but a stream that was sent ended by its plan: expected 46 and 58 ms to the first event, it began 0.8 to 1 s later, and 0.5 s were left beyond the plan. Plans are least right when keepers and engines leave, too. And begun streams were cut at 7.5 s, where the process runs on until 7.75 s: for them nothing else than a cut is left to be sent.

Change: a stream whose request was read after the lame duck is sent only if it ends in time even when its first event comes an objective later than planned, also after the calls for its leases. If its first event comes so late that the answer would be cut, the caller gets a 502 in place of the beginning. Begun streams run until the process ends.

The property test of shutdowns has a new state, streams that begin late, and checks late streams; without the margin, or without the look at the first event, it fails (two mutants).

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -54,12 +54,6 @@
 
 // Times of a graceful shutdown; see package shutdown for the others.
 const (
-	// lameDuck is how long a leaving daemon still accepts all requests, until the balancer, which
-	// checks once a second and acts on the second answer, has noticed. Requests that arrive within
-	// these 3 s, including the network delay, may be in progress until the end of the grace period.
-	lameDuck = 2900 * time.Millisecond
-	// lameDuckDivisor limits it to 1/lameDuckDivisor of the grace period.
-	lameDuckDivisor = 2
 	// quietTime is how long no new request must have come before a leaving daemon may stop: if too
 	// few other daemons are ready, the balancer still sends it requests.
 	quietTime         = 300 * time.Millisecond
@@ -85,12 +79,11 @@
 // leaves, waits for the requests in progress, and closes the servers. It returns when the process
 // has to exit at the latest.
 func (p *process) drain(servers []*http.Server) {
-	grace := p.current().Grace()
-	times := shutdown.TimesOf(time.Now(), grace)
+	times := shutdown.TimesOf(time.Now(), p.current().Grace())
 	p.leaving.Store(true)
 	p.shutdown.Begin(times)
 	p.log.WithField("in_flight", p.admitter.InFlight()).Info("leaving")
-	ctx, cancel := context.WithTimeout(context.Background(), min(lameDuck, grace/lameDuckDivisor))
+	ctx, cancel := context.WithDeadline(context.Background(), times.Late)
 	defer cancel()
 	if err := p.node.Leave(ctx); err != nil {
 		p.log.WithError(err).Warn("leave_not_announced")
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -244,6 +244,9 @@
 		if err != nil {
 			return t.resultOf(err)
 		}
+		if t.beginsTooLate() {
+			return attemptResult{end: retry.Broken, err: shutdown.ErrLeaving}
+		}
 		t.silence.reset()
 		t.times.event(time.Now())
 		if err := t.passHead(answer); err != nil {
@@ -281,6 +284,7 @@
 		return nil
 	}
 	t.headSent = true
+	t.run.streaming.Store(true)
 	head := answer.Head
 	head.Length = -1
 	return t.sink.Head(head)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -259,9 +259,10 @@
 	g.stage.enter(stageLease)
 	leases, failed := g.reserveMemory(unsent, id, p.Parts)
 	defer leases.release()
-	if unsent.Err() != nil {
+	refusal = g.unsentRefusal(unsent, p)
+	if refusal != nil {
 		g.relay.opts.Suspects.End(started, false)
-		return attemptResult{refusal: g.contextRefusal(unsent)}
+		return attemptResult{refusal: refusal}
 	}
 	if len(leases.held) > 0 && !g.allTakeWork(p) { // reserving takes time, too
 		g.relay.opts.Suspects.End(started, false)
--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -31,20 +31,26 @@
 	faulted                            // each server fails it after a time
 	atServer                           // a plain server answers after a time
 	atEngine                           // a stream ends after a time
+	beginning                          // a stream begins after a time, and its engine keeps its figures
 	resuming                           // a stream that has begun waits for another engine
 	leavingStates
 )
 
 func (s leavingState) String() string {
-	return [...]string{"plan", "turn", "memory", "trial", "slot", "limit", "declined", "connecting", "faulted", "server", "engine", "resuming"}[s]
+	return [...]string{"plan", "turn", "memory", "trial", "slot", "limit", "declined", "connecting", "faulted", "server", "engine", "beginning", "resuming"}[s]
 }
 
 func (s leavingState) onEngine() bool {
-	return s == waitsForPlan || s == waitsForTurn || s == waitsForMemory || s == atEngine || s == resuming
+	return s == waitsForPlan || s == waitsForTurn || s == waitsForMemory || s == atEngine || s == beginning || s == resuming
 }
 
-// leavingDecode is how long engines decode an answer by their figures.
-const leavingDecode = time.Second
+// leavingDecode is how long engines decode an answer by their figures, and leavingObjective the objective
+// of their routes.
+const (
+	leavingDecode    = time.Second
+	leavingObjective = time.Second
+	leavingFirst     = time.Second // expected until the first event of a stream that begins after a time
+)
 
 // leavingCase is one request of a drawn shutdown.
 type leavingCase struct {
@@ -72,6 +78,9 @@
 		if at.After(t.LastSend) && c.state != resuming {
 			return "it was sent too late"
 		}
+		if c.isLateStream(arrived, t) && len(c.sends) == 1 && at.Add(leavingDecode+leavingObjective).After(t.End) {
+			return "it came late and was sent though it may not end in time"
+		}
 		if c.state == waitsForTurn && at.After(begun) && at.Add(leavingDecode).After(t.End) {
 			return "it was sent though it cannot be served in time"
 		}
@@ -79,16 +88,41 @@
 	if len(c.sends) == 0 || c.state == declined || c.state == connecting {
 		return c.checkNotRun(t, known, arrived.Add(c.takes), deadline)
 	}
-	return c.checkRun(t, deadline)
+	if c.isLateStream(arrived, t) && c.state != resuming {
+		if why := c.checkLateStream(); why != "" {
+			return why
+		}
+	}
+	return c.checkRun(t, arrived, deadline)
+}
+
+// isLateStream reports whether the request is a stream of an engine that has to be whole.
+func (c *leavingCase) isLateStream(arrived time.Time, t shutdown.Times) bool {
+	return c.state.onEngine() && arrived.After(t.Late)
+}
+
+// checkLateStream checks that a stream that came late is not cut: its engine keeps its figures.
+func (c *leavingCase) checkLateStream() string {
+	keepsFigures := c.state == beginning || c.takes <= leavingDecode
+	if c.sink.status == http.StatusOK && c.refusal != nil && c.refusal.Code == request.CodeLeaving && keepsFigures {
+		return "a stream that came late was cut"
+	}
+	return ""
 }
 
 // checkRun checks the end of a request that a server was at work on.
-func (c *leavingCase) checkRun(t shutdown.Times, deadline time.Time) string {
+func (c *leavingCase) checkRun(t shutdown.Times, arrived, deadline time.Time) string {
 	until := t.End
+	if c.state.onEngine() && c.sink.status != 0 { // its answer has begun
+		until = t.Exit
+	}
 	if deadline.Before(until) {
 		until = deadline
 	}
 	wholeAt := c.sends[len(c.sends)-1].Add(c.takes)
+	if c.state == beginning {
+		wholeAt = wholeAt.Add(leavingDecode)
+	}
 	inTime := wholeAt.Before(until)
 	switch {
 	case c.ended.After(until):
@@ -99,6 +133,8 @@
 		return "the server's own failure was not delivered"
 	case c.state == resuming, c.state == faulted && inTime:
 		return ""
+	case c.isLateStream(arrived, t) && wholeAt.After(t.Exit) && c.sink.status == 0:
+		return c.checkFailed()
 	case inTime && (c.refusal != nil || c.ended.After(wholeAt)):
 		return "an answer that came in time was not delivered"
 	case inTime, c.refusal == nil:
@@ -111,6 +147,14 @@
 	return ""
 }
 
+// checkFailed checks the refusal of a request that may have run.
+func (c *leavingCase) checkFailed() string {
+	if c.refusal == nil || c.refusal.Outcome == request.NotRun {
+		return "it may have run"
+	}
+	return ""
+}
+
 // checkNotRun checks the end of a request that no server has run.
 func (c *leavingCase) checkNotRun(t shutdown.Times, known, turn, deadline time.Time) string {
 	limit := t.LastSend
@@ -161,6 +205,9 @@
 		if c.state == declined {
 			c.takes = time.Duration(rng.Int64N(int64(300 * time.Millisecond)))
 		}
+		if c.state == beginning { // not so long that another engine is tried
+			c.takes = time.Duration(rng.Int64N(int64(firstSilenceFactor*leavingFirst + leavingObjective)))
+		}
 		cases = append(cases, c)
 	}
 	return cases
--- a/internal/relay/leaving_world_test.go
+++ b/internal/relay/leaving_world_test.go
@@ -55,8 +55,11 @@
 		return booking.Plan{Verdict: booking.Full, Engines: 1}
 	}
 	p := onEngine("e1")
-	if c.state == waitsForTurn {
+	switch c.state {
+	case waitsForTurn:
 		p.Wait, p.First = c.takes, c.takes
+	case beginning:
+		p.First = leavingFirst
 	}
 	if c.state == waitsForMemory {
 		p.Parts = append(p.Parts, booking.Part{Upstream: "e2", Address: "e2:1", Reserve: 1})
@@ -153,15 +156,18 @@
 		case <-ctx.Done():
 			return nil, &Failure{End: retry.Broken, Err: ctx.Err()}
 		}
+	case beginning:
+		return answerFrom(200, &slowStream{ctx: ctx, first: c.takes, left: leavingDecode})(ctx, a)
 	case resuming:
 		return answerFrom(200, brokenBody(firstEvents))(ctx, a)
 	}
 	return answerFrom(200, &slowStream{ctx: ctx, left: c.takes})(ctx, a)
 }
 
-// slowStream is a stream whose first event comes at once and whose last one after a time.
+// slowStream is a stream whose first and last events come after a time each.
 type slowStream struct {
 	ctx   context.Context
+	first time.Duration
 	left  time.Duration
 	begun bool
 	rest  *strings.Reader
@@ -169,20 +175,30 @@
 
 func (s *slowStream) Read(p []byte) (int, error) {
 	if !s.begun {
+		if err := s.wait(s.first); err != nil {
+			return 0, err
+		}
 		s.begun = true
 		return copy(p, firstEvents), nil
 	}
 	if s.rest == nil {
-		select {
-		case <-time.After(s.left):
-		case <-s.ctx.Done():
-			return 0, s.ctx.Err()
+		if err := s.wait(s.left); err != nil {
+			return 0, err
 		}
 		s.rest = strings.NewReader(lastEvents)
 	}
 	return s.rest.Read(p)
 }
 
+func (s *slowStream) wait(d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
+}
+
 func newLeavingWorld(t *testing.T, cases []*leavingCase) *leavingWorld {
 	w := &leavingWorld{fixture: newFixture(t), cases: cases}
 	var list []fleet.Change
@@ -216,6 +232,7 @@
 	}
 	if c.state.onEngine() {
 		r.Route.Kind, r.Route.Resumable = route.Stream, c.repeatable
+		r.Route.Objective = leavingObjective
 		r.Service.Engine = &cost.Figures{Slots: 4, StepMs: 100}
 		r.PromptTokens, r.MaxTokens = 100, int(leavingDecode/(100*time.Millisecond))
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -124,10 +124,10 @@
 func (r *Relay) Run(ctx context.Context, req *Request, sink Sink) *request.Refusal {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	ctx, stop := r.opts.Shutdown.WhileServing(ctx)
+	g := &run{relay: r, req: req, sink: sink, lastEvent: req.LastEvent, readAt: time.Now()}
+	ctx, stop := r.opts.Shutdown.WhileStreaming(ctx, g.streaming.Load)
 	defer stop()
-	r.countRequest(req.Service.Name, time.Now())
-	g := &run{relay: r, req: req, sink: sink, lastEvent: req.LastEvent}
+	r.countRequest(req.Service.Name, g.readAt)
 	defer r.inProgress.add(g)()
 	refusal := jitterRetryAfter(g.loop(ctx))
 	g.logEnd(refusal)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -26,6 +27,9 @@
 	req   *Request
 	sink  Sink
 
+	readAt    time.Time   // when the request had been read, with its body
+	streaming atomic.Bool // the head of a stream has been passed on
+
 	attempt          int
 	repeatTaken      bool     // a move has taken the next repeat from the budget; guarded by the mutex of the attempt's silenceTimer
 	runs             int      // attempts that may have run
@@ -147,7 +151,7 @@
 	if ctx.Err() != nil {
 		return g.correctOutcome(g.contextRefusal(ctx)), false
 	}
-	if g.leavesUnsent() {
+	if g.leavesUnsent() || e.givenUp() {
 		return g.correctOutcome(leavingRefusal()), false
 	}
 	decision := g.relay.retryDecision(g.req.Service.Name, retry.Attempt{
--- a/internal/shutdown/control.go
+++ b/internal/shutdown/control.go
@@ -16,8 +16,9 @@
 	begun   context.Context // ends when the shutdown begins
 	sending context.Context // ends at Times.LastSend
 	serving context.Context // ends at Times.End
+	exiting context.Context // ends at Times.Exit
 
-	begin, stopSending, stopServing context.CancelCauseFunc
+	begin, stopSending, stopServing, exit context.CancelCauseFunc
 
 	mu    sync.Mutex
 	times *Times // nil before Begin
@@ -27,7 +28,8 @@
 func New() *Control {
 	c := &Control{}
 	c.begun, c.begin = context.WithCancelCause(context.Background())
-	c.serving, c.stopServing = context.WithCancelCause(context.Background())
+	c.exiting, c.exit = context.WithCancelCause(context.Background())
+	c.serving, c.stopServing = context.WithCancelCause(c.exiting)
 	c.sending, c.stopSending = context.WithCancelCause(c.serving)
 	return c
 }
@@ -43,6 +45,7 @@
 	c.begin(ErrLeaving)
 	time.AfterFunc(time.Until(t.LastSend), func() { c.stopSending(ErrLeaving) })
 	time.AfterFunc(time.Until(t.End), func() { c.stopServing(ErrLeaving) })
+	time.AfterFunc(time.Until(t.Exit), func() { c.exit(ErrLeaving) })
 }
 
 // Begun returns a channel that is closed when the shutdown begins.
@@ -70,6 +73,18 @@
 	return !leaving || !at.After(t.End)
 }
 
+// ComesLate reports whether a request that was read at a time is served whole or not at all.
+func (c *Control) ComesLate(read time.Time) bool {
+	t, leaving := c.Times()
+	return leaving && read.After(t.Late)
+}
+
+// RunsUntil reports whether the process still runs at a time.
+func (c *Control) RunsUntil(at time.Time) bool {
+	t, leaving := c.Times()
+	return !leaving || !at.After(t.Exit)
+}
+
 // SendingEnded reports whether nothing is sent any more.
 func (c *Control) SendingEnded() bool { return c.sending.Err() != nil }
 
@@ -101,6 +116,23 @@
 	return bounded(ctx, c.serving)
 }
 
+// WhileStreaming is WhileServing for a request whose answer, once begun reports true, can only be whole or
+// cut: it then ends when the process does.
+func (c *Control) WhileStreaming(ctx context.Context, begun func() bool) (until context.Context, stop context.CancelFunc) {
+	until, cancel := context.WithCancelCause(ctx)
+	stopServing := context.AfterFunc(c.serving, func() {
+		if !begun() {
+			cancel(ErrLeaving)
+		}
+	})
+	stopExit := context.AfterFunc(c.exiting, func() { cancel(ErrLeaving) })
+	return until, func() {
+		stopServing()
+		stopExit()
+		cancel(nil)
+	}
+}
+
 // AfterSending calls fn when nothing may be sent any more, unless stop is called before.
 func (c *Control) AfterSending(fn func()) (stop func() bool) { return context.AfterFunc(c.sending, fn) }
 
--- a/internal/shutdown/times.go
+++ b/internal/shutdown/times.go
@@ -5,6 +5,13 @@
 // Bounds of the times of a shutdown. Each is at most 1/marginDivisor of the grace period, so that
 // upstreams have three quarters of a short one too.
 const (
+	// maxLameDuck is how long a leaving daemon still accepts all requests, until the balancer, which
+	// checks once a second and acts on the second answer, has noticed. Requests that arrive within
+	// these 3 s, including the network delay, may be in progress until the end of the grace period.
+	maxLameDuck = 2900 * time.Millisecond
+	// lameDuckDivisor limits it to 1/lameDuckDivisor of the grace period.
+	lameDuckDivisor = 2
+
 	marginDivisor = 8
 	// maxAnswerMargin is the time in which callers of requests that were not sent get their answers,
 	// also over a slow link.
@@ -19,8 +26,9 @@
 
 // Times are the moments of a graceful shutdown, in their order.
 type Times struct {
+	Late     time.Time // requests that come later are served whole or not at all
 	LastSend time.Time // nothing is sent to an upstream after it
-	End      time.Time // requests in progress are given up
+	End      time.Time // requests in progress are given up, but for streams that have begun
 	Exit     time.Time // the process ends
 }
 
@@ -30,7 +38,12 @@
 	exitMargin := min(maxExitMargin, grace/marginDivisor)
 	answerMargin := min(maxAnswerMargin, grace/marginDivisor)
 	end := begun.Add(grace - exitMargin)
-	return Times{LastSend: end.Add(-answerMargin), End: end, Exit: end.Add(exitMargin / 2)}
+	return Times{
+		Late:     begun.Add(min(maxLameDuck, grace/lameDuckDivisor)),
+		LastSend: end.Add(-answerMargin),
+		End:      end,
+		Exit:     end.Add(exitMargin / 2),
+	}
 }
 
 // ExitBy returns the time at which the process ends at the latest if it gives up the requests in
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -47,9 +47,12 @@
 type history struct {
 	settingsWithin time.Duration // max time until settings are in force
 	graceIsShort   bool          // servers may need longer than the grace of a daemon
+	patience       time.Duration // deadline that callers state
 
 	mu             sync.Mutex
 	outcomes       []outcome
+	stops          []daemonStop
+	serverEnds     map[string]time.Time // when the process of a server that had left was ended, by its id
 	runs           map[string][]run
 	spans          []*span
 	leavingInStore map[string]time.Time // when the entry with a server's leaving was written to the store
@@ -76,7 +79,7 @@
 func (f finding) String() string { return f.check + ": " + f.text }
 
 func newHistory() *history {
-	return &history{settingsWithin: settingsDelay, endless: map[string]bool{}, full: map[string]string{}, runs: map[string][]run{}, leavingInStore: map[string]time.Time{}, leavingAnswers: map[string]time.Time{}, domains: map[string]string{}, crashes: map[string][]time.Time{}, daemonOf: map[string]string{}, written: map[int]time.Time{}, stored: map[string]time.Time{}}
+	return &history{settingsWithin: settingsDelay, patience: callerDeadline, serverEnds: map[string]time.Time{}, endless: map[string]bool{}, full: map[string]string{}, runs: map[string][]run{}, leavingInStore: map[string]time.Time{}, leavingAnswers: map[string]time.Time{}, domains: map[string]string{}, crashes: map[string][]time.Time{}, daemonOf: map[string]string{}, written: map[int]time.Time{}, stored: map[string]time.Time{}}
 }
 
 func (h *history) addOutcome(o outcome) {
@@ -298,7 +301,7 @@
 }
 
 func (h *history) checkDeadline(o outcome, add findingFunc) {
-	if took := o.done.Sub(o.sent); took > callerDeadline+deadlineMargin && !h.disrupted(o.sent, o.done, targetIs(o.daemon)) {
+	if took := o.done.Sub(o.sent); took > h.patience+deadlineMargin && !h.disrupted(o.sent, o.done, targetIs(o.daemon)) {
 		add("an answer in time", "%s took %s", o.id, took)
 	}
 }
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"syscall"
 	"time"
-
-	"github.com/buckthorndock/buckthorndock/platform/standin"
 )
 
 // disruption is a fault or an operation that a scenario applies to the site.
@@ -267,36 +265,6 @@
 	}
 }
 
-// putForeignEntries replaces a server's entry by an invalid one, until its next heartbeat, and
-// adds the invalid one under another key too.
-func (r *rig) putForeignEntries(s *server, text string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, key := range []string{s.id(), "not-" + s.id()} {
-		r.sendCommand(r.store, command{Op: "put", Stream: standin.Servers, Key: key, Value: text})
-	}
-}
-
-// putLateEntry kills a server, starts its successor, and writes the entry of the dead one after
-// that of the successor, until it expires. Neither entry has a start time.
-func (r *rig) putLateEntry(s *server, lasts time.Duration) {
-	s.proc.kill()
-	r.mu.Lock()
-	dead := standin.Entry{Service: s.service, Address: s.address, Seq: s.seq + 1}
-	id := s.id()
-	r.mu.Unlock()
-	r.startServer(s)
-	r.mu.Lock()
-	s.born = 0
-	r.updateEntry(s)
-	r.sendCommand(r.store, command{Op: "put", Stream: standin.Servers, Key: id, Value: dead.Text()})
-	r.mu.Unlock()
-	time.Sleep(lasts)
-	r.mu.Lock()
-	r.sendCommand(r.store, command{Op: "put", Stream: standin.Servers, Key: id})
-	r.mu.Unlock()
-}
-
 // advertise has a server send a value (a limit, a back-off) in its answers, or slow down by a
 // factor, for the duration of the disruption. A restarted server does neither.
 func (r *rig) advertise(s *server, op string, dis disruption) {
@@ -355,6 +323,7 @@
 func (r *rig) shutDown(d *daemon) {
 	r.checkMemory(d)
 	listened := canConnect(d.front)
+	r.history.recordStop(d)
 	d.proc.signal(r.stopSignal)
 	select {
 	case <-d.proc.ended:
@@ -394,6 +363,7 @@
 		}
 		r.mu.Unlock()
 		time.Sleep(leavingDuration)
+		r.history.recordServerEnd(s.id())
 		s.proc.kill()
 		r.startServer(s)
 	}
--- a/test/soak/records_test.go
+++ b/test/soak/records_test.go
@@ -66,3 +66,33 @@
 func (r *rig) putSettings() {
 	r.sendCommand(r.store, command{Op: "put", Stream: standin.Settings, Key: standin.SettingsKey, Value: standin.SettingsText(r.version, maxAttempts, customers(r.version)...)})
 }
+
+// putForeignEntries replaces a server's entry by an invalid one, until its next heartbeat, and
+// adds the invalid one under another key too.
+func (r *rig) putForeignEntries(s *server, text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, key := range []string{s.id(), "not-" + s.id()} {
+		r.sendCommand(r.store, command{Op: "put", Stream: standin.Servers, Key: key, Value: text})
+	}
+}
+
+// putLateEntry kills a server, starts its successor, and writes the entry of the dead one after
+// that of the successor, until it expires. Neither entry has a start time.
+func (r *rig) putLateEntry(s *server, lasts time.Duration) {
+	s.proc.kill()
+	r.mu.Lock()
+	dead := standin.Entry{Service: s.service, Address: s.address, Seq: s.seq + 1}
+	id := s.id()
+	r.mu.Unlock()
+	r.startServer(s)
+	r.mu.Lock()
+	s.born = 0
+	r.updateEntry(s)
+	r.sendCommand(r.store, command{Op: "put", Stream: standin.Servers, Key: id, Value: dead.Text()})
+	r.mu.Unlock()
+	time.Sleep(lasts)
+	r.mu.Lock()
+	r.sendCommand(r.store, command{Op: "put", Stream: standin.Servers, Key: id})
+	r.mu.Unlock()
+}
--- a/test/soak/roles_test.go
+++ b/test/soak/roles_test.go
@@ -108,7 +108,7 @@
 	slowness.Store(0.0)
 	var endless atomic.Pointer[command] // nil: it sends no endless answers
 	var answers atomic.Int64
-	slots := newSlotCounter(name)
+	slots, reader := newSlotCounter(name), &engineReader{}
 	s.SetAnswer(func(w *bufio.Writer, r *http.Request) bool {
 		id := standin.ID(r.Header)
 		if seconds := backOff.Load().(float64); seconds > 0 {
@@ -130,7 +130,12 @@
 			writeReport(report{What: "endless", ID: id, Server: name, At: time.Now().UnixNano()})
 			return answer(w, r)
 		}
-		whole := writeAnswer(s, w, r, id, max(slowness.Load().(float64), 1))
+		whole := false
+		if r.URL.Query().Has("figures") {
+			whole = reader.answerByFigures(s, w, r, id)
+		} else {
+			whole = writeAnswer(s, w, r, id, max(slowness.Load().(float64), 1))
+		}
 		writeReport(report{What: "ended", ID: id, Server: name, Whole: whole, At: time.Now().UnixNano()})
 		return whole
 	})
