Fleet: removals after a short gap are in force within their bound

Cause: entries may lapse while the store is down, so removals after a gap between reads were doubted for 2 s from the read on. A gap over 1.5 s counted, also where the store failed only for the daemon that others read from: 1.6 s and 2 s are more than the bound of 3 s.

Change: after a gap that is shorter than the bound, a removal is doubted until 0.85 of the bound after the last read before the gap, since it may have come right after that. A longer gap is as before, with a test: the bound does not count from before an outage. An entry lapses at the earliest two heartbeats, 2.4 s, after an outage begins, so only outages of 2.4 s up to the bound are doubted for less time than live servers may need to come back.

Soak: a daemon's own grace bounds its shutdown (it was the default one).

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -254,7 +254,7 @@
 func TestRemovalAfterAShortGapIsInForceInTime(t *testing.T) {
 	const within, outageAfter, returnGrace = 3 * time.Second, 1500 * time.Millisecond, 2 * time.Second
 	const gap = outageAfter + 100*time.Millisecond
-	l := New(Options{OutageAfter: outageAfter, ReturnGrace: returnGrace})
+	l := New(Options{OutageAfter: outageAfter, ReturnGrace: returnGrace, Within: within})
 	l.Apply([]Change{newEntry("a", 1)}, start)
 	l.RecordNoOutage(start.Add(time.Second), start.Add(gap)) // the other daemon's store has failed since
 	l.Apply([]Change{{Name: "a"}}, start.Add(gap))           // removed right after start
@@ -263,3 +263,22 @@
 		t.Errorf("a server that was removed is still used after %s", within)
 	}
 }
+
+// TestLapsesOfALongOutageAreDoubted guards against live servers that are dropped when the store is back,
+// because the bound on removals was counted from a read before the outage.
+func TestLapsesOfALongOutageAreDoubted(t *testing.T) {
+	const within, returnGrace = 3 * time.Second, 2 * time.Second
+	for _, gap := range []time.Duration{within, 2 * within} {
+		l := New(Options{OutageAfter: within / 2, ReturnGrace: returnGrace, Within: within})
+		l.Apply([]Change{newEntry("a", 1)}, start)
+		l.Apply([]Change{{Name: "a"}}, start.Add(gap))
+		l.Expire(start.Add(gap + returnGrace - time.Millisecond))
+		if !l.has("a") {
+			t.Errorf("an entry that lapsed in a gap of %s is gone before live servers are back", gap)
+		}
+		l.Expire(start.Add(gap + returnGrace))
+		if l.has("a") {
+			t.Errorf("gap of %s: a server that did not come back is still listed", gap)
+		}
+	}
+}
--- a/internal/core/fleet/list.go
+++ b/internal/core/fleet/list.go
@@ -14,8 +14,14 @@
 	// ReturnGrace is how long after an outage of the store a lapsed entry is still used.
 	// Live servers have registered again by then.
 	ReturnGrace time.Duration
+	// Within is the time within which a removal must be in force; zero: not bounded.
+	Within time.Duration
 }
 
+// doubtShare is the part of Options.Within for which removals of a short gap are doubted; the rest is for
+// the next read.
+const doubtShare = 0.85
+
 // endedRetention is how long the last entry of an ended incarnation and the latest start at an
 // address are kept. Heartbeats can arrive several seconds late.
 const endedRetention = time.Minute
@@ -53,7 +59,7 @@
 //
 // Invariants: an upstream whose entry was removed while the store could be read is
 // in no snapshot until a new entry arrives. One whose entry lapsed during an outage of the
-// store stays until ReturnGrace after the first read. An entry of an earlier incarnation,
+// store stays until ReturnGrace after the first read, or less if the outage was short. An entry of an earlier incarnation,
 // or an older one of the same incarnation, changes nothing. Each registered upstream is
 // in the snapshot unless a later start at its address was reported, or an answer has shown
 // that another upstream runs there; see RecordResponder and RecordEnd.
@@ -88,7 +94,7 @@
 // order.
 func (l *List) Apply(changes []Change, now time.Time) {
 	if !l.lastRead.IsZero() && now.Sub(l.lastRead) > l.opts.OutageAfter {
-		l.graceEnd = now.Add(l.opts.ReturnGrace)
+		l.graceEnd = l.doubtedUntil(now)
 	}
 	if now.After(l.lastRead) { // a copy from a peer may be older
 		l.lastRead = now
@@ -99,6 +105,17 @@
 	l.Expire(now)
 }
 
+// doubtedUntil returns until when the removals of a read that ends a gap are doubted. One may have come
+// right after the last read, and a gap that is shorter than the bound need not be an outage for all.
+func (l *List) doubtedUntil(now time.Time) time.Time {
+	until := now.Add(l.opts.ReturnGrace)
+	inForce := l.lastRead.Add(time.Duration(doubtShare * float64(l.opts.Within)))
+	if now.Sub(l.lastRead) < l.opts.Within && inForce.Before(until) {
+		return inForce
+	}
+	return until
+}
+
 // RecordNoOutage records that the store was last unavailable at outageAt, zero for never, and has
 // answered since until a time: a gap between reads that ended then is no outage. The reads of this
 // daemon may have been late because other daemons, which it reads from, were silent.
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -99,16 +99,20 @@
 		cfg.Incarnation = uint64(time.Now().UnixNano())
 	}
 	p := &process{
-		cfg:       cfg,
-		shutdown:  shutdown.New(),
-		started:   time.Now(),
-		provider:  provider,
-		log:       log,
-		store:     provider.Store(cfg.Store),
-		suspects:  suspects.New(cfg.Host, log),
-		balancer:  newPlainBalancer(cfg.Domain, cfg.Incarnation),
-		speedLog:  speedlog.New(log),
-		upstreams: fleet.New(fleet.Options{OutageAfter: outageAfter(cfg), ReturnGrace: relistTime}),
+		cfg:      cfg,
+		shutdown: shutdown.New(),
+		started:  time.Now(),
+		provider: provider,
+		log:      log,
+		store:    provider.Store(cfg.Store),
+		suspects: suspects.New(cfg.Host, log),
+		balancer: newPlainBalancer(cfg.Domain, cfg.Incarnation),
+		speedLog: speedlog.New(log),
+		upstreams: fleet.New(fleet.Options{
+			OutageAfter: outageAfter(cfg),
+			ReturnGrace: relistTime,
+			Within:      fractionOf(cfg.LeavingWithinMs, 1),
+		}),
 	}
 	p.answers = inbound.NewMemory("answers", p.memoryShare(answerMemoryShare))
 	p.list.Store(&fleet.Snapshot{})
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -330,7 +330,7 @@
 		if d.proc.result != nil && listened {
 			r.history.addFinding("a leaving daemon ends well", "%s: %v", d.name, d.proc.result)
 		}
-	case <-time.After(grace + stopMargin):
+	case <-time.After(r.grace + stopMargin):
 		r.history.addFinding("a leaving daemon ends well", "%s still runs %s after its grace", d.name, stopMargin)
 		d.proc.signal(syscall.SIGCONT)
 		d.proc.kill()
