Inboundtest: one server that stops inside an answer

Two tests of cut answers had listeners of their own, which stood twice beside that of endless answers.

--- a/internal/inbound/inboundtest/server.go
+++ b/internal/inbound/inboundtest/server.go
@@ -1,4 +1,4 @@
-// Package inboundtest has a server for tests that sends bytes without end.
+// Package inboundtest has servers for tests that send bytes without end, or stop inside an answer.
 package inboundtest
 
 import (
@@ -21,6 +21,13 @@
 
 // Serve answers each client's request. It returns the server's IP:port.
 func Serve(t *testing.T, a Answer) (address string) {
+	t.Helper()
+	return serveEach(t, a.send)
+}
+
+// serveEach listens until the end of the test and has serve handle each connection, which is closed
+// afterwards.
+func serveEach(t *testing.T, serve func(c *net.TCPConn)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -33,14 +40,16 @@
 			if err != nil {
 				return
 			}
-			go a.send(c)
+			go func() {
+				defer c.Close()
+				serve(c.(*net.TCPConn))
+			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
-func (a Answer) send(c net.Conn) {
-	defer c.Close()
+func (a Answer) send(c *net.TCPConn) {
 	_, _ = c.Read(make([]byte, requestBytes)) // what it asks for does not matter
 	_, err := io.WriteString(c, a.Begin)
 	for block := strings.Repeat(a.Piece, blockBytes/len(a.Piece)); err == nil; {
--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"strings"
 	"testing"
-	"time"
+
+	"github.com/buckthorndock/buckthorndock/internal/inbound/inboundtest"
 )
 
 const (
@@ -27,36 +26,6 @@
 	"interim":  func(head, body string) string { return "HTTP/1.1 102 Processing\r\n\r\n" + head + "\r\n" + body },
 }
 
-// resetDelay is the time between the last bytes and a reset, which could overtake them.
-const resetDelay = time.Millisecond
-
-// serveCut answers each connection with some bytes and ends it, by a close or a reset.
-func serveCut(t *testing.T, answer string, reset bool) (address string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			defer c.Close()
-			_, _ = c.Read(make([]byte, 4<<10))
-			_, _ = io.WriteString(c, answer)
-			if reset {
-				time.Sleep(resetDelay)
-				_ = c.(*net.TCPConn).SetLinger(0)
-			}
-			_ = c.Close()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // readStream reads a stream to its final marker.
 func readStream(c *Client, address string) error {
 	s, err := c.Generate(context.Background(), address, &GenerateRequest{RequestID: "r1", Attempt: 1})
@@ -117,7 +86,7 @@
 
 func checkCut(t *testing.T, send func(c *Client, address string) error, part string, reset bool) {
 	t.Helper()
-	err := send(NewClient(Options{}), serveCut(t, part, reset))
+	err := send(NewClient(Options{}), inboundtest.ServeCut(t, inboundtest.Cut{Part: part, Reset: reset}))
 	if err == nil || IsNotStarted(err) {
 		t.Errorf("cut after %q, reset %v: error %v", part, reset, err)
 	}
