--- a/internal/core/fleet/list.go
+++ b/internal/core/fleet/list.go
@@ -18,8 +18,8 @@
 	Within time.Duration
 }
 
-// doubtShare is the part of Options.Within for which removals of a short gap are doubted; the rest is for
-// the next read.
+// doubtShare is the part of Options.Within for which removals are doubted after a short gap; the rest is
+// for the next read.
 const doubtShare = 0.85
 
 // endedRetention is how long the last entry of an ended incarnation and the latest start at an
@@ -59,10 +59,10 @@
 //
 // Invariants: an upstream whose entry was removed while the store could be read is
 // in no snapshot until a new entry arrives. One whose entry lapsed during an outage of the
-// store stays until ReturnGrace after the first read, or less if the outage was short. An entry of an earlier incarnation,
-// or an older one of the same incarnation, changes nothing. Each registered upstream is
-// in the snapshot unless a later start at its address was reported, or an answer has shown
-// that another upstream runs there; see RecordResponder and RecordEnd.
+// store stays until ReturnGrace after the first read, or less if the outage was short. An entry of
+// an earlier incarnation, or an older one of the same incarnation, changes nothing. Each registered
+// upstream is in the snapshot unless a later start at its address was reported, or an answer has
+// shown that another upstream runs there; see RecordResponder and RecordEnd.
 type List struct {
 	opts        Options
 	byName      map[string]*entry
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -284,7 +284,7 @@
 		return nil
 	}
 	t.headSent = true
-	t.run.streaming.Store(true)
+	t.streamBegun.Store(true)
 	head := answer.Head
 	head.Length = -1
 	return t.sink.Head(head)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -27,8 +27,8 @@
 	req   *Request
 	sink  Sink
 
-	readAt    time.Time   // when the request had been read, with its body
-	streaming atomic.Bool // the head of a stream has been passed on
+	readAt      time.Time   // when the request had been read, with its body
+	streamBegun atomic.Bool // the head of a stream has been passed on
 
 	attempt          int
 	repeatTaken      bool     // a move has taken the next repeat from the budget; guarded by the mutex of the attempt's silenceTimer
