Relay: a long plain answer that has begun runs until the exit, too

The same cause as for streams on a related path: a plain answer longer than what is held was cut half a second before the process ends, though a cut is all that is left for it.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -167,6 +167,7 @@
 		return attemptResult{callerGone: true, err: err}
 	}
 	t.headSent = true
+	t.answerBegun.Store(rest != nil)
 	if err := t.sink.Body(whole, rest == nil); err != nil {
 		return attemptResult{callerGone: true, err: err}
 	}
@@ -284,7 +285,7 @@
 		return nil
 	}
 	t.headSent = true
-	t.streamBegun.Store(true)
+	t.answerBegun.Store(true)
 	head := answer.Head
 	head.Length = -1
 	return t.sink.Head(head)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -125,7 +125,7 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	g := &run{relay: r, req: req, sink: sink, lastEvent: req.LastEvent, readAt: time.Now()}
-	ctx, stop := r.opts.Shutdown.WhileStreaming(ctx, g.streamBegun.Load)
+	ctx, stop := r.opts.Shutdown.WhileAnswering(ctx, g.answerBegun.Load)
 	defer stop()
 	r.countRequest(req.Service.Name, g.readAt)
 	defer r.inProgress.add(g)()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -28,7 +28,7 @@
 	sink  Sink
 
 	readAt      time.Time   // when the request had been read, with its body
-	streamBegun atomic.Bool // the head of a stream has been passed on
+	answerBegun atomic.Bool // a part of an answer that goes on has been passed on
 
 	attempt          int
 	repeatTaken      bool     // a move has taken the next repeat from the budget; guarded by the mutex of the attempt's silenceTimer
--- a/internal/shutdown/control.go
+++ b/internal/shutdown/control.go
@@ -116,9 +116,9 @@
 	return bounded(ctx, c.serving)
 }
 
-// WhileStreaming is WhileServing for a request whose answer, once begun reports true, can only be whole or
+// WhileAnswering is WhileServing for a request whose answer, once begun reports true, can only be whole or
 // cut: it then ends when the process does.
-func (c *Control) WhileStreaming(ctx context.Context, begun func() bool) (until context.Context, stop context.CancelFunc) {
+func (c *Control) WhileAnswering(ctx context.Context, begun func() bool) (until context.Context, stop context.CancelFunc) {
 	until, cancel := context.WithCancelCause(ctx)
 	stopServing := context.AfterFunc(c.serving, func() {
 		if !begun() {
--- a/internal/shutdown/times.go
+++ b/internal/shutdown/times.go
@@ -28,7 +28,7 @@
 type Times struct {
 	Late     time.Time // requests that come later are served whole or not at all
 	LastSend time.Time // nothing is sent to an upstream after it
-	End      time.Time // requests in progress are given up, but for streams that have begun
+	End      time.Time // requests in progress are given up, but for those whose answers have begun
 	Exit     time.Time // the process ends
 }
 
