--- a/test/soak/rolling_test.go
+++ b/test/soak/rolling_test.go
@@ -222,7 +222,7 @@
 	disruptions.Wait()
 	cancel()
 	callers.Wait()
-	t.Logf("seed %d, %d daemons, %d disruptions, %d cut at servers as allowed: %s", seed, daemons, len(p.plan), r.history.cutAtServers(), r.history.summary())
+	t.Logf("seed %d, %d daemons, %d disruptions, %d streams cut: %s", seed, daemons, len(p.plan), r.history.cutAtServers(), r.history.summary())
 	found := r.history.checkAll()
 	r.history.checkLost(rollingPatience, p.grace, func(check, format string, args ...any) {
 		found = append(found, finding{check, fmt.Sprintf(format, args...)})
