Soak: successors of ended servers are looked for with as many streams as there are slots

Trace: 15 streams from each of four daemons were meant to be more than the slots of the servers that had not started again. They are 60, and engines have 16 slots each: 14 that live take 224. Successors were used where the packing happened to choose them. In a slow run at a load of 37 (9.7 s until one was used), 220 to 240 streams a second were all served by seven or eight of the first instances. 9 of 10 others used one in under three seconds.

The check is the same and forces what it wants now: as many streams as all engines have slots come at once, and last 300 ms.

--- a/test/soak/ends_test.go
+++ b/test/soak/ends_test.go
@@ -15,14 +15,19 @@
 	linkedAddress             // behind a link with one address, which accepts connections at all times
 )
 
-// checkSuccessorsServe checks that servers which have started again are used once the store is back.
+// engineSlots is the number of slots of an engine in standin.SettingsText.
+const engineSlots = 16
+
+// checkSuccessorsServe checks that servers which have started again are used once the store is back:
+// as many streams as all engines have slots come at once, and last, so that the others cannot take them.
 func (s *partSite) checkSuccessorsServe() {
-	const atOnce = 15 // from each daemon: more than the slots of the servers that have not started again
+	const lasting = "&work=300"
+	atOnce := len(s.r.servers) / 2 * engineSlots / len(s.r.daemons) // from each daemon; half of the servers are engines
 	s.r.setStoreFault("")
 	ok := s.r.eventually(recoveryWait, func() bool {
 		for _, d := range s.r.daemons {
 			for range atOnce {
-				s.all.Go(func() { s.send(d, "sound", []uint32{popularPart}) })
+				s.all.Go(func() { s.sendQuery(d, "sound", []uint32{popularPart}, lasting) })
 			}
 		}
 		s.all.Wait()
--- a/test/soak/parts_test.go
+++ b/test/soak/parts_test.go
@@ -75,12 +75,17 @@
 
 // send sends one request and returns its outcome. logical is the logical id.
 func (s *partSite) send(d *daemon, logical string, parts []uint32) outcome {
+	return s.sendQuery(d, logical, parts, "")
+}
+
+// sendQuery is send with more in the query of the request.
+func (s *partSite) sendQuery(d *daemon, logical string, parts []uint32, more string) outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), partCallerWait)
 	defer cancel()
 	n := s.count.Add(1)
 	id := fmt.Sprintf("%s-%d", logical, n)
 	s.r.history.recordSend(d, id)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.address+"/"+kindStream+"/x?stream=1", strings.NewReader(id))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.address+"/"+kindStream+"/x?stream=1"+more, strings.NewReader(id))
 	if err != nil {
 		s.Error(err)
 		return outcome{}
