Relay, platform: logs tell how answers were framed and ended, and which event came next

The lines of attempts and requests could not tell the three hypotheses apart: they had the last event that was passed on, and nothing of what followed it. Now: framing of the answer, how its body ended (whole by its framing, inside an event, reset, closed, stopped here), its first event and their number, the caller's version of HTTP. No logic changes, but that an answer to HEAD without a length counts as one without a body, and its connection is kept.

--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -75,9 +75,9 @@
 func (a *Answer) NewConnection() bool { return a.newConnection }
 
 // SelfDelimited reports whether the answer's head or encoding says where the body
-// ends. Otherwise the body ends with the connection.
+// ends, or that there is none. Otherwise the body ends with the connection.
 func (a *Answer) SelfDelimited() bool {
-	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0
+	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 || a.Response.Body == http.NoBody
 }
 
 // Close ends the exchange. The connection is kept if it is reusable, and closed
--- a/internal/relay/admitter.go
+++ b/internal/relay/admitter.go
@@ -26,6 +26,7 @@
 	Method       string
 	URI          string // path and query as sent
 	Path         string // the URI without its query, as sent
+	Proto        string // HTTP version, as HTTP/1.1
 	Host         string
 	Header       http.Header // headers to forward to the upstream
 	PromptTokens int         // length of the prompt
@@ -176,6 +177,7 @@
 		Priority:     r.Priority,
 		Method:       c.Method,
 		URI:          c.URI,
+		Proto:        c.Proto,
 		Host:         c.Host,
 		Header:       c.Header,
 		PromptTokens: c.PromptTokens,
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -75,6 +76,7 @@
 	g.relay.opts.Paths.Wake()
 	g.logRestrictedSend(a.Upstream)
 	g.path = g.relay.opts.Paths.State(a.Upstream.Domain).String()
+	g.body = bodyLog{}
 	answer, err := g.relay.opts.Sender.Send(ctx, a)
 	t.identify(err)
 	if err != nil {
@@ -83,6 +85,7 @@
 	defer answer.Close()
 	g.relay.opts.Paths.RecordActivity(a.Upstream.Domain)
 	g.status = answer.Status
+	g.body.framing = answer.Framing
 	switch {
 	case g.req.Route.Kind == route.Stream && answer.Status == http.StatusOK:
 		return t.passStream(answer)
@@ -149,6 +152,9 @@
 func (t *attempt) passAnswer(answer *Answer) attemptResult {
 	memory := t.relay.opts.AnswerMemory.Share()
 	whole, rest, err := readHeld(answer.Body, memory)
+	if rest == nil {
+		t.body.noteEnd(cmp.Or(err, io.EOF), t.ctx.Err() != nil)
+	}
 	if err == nil && answer.Status >= http.StatusInternalServerError && rest == nil {
 		t.silence.stop()
 		return attemptResult{end: retry.Faulted, heldAnswer: &heldAnswer{head: answer.Head, body: whole, memory: memory}, err: errFaulted}
@@ -215,6 +221,9 @@
 				return attemptResult{callerGone: true, err: sinkErr}
 			}
 		}
+		if err != nil {
+			t.body.noteEnd(err, t.ctx.Err() != nil)
+		}
 		if err == io.EOF {
 			return attemptResult{delivered: true}
 		}
@@ -239,12 +248,16 @@
 	defer events.close()
 	for {
 		ev, err := events.next()
+		if err != nil {
+			t.body.noteEnd(err, t.ctx.Err() != nil)
+		}
 		if err == io.EOF {
 			return t.endStream(answer)
 		}
 		if err != nil {
 			return t.resultOf(err)
 		}
+		t.body.noteEvent(ev.id)
 		if t.beginsTooLate() {
 			return attemptResult{end: retry.Broken, err: shutdown.ErrLeaving}
 		}
@@ -269,7 +282,7 @@
 // endStream ends a stream that is complete; one without events still gets its head. Nothing tells one
 // that only its connection ends from one that broke off before its first event.
 func (t *attempt) endStream(answer *Answer) attemptResult {
-	if answer.EndsWithConnection && t.lastEventAt.IsZero() && t.req.LastEvent == "" {
+	if answer.Framing == FramedByConnection && t.lastEventAt.IsZero() && t.req.LastEvent == "" {
 		return attemptResult{end: retry.Broken, err: errEmptyStream}
 	}
 	if err := t.passHead(answer); err != nil {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -57,6 +57,7 @@
 	longestGap  time.Duration // between two events
 	times       *streamTimes  // of the present attempt, nil if it gives no sample of its engine's speed
 	status      int           // of the last answer
+	body        bodyLog       // of the last attempt
 	stage       stageTracker
 }
 
@@ -256,7 +257,7 @@
 }
 
 func (g *run) logAttempt(e attemptResult, d retry.Decision) {
-	entry := g.relay.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"request":   g.req.ID,
 		"attempt":   g.attempt,
 		"upstreams": g.sentTo,
@@ -267,7 +268,9 @@
 		"action":    d.Action.String(),
 		"after":     g.lastEvent,
 		"left_ms":   g.timeLeft().Milliseconds(),
-	})
+	}
+	g.body.addTo(fields)
+	entry := g.relay.log.WithFields(fields)
 	if e.err != nil {
 		entry = entry.WithError(e.err)
 	}
@@ -289,6 +292,7 @@
 		"path":     g.path,
 		"plan":     g.verdict,
 		"stage":    string(g.stage.now()),
+		"proto":    g.req.Proto,
 		"took_ms":  now.Sub(g.req.Arrived).Milliseconds(),
 		"outcome":  string(request.Complete),
 	}
@@ -296,6 +300,10 @@
 		fields["first_ms"] = g.firstAt.Sub(g.req.Arrived).Milliseconds()
 		fields["pause_ms"] = g.longestGap.Milliseconds()
 	}
+	g.body.addTo(fields)
+	if g.lastEvent != "" {
+		fields["last"] = g.lastEvent
+	}
 	if g.plansAsked > 0 { // also for refused requests: these are the reasons
 		fields["asked"] = g.plansAsked
 		fields["engines"] = g.lastPlan.Engines
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -30,6 +30,7 @@
 
 	Method string
 	URI    string // path and query as the caller sent them
+	Proto  string // HTTP version of the caller, as HTTP/1.1
 	Host   string
 	Header http.Header // headers to forward to the upstream
 	Body   []byte
@@ -77,11 +78,22 @@
 	return e.DecodeTime(r.answerTokens(), e.Slots, context+int64(r.PromptTokens))
 }
 
+// Framing tells how the end of an answer's body is known.
+type Framing string
+
+// Framings of an answer.
+const (
+	FramedByLength     Framing = "length" // or without a body
+	FramedByChunks     Framing = "chunks"
+	FramedByConnection Framing = "connection" // by nothing but the end of the connection
+)
+
 // Head is the status line and the headers of an upstream's answer.
 type Head struct {
-	Status int
-	Header http.Header // headers to pass on to the caller
-	Length int64       // of the body in bytes; -1 if unknown
+	Status  int
+	Header  http.Header // headers to pass on to the caller
+	Length  int64       // of the body in bytes; -1 if unknown
+	Framing Framing     // as the upstream sent it
 }
 
 // Sink passes an answer on to the caller. Its methods return an error if the caller has
@@ -111,8 +123,6 @@
 	Head
 	Body  io.Reader
 	Close func() // to be called after the last read; releases the answer's resources
-	// EndsWithConnection is set if nothing but the end of the connection tells where the body ends.
-	EndsWithConnection bool
 }
 
 // Sender sends attempts to upstreams. The errors of Send are of type *Failure.
