Soak: answers in pieces are judged for their order, known red

Servers frame (chunks, a length, the end of the connection), name (numbers, texts, nothing), end (LF, CRLF, CR) and resume (after the event, at it, anew) their answers in every way, as processes that are killed and halted beside daemons that are killed, stopped and halted, and links that reset, fall silent or pass one way only. Callers speak HTTP/1.1 and 1.0 over plain sockets, so that the end of an answer is seen as it is on the wire; each piece has to come once, in order, from one run where the stream may not be resumed, and an answer is whole only after its last piece.

--- a/test/soak/records_test.go
+++ b/test/soak/records_test.go
@@ -64,7 +64,7 @@
 
 // putSettings writes the newest settings into the store. The caller holds the lock.
 func (r *rig) putSettings() {
-	r.sendCommand(r.store, command{Op: "put", Stream: standin.Settings, Key: standin.SettingsKey, Value: standin.SettingsText(r.version, maxAttempts, customers(r.version)...)})
+	r.sendCommand(r.store, command{Op: "put", Stream: standin.Settings, Key: standin.SettingsKey, Value: standin.SettingsText(r.version, r.maxAttempts, customers(r.version)...)})
 }
 
 // putForeignEntries replaces a server's entry by an invalid one, until its next heartbeat, and
--- a/test/soak/rig_test.go
+++ b/test/soak/rig_test.go
@@ -115,6 +115,8 @@
 	memoryMB       int  // limit of each daemon
 	logPrefix      string
 	grace          time.Duration
+	maxAttempts    int           // as in scenario
+	retrySlack     int           // as in scenario
 	within         time.Duration // bounds of settings and leaving servers in the daemons' files
 	stopped        chan struct{}
 }
@@ -138,6 +140,8 @@
 		logPrefix:     p.logPrefix,
 		grace:         cmp.Or(p.grace, grace),
 		within:        cmp.Or(p.within, defaultWithin),
+		maxAttempts:   cmp.Or(p.maxAttempts, maxAttempts),
+		retrySlack:    cmp.Or(p.retrySlack, retrySlack),
 		ip:            fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%maxByte, 1+numRigs.Add(1)%maxByte),
 	}
 	r.history.graceIsShort = r.grace < callerDeadline
@@ -190,7 +194,7 @@
 grace_s: %g
 retry: {ratio: %g, window_s: %g, slack: %d}
 `, d.name, domainName(i%r.daemonDomains), d.front, d.ready, ip, d.metrics, strings.Repeat("soak", 10), r.seeds(ip), r.link("store-"+d.name, storeAt),
-		r.memoryMB, r.within.Milliseconds(), r.within.Milliseconds(), r.grace.Seconds(), retryRatio, retryWindow.Seconds(), retrySlack)
+		r.memoryMB, r.within.Milliseconds(), r.within.Milliseconds(), r.grace.Seconds(), retryRatio, retryWindow.Seconds(), r.retrySlack)
 	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		r.t.Fatal(err)
 	}
--- a/test/soak/roles_test.go
+++ b/test/soak/roles_test.go
@@ -131,9 +131,12 @@
 			return answer(w, r)
 		}
 		whole := false
-		if r.URL.Query().Has("figures") {
+		switch {
+		case r.URL.Query().Has(piecesQuery):
+			whole = answerInPieces(s, w, r, id, name)
+		case r.URL.Query().Has("figures"):
 			whole = reader.answerByFigures(s, w, r, id)
-		} else {
+		default:
 			whole = writeAnswer(s, w, r, id, max(slowness.Load().(float64), 1))
 		}
 		writeReport(report{What: "ended", ID: id, Server: name, Whole: whole, At: time.Now().UnixNano()})
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -34,6 +34,8 @@
 	mutant           string
 	settingsWithin   time.Duration // max time until settings are in force; 0: settingsDelay
 	grace            time.Duration // of each daemon; 0: grace
+	maxAttempts      int           // of each request; 0: maxAttempts
+	retrySlack       int           // in the daemons' files; 0: retrySlack
 	queueCallers     int           // callers of each daemon in addition, whose streams take long to begin
 	within           time.Duration // bounds of settings and leaving servers in the daemons' files; 0: defaultWithin
 	fewServers       int           // of fewService, for which competitors compete; 0: there are none
