--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"errors"
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 )
 
 // TestLongLinesAreOneLine guards against events that are taken for complete, or get another ID, where a
@@ -36,3 +38,57 @@
 		t.Errorf("got an ID of %d bytes, %v", len(ev.id), err)
 	}
 }
+
+// TestAllLineEndsEndEvents guards against streams that are held back whole, or whose events have no ID,
+// because their lines end with CR or begin with a byte order mark (issue 78).
+func TestAllLineEndsEndEvents(t *testing.T) {
+	for name, end := range map[string]string{"LF": "\n", "CRLF": "\r\n", "CR": "\r"} {
+		for start, mark := range map[string]string{"": "", "marked ": "\xef\xbb\xbf"} {
+			text := mark + strings.ReplaceAll("id: 1|data: a||: comment||id:2|data: b|data||data||", "|", end)
+			for pieces, r := range map[string]io.Reader{"whole": strings.NewReader(text), "bytes": iotest.OneByteReader(strings.NewReader(text))} {
+				events := newEventReader(r, nil)
+				var got, ids string
+				for {
+					ev, err := events.next()
+					if err == io.EOF {
+						break
+					}
+					if err != nil {
+						t.Fatalf("%s%s, %s: %v", start, name, pieces, err)
+					}
+					got += string(ev.raw)
+					if ev.isPiece {
+						ids += "<" + ev.id + ">"
+					}
+				}
+				if got != text || ids != "<1><2><>" {
+					t.Errorf("%s%s, %s: got IDs %s and %q", start, name, pieces, ids, got)
+				}
+			}
+		}
+	}
+}
+
+// TestEventWithCRIsNotHeldBack guards against an event that is passed on only when the next one comes.
+func TestEventWithCRIsNotHeldBack(t *testing.T) {
+	r, w := io.Pipe()
+	defer w.Close()
+	go func() { _, _ = w.Write([]byte("id: 1\rdata: a\r\r")) }() // ends with the pipe
+	if ev, err := newEventReader(r, nil).next(); err != nil || ev.id != "1" {
+		t.Errorf("got ID %q, %v", ev.id, err)
+	}
+}
+
+// TestStreamCutInsideALineEnd covers streams that end between CR and LF: those of a whole event are whole.
+func TestStreamCutInsideALineEnd(t *testing.T) {
+	for text, want := range map[string]error{"data: a\r\n\r": io.EOF, "data: a\r\n": errEventCut, "data: a\r": errEventCut} {
+		events := newEventReader(strings.NewReader(text), nil)
+		_, err := events.next()
+		if err == nil {
+			_, err = events.next()
+		}
+		if !errors.Is(err, want) {
+			t.Errorf("%q: got %v, want %v", text, err, want)
+		}
+	}
+}
