Relay: the events of a resumed stream are compared with what the caller has

A stream whose events have no IDs was begun anew by the next server and joined to the first run.

Cause: what followed Last-Event-Id was trusted; nothing compared IDs. Ruled out: buffered events of a stopped attempt, as one goroutine passes on all attempts of a request, and clean styles showed none beside stalls and exits.

Change: stream.Sequence, a state machine without I/O, decides on each event of a run: pass on, repeated (dropped and counted), or skipped (the run is none that goes on; another server is asked). A run that ends before it has come to the last event is no whole one. Events without IDs make a stream one that cannot be resumed: silence and displacement leave it alone, a break cuts it visibly. The first run is passed on as it is. A gap is taken for one only where three numbers or more have followed each other.

Logs: repeated; metric buckthorndock_repeated_events_total.

--- a/internal/core/stream/doc.go
+++ b/internal/core/stream/doc.go
@@ -10,4 +10,6 @@
 //     equals NextIndex();
 //   - a contradiction (two totals, more tokens than the total, two texts for one index) makes
 //     the answer faulty, which is final.
+//
+// Sequence does the same for the events of a stream of which nothing but IDs is known.
 package stream
--- a/internal/relay/bodylog.go
+++ b/internal/relay/bodylog.go
@@ -27,6 +27,8 @@
 	end     bodyEnd
 	first   string // ID of the first event
 	events  int    // events read
+
+	repeated int // of these, that the caller had already
 }
 
 // noteEnd records the error with which the body ended.
@@ -65,5 +67,6 @@
 	if l.events > 0 {
 		fields["next"] = l.first
 		fields["events"] = l.events
+		fields["repeated"] = l.repeated
 	}
 }
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -9,12 +9,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
+	"github.com/buckthorndock/buckthorndock/internal/core/stream"
 	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 )
@@ -241,11 +243,20 @@
 	return freeAnswerBytes
 }
 
-// passStream passes on the events of an answer, which follow the last one that the caller
-// has.
+// newSequence returns the sequence of the events of a request's answer. One that may not be resumed has
+// one run, whose events are passed on as they are.
+func newSequence(r *Request) *stream.Sequence {
+	if !r.Route.Repeatable() {
+		return stream.NewSequence("")
+	}
+	return stream.NewSequence(r.LastEvent)
+}
+
+// passStream passes on the events of an answer that the caller does not have yet.
 func (t *attempt) passStream(answer *Answer) attemptResult {
 	events := newEventReader(answer.Body, t.relay.opts.AnswerMemory)
 	defer events.close()
+	t.events.StartRun()
 	for {
 		ev, err := events.next()
 		if err != nil {
@@ -257,26 +268,46 @@
 		if err != nil {
 			return t.resultOf(err)
 		}
-		t.body.noteEvent(ev.id)
 		if t.beginsTooLate() {
 			return attemptResult{end: retry.Broken, err: shutdown.ErrLeaving}
 		}
-		t.silence.reset()
-		t.times.event(time.Now())
-		if err := t.passHead(answer); err != nil {
-			return attemptResult{callerGone: true, err: err}
-		}
-		t.noteEvent()
-		if err := t.sink.Body(ev.raw, true); err != nil {
-			return attemptResult{callerGone: true, err: err}
+		if result := t.passEvent(answer, ev); result != nil {
+			return *result
 		}
-		t.times.passedOn(time.Now())
-		if ev.id != "" {
-			t.lastEvent = ev.id
+	}
+}
+
+// passEvent passes on an event, unless the caller has it. The result is nil if the stream goes on.
+func (t *attempt) passEvent(answer *Answer, ev event) *attemptResult {
+	now := time.Now()
+	t.silence.reset()
+	t.times.event(now)
+	t.noteAnswerBegins(now)
+	if ev.isPiece {
+		t.body.noteEvent(ev.id)
+		switch t.events.Accept(ev.id) {
+		case stream.Repeated:
+			eventsRepeated.Inc()
+			t.body.repeated++
+			return nil
+		case stream.Skipped:
+			return &attemptResult{end: retry.Faulted, err: merry.Wrap(errNotResumed, merry.AppendMessagef("events are missing before %q", ev.id))}
 		}
+		t.unresumable.Store(!t.events.CanResume())
+		t.noteEvent(now)
 	}
+	if err := t.passHead(answer); err != nil {
+		return &attemptResult{callerGone: true, err: err}
+	}
+	if err := t.sink.Body(ev.raw, true); err != nil {
+		return &attemptResult{callerGone: true, err: err}
+	}
+	t.times.passedOn(time.Now())
+	return nil
 }
 
+var eventsRepeated = metrics.GetOrCreateCounter(`buckthorndock_repeated_events_total`)
+
 var errEmptyStream = merry.Sentinel("the connection ended before the first event")
 
 // endStream ends a stream that is complete; one without events still gets its head. Nothing tells one
@@ -285,6 +316,9 @@
 	if answer.Framing == FramedByConnection && t.lastEventAt.IsZero() && t.req.LastEvent == "" {
 		return attemptResult{end: retry.Broken, err: errEmptyStream}
 	}
+	if !t.events.RunIsWhole() {
+		return attemptResult{end: retry.Faulted, err: merry.Wrap(errNotResumed, merry.AppendMessagef("it ends before %q", t.events.Last()))}
+	}
 	if err := t.passHead(answer); err != nil {
 		return attemptResult{callerGone: true, err: err}
 	}
@@ -304,17 +338,20 @@
 	return t.sink.Head(head)
 }
 
-// noteEvent records the arrival of an event.
-func (t *attempt) noteEvent() {
+// noteAnswerBegins records that the upstream has begun to answer, or goes on.
+func (t *attempt) noteAnswerBegins(now time.Time) {
 	t.noteFirstEvent()
 	t.streaming.Store(true)
 	t.relay.opts.Paths.RecordActivity(t.upstream.Domain)
-	now := time.Now()
+	t.noteAnswering(now)
+}
+
+// noteEvent records the arrival of an event that the caller does not have yet.
+func (t *attempt) noteEvent(now time.Time) {
 	if !t.lastEventAt.IsZero() {
 		t.longestGap = max(t.longestGap, now.Sub(t.lastEventAt))
 	}
 	t.lastEventAt = now
-	t.noteAnswering(now)
 }
 
 // noteFirstEvent records the arrival of the first part of an answer.
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -283,7 +284,7 @@
 		Upstream:      to,
 		Helpers:       p.Parts[1:],
 		Timeout:       g.timeLeft(),
-		LastEvent:     g.lastEvent,
+		LastEvent:     cmp.Or(g.events.Last(), g.req.LastEvent),
 		NewConnection: !g.req.Route.Repeatable(),
 	}, g.firstEventTimeout(p), g.gapTimeout(), func() {
 		stopCheck()
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -142,7 +143,7 @@
 		Number:        g.attempt,
 		Upstream:      u,
 		Timeout:       g.timeLeft(),
-		LastEvent:     g.lastEvent,
+		LastEvent:     cmp.Or(g.events.Last(), g.req.LastEvent),
 		NewConnection: !g.req.Route.Repeatable(),
 	}, limit, limit, nil)
 	g.noteEnd(ctx, u, started, e)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -124,7 +124,7 @@
 func (r *Relay) Run(ctx context.Context, req *Request, sink Sink) *request.Refusal {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	g := &run{relay: r, req: req, sink: sink, lastEvent: req.LastEvent, readAt: time.Now()}
+	g := &run{relay: r, req: req, sink: sink, events: newSequence(req), readAt: time.Now()}
 	ctx, stop := r.opts.Shutdown.WhileAnswering(ctx, g.answerBegun.Load)
 	defer stop()
 	r.countRequest(req.Service.Name, g.readAt)
--- /dev/null
+++ b/internal/relay/resume_test.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/booking"
+	"github.com/buckthorndock/buckthorndock/internal/core/request"
+)
+
+// TestResumedStreamPassesEachEventOnce guards against events that a caller gets twice, or does not get, because the
+// next server goes on at the last event, anew, or later (issue 78).
+func TestResumedStreamPassesEachEventOnce(t *testing.T) {
+	const whole = firstEvents + lastEvents + "id: 4\ndata: d\n\n"
+	first := firstEvents + lastEvents + "id: 4\nda"
+	last := "id: 4\ndata: d\n\n"
+	for name, runs := range map[string][]string{
+		"after":                      {last},
+		"at":                         {lastEvents + last},
+		"anew":                       {whole},
+		"later":                      {"id: 5\ndata: e\n\n", last},
+		"ends before the last event": {firstEvents, last},
+	} {
+		f := newFixture(t, answerFrom(200, brokenBody(first)))
+		for _, run := range runs {
+			f.script.steps = append(f.script.steps, answer(200, run))
+		}
+		f.listEngines("e1", "e2", "e3")
+		f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2"), onEngine("e3")}
+		sink, req := &recordingSink{}, streamRequest(true)
+		req.Route.MaxAttempts = 3
+		if refusal := f.relay.Run(t.Context(), req, sink); refusal != nil {
+			t.Errorf("%s: %v", name, refusal)
+		}
+		if got := sink.body.String(); got != whole || len(f.script.sent) != 1+len(runs) {
+			t.Errorf("%s: the caller got %q after %d sends", name, got, len(f.script.sent))
+		}
+	}
+}
+
+// TestStreamWithoutIDsIsNotBegunAnew guards against a stream whose next run repeats all of it: no ID tells
+// that run where to go on.
+func TestStreamWithoutIDsIsNotBegunAnew(t *testing.T) {
+	for name, events := range map[string]string{"none": "data: a\n\n", "not the last": firstEvents + "data: c\n\n"} {
+		f := newFixture(t, answerFrom(200, brokenBody(events)), answer(200, events))
+		f.listEngines("e1", "e2")
+		f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2")}
+		sink := &recordingSink{}
+		refusal := f.relay.Run(t.Context(), streamRequest(true), sink)
+		if refusal == nil || refusal.Outcome == request.NotRun || sink.body.String() != events || len(f.script.sent) != 1 {
+			t.Errorf("%s: got %q after %d sends, %v", name, sink.body.String(), len(f.script.sent), refusal)
+		}
+	}
+}
+
+// TestCommentsDoNotKeepAStreamFromBeingResumed covers events that are no pieces of the answer.
+func TestCommentsDoNotKeepAStreamFromBeingResumed(t *testing.T) {
+	f := newFixture(t, answerFrom(200, brokenBody(firstEvents+": waits\n\n")), answer(200, ": waits\n\n"+lastEvents))
+	f.listEngines("e1", "e2")
+	f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2")}
+	sink := &recordingSink{}
+	if refusal := f.relay.Run(t.Context(), streamRequest(true), sink); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if got := sink.body.String(); got != firstEvents+": waits\n\n: waits\n\n"+lastEvents {
+		t.Errorf("the caller got %q", got)
+	}
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
+	"github.com/buckthorndock/buckthorndock/internal/core/stream"
 	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
@@ -46,11 +47,12 @@
 
 	conflicted bool // an attempt met another suspect
 
-	lastEvent   string    // ID of the last event passed on
-	headSent    bool      // the head of the answer has been passed on
-	firstAt     time.Time // when the first part of an answer arrived
-	plansAsked  int       // plans requested, including those with the verdict to wait
-	verdict     string    // verdict and reason of the last plan, for the log
+	events      *stream.Sequence // of the answer
+	unresumable atomic.Bool      // the last event passed on has no ID, so that no other run can go on after it
+	headSent    bool             // the head of the answer has been passed on
+	firstAt     time.Time        // when the first part of an answer arrived
+	plansAsked  int              // plans requested, including those with the verdict to wait
+	verdict     string           // verdict and reason of the last plan, for the log
 	lastPlan    booking.Plan
 	outranked   bool          // a plan has made it wait for others that go before it
 	lastEventAt time.Time     // when the last event passed on arrived
@@ -172,10 +174,13 @@
 	return decision.Refusal, decision.Action == retry.RetryElsewhere
 }
 
+// mayRunAgain reports whether another run may follow. It is safe for concurrent use.
+func (g *run) mayRunAgain() bool { return g.req.Route.Repeatable() && !g.unresumable.Load() }
+
 // retryRequest describes the request to the retry policy. The part of a plain answer that
 // has been passed on cannot be taken back, so that request must not be repeated.
 func (g *run) retryRequest() *request.Request {
-	repeatable := g.req.Route.Repeatable()
+	repeatable := g.mayRunAgain()
 	if g.headSent && g.req.Route.Kind != route.Stream {
 		repeatable = false
 	}
@@ -266,7 +271,7 @@
 		"work":      strconv.FormatUint(g.req.Work.Fingerprint, 16),
 		"end":       e.end.String(),
 		"action":    d.Action.String(),
-		"after":     g.lastEvent,
+		"after":     g.events.Last(),
 		"left_ms":   g.timeLeft().Milliseconds(),
 	}
 	g.body.addTo(fields)
@@ -301,8 +306,8 @@
 		fields["pause_ms"] = g.longestGap.Milliseconds()
 	}
 	g.body.addTo(fields)
-	if g.lastEvent != "" {
-		fields["last"] = g.lastEvent
+	if last := g.events.Last(); last != "" {
+		fields["last"] = last
 	}
 	if g.plansAsked > 0 { // also for refused requests: these are the reasons
 		fields["asked"] = g.plansAsked
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -32,7 +32,7 @@
 
 // mayMove reports whether the request may be run once more.
 func (g *run) mayMove() bool {
-	return g.req.Route.Repeatable() && g.runs+1 < g.req.Route.MaxAttempts && g.attempt < maxSends
+	return g.mayRunAgain() && g.runs+1 < g.req.Route.MaxAttempts && g.attempt < maxSends
 }
 
 // expire moves the attempt or, if that is not allowed now, waits for another gap.
