Platform, relay: an answer of which nobody knows that it is whole is not framed or ended as whole

Cause: ends that are inferred. Without chunks nothing but the end of the connection tells the end of an answer; net/http closes a connection that it aborts as one that is done, and so does the kernel for a process that ends. And what came in without framing was framed anew.

Change: such an answer goes out as it came in, ended by its connection. While nothing but the end of a connection tells the end of the answer on it, that connection is one that the kernel resets at any end, also that of the process (package hardclose); only a whole answer makes it an ordinary one again. A stream whose head was framed does not end by the mere end of a resumed run's connection: that run counts as broken. An event that has nothing but a comment or a pause is passed on and is no piece.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+	"github.com/buckthorndock/buckthorndock/internal/hardclose"
 	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 )
 
@@ -32,6 +33,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         conns.stateChanged,
+		ConnContext:       hardclose.Context,
 	}
 }
 
--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -167,7 +167,7 @@
 	}
 	t.silence.stop()
 	head := answer.Head
-	if rest == nil {
+	if rest == nil && head.Framing != FramedByConnection {
 		head.Length = int64(len(whole))
 	}
 	t.noteFirstEvent()
@@ -308,14 +308,21 @@
 
 var eventsRepeated = metrics.GetOrCreateCounter(`buckthorndock_repeated_events_total`)
 
-var errEmptyStream = merry.Sentinel("the connection ended before the first event")
+var (
+	errEmptyStream = merry.Sentinel("the connection ended before the first event")
+	// errEndUnknown breaks an answer off that would look whole, though nothing tells that it is.
+	errEndUnknown = merry.Sentinel("only the connection has ended, and nothing tells whether the answer is whole")
+)
 
 // endStream ends a stream that is complete; one without events still gets its head. Nothing tells one
 // that only its connection ends from one that broke off before its first event.
 func (t *attempt) endStream(answer *Answer) attemptResult {
-	if answer.Framing == FramedByConnection && t.lastEventAt.IsZero() && t.req.LastEvent == "" {
+	if answer.Framing == FramedByConnection && !t.headSent && t.req.LastEvent == "" {
 		return attemptResult{end: retry.Broken, err: errEmptyStream}
 	}
+	if t.headSent && answer.Framing == FramedByConnection && t.headFraming != FramedByConnection {
+		return attemptResult{end: retry.Broken, err: errEndUnknown}
+	}
 	if !t.events.RunIsWhole() {
 		return attemptResult{end: retry.Faulted, err: merry.Wrap(errNotResumed, merry.AppendMessagef("it ends before %q", t.events.Last()))}
 	}
@@ -335,6 +342,7 @@
 	t.answerBegun.Store(true)
 	head := answer.Head
 	head.Length = -1
+	t.headFraming = head.Framing
 	return t.sink.Head(head)
 }
 
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -23,7 +23,7 @@
 // event is one event of a text/event-stream.
 type event struct {
 	id      string // empty if it has none
-	isPiece bool   // it has an ID or data: a comment or a pause between retries is no part of the answer
+	isPiece bool   // it is a part of the answer: a comment, or a name or pause between retries alone, is none
 	raw     []byte // including the blank line at its end; valid until the next call of next
 }
 
@@ -54,10 +54,12 @@
 	byteOrderMark = []byte("\xef\xbb\xbf")
 )
 
-// Names of the fields of an event.
+// Names of fields of an event. That of a comment is empty.
 const (
-	idField   = "id"
-	dataField = "data"
+	commentField = ""
+	idField      = "id"
+	nameField    = "event"
+	retryField   = "retry"
 )
 
 // next returns the next event. The error is io.EOF after the last event, if that is
@@ -90,16 +92,18 @@
 func (ev *event) readField(line []byte) error {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	switch string(name) {
-	case dataField:
-		ev.isPiece = true
+	case commentField, nameField, retryField:
+		return nil
 	case idField:
 		if len(value) > maxEventIDBytes {
 			return merry.Prepend(inbound.ErrTooLong, "the ID of an event of the stream")
 		}
-		if bytes.IndexByte(value, 0) < 0 { // the format ignores such an ID
-			ev.id, ev.isPiece = string(bytes.TrimPrefix(value, []byte(" "))), true
+		if bytes.IndexByte(value, 0) >= 0 { // the format ignores such an ID
+			return nil
 		}
+		ev.id = string(bytes.TrimPrefix(value, []byte(" ")))
 	}
+	ev.isPiece = true
 	return nil
 }
 
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -50,6 +50,7 @@
 	events      *stream.Sequence // of the answer
 	unresumable atomic.Bool      // the last event passed on has no ID, so that no other run can go on after it
 	headSent    bool             // the head of the answer has been passed on
+	headFraming Framing          // of the answer whose head that was
 	firstAt     time.Time        // when the first part of an answer arrived
 	plansAsked  int              // plans requested, including those with the verdict to wait
 	verdict     string           // verdict and reason of the last plan, for the log
@@ -218,7 +219,9 @@
 
 // passHeldAnswer passes on an upstream's own error answer.
 func (g *run) passHeldAnswer(k *heldAnswer) *request.Refusal {
-	k.head.Length = int64(len(k.body))
+	if k.head.Framing != FramedByConnection {
+		k.head.Length = int64(len(k.body))
+	}
 	if err := g.sink.Head(k.head); err != nil {
 		return g.callerGoneRefusal()
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -93,7 +93,7 @@
 	Status  int
 	Header  http.Header // headers to pass on to the caller
 	Length  int64       // of the body in bytes; -1 if unknown
-	Framing Framing     // as the upstream sent it
+	Framing Framing     // as the upstream sent it; a body that ends with its connection is passed on as one
 }
 
 // Sink passes an answer on to the caller. Its methods return an error if the caller has
