Relay: an answer that ends with its connection is whole only if its server still answers

Change: after the end of such an answer its server is asked who it is, as after a broken run. Only an answer of the same incarnation lets it be whole; else a stream that may be resumed goes on elsewhere, a call that may be repeated is, and what cannot be taken back ends by a reset. It costs a connection for each such answer, which has cost its server one already; framed answers cost nothing. A server that lives on and closes in the middle cannot be told.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -165,6 +165,13 @@
 	if err != nil {
 		return t.resultOf(err)
 	}
+	var doubt error // whether it is whole
+	if rest == nil {
+		doubt = t.checkEnd(answer)
+	}
+	if doubt != nil && t.mayRunAgain() {
+		return attemptResult{end: retry.Broken, err: doubt}
+	}
 	t.silence.stop()
 	head := answer.Head
 	if rest == nil && head.Framing != FramedByConnection {
@@ -174,16 +181,16 @@
 	if err := t.sink.Head(head); err != nil {
 		return attemptResult{callerGone: true, err: err}
 	}
-	t.headSent = true
+	t.headSent, t.headFraming = true, head.Framing
 	t.answerBegun.Store(rest != nil)
 	if err := t.sink.Body(whole, rest == nil); err != nil {
 		return attemptResult{callerGone: true, err: err}
 	}
 	if rest == nil {
-		return attemptResult{delivered: true}
+		return endedWith(doubt)
 	}
 	memory.Release()
-	return t.copyRest(rest, memory)
+	return t.copyRest(answer, rest, memory)
 }
 
 var errFaulted = merry.Sentinel("the upstream failed the request")
@@ -214,7 +221,7 @@
 }
 
 // copyRest passes on the remainder of a long answer as it arrives.
-func (t *attempt) copyRest(rest io.Reader, memory *inbound.Share) attemptResult {
+func (t *attempt) copyRest(answer *Answer, rest io.Reader, memory *inbound.Share) attemptResult {
 	buf := make([]byte, copyBufferSize(memory))
 	for {
 		n, err := rest.Read(buf)
@@ -227,7 +234,7 @@
 			t.body.noteEnd(err, t.ctx.Err() != nil)
 		}
 		if err == io.EOF {
-			return attemptResult{delivered: true}
+			return endedWith(t.checkEnd(answer))
 		}
 		if err != nil {
 			return t.resultOf(err)
@@ -308,20 +315,14 @@
 
 var eventsRepeated = metrics.GetOrCreateCounter(`buckthorndock_repeated_events_total`)
 
-var (
-	errEmptyStream = merry.Sentinel("the connection ended before the first event")
-	// errEndUnknown breaks an answer off that would look whole, though nothing tells that it is.
-	errEndUnknown = merry.Sentinel("only the connection has ended, and nothing tells whether the answer is whole")
-)
-
 // endStream ends a stream that is complete; one without events still gets its head. Nothing tells one
 // that only its connection ends from one that broke off before its first event.
 func (t *attempt) endStream(answer *Answer) attemptResult {
 	if answer.Framing == FramedByConnection && !t.headSent && t.req.LastEvent == "" {
 		return attemptResult{end: retry.Broken, err: errEmptyStream}
 	}
-	if t.headSent && answer.Framing == FramedByConnection && t.headFraming != FramedByConnection {
-		return attemptResult{end: retry.Broken, err: errEndUnknown}
+	if err := t.checkEnd(answer); err != nil {
+		return attemptResult{end: retry.Broken, err: err}
 	}
 	if !t.events.RunIsWhole() {
 		return attemptResult{end: retry.Faulted, err: merry.Wrap(errNotResumed, merry.AppendMessagef("it ends before %q", t.events.Last()))}
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"testing"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
@@ -65,3 +66,33 @@
 		t.Errorf("the caller got %q", got)
 	}
 }
+
+// TestEndOfTheConnectionIsBelievedOfAServerThatLives guards against a stream without framing that counts as whole when its
+// server has died, and against a second run where the server lives on (issue 78).
+func TestEndOfTheConnectionIsBelievedOfAServerThatLives(t *testing.T) {
+	unframed := func(ctx context.Context, a Attempt) (*Answer, error) {
+		got, err := answer(200, firstEvents)(ctx, a)
+		got.Framing = FramedByConnection
+		return got, err
+	}
+	for _, c := range []struct {
+		name  string
+		lives map[string]Identity
+		sends int
+		want  string
+	}{
+		{"lives", map[string]Identity{"e1": {Name: "e1"}}, 1, firstEvents},
+		{"another has its address", map[string]Identity{"e1": {Other: true, Name: "e9"}}, 2, firstEvents + lastEvents},
+		{"does not answer", nil, 2, firstEvents + lastEvents},
+	} {
+		f := newFixture(t, unframed, answer(200, lastEvents))
+		f.listEngines("e1", "e2")
+		f.script.identities = c.lives
+		f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2")}
+		sink := &recordingSink{}
+		refusal := f.relay.Run(t.Context(), streamRequest(true), sink)
+		if got := sink.body.String(); refusal != nil || got != c.want || len(f.script.sent) != c.sends {
+			t.Errorf("%s: got %q after %d sends, %v", c.name, got, len(f.script.sent), refusal)
+		}
+	}
+}
