Relay: a stream that ends when its server's time is over is not whole

Cause: the end of such a stream and the daemon's own deadline come within a millisecond, which Deadline-Ms cuts off; whichever is read first won. An end, other than that of a length, that comes when the server's time is over says nothing of the last piece. TestStreamThatEndsAtItsDeadlineIsNotWhole failed before.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -49,6 +49,7 @@
 	upstream     fleet.Upstream
 	helpers      []booking.Part
 	streaming    atomic.Bool // its first event has arrived
+	timeout      time.Time   // when the upstream stops work at the earliest
 }
 
 // dependsOn reports whether the attempt needs a failure domain: its upstream is there, or an
@@ -72,6 +73,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	t := &attempt{run: g, id: g.attemptID(), ctx: ctx, cancel: cancel, onFirstEvent: onFirst, upstream: a.Upstream, helpers: a.Helpers}
+	t.timeout = time.Now().Add(a.Timeout.Truncate(time.Millisecond)) // which is told in milliseconds
 	t.silence = g.newSilenceTimer(limit, gap, cancel)
 	defer t.silence.stop()
 	defer g.relay.running.add(t)()
@@ -321,7 +323,7 @@
 	if answer.Framing == FramedByConnection && !t.headSent && t.req.LastEvent == "" {
 		return attemptResult{end: retry.Broken, err: errEmptyStream}
 	}
-	if err := t.checkEnd(answer); err != nil {
+	if err := t.checkStreamEnd(answer); err != nil {
 		return attemptResult{end: retry.Broken, err: err}
 	}
 	if !t.events.RunIsWhole() {
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"io"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
@@ -86,6 +90,7 @@
 		{"does not answer", nil, 2, firstEvents + lastEvents},
 	} {
 		f := newFixture(t, unframed, answer(200, lastEvents))
+		f.recordReplaced()
 		f.listEngines("e1", "e2")
 		f.script.identities = c.lives
 		f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2")}
@@ -96,3 +101,37 @@
 		}
 	}
 }
+
+// TestStreamThatEndsAtItsDeadlineIsNotWhole guards against a stream that its server ends in good form because its
+// time is over (issue 78).
+func TestStreamThatEndsAtItsDeadlineIsNotWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const patience = 5 * time.Second
+		for name, early := range map[string]time.Duration{"before": 2 * time.Millisecond, "at": 0} {
+			req := streamRequest(false)
+			req.Deadline = time.Now().Add(patience + time.Millisecond/2)
+			f := newFixture(t, answerFrom(200, slowEnd{strings.NewReader(firstEvents), patience - early}))
+			f.listEngines("e1")
+			f.planner.plans = []booking.Plan{onEngine("e1")}
+			refusal := f.relay.Run(t.Context(), req, &recordingSink{})
+			if whole := refusal == nil; whole != (early > 0) {
+				t.Errorf("%s the deadline: whole %v", name, whole)
+			}
+		}
+		time.Sleep(time.Minute) // until all checks have ended
+	})
+}
+
+// slowEnd is a body whose end comes after a time.
+type slowEnd struct {
+	io.Reader
+	after time.Duration
+}
+
+func (s slowEnd) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if err == io.EOF {
+		time.Sleep(s.after)
+	}
+	return n, err
+}
