Relay: a plain answer that ends when its server's time is over is not whole either

TestAnswerThatEndsAtItsDeadlineIsNotWhole has plain calls now; its former name was that of streams alone.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -323,7 +323,7 @@
 	if answer.Framing == FramedByConnection && !t.headSent && t.req.LastEvent == "" {
 		return attemptResult{end: retry.Broken, err: errEmptyStream}
 	}
-	if err := t.checkStreamEnd(answer); err != nil {
+	if err := t.checkEnd(answer); err != nil {
 		return attemptResult{end: retry.Broken, err: err}
 	}
 	if !t.events.RunIsWhole() {
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
+	"github.com/buckthorndock/buckthorndock/internal/core/route"
 )
 
 // TestResumedStreamPassesEachEventOnce guards against events that a caller gets twice, or does not get, because the
@@ -102,20 +103,21 @@
 	}
 }
 
-// TestStreamThatEndsAtItsDeadlineIsNotWhole guards against a stream that its server ends in good form because its
+// TestAnswerThatEndsAtItsDeadlineIsNotWhole guards against an answer that its server ends in good form because its
 // time is over (issue 78).
-func TestStreamThatEndsAtItsDeadlineIsNotWhole(t *testing.T) {
+func TestAnswerThatEndsAtItsDeadlineIsNotWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const patience = 5 * time.Second
 		for name, early := range map[string]time.Duration{"before": 2 * time.Millisecond, "at": 0} {
-			req := streamRequest(false)
-			req.Deadline = time.Now().Add(patience + time.Millisecond/2)
-			f := newFixture(t, answerFrom(200, slowEnd{strings.NewReader(firstEvents), patience - early}))
-			f.listEngines("e1")
-			f.planner.plans = []booking.Plan{onEngine("e1")}
-			refusal := f.relay.Run(t.Context(), req, &recordingSink{})
-			if whole := refusal == nil; whole != (early > 0) {
-				t.Errorf("%s the deadline: whole %v", name, whole)
+			for kind, req := range map[string]*Request{"stream": streamRequest(false), "call": plainRequest(route.Once, patience)} {
+				req.Deadline = time.Now().Add(patience + time.Millisecond/2)
+				f := newFixture(t, answerFrom(200, slowEnd{strings.NewReader(firstEvents), patience - early}))
+				f.listEngines("e1")
+				f.planner.plans = []booking.Plan{onEngine("e1")}
+				refusal := f.relay.Run(t.Context(), req, &recordingSink{})
+				if whole := refusal == nil; whole != (early > 0) {
+					t.Errorf("%s, %s the deadline: whole %v", kind, name, whole)
+				}
 			}
 		}
 		time.Sleep(time.Minute) // until all checks have ended
--- a/internal/relay/wholeness.go
+++ b/internal/relay/wholeness.go
@@ -15,29 +15,24 @@
 	// errServerEnded is the same where the server did not answer any more after the end.
 	errServerEnded = merry.Sentinel("only the connection has ended, and its server cannot be reached any more")
 	// errTimeOver is the same where the server may have stopped because its time was over.
-	errTimeOver = merry.Sentinel("the stream has ended when the time that its server was given was over")
+	errTimeOver = merry.Sentinel("the answer has ended when the time that its server was given was over")
 )
 
-// checkStreamEnd is checkEnd for a stream, whose server stops at its deadline and may end its answer in good
-// form then.
-func (t *attempt) checkStreamEnd(answer *Answer) error {
-	if answer.Framing != FramedByLength && !time.Now().Before(t.timeout) {
-		return errTimeOver
-	}
-	return t.checkEnd(answer)
-}
-
 // checkEnd returns an error unless an answer whose body has ended is whole, as far as can be known. The kernel
 // closes the connections of a process that dies like those of one that is done, so a server whose answer
-// ends with its connection has to answer once more.
+// ends with its connection has to answer once more. A server stops at its deadline, and may end its answer in good
+// form then.
 func (t *attempt) checkEnd(answer *Answer) error {
-	if answer.Framing != FramedByConnection {
+	switch {
+	case answer.Framing == FramedByLength:
 		return nil
-	}
-	if t.headSent && t.headFraming != FramedByConnection {
+	case !time.Now().Before(t.timeout):
+		return errTimeOver
+	case answer.Framing != FramedByConnection:
+		return nil
+	case t.headSent && t.headFraming != FramedByConnection:
 		return errEndUnknown
-	}
-	if !t.serverLives() {
+	case !t.serverLives():
 		return errServerEnded
 	}
 	return nil
