Relay: a stream that goes on at other weights says so

Callers saw the text of two versions of the weights as that of one, where a resumed stream went on at a server with other weights: the event at which the version changes tells it, as long as one server writes both; the next server knows of no change.

A caller who names no version is still served on by any (Expect-Version is not set: with a rollout under way the stream would break off where no server of the former version is left), but the first event that it gets of the new run has the line that tells of the change. TestResumptionAtOtherWeightsIsTold failed before in the three cases with a change.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -266,6 +266,7 @@
 	events := newEventReader(answer.Body, t.relay.opts.AnswerMemory)
 	defer events.close()
 	t.events.StartRun()
+	t.weights.begin(answer, !t.headSent)
 	for {
 		ev, err := events.next()
 		if err != nil {
@@ -292,6 +293,7 @@
 	t.silence.reset()
 	t.times.event(now)
 	t.noteAnswerBegins(now)
+	tells := t.weights.read(answer, ev.raw)
 	if ev.isPiece {
 		t.body.noteEvent(ev.id)
 		switch t.events.Accept(ev.id) {
@@ -304,6 +306,7 @@
 		}
 		t.unresumable.Store(!t.events.CanResume())
 		t.noteEvent(now)
+		ev.raw = t.weights.mark(answer, ev.raw, tells)
 	}
 	if err := t.passHead(answer); err != nil {
 		return &attemptResult{callerGone: true, err: err}
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -137,3 +137,35 @@
 	}
 	return n, err
 }
+
+// TestResumptionAtOtherWeightsIsTold guards against text of two versions of the weights that looks like that
+// of one (issue 78).
+func TestResumptionAtOtherWeightsIsTold(t *testing.T) {
+	const field = "weight-versions"
+	at := func(version string, next func(context.Context, Attempt) (*Answer, error)) func(context.Context, Attempt) (*Answer, error) {
+		return func(ctx context.Context, a Attempt) (*Answer, error) {
+			got, err := next(ctx, a)
+			got.Weights, got.WeightsField = version, field
+			return got, err
+		}
+	}
+	const changes = "id: 1\ndata: a\n\n" + field + ": 2\nid: 2\ndata: b\n\n"
+	for _, c := range []struct{ name, first, then, rest, before string }{
+		{"the same", "1", "1", lastEvents, ""},
+		{"another", "1", "2", lastEvents, field + ": 2\n"},
+		{"not told", "1", "", lastEvents, ""},
+		{"another, anew", "1", "2", firstEvents + lastEvents, field + ": 2\n"},
+		{"changes in a repeated event", "1", "1", changes + lastEvents, field + ": 2\n"},
+	} {
+		f := newFixture(t, at(c.first, answerFrom(200, brokenBody(firstEvents))), at(c.then, answer(200, c.rest)))
+		f.listEngines("e1", "e2")
+		f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2")}
+		sink := &recordingSink{}
+		if refusal := f.relay.Run(t.Context(), streamRequest(true), sink); refusal != nil {
+			t.Errorf("%s: %v", c.name, refusal)
+		}
+		if got, want := sink.body.String(), firstEvents+c.before+lastEvents; got != want {
+			t.Errorf("%s: got %q, want %q", c.name, got, want)
+		}
+	}
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -48,6 +48,7 @@
 	conflicted bool // an attempt met another suspect
 
 	events      *stream.Sequence // of the answer
+	weights     weights          // of the present attempt and of what the caller has
 	unresumable atomic.Bool      // the last event passed on has no ID, so that no other run can go on after it
 	headSent    bool             // the head of the answer has been passed on
 	headFraming Framing          // of the answer whose head that was
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -123,6 +123,9 @@
 	Head
 	Body  io.Reader
 	Close func() // to be called after the last read; releases the answer's resources
+
+	Weights      string // version of the weights that write it; empty if the upstream does not tell
+	WeightsField string // name of the first line by which an event tells of another version
 }
 
 // Sender sends attempts to upstreams. The errors of Send are of type *Failure.
