Platform: an odd entry of the list of hosts does not hide the others

Callers of the product's own path would lose servers that are new: one entry of the list of hosts that was very deeply nested, had a number too large or was of an unknown kind failed the decoding of the whole list, so that daemons kept the last list and followed it no more.

Cause: the list was decoded as one document.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -19,7 +19,7 @@
 // NewHTTP returns a client of the service at an IP:port. The http.Client should
 // have no overall timeout: each call is bounded by its context.
 func NewHTTP(address string, c *http.Client) (*HTTP, error) {
-	client, err := platformapi.NewClient("http://"+address, platformapi.WithClient(c))
+	client, err := platformapi.NewClient("http://"+address, platformapi.WithClient(hostFilter{c}))
 	if err != nil {
 		return nil, merry.Prependf(err, "platform client for %s", address)
 	}
