Settings: a document whose brackets close on their line is checked for its depth, too

Cause: the check of the depth, which protects the recursive parser, counted the brackets that are open at the end of a line; those that close on it had gone by then. It now takes the deepest place.

--- a/internal/core/settings/decode.go
+++ b/internal/core/settings/decode.go
@@ -84,18 +84,19 @@
 // nest deeper than MaxNesting, else 0. It protects the stack of the YAML parser, which is
 // recursive.
 func nestedTooDeep(text []byte) int {
-	brackets := 0
+	brackets, deepest := 0, 0
 	for i, row := range strings.Split(string(text), "\n") {
 		markers := strings.Count(row, "- ") + strings.Count(row, "? ")
 		for _, c := range row {
 			switch c {
 			case '[', '{':
 				brackets++
+				deepest = max(deepest, brackets)
 			case ']', '}':
 				brackets--
 			}
 		}
-		if markers > MaxNesting || brackets > MaxNesting {
+		if markers > MaxNesting || deepest > MaxNesting {
 			return i + 1
 		}
 	}
