Front: JSON answers have a length

The same cause on the product's own path: a long answer in JSON had chunks, or for HTTP/1.0 nothing but the end of its connection, which a daemon that is killed gives, too. TestJSONAnswerHasALength failed before. Streams there end with [DONE], which an answer that broke off does not have (TestEventSinkPartialAnswerHasNoFinalMarker); engines mark their last chunk and its number.

--- a/internal/front/handlers.go
+++ b/internal/front/handlers.go
@@ -129,9 +129,8 @@
 		writeRefusal(w, id, refusal)
 		return nil
 	}
-	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(headerRequestID, id)
-	_, _ = w.Write(result)
+	_ = writeJSON(w, result) // the caller may have gone
 	return nil
 }
 
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -129,9 +130,15 @@
 		return err
 	}
 	setWriteDeadline(s.w, s.meta.writeTimeout)
-	s.w.Header().Set("Content-Type", "application/json")
 	s.w.Header().Set(headerRequestID, s.meta.id)
-	_, err = s.w.Write(body)
+	return writeJSON(s.w, body)
+}
+
+// writeJSON writes a whole answer. Its length tells callers without chunks whether they have got all of it.
+func writeJSON(w http.ResponseWriter, body []byte) error {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, err := w.Write(body)
 	return err
 }
 
--- a/internal/front/sink_test.go
+++ b/internal/front/sink_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bufio"
 	"encoding/json"
 	"errors"
 	"io"
@@ -106,3 +107,30 @@
 		t.Errorf("ended by %v, want the write deadline", err)
 	}
 }
+
+// TestJSONAnswerHasALength guards against an answer that breaks off and looks whole to a caller of HTTP/1.0, which knows
+// no chunks (issue 78).
+func TestJSONAnswerHasALength(t *testing.T) {
+	text := strings.Repeat("token ", 10_000)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s := &jsonSink{w: w, meta: answerMeta{id: "r1", writeTimeout: time.Second}}
+		_ = s.token(text)
+		_ = s.finish(1)
+	}))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(res.Body); err != nil || res.ContentLength != int64(len(body)) || len(body) < len(text) {
+		t.Errorf("length %d, %d bytes, %v", res.ContentLength, len(body), err)
+	}
+}
