--- a/test/soak/pieces_server_test.go
+++ b/test/soak/pieces_server_test.go
@@ -53,13 +53,14 @@
 	endsAtDeadline  bool          // the server ends its answer as if it were whole when its time is over
 	padding         int           // bytes of each piece beside its name
 	versioned       bool          // the servers' weights have different versions
+	extra           bool          // the same answer comes once more on the connection after the whole one
 }
 
 func (p pieceStyle) query() string {
 	q := url.Values{
 		piecesQuery: {strconv.Itoa(p.pieces)}, "framing": {p.framing}, "on": {p.goesOn}, "ids": {p.ids}, "line": {p.lineEnd},
 		"pause": {p.pause.String()}, "cut": {strconv.Itoa(p.cutAfter)}, "deadline": {strconv.FormatBool(p.endsAtDeadline)},
-		"padding": {strconv.Itoa(p.padding)}, "versioned": {strconv.FormatBool(p.versioned)},
+		"padding": {strconv.Itoa(p.padding)}, "versioned": {strconv.FormatBool(p.versioned)}, "extra": {strconv.FormatBool(p.extra)},
 	}
 	return q.Encode()
 }
@@ -80,7 +81,7 @@
 	return pieceStyle{
 		pieces: number(piecesQuery), framing: q.Get("framing"), goesOn: q.Get("on"), ids: q.Get("ids"), lineEnd: q.Get("line"),
 		pause: pause, cutAfter: number("cut"), endsAtDeadline: q.Get("deadline") == "true",
-		padding: number("padding"), versioned: q.Get("versioned") == "true",
+		padding: number("padding"), versioned: q.Get("versioned") == "true", extra: q.Get("extra") == "true",
 	}
 }
 
@@ -113,6 +114,8 @@
 		p.endsAtDeadline = true
 	case 3:
 		p.padding = longPadding
+	case 4:
+		p.extra = true
 	}
 	return p
 }
@@ -187,6 +190,21 @@
 	for n := p.firstPiece(last); n <= p.pieces; n++ {
 		body = append(body, p.piece(request, n, server, event))
 	}
+	whole := p.send(s, w, r, body, server, until)
+	if whole && p.extra {
+		time.Sleep(extraDelay)
+		p.pause = 0
+		p.send(s, w, r, body, server, until)
+	}
+	return whole
+}
+
+// extraDelay is how long after an answer an extra one comes.
+const extraDelay = 3 * time.Millisecond
+
+// send sends the pieces of an answer. It returns whether the answer is whole and the connection can be kept.
+func (p pieceStyle) send(s *standin.Server, w *bufio.Writer, r *http.Request, body []string, server string, until time.Time) bool {
+	last := standin.LastEvent(r.Header)
 	s.WriteHead(w, r, p.headLines(body, server))
 	write := func(text string) bool {
 		if p.framing == byChunks {
--- a/test/soak/pieces_test.go
+++ b/test/soak/pieces_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -96,3 +97,40 @@
 		t.Log(s)
 	}
 }
+
+// TestJudgeOfPiecesCanFail shows for each fault an answer in which the soak finds it.
+func TestJudgeOfPiecesCanFail(t *testing.T) {
+	style := pieceStyle{pieces: 3, ids: numberedIDs, lineEnd: endLF, framing: byChunks}
+	piece := func(n int, server string) string { return style.piece("r1", n, server, true) }
+	all := piece(1, "i-llm0-1") + piece(2, "i-llm0-1") + piece(3, "i-llm0-1")
+	for _, c := range []struct {
+		name, kind, proto, framing, text string
+		framed, whole                    bool
+		want                             orderFault
+	}{
+		{"sound", kindSingle, http11, byChunks, all, true, true, ""},
+		{"broken off", kindSingle, http11, byChunks, piece(1, "i-llm0-1"), true, false, ""},
+		{"two runs of a stream that may be resumed", kindStream, http11, byChunks, piece(1, "i-llm0-1") + piece(2, "i-llm1-1") + piece(3, "i-llm1-1"), true, true, ""},
+		{"missing", kindStream, http11, byChunks, piece(1, "i-llm0-1") + piece(3, "i-llm0-1"), true, true, pieceMissing},
+		{"the first is missing", kindStream, http11, byChunks, piece(2, "i-llm0-1") + piece(3, "i-llm0-1"), true, true, pieceMissing},
+		{"twice", kindStream, http11, byChunks, piece(1, "i-llm0-1") + all, true, true, pieceTwice},
+		{"two runs", kindSingle, http11, byChunks, piece(1, "i-llm0-1") + piece(2, "i-llm1-1") + piece(3, "i-llm1-1"), true, true, runsJoined},
+		{"of another", kindStream, http11, byChunks, style.piece("r2", 1, "i-llm0-1", true), true, false, foreign},
+		{"too soon", kindStream, http11, byChunks, piece(1, "i-llm0-1"), true, true, endTooSoon},
+		{"too soon, without chunks", kindStream, http10, byChunks, piece(1, "i-llm0-1"), false, true, endTooSoon},
+		{"framed", kindStream, http11, byConnection, piece(1, "i-llm0-1"), true, true, framedWhole},
+	} {
+		a := pieceAnswer{
+			pieceCall: pieceCall{id: "r1", kind: c.kind, proto: c.proto, style: style},
+			status:    http.StatusOK, framed: c.framed, whole: c.whole, text: c.text,
+		}
+		a.style.framing = c.framing
+		var got orderFault
+		if faults := a.judge(); len(faults) > 0 {
+			got = faults[0]
+		}
+		if got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
