Fleet, relay: the entry of another writer takes nothing from a server that lives

Cause: an entry alone decided who runs at an address. Its reported start displaced the servers that had started earlier, and their attempts were cancelled at once. Nothing asked whether any settings name its service.

Change: an entry of a service that no settings name displaces nothing while one of theirs is at its address; it is a candidate as soon as they do. Where another server's entry of a used service reports a later start, the address is asked who runs there before anything is broken off: if the displaced one answers, it is listed again and the other is not, however often it is written (successor_not_believed). The next life of the same server ends the former one as before, and so does no answer, or that of another.

--- a/internal/core/fleet/ended.go
+++ b/internal/core/fleet/ended.go
@@ -46,7 +46,7 @@
 // address.
 func (l *List) sharesAddress(e *entry) bool {
 	for _, other := range l.byName {
-		if other != e && other.Address == e.Address && !other.endProof.exists() {
+		if other != e && other.Address == e.Address && !other.endProof.exists() && !other.replaced && l.isUsed(other.Service) {
 			return true
 		}
 	}
--- a/internal/core/fleet/list.go
+++ b/internal/core/fleet/list.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"reflect"
 	"slices"
 	"time"
@@ -47,7 +48,8 @@
 
 // addressStart is the latest start time that a server at an address has reported.
 type addressStart struct {
-	born int64 // Unix milliseconds
+	born int64  // Unix milliseconds
+	name string // of the server
 	at   time.Time
 }
 
@@ -61,8 +63,9 @@
 // in no snapshot until a new entry arrives. One whose entry lapsed during an outage of the
 // store stays until ReturnGrace after the first read, or less if the outage was short. An entry of
 // an earlier incarnation, or an older one of the same incarnation, changes nothing. Each registered
-// upstream is in the snapshot unless a later start at its address was reported, or an answer has
-// shown that another upstream runs there; see RecordResponder and RecordEnd.
+// upstream is in the snapshot unless a later start at its address was reported by a server of a service that
+// is used, or an answer has shown that another upstream runs there; see RecordResponder, RecordEnd and
+// RecordAlive.
 type List struct {
 	opts        Options
 	byName      map[string]*entry
@@ -72,6 +75,7 @@
 	lastRead    time.Time               // last successful read; zero: never
 	graceEnd    time.Time               // until then removals count as lapses during an outage
 
+	services  map[string]bool // that the settings name; nil: not known yet
 	evacuated map[string]bool // failure domains
 
 	version       int       // number of changes so far that a snapshot shows
@@ -194,12 +198,54 @@
 	}
 	l.byName[u.Name] = &after
 	delete(l.ended, u.Name)
-	if u.Born != 0 && u.Born >= l.starts[u.Address].born {
-		if u.Born > l.starts[u.Address].born {
-			l.version++
-		}
-		l.starts[u.Address] = addressStart{u.Born, now}
+	if !after.replaced && l.isUsed(u.Service) {
+		l.recordStart(u, now)
+	}
+}
+
+// recordStart records the start that a server at an address has reported, if it is the latest.
+func (l *List) recordStart(u Upstream, now time.Time) {
+	latest := l.starts[u.Address].born
+	if u.Born == 0 || u.Born < latest {
+		return
+	}
+	if u.Born > latest {
+		l.version++
 	}
+	l.starts[u.Address] = addressStart{u.Born, u.Name, now}
+}
+
+// SetServices sets the services that the settings name. Entries of others are not used: they displace
+// no upstream at their address. It reports whether the services have changed.
+func (l *List) SetServices(names []string) bool {
+	services := make(map[string]bool, len(names))
+	for _, name := range names {
+		services[name] = true
+	}
+	if l.services != nil && maps.Equal(services, l.services) {
+		return false
+	}
+	l.services = services
+	l.version++
+	return true
+}
+
+// isUsed reports whether the settings name a service, as far as is known.
+func (l *List) isUsed(service string) bool { return l.services == nil || l.services[service] }
+
+// RecordAlive records that u, which is not listed because of the later start that over has reported, has
+// answered at its address itself: over does not run there. It returns false when this changes nothing.
+func (l *List) RecordAlive(u, over Upstream) bool {
+	e, listed := l.byName[over.Name]
+	if !listed || e.ID != over.ID || e.Address != u.Address || e.replaced {
+		return false
+	}
+	e.replaced = true
+	if l.starts[u.Address].name == over.Name {
+		delete(l.starts, u.Address)
+	}
+	l.version++
+	return true
 }
 
 // isNewer reports whether an entry was written after the registered one.
--- a/internal/core/fleet/snapshot.go
+++ b/internal/core/fleet/snapshot.go
@@ -96,7 +96,11 @@
 // candidatesAt returns the upstreams of an address that may be running there.
 func (l *List) candidatesAt(address string, all []*entry) []Upstream {
 	latest := l.starts[address].born
-	all = slices.DeleteFunc(slices.Clone(all), func(e *entry) bool {
+	all = slices.Clone(all)
+	if slices.ContainsFunc(all, func(e *entry) bool { return l.isUsed(e.Service) }) {
+		all = slices.DeleteFunc(all, func(e *entry) bool { return !l.isUsed(e.Service) })
+	}
+	all = slices.DeleteFunc(all, func(e *entry) bool {
 		return e.Born != 0 && e.Born < latest || e.endProof.exists()
 	})
 	// That an answer came from another server excludes an upstream only while there are
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -166,9 +166,19 @@
 	p.coldSettings = coldSettingsOf(spec)
 	p.mu.Unlock()
 	p.publishList()
+	p.changeList(func(l *fleet.List) bool { return l.SetServices(serviceNames(spec)) })
 	log.Info("settings_applied")
 }
 
+// serviceNames returns the names of the services of the settings.
+func serviceNames(spec route.Spec) []string {
+	var names []string
+	for _, s := range spec.Services {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
 // bookServices returns the services that have engines, as the schedule needs them.
 func bookServices(spec route.Spec) []booking.Service {
 	var services []booking.Service
--- a/internal/edge/listchange.go
+++ b/internal/edge/listchange.go
@@ -47,6 +47,11 @@
 	}
 }
 
+// recordAlive records that u has answered itself, though a successor is listed.
+func (p *process) recordAlive(u, successor fleet.Upstream) {
+	p.changeList(func(l *fleet.List) bool { return l.RecordAlive(u, successor) })
+}
+
 // recordReplaced records that another upstream runs at the address of u.
 func (p *process) recordReplaced(u fleet.Upstream) {
 	p.changeList(func(l *fleet.List) bool { return l.RecordEnd(u, time.Now()) })
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -192,6 +192,7 @@
 		DaemonAddresses: p.peers.domainAddresses,
 		Upstreams:       p.list.Load,
 		OnIdentified:    p.recordResponder,
+		OnAlive:         p.recordAlive,
 		OnReplaced:      p.recordReplaced,
 		OnDomainReached: p.assumeCold,
 		Notices:         p.notices,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,6 +34,9 @@
 	DaemonAddresses func(domain string) []string
 	// Upstreams returns the current list of upstreams.
 	Upstreams func() *fleet.Snapshot
+	// OnAlive is called when an upstream that is no longer listed because of a successor has answered
+	// itself.
+	OnAlive func(u, successor fleet.Upstream)
 	// OnIdentified is called after an answer from an address that several upstreams share.
 	// u is the upstream that was asked; itself says whether u answered or another one did.
 	OnIdentified func(u fleet.Upstream, itself bool)
--- a/internal/relay/running.go
+++ b/internal/relay/running.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -31,9 +32,29 @@
 	return domains
 }
 
-// UpstreamReplaced records that the incarnation of an upstream has ended, because its
-// successor is listed. Attempts that run there are cancelled.
+// UpstreamReplaced records that an upstream is no longer listed because of its successor. The next life
+// of the same server proves that the former one has ended. Another server's entry at the address does not,
+// so who runs there is asked first.
 func (r *Relay) UpstreamReplaced(u, successor fleet.Upstream) {
+	if u.Name == successor.Name {
+		r.endReplaced(u, successor)
+		return
+	}
+	go func() {
+		const isEngine = false // a server that does not name itself proves nothing
+		id, err := r.identify(context.Background(), u, isEngine)
+		if err == nil && id.Name == u.Name {
+			r.log.WithFields(logrus.Fields{"upstream": u.ID, "address": u.Address, "successor": successor.ID}).Warn("successor_not_believed")
+			r.opts.OnAlive(u, successor)
+			return
+		}
+		r.endReplaced(u, successor)
+	}()
+}
+
+// endReplaced records that the incarnation of an upstream has ended. Attempts that run there are
+// cancelled.
+func (r *Relay) endReplaced(u, successor fleet.Upstream) {
 	broken := r.cancelAttemptsOn(u)
 	r.UpstreamDelisted(u)
 	r.log.WithFields(logrus.Fields{
