Httpwire, platform: the request's target arrives as it was sent

Cause: the target was given as url.URL.Opaque, which is written after a scheme if it begins with two slashes. The target is now written byte for byte, and the rest as net/http writes it.

--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -26,7 +26,7 @@
 // failed write, since an upstream may answer before it has read a long body.
 func (a *Answer) exchange(req *http.Request) error {
 	c := a.conn
-	err := req.Write(c.bw)
+	err := writeRequest(c.bw, req)
 	if err == nil {
 		err = c.bw.Flush()
 	}
