Relay: streams in a file of their own; a comment counts as an event that has come

No logic changes but one: since events that are no pieces do not count, a comment before the first event left the time of the last event unset, and a plan for the next run was asked for with an objective that had passed centuries ago. TestCommentBeforeTheFirstEventIsNoLateEvent.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -9,14 +9,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/booking"
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/retry"
 	"github.com/buckthorndock/buckthorndock/internal/core/route"
-	"github.com/buckthorndock/buckthorndock/internal/core/stream"
 	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 )
@@ -49,7 +47,7 @@
 	upstream     fleet.Upstream
 	helpers      []booking.Part
 	streaming    atomic.Bool // its first event has arrived
-	timeout      time.Time   // when the upstream stops work at the earliest
+	stopsAt      time.Time   // when the upstream stops work at the earliest
 }
 
 // dependsOn reports whether the attempt needs a failure domain: its upstream is there, or an
@@ -73,7 +71,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	t := &attempt{run: g, id: g.attemptID(), ctx: ctx, cancel: cancel, onFirstEvent: onFirst, upstream: a.Upstream, helpers: a.Helpers}
-	t.timeout = time.Now().Add(a.Timeout.Truncate(time.Millisecond)) // which is told in milliseconds
+	t.stopsAt = time.Now().Add(a.Timeout.Truncate(time.Millisecond)) // which is told in milliseconds
 	t.silence = g.newSilenceTimer(limit, gap, cancel)
 	defer t.silence.stop()
 	defer g.relay.running.add(t)()
@@ -99,8 +97,6 @@
 	return t.passAnswer(answer)
 }
 
-var errNotResumed = merry.Sentinel("the upstream does not go on with the stream")
-
 // identify reports which upstream answered the attempt, if several are listed at its address or
 // another one than the listed one answered. A connection that was kept from an earlier exchange may
 // still lead to a server that has left the address, and an answer that names nobody may be about a
@@ -252,122 +248,6 @@
 	return freeAnswerBytes
 }
 
-// newSequence returns the sequence of the events of a request's answer. One that may not be resumed has
-// one run, whose events are passed on as they are.
-func newSequence(r *Request) *stream.Sequence {
-	if !r.Route.Repeatable() {
-		return stream.NewSequence("")
-	}
-	return stream.NewSequence(r.LastEvent)
-}
-
-// passStream passes on the events of an answer that the caller does not have yet.
-func (t *attempt) passStream(answer *Answer) attemptResult {
-	events := newEventReader(answer.Body, t.relay.opts.AnswerMemory)
-	defer events.close()
-	t.events.StartRun()
-	t.weights.begin(answer, !t.headSent)
-	for {
-		ev, err := events.next()
-		if err != nil {
-			t.body.noteEnd(err, t.ctx.Err() != nil)
-		}
-		if err == io.EOF {
-			return t.endStream(answer)
-		}
-		if err != nil {
-			return t.resultOf(err)
-		}
-		if t.beginsTooLate() {
-			return attemptResult{end: retry.Broken, err: shutdown.ErrLeaving}
-		}
-		if result := t.passEvent(answer, ev); result != nil {
-			return *result
-		}
-	}
-}
-
-// passEvent passes on an event, unless the caller has it. The result is nil if the stream goes on.
-func (t *attempt) passEvent(answer *Answer, ev event) *attemptResult {
-	now := time.Now()
-	t.silence.reset()
-	t.times.event(now)
-	t.noteAnswerBegins(now)
-	tells := t.weights.read(answer, ev.raw)
-	if ev.isPiece {
-		t.body.noteEvent(ev.id)
-		switch t.events.Accept(ev.id) {
-		case stream.Repeated:
-			eventsRepeated.Inc()
-			t.body.repeated++
-			return nil
-		case stream.Skipped:
-			return &attemptResult{end: retry.Faulted, err: merry.Wrap(errNotResumed, merry.AppendMessagef("events are missing before %q", ev.id))}
-		}
-		t.unresumable.Store(!t.events.CanResume())
-		t.noteEvent(now)
-		ev.raw = t.weights.mark(answer, ev.raw, tells)
-	}
-	if err := t.passHead(answer); err != nil {
-		return &attemptResult{callerGone: true, err: err}
-	}
-	if err := t.sink.Body(ev.raw, true); err != nil {
-		return &attemptResult{callerGone: true, err: err}
-	}
-	t.times.passedOn(time.Now())
-	return nil
-}
-
-var eventsRepeated = metrics.GetOrCreateCounter(`buckthorndock_repeated_events_total`)
-
-// endStream ends a stream that is complete; one without events still gets its head. Nothing tells one
-// that only its connection ends from one that broke off before its first event.
-func (t *attempt) endStream(answer *Answer) attemptResult {
-	if answer.Framing == FramedByConnection && !t.headSent && t.req.LastEvent == "" {
-		return attemptResult{end: retry.Broken, err: errEmptyStream}
-	}
-	if err := t.checkEnd(answer); err != nil {
-		return attemptResult{end: retry.Broken, err: err}
-	}
-	if !t.events.RunIsWhole() {
-		return attemptResult{end: retry.Faulted, err: merry.Wrap(errNotResumed, merry.AppendMessagef("it ends before %q", t.events.Last()))}
-	}
-	if err := t.passHead(answer); err != nil {
-		return attemptResult{callerGone: true, err: err}
-	}
-	return attemptResult{delivered: true}
-}
-
-// passHead passes on the head of a stream once: a stream that continues at another upstream
-// keeps its first head.
-func (t *attempt) passHead(answer *Answer) error {
-	if t.headSent {
-		return nil
-	}
-	t.headSent = true
-	t.answerBegun.Store(true)
-	head := answer.Head
-	head.Length = -1
-	t.headFraming = head.Framing
-	return t.sink.Head(head)
-}
-
-// noteAnswerBegins records that the upstream has begun to answer, or goes on.
-func (t *attempt) noteAnswerBegins(now time.Time) {
-	t.noteFirstEvent()
-	t.streaming.Store(true)
-	t.relay.opts.Paths.RecordActivity(t.upstream.Domain)
-	t.noteAnswering(now)
-}
-
-// noteEvent records the arrival of an event that the caller does not have yet.
-func (t *attempt) noteEvent(now time.Time) {
-	if !t.lastEventAt.IsZero() {
-		t.longestGap = max(t.longestGap, now.Sub(t.lastEventAt))
-	}
-	t.lastEventAt = now
-}
-
 // noteFirstEvent records the arrival of the first part of an answer.
 func (t *attempt) noteFirstEvent() {
 	if t.firstAt.IsZero() {
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -169,3 +169,17 @@
 		}
 	}
 }
+
+// TestCommentBeforeTheFirstEventIsNoLateEvent guards against a stream that counts as late beyond all bounds, where a
+// comment has come and no event yet.
+func TestCommentBeforeTheFirstEventIsNoLateEvent(t *testing.T) {
+	f := newFixture(t, answerFrom(200, brokenBody(": waits\n\n")), answer(200, firstEvents))
+	f.listEngines("e1", "e2")
+	f.planner.plans = []booking.Plan{onEngine("e1"), onEngine("e2")}
+	if refusal := f.relay.Run(t.Context(), streamRequest(true), &recordingSink{}); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if left := f.planner.asks[1].Objective; left < -time.Minute {
+		t.Errorf("the next event is late by %s", -left)
+	}
+}
--- a/internal/relay/wholeness.go
+++ b/internal/relay/wholeness.go
@@ -26,7 +26,7 @@
 	switch {
 	case answer.Framing == FramedByLength:
 		return nil
-	case !time.Now().Before(t.timeout):
+	case !time.Now().Before(t.stopsAt):
 		return errTimeOver
 	case answer.Framing != FramedByConnection:
 		return nil
