--- a/internal/core/fleet/writers_test.go
+++ b/internal/core/fleet/writers_test.go
@@ -18,7 +18,7 @@
 }
 
 // TestEntryOfAnUnusedServiceDisplacesNothing guards against live servers that are dropped because another
-// program has written an entry with their address and a later start (review/5).
+// program has written an entry with their address and a later start.
 func TestEntryOfAnUnusedServiceDisplacesNothing(t *testing.T) {
 	l := newList()
 	l.Apply([]Change{atAddress("a:1", ofService("llm", entryWithStart("a", 10, 1)))}, start)
@@ -50,7 +50,7 @@
 }
 
 // TestAnswerOfTheDisplacedBringsItBack guards against a live server that stays displaced by an entry of another
-// writer although it has answered itself (review/5), also while that entry is written again.
+// writer although it has answered itself, also while that entry is written again.
 func TestAnswerOfTheDisplacedBringsItBack(t *testing.T) {
 	foreign := func(heartbeat int64) Change { return atAddress("a:1", entryWithStart("x", 20, heartbeat)) }
 	l := newList()
@@ -80,7 +80,7 @@
 }
 
 // TestOtherWritersNeverKeepALiveServerOut draws entries, removals, outages and settings around a server that lives and
-// answers. Whenever an entry has displaced it, it is asked, as the daemon does, and must be listed then (review/5).
+// answers. Whenever an entry has displaced it, it is asked, as the daemon does, and must be listed then.
 func TestOtherWritersNeverKeepALiveServerOut(t *testing.T) {
 	params := gopter.DefaultTestParametersWithSeed(5)
 	params.MinSuccessfulTests = 1000
--- a/internal/core/settings/odd_test.go
+++ b/internal/core/settings/odd_test.go
@@ -27,7 +27,7 @@
 }
 
 // TestOddRecordsDoNotStopTheSettings guards against a daemon that ends, or follows the settings no more, because of an odd record
-// or document in the log (issue 78, the report, on the product's own path).
+// or document in the log.
 func TestOddRecordsDoNotStopTheSettings(t *testing.T) {
 	s, cache := NewState(), NewCache()
 	for i, text := range oddTexts() {
@@ -50,7 +50,7 @@
 }
 
 // TestNestingIsFoundWithinALine guards against a document whose brackets end on the line where they begin: it is
-// nested deeper than the parser's stack and time allow (issue 78).
+// nested deeper than the parser's stack and time allow.
 func TestNestingIsFoundWithinALine(t *testing.T) {
 	const levels = MaxNesting + 1
 	for _, text := range []string{strings.Repeat("[", levels) + strings.Repeat("]", levels), strings.Repeat("{a: ", levels) + strings.Repeat("}", levels)} {
--- a/internal/core/stream/sequence_test.go
+++ b/internal/core/stream/sequence_test.go
@@ -20,7 +20,7 @@
 }
 
 // TestEventsArePassedOnOnceInOrder guards against events that come twice or out of order, whatever
-// the upstreams repeat when they are asked to go on (issue 78).
+// the upstreams repeat when they are asked to go on.
 func TestEventsArePassedOnOnceInOrder(t *testing.T) {
 	params := gopter.DefaultTestParametersWithSeed(78)
 	params.MinSuccessfulTests = 2000
--- a/internal/front/sink_test.go
+++ b/internal/front/sink_test.go
@@ -109,7 +109,7 @@
 }
 
 // TestJSONAnswerHasALength guards against an answer that breaks off and looks whole to a caller of HTTP/1.0, which knows
-// no chunks (issue 78).
+// no chunks.
 func TestJSONAnswerHasALength(t *testing.T) {
 	text := strings.Repeat("token ", 10_000)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/hardclose/hardclose_test.go
+++ b/internal/hardclose/hardclose_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestConnectionIsResetUntilTheAnswerIsWhole guards against a broken answer whose connection ends as that of a
-// whole one does (issue 78).
+// whole one does.
 func TestConnectionIsResetUntilTheAnswerIsWhole(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/httpwire/request_test.go
+++ b/internal/httpwire/request_test.go
@@ -9,7 +9,7 @@
 	"testing"
 )
 
-// FuzzTargetIsWrittenAsItIs checks that any target that a caller can send is written byte for byte (review/3), and
+// FuzzTargetIsWrittenAsItIs checks that any target that a caller can send is written byte for byte, and
 // nothing else differs from what net/http writes.
 func FuzzTargetIsWrittenAsItIs(f *testing.F) {
 	for _, target := range []string{"/", "//", "//orders/7?line=1", "/a%2Fb/%zz?q=%20&&", "http://h/x", "*", "\xff"} {
--- a/internal/platform/hosts_test.go
+++ b/internal/platform/hosts_test.go
@@ -32,7 +32,7 @@
 }
 
 // TestOddHostDoesNotHideTheOthers guards against a list of hosts that is not followed any more because of one odd
-// entry (issue 78, the report).
+// entry.
 func TestOddHostDoesNotHideTheOthers(t *testing.T) {
 	const sound = `{"name":"h1","kind":"entry","domain":"d","region":"r","address":"127.0.0.1:1","state":"live"}`
 	for name, odd := range oddHosts() {
--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -40,7 +40,7 @@
 }
 
 // TestAllLineEndsEndEvents guards against streams that are held back whole, or whose events have no ID,
-// because their lines end with CR or begin with a byte order mark (issue 78).
+// because their lines end with CR or begin with a byte order mark.
 func TestAllLineEndsEndEvents(t *testing.T) {
 	for name, end := range map[string]string{"LF": "\n", "CRLF": "\r\n", "CR": "\r"} {
 		for start, mark := range map[string]string{"": "", "marked ": "\xef\xbb\xbf"} {
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -14,7 +14,7 @@
 )
 
 // TestResumedStreamPassesEachEventOnce guards against events that a caller gets twice, or does not get, because the
-// next server goes on at the last event, anew, or later (issue 78).
+// next server goes on at the last event, anew, or later.
 func TestResumedStreamPassesEachEventOnce(t *testing.T) {
 	const whole = firstEvents + lastEvents + "id: 4\ndata: d\n\n"
 	first := firstEvents + lastEvents + "id: 4\nda"
@@ -73,7 +73,7 @@
 }
 
 // TestEndOfTheConnectionIsBelievedOfAServerThatLives guards against a stream without framing that counts as whole when its
-// server has died, and against a second run where the server lives on (issue 78).
+// server has died, and against a second run where the server lives on.
 func TestEndOfTheConnectionIsBelievedOfAServerThatLives(t *testing.T) {
 	unframed := func(ctx context.Context, a Attempt) (*Answer, error) {
 		got, err := answer(200, firstEvents)(ctx, a)
@@ -104,7 +104,7 @@
 }
 
 // TestAnswerThatEndsAtItsDeadlineIsNotWhole guards against an answer that its server ends in good form because its
-// time is over (issue 78).
+// time is over.
 func TestAnswerThatEndsAtItsDeadlineIsNotWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const patience = 5 * time.Second
@@ -139,7 +139,7 @@
 }
 
 // TestResumptionAtOtherWeightsIsTold guards against text of two versions of the weights that looks like that
-// of one (issue 78).
+// of one.
 func TestResumptionAtOtherWeightsIsTold(t *testing.T) {
 	const field = "weight-versions"
 	at := func(version string, next func(context.Context, Attempt) (*Answer, error)) func(context.Context, Attempt) (*Answer, error) {
--- a/test/soak/pieces_test.go
+++ b/test/soak/pieces_test.go
@@ -48,7 +48,7 @@
 	return plan
 }
 
-// TestAnswersKeepTheirOrder guards against rule ORDER (issue 78) with real processes: pieces of an answer that
+// TestAnswersKeepTheirOrder guards against rule ORDER with real processes: pieces of an answer that
 // are missing, come twice or belong to two runs, and answers that end as whole before their last piece.
 // Servers frame, name and resume their answers in every way; they, daemons and links fail meanwhile, and some
 // callers speak HTTP/1.0.
