Crowd: clients that do not behave, before real processes, known red

What callers saw, in a trial by the users: a process that ran out of memory beside clients that send heads over the limit or without end.

It asks for life, memory (resident, and what the kernel holds unread) within memory_mb, files within max_files, and an ordinary request answered beside the crowd and afterwards; no times, no shares. The bound is the setting itself: 128 MB, 64 for unread bytes.

Silent strangers keep another daemon out. Limits of the settings are not followed. In bounds: endless lines, folded and empty ones, silent clients, on all ports of the edge path.

All twelve stand in KNOWN-RED.txt, a line each; each mend takes its own out.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test fuzz race demo bench bench-quick capacity soak fmt lint rename generate clean
+.PHONY: all build test crowd fuzz race demo bench bench-quick capacity soak fmt lint rename generate clean
 
 all: build
 
@@ -13,6 +13,11 @@
 test: build
 	$(GO) test $(if $(SKIP),-skip '$(SKIP)') ./...
 
+# Crowds of clients that do not behave before real processes, one after the other. It needs a machine
+# without other load: each measures the memory of a process.
+crowd:
+	$(GO) test -tags crowd ./test/crowd -count 1 -timeout 20m $(if $(SKIP),-skip '$(SKIP)')
+
 # Each fuzz target for a moment, beyond the corpus that every test run tries.
 FUZZTIME ?= 3000x
 fuzz:
@@ -56,6 +61,8 @@
 lint:
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+	$(GO) vet -tags crowd ./test/crowd
+	$(GO) tool staticcheck -tags crowd ./test/crowd
 
 # Renames the identifier at FILE:LINE:COLUMN and all its uses, also in tests.
 GOPLS ?= $(GO) run golang.org/x/tools/gopls@v0.21.1
