Edge, entrypoint: heads of callers share one bound of the process

What callers saw: a process that ran out of memory beside clients that send heads of many short lines and stop just before their end. Cause: net/http parses a head as it reads it. A line of six bytes becomes an entry of a map of 150 to 250 bytes, and each connection was bounded alone (64 KB, 5 s), their sum by nothing. Ruled out: a limit of lines a head, which clients inside the limits could meet; a smaller limit of bytes, which is the settings' to tell. Change: package core/conntable, a state machine without I/O, follows each head while it arrives, counts what it takes once parsed and copied, and names the connections to let go: the longest unfinished of those that memory is counted for. Up to 12 KB a connection are not counted, so an ordinary head (about 6 KB) always has room. Package entrypoint puts it before net/http. A tenth of memory_mb is for heads; connections of callers may take 0.15, 32 KB each, if that is fewer than a quarter of max_files. When all are taken, a head unfinished for half a second gives way before idle connections do; a request in progress gives way only if its client sends on behind it, with its work cancelled, as net/http does not notice that such a client has gone. Why it works: what a head takes is counted before it is parsed, over all connections, and the sum is never above the tenth. A test compares the count with the heap for seven forms of heads of 1 to 500 KB. Also: buckthorndock_connections_closed_total{listener,reason} replaces buckthorndock_caller_connections_closed_total{reason}; a line connection_let_go, two a second at most. The test of callerconns.go moves to entrypoint with its checks as they were.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -3,19 +3,19 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/conntable"
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
+	"github.com/buckthorndock/buckthorndock/internal/entrypoint"
 	"github.com/buckthorndock/buckthorndock/internal/hardclose"
 	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 )
 
-// Limits of the HTTP servers. Those for headers are fixed; defaultCallerIdle applies while the
-// settings give no idle limit.
+// Limits on what clients send while the settings give none, and on the ports that are not for callers.
 const (
 	headerTimeout     = 5 * time.Second
 	maxHeaderBytes    = 64 << 10
@@ -26,15 +26,25 @@
 // The others are for other daemons, tunnels and upstreams.
 const callerFilesDivisor = 4
 
-func (p *process) callerServer() *http.Server {
-	conns := newCallerConns(p.cfg.MaxFiles/callerFilesDivisor, p.callerIdle, p.turnsCallersOff)
-	return &http.Server{
-		Handler:           p.provider.CallerHandler(p.admitter, p.leaving.Load),
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         conns.stateChanged,
-		ConnContext:       hardclose.Context,
+func (p *process) callerServer() *entrypoint.Server {
+	return p.bounds.NewServer(entrypoint.Options{
+		Name:        "callers",
+		Handler:     p.provider.CallerHandler(p.admitter, p.leaving.Load),
+		MaxConns:    p.maxCallerConns(),
+		Limits:      p.callerLimits,
+		Overloaded:  p.turnsCallersOff,
+		ConnContext: hardclose.Context,
+	})
+}
+
+// maxCallerConns returns how many connections of callers may be open. A file without a limit of files
+// leaves the memory to limit them.
+func (p *process) maxCallerConns() int {
+	most := p.memory().MaxConnections()
+	if p.cfg.MaxFiles > 0 {
+		most = min(most, p.cfg.MaxFiles/callerFilesDivisor)
 	}
+	return most
 }
 
 // turnsCallersOff reports whether this daemon has more to do than its processor time allows for, while
@@ -45,13 +55,18 @@
 	})
 }
 
-// callerIdle returns how long a caller's connection may stay idle: the limit of the settings, or
-// defaultCallerIdle.
-func (p *process) callerIdle() time.Duration {
-	if t := p.admitter.Table(); t != nil && t.Limits().IdleTimeout > 0 {
-		return t.Limits().IdleTimeout
+// callerLimits returns the limits on what callers send: the idle limit of the settings in force, and the
+// defaults.
+func (p *process) callerLimits() conntable.Limits {
+	l := conntable.Limits{HeadBytes: maxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: defaultCallerIdle}
+	t := p.admitter.Table()
+	if t == nil {
+		return l
+	}
+	if idle := t.Limits().IdleTimeout; idle > 0 {
+		l.IdleTimeout = idle
 	}
-	return defaultCallerIdle
+	return l
 }
 
 // Times of a graceful shutdown; see package shutdown for the others.
@@ -80,7 +95,7 @@
 // drain shuts down gracefully: it announces to the balancer and the peers that this daemon
 // leaves, waits for the requests in progress, and closes the servers. It returns when the process
 // has to exit at the latest.
-func (p *process) drain(servers []*http.Server) {
+func (p *process) drain(servers []server) {
 	times := shutdown.TimesOf(time.Now(), p.current().Grace())
 	p.leaving.Store(true)
 	p.shutdown.Begin(times)
@@ -103,7 +118,7 @@
 
 // closeServers closes the servers when their answers are out. It returns an error if a connection
 // was still in use when the process had to end.
-func closeServers(servers []*http.Server, times shutdown.Times) error {
+func closeServers[S interface{ Shutdown(context.Context) error }](servers []S, times shutdown.Times) error {
 	ctx, cancel := context.WithDeadline(context.Background(), times.ExitBy(time.Now()))
 	defer cancel()
 	var errs []error
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -33,26 +33,30 @@
 	return nil
 }
 
-// listener is an HTTP server with its address.
-type listener struct {
-	address string
-	server  *http.Server
+// server is an HTTP server of this process.
+type server interface {
+	Serve(net.Listener) error
+	Shutdown(context.Context) error
+	Close() error
 }
 
 // listen opens all listeners and serves them. The channel receives the errors of servers that fail
 // later.
-func (p *process) listen() ([]*http.Server, <-chan error, error) {
+func (p *process) listen() ([]server, <-chan error, error) {
 	metrics.GetOrCreateGauge("buckthorndock_requests_in_flight", func() float64 { return float64(p.admitter.InFlight()) })
 	page := http.NewServeMux()
 	page.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	page.HandleFunc("GET "+status.Path, p.serveStatus)
-	all := []listener{
+	all := []struct {
+		address string
+		server  server
+	}{
 		{p.cfg.Listen.Callers, p.callerServer()},
 		{p.cfg.Listen.Ready, &http.Server{Handler: p.provider.ReadyHandler(p.ready), ReadHeaderTimeout: headerTimeout}},
 		{p.cfg.Listen.Metrics, &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout}},
 	}
 	failed := make(chan error, len(all))
-	servers := make([]*http.Server, 0, len(all))
+	servers := make([]server, 0, len(all))
 	for _, l := range all {
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -15,6 +15,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/fleet"
 	"github.com/buckthorndock/buckthorndock/internal/core/membership"
 	"github.com/buckthorndock/buckthorndock/internal/core/notice"
+	"github.com/buckthorndock/buckthorndock/internal/entrypoint"
 	"github.com/buckthorndock/buckthorndock/internal/httpwire"
 	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/keyed"
@@ -47,6 +48,7 @@
 	tunnels  *tunnel.Handler
 	pool     *httpwire.Pool
 	answers  *inbound.Memory // of upstreams
+	bounds   *entrypoint.Bounds
 	notices  *relay.Notices
 	relay    *relay.Relay
 	admitter *relay.Admitter
@@ -114,7 +116,8 @@
 			Within:      fractionOf(cfg.LeavingWithinMs, 1),
 		}),
 	}
-	p.answers = inbound.NewMemory("answers", p.memoryShare(answerMemoryShare))
+	p.answers = inbound.NewMemory("answers", p.memory().Share(answerMemoryShare))
+	p.bounds = entrypoint.NewBounds(p.memory(), log)
 	p.list.Store(&fleet.Snapshot{})
 	p.currentConfig.Store(cfg)
 	p.fileChanged()
@@ -196,7 +199,7 @@
 		OnReplaced:      p.recordReplaced,
 		OnDomainReached: p.assumeCold,
 		Notices:         p.notices,
-		BodyMemory:      relay.NewBodyMemory(p.memoryShare(bodyMemoryShare)),
+		BodyMemory:      relay.NewBodyMemory(p.memory().Share(bodyMemoryShare)),
 		AnswerMemory:    p.answers,
 		Budget:          p.retryBudget,
 		Shutdown:        p.shutdown,
@@ -235,24 +238,20 @@
 	return !p.leaving.Load() && p.serving.Load()
 }
 
-// Parts of the process's memory.
+// Parts of the process's memory, beside those of package entrypoint.
 const (
 	bodyMemoryShare   = 0.25 // bodies of requests
 	answerMemoryShare = 0.1  // what is held of answers, beyond what each exchange may hold
 )
 
-// memoryShare returns a part of the process's memory in bytes.
-func (p *process) memoryShare(part float64) int64 { return int64(part * p.cfg.MemoryMB * (1 << 20)) }
-
-// gcMemoryShare is the part of the process's memory that is the garbage collector's soft limit;
-// the rest is for the kernel's buffers and for allocations between two collections.
-const gcMemoryShare = 0.6
+// memory returns what the process may use.
+func (p *process) memory() entrypoint.Memory { return entrypoint.MB(p.cfg.MemoryMB) }
 
 // Run runs the daemon until the context ends, and then until the requests in progress have ended
 // or the grace period is over. Each value of reloads, which may be nil, makes it read the daemon
 // file again. Run returns an error if a component cannot be started or an HTTP server fails.
 func Run(ctx context.Context, cfg *Config, provider Provider, reloads <-chan os.Signal, log *logrus.Entry) error {
-	debug.SetMemoryLimit(int64(gcMemoryShare * cfg.MemoryMB * (1 << 20)))
+	debug.SetMemoryLimit(entrypoint.MB(cfg.MemoryMB).Share(entrypoint.GarbageShare))
 	p, err := newProcess(cfg, provider, log)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/entrypoint/memory.go
@@ -0,0 +1,30 @@
+package entrypoint
+
+import "github.com/buckthorndock/buckthorndock/internal/core/conntable"
+
+// Memory is what a process may use, in bytes.
+type Memory int64
+
+// MB returns a Memory of n times 2^20 bytes.
+func MB(n float64) Memory { return Memory(n * (1 << 20)) }
+
+// Parts of a process's memory that clients' connections may take. Bodies of requests and what is held
+// of answers have others.
+const (
+	headShare       = 0.1  // heads of requests, beyond conntable.FreeHeadMemory each
+	connectionShare = 0.15 // connections, each of connectionMemory
+)
+
+// GarbageShare is the part of a process's memory that is the garbage collector's soft limit; the rest is
+// for the program, the kernel's buffers and allocations between two collections.
+const GarbageShare = 0.6
+
+// connectionMemory is what an open connection takes in bytes: its goroutine, its buffers, and a head that
+// is not counted.
+const connectionMemory = 20<<10 + conntable.FreeHeadMemory
+
+// Share returns a part of the memory in bytes.
+func (m Memory) Share(part float64) int64 { return int64(part * float64(m)) }
+
+// MaxConnections returns how many connections of clients the memory has room for.
+func (m Memory) MaxConnections() int { return int(m.Share(connectionShare) / connectionMemory) }
