Edge: limits of the settings on heads are those in force

What callers saw: heads between 64 KB and the limit of the settings refused with 431, smaller limits of the settings without effect; the header timeout was 5 s whatever the settings told. Cause: max_header_bytes and header_timeout_ms were decoded and used nowhere. Open connections follow, too.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -55,16 +55,23 @@
 	})
 }
 
-// callerLimits returns the limits on what callers send: the idle limit of the settings in force, and the
-// defaults.
+// callerLimits returns the limits on what callers send: those of the settings in force, and the defaults
+// for what these do not tell.
 func (p *process) callerLimits() conntable.Limits {
 	l := conntable.Limits{HeadBytes: maxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: defaultCallerIdle}
 	t := p.admitter.Table()
 	if t == nil {
 		return l
 	}
-	if idle := t.Limits().IdleTimeout; idle > 0 {
-		l.IdleTimeout = idle
+	inForce := t.Limits()
+	if inForce.HeaderBytes > 0 {
+		l.HeadBytes = inForce.HeaderBytes
+	}
+	if inForce.HeaderTimeout > 0 {
+		l.HeadTimeout = inForce.HeaderTimeout
+	}
+	if inForce.IdleTimeout > 0 {
+		l.IdleTimeout = inForce.IdleTimeout
 	}
 	return l
 }
