Edge: the ready and metrics ports are within the bounds of the process

What callers saw: 200 connections of 1 MB on the port of the readiness check or of the metrics ended the process; nothing bounded their number, and net/http's own limit of a head is 1 MB. Cause: both ports had a plain http.Server with a header timeout only. Change: both are servers of package entrypoint: heads of 16 KB, counted with those of callers, 64 connections a port. A new connection takes the place of the longest unfinished head, so that the balancer's check gets in beside connections that are held open.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -102,7 +102,7 @@
 // drain shuts down gracefully: it announces to the balancer and the peers that this daemon
 // leaves, waits for the requests in progress, and closes the servers. It returns when the process
 // has to exit at the latest.
-func (p *process) drain(servers []server) {
+func (p *process) drain(servers []*entrypoint.Server) {
 	times := shutdown.TimesOf(time.Now(), p.current().Grace())
 	p.leaving.Store(true)
 	p.shutdown.Begin(times)
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -9,7 +9,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
 
+	"github.com/buckthorndock/buckthorndock/internal/core/conntable"
 	"github.com/buckthorndock/buckthorndock/internal/edge/status"
+	"github.com/buckthorndock/buckthorndock/internal/entrypoint"
 	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
@@ -33,30 +35,42 @@
 	return nil
 }
 
-// server is an HTTP server of this process.
-type server interface {
-	Serve(net.Listener) error
-	Shutdown(context.Context) error
-	Close() error
+// Limits of the ports for the platform and for operators.
+const (
+	adminHeaderBytes = 16 << 10
+	adminIdleTimeout = 2 * time.Minute
+	maxAdminConns    = 64 // on each port
+)
+
+// adminServer returns a server of a port that is not for callers.
+func (p *process) adminServer(name string, h http.Handler) *entrypoint.Server {
+	return p.bounds.NewServer(entrypoint.Options{
+		Name:     name,
+		Handler:  h,
+		MaxConns: maxAdminConns,
+		Limits: func() conntable.Limits {
+			return conntable.Limits{HeadBytes: adminHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: adminIdleTimeout}
+		},
+	})
 }
 
 // listen opens all listeners and serves them. The channel receives the errors of servers that fail
 // later.
-func (p *process) listen() ([]server, <-chan error, error) {
+func (p *process) listen() ([]*entrypoint.Server, <-chan error, error) {
 	metrics.GetOrCreateGauge("buckthorndock_requests_in_flight", func() float64 { return float64(p.admitter.InFlight()) })
 	page := http.NewServeMux()
 	page.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	page.HandleFunc("GET "+status.Path, p.serveStatus)
 	all := []struct {
 		address string
-		server  server
+		server  *entrypoint.Server
 	}{
 		{p.cfg.Listen.Callers, p.callerServer()},
-		{p.cfg.Listen.Ready, &http.Server{Handler: p.provider.ReadyHandler(p.ready), ReadHeaderTimeout: headerTimeout}},
-		{p.cfg.Listen.Metrics, &http.Server{Handler: page, ReadHeaderTimeout: headerTimeout}},
+		{p.cfg.Listen.Ready, p.adminServer("ready", p.provider.ReadyHandler(p.ready))},
+		{p.cfg.Listen.Metrics, p.adminServer("metrics", page)},
 	}
 	failed := make(chan error, len(all))
-	servers := make([]server, 0, len(all))
+	servers := make([]*entrypoint.Server, 0, len(all))
 	for _, l := range all {
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
