Edge, peer: heads on streams of other daemons are within the bounds of the process

What callers saw: nothing yet; the users had not played peers' streams. A daemon with the site's key that sends heads of 1 MB takes all memory of another one. Cause: the server of streams had net/http's own limit of 1 MB a head and no bound of their sum. Change: the edge path serves streams by a server of package entrypoint (4 KB a head, which names an address; once a tunnel is open, its connection is no longer counted there). Elsewhere the plain server has the limit of 4 KB.

--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -12,6 +12,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/core/conntable"
 	"github.com/buckthorndock/buckthorndock/internal/edge/status"
 	"github.com/buckthorndock/buckthorndock/internal/entrypoint"
+	"github.com/buckthorndock/buckthorndock/internal/peer"
 	"github.com/buckthorndock/buckthorndock/internal/wait"
 )
 
@@ -42,6 +43,19 @@
 	maxAdminConns    = 64 // on each port
 )
 
+// streamServer returns the server of other daemons' streams, whose connections are no longer its own
+// once a tunnel is open.
+func (p *process) streamServer(h http.Handler) *entrypoint.Server {
+	return p.bounds.NewServer(entrypoint.Options{
+		Name:     "streams",
+		Handler:  h,
+		MaxConns: max(p.cfg.MaxFiles/tunnelFilesDivisor, maxAdminConns),
+		Limits: func() conntable.Limits {
+			return conntable.Limits{HeadBytes: peer.MaxStreamHeadBytes, HeadTimeout: headerTimeout, IdleTimeout: defaultCallerIdle}
+		},
+	})
+}
+
 // adminServer returns a server of a port that is not for callers.
 func (p *process) adminServer(name string, h http.Handler) *entrypoint.Server {
 	return p.bounds.NewServer(entrypoint.Options{
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -152,6 +153,8 @@
 		DialTimeout: dialTimeout,
 		MaxConns:    p.cfg.MaxFiles / peerFilesDivisor,
 		Logger:      p.log,
+
+		NewStreamServer: func(h http.Handler) peer.StreamServer { return p.streamServer(h) },
 	})
 	if err != nil {
 		return err
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -30,6 +31,9 @@
 	// Dial opens connections to other daemons; nil: over the network. Tests set it.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
+	// NewStreamServer returns the server of the peers' streams; nil: a plain http.Server.
+	NewStreamServer func(http.Handler) StreamServer
+
 	Interval         time.Duration // between two exchanges within the own domain, less in small ones; default 500 ms
 	Busy             func() bool   // whether there is work, so that a small domain shortens Interval; nil: always
 	HeartbeatTimeout time.Duration // of one heartbeat call; default 2 s
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"net/rpc"
 	"sync"
 	"time"
@@ -31,7 +30,7 @@
 	refusalLogs *rate.Limiter // limits log lines, which untrusted peers could cause without end
 
 	streams      *streamListener // nil: none are served
-	streamServer *http.Server    // serves streams
+	streamServer StreamServer    // serves streams
 
 	mu     sync.Mutex
 	links  map[*link]struct{}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -29,11 +29,24 @@
 // streamKeepAlive finds the other end of a stream dead within two seconds.
 var streamKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
 
+// StreamServer serves the HTTP requests of peers on streams.
+type StreamServer interface {
+	Serve(net.Listener) error
+	Close() error
+}
+
+// MaxStreamHeadBytes bounds the head of a peer's request on a stream: it names an address.
+const MaxStreamHeadBytes = 4 << 10
+
 // HandleStreams serves the HTTP requests of peers on streams. It must be called before Run.
 func (n *Node) HandleStreams(h http.Handler) {
 	s := &streamListener{address: n.server.listener.Addr(), accepted: make(chan net.Conn), closed: make(chan struct{})}
 	n.server.streams = s
-	n.server.streamServer = &http.Server{Handler: h, ReadHeaderTimeout: n.opts.HandshakeTimeout}
+	if n.opts.NewStreamServer != nil {
+		n.server.streamServer = n.opts.NewStreamServer(h)
+	} else {
+		n.server.streamServer = &http.Server{Handler: h, ReadHeaderTimeout: n.opts.HandshakeTimeout, MaxHeaderBytes: MaxStreamHeadBytes}
+	}
 	n.serverTLS.NextProtos = []string{streamProtocol}
 }
 
