Peer: the longest handshake gives way to a new one

What callers saw: nothing yet. 200 silent connections at the port of the other daemons keep every daemon out that tries to connect: its connection is closed at once. Cause: 64 handshakes may be under way; strangers begin that many and end none for 3 s, and new ones were refused. Change: the handshake under way for longest is closed for a new one. That of a peer takes a few milliseconds.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -26,7 +26,7 @@
 	node        *Node
 	listener    net.Listener
 	rpc         *rpc.Server
-	handshakes  chan struct{} // one element per handshake under way
+	handshakes  *handshakes
 	refusalLogs *rate.Limiter // limits log lines, which untrusted peers could cause without end
 
 	streams      *streamListener // nil: none are served
@@ -46,7 +46,7 @@
 		node:        n,
 		listener:    l,
 		rpc:         rpc.NewServer(),
-		handshakes:  make(chan struct{}, n.opts.MaxHandshakes),
+		handshakes:  newHandshakes(n.opts.MaxHandshakes),
 		refusalLogs: rate.NewLimiter(refusalLogsPerSecond, 1),
 		links:       make(map[*link]struct{}),
 	}, nil
@@ -64,36 +64,29 @@
 			wait.For(ctx, acceptPause)
 			continue
 		}
-		if !s.tryBeginHandshake() {
+		if s.full() {
 			refusedConns.Inc()
 			_ = raw.Close()
 			continue
 		}
+		if longest := s.handshakes.begin(raw); longest != nil {
+			_ = longest.Close() // its handshake fails and is counted
+		}
 		go s.serve(ctx, raw)
 	}
 }
 
-// tryBeginHandshake reserves one of Options.MaxHandshakes, which serve gives back. It
-// returns false when there is none or the server has Options.MaxConns connections.
-func (s *server) tryBeginHandshake() bool {
+// full reports whether the server has Options.MaxConns connections.
+func (s *server) full() bool {
 	s.mu.Lock()
-	full := len(s.links) >= s.node.opts.MaxConns
-	s.mu.Unlock()
-	if full {
-		return false
-	}
-	select {
-	case s.handshakes <- struct{}{}:
-		return true
-	default:
-		return false
-	}
+	defer s.mu.Unlock()
+	return len(s.links) >= s.node.opts.MaxConns
 }
 
 // serve does the handshake on a connection and serves its calls until it ends.
 func (s *server) serve(ctx context.Context, raw net.Conn) {
 	l, err := s.handshake(ctx, raw)
-	<-s.handshakes
+	s.handshakes.end(raw)
 	if err != nil {
 		refusedConns.Inc()
 		if !s.refusalLogs.Allow() {
