Entrypoint: what the kernel holds unread is bounded for a listener's connections

What callers saw: 1,000 senders without end took 1.2 to 2.2 GB of the kernel's memory at both ends; bytes received and not read count as the process's. Cause: each connection had the kernel's receive buffer, 128 KB to 6 MB here, and 390 to 1,050 may be open. Ruled out: reading on behind a request in progress, which would take the process's own memory.

--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/ansel1/merry/v2"
 
 	"github.com/buckthorndock/buckthorndock/internal/core/conntable"
 	"github.com/buckthorndock/buckthorndock/internal/edge/status"
@@ -86,12 +84,12 @@
 	failed := make(chan error, len(all))
 	servers := make([]*entrypoint.Server, 0, len(all))
 	for _, l := range all {
-		socket, err := net.Listen("tcp", l.address)
+		socket, err := l.server.Listen(l.address)
 		if err != nil {
 			for _, s := range servers {
 				_ = s.Close()
 			}
-			return nil, nil, merry.Prependf(err, "listen at %s", l.address)
+			return nil, nil, err
 		}
 		servers = append(servers, l.server)
 		go func() {
--- a/internal/entrypoint/doc.go
+++ b/internal/entrypoint/doc.go
@@ -3,6 +3,6 @@
 // and the connection whose head has been unfinished for longest is let go first. The decisions are those
 // of package conntable.
 //
-// The division of the process's memory among heads and connections is that
+// The division of the process's memory among heads, connections and what the kernel holds unread is that
 // of Memory; package inbound bounds bodies and answers beside them.
 package entrypoint
--- a/internal/entrypoint/server.go
+++ b/internal/entrypoint/server.go
@@ -6,8 +6,11 @@
 	"math"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/buckthorndock/buckthorndock/internal/core/conntable"
 )
 
@@ -63,6 +66,25 @@
 	return s.group.Open()
 }
 
+// Listen opens a TCP listener for the server at an IP:port. What the kernel receives for its connections
+// and the process does not read is bounded.
+func (s *Server) Listen(address string) (net.Listener, error) {
+	size := s.bounds.memory.receiveBuffer(s.opts.MaxConns)
+	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			// Connections inherit it. It must be set before they are made.
+			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size)
+		})
+		if err != nil {
+			return err
+		}
+		return failed
+	}}
+	l, err := c.Listen(context.Background(), "tcp", address)
+	return l, merry.Prependf(err, "listen at %s", address)
+}
+
 // Serve serves the connections of a listener, as http.Server.Serve.
 func (s *Server) Serve(l net.Listener) error {
 	return s.Server.Serve(&listener{Listener: l, server: s})
--- a/internal/entrypoint/server_test.go
+++ b/internal/entrypoint/server_test.go
@@ -28,7 +28,7 @@
 		o.Limits = func() conntable.Limits { return testLimits }
 	}
 	s := NewBounds(MB(64), logrus.NewEntry(log)).NewServer(o)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := s.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
