Relay: bodies that do not arrive give way to others, and end at their deadline

What callers saw: ordinary requests refused with 503 for as long as 32 clients hold a body of 1 MB just before its end, beside heads held on other ports (18 that only announce 4 MB do at 284 MB); no bound of time ended them. Cause: the memory of a body is taken when it is announced and kept until it has arrived; nothing bounded that time, and a full memory refused the newcomer whatever the others did. Ruled out: a free amount for small bodies (ordinary ones may have any size inside the limit), and the longest unfinished whatever its speed: where all are sound, large uploads would end each other and none would arrive. Change: while the memory is full, the longest unfinished body gives way of which nothing came for a second, or less than 16 KB a second. Its request gets 503 with Retry-After, which is true: nothing of it was sent.

--- a/internal/relay/admitter.go
+++ b/internal/relay/admitter.go
@@ -211,13 +211,15 @@
 }
 
 // ReadBody reads the body of an admitted request into req. It refuses the request if the daemon shuts
-// down before the whole body has arrived. The returned function releases the body's memory and must
+// down, or its deadline passes, before the whole body has arrived. The returned function releases the body's memory and must
 // be called when the request has ended.
 func (d *Admitter) ReadBody(req *Request, body Body) (free func(), refusal *request.Refusal) {
 	limit := d.Table().Limits().BodyBytes
 	stop := d.relay.opts.Shutdown.AfterSending(body.Interrupt)
-	data, free, err := d.relay.opts.BodyMemory.Read(body, body.Length, limit)
+	late := time.AfterFunc(time.Until(req.Deadline), body.Interrupt)
+	data, free, err := d.relay.opts.BodyMemory.ReadBody(body, limit)
 	interrupted := !stop()
+	expired := !late.Stop()
 	switch {
 	case errors.Is(err, ErrBodyTooLarge):
 		// A caller that is still sending when its connection is closed would not see the answer.
@@ -227,6 +229,8 @@
 		refusal = request.Refuse(request.CodeQueueFull, retryAfterFailure, "no memory is left for the body")
 	case interrupted:
 		refusal = leavingRefusal()
+	case expired && err != nil:
+		refusal = request.Refuse(request.CodeDeadline, 0, "the body did not arrive in time")
 	case err != nil:
 		refusal = request.Refuse(request.CodeBadRequest, 0, "the body cannot be read")
 	}
--- a/internal/relay/bodies.go
+++ b/internal/relay/bodies.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"container/list"
 	"io"
+	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
@@ -17,62 +20,189 @@
 	ErrBodiesFull = merry.Sentinel("no memory is left for bodies of requests")
 )
 
-var bodiesRefused = metrics.GetOrCreateCounter(`buckthorndock_bodies_refused_total`)
+var (
+	bodiesRefused         = metrics.GetOrCreateCounter(`buckthorndock_bodies_refused_total`)
+	slowBodiesInterrupted = metrics.GetOrCreateCounter(`buckthorndock_slow_bodies_interrupted_total`)
+)
 
 // BodyMemory bounds the memory of request bodies, each of which is held until its request
-// has ended: callers and upstreams may be slow. It is safe for concurrent use.
-type BodyMemory struct{ *inbound.Memory }
+// has ended: callers and upstreams may be slow. While it is full, bodies that have arrived slowly give
+// way to others, the longest unfinished first. It is safe for concurrent use.
+type BodyMemory struct {
+	*inbound.Memory
+
+	mu      sync.Mutex
+	reading *list.List // of *unfinishedBody, the longest unfinished first
+}
 
 // NewBodyMemory returns a BodyMemory with the given capacity in bytes.
 func NewBodyMemory(capacity int64) *BodyMemory {
-	return &BodyMemory{inbound.NewMemory("requests", capacity)}
+	return &BodyMemory{Memory: inbound.NewMemory("requests", capacity), reading: list.New()}
 }
 
 // initialBodyBuffer is the size in bytes of the first buffer for a body of unknown length.
 const initialBodyBuffer = 4 << 10
 
+// A body gives way if nothing of it has come for slowBodyAge, or if it has been unfinished for as long
+// and has arrived with less than slowBodyRate bytes per second.
+const (
+	slowBodyAge  = time.Second
+	slowBodyRate = 16 << 10
+)
+
+// unfinishedBody is a body that is being read. Its fields are protected by BodyMemory.mu.
+type unfinishedBody struct {
+	share     *inbound.Share
+	began     time.Time
+	last      time.Time // when something of it came
+	received  int64     // bytes
+	interrupt func()    // ends a read in progress
+	place     *list.Element
+	gaveWay   bool
+}
+
+// isSlow reports whether the body gives way to others.
+func (u *unfinishedBody) isSlow(now time.Time) bool {
+	if now.Sub(u.last) > slowBodyAge {
+		return true
+	}
+	age := now.Sub(u.began)
+	return age > slowBodyAge && float64(u.received) < slowBodyRate*age.Seconds()
+}
+
+// begin adds a body that is to be read. interrupt is nil if its read cannot be ended; then it does not give
+// way.
+func (b *BodyMemory) begin(interrupt func()) *unfinishedBody {
+	now := time.Now()
+	u := &unfinishedBody{share: b.Share(), began: now, last: now, interrupt: interrupt}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if interrupt != nil {
+		u.place = b.reading.PushBack(u)
+	}
+	return u
+}
+
+// end removes a body that has been read, whole or not. It reports whether the body gave way.
+func (b *BodyMemory) end(u *unfinishedBody) (gaveWay bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.remove(u)
+	return u.gaveWay
+}
+
+// remove removes a body from the unfinished ones. The caller holds the lock.
+func (b *BodyMemory) remove(u *unfinishedBody) {
+	if u.place != nil {
+		b.reading.Remove(u.place)
+		u.place = nil
+	}
+}
+
+// grow takes memory for a body. It returns false if none is left.
+func (b *BodyMemory) grow(u *unfinishedBody, size int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if u.gaveWay {
+		return false
+	}
+	for !u.share.Grow(size) {
+		slow := b.longestSlow(u)
+		if slow == nil {
+			return false
+		}
+		slow.gaveWay = true
+		slow.share.Release()
+		b.remove(slow)
+		slow.interrupt()
+		slowBodiesInterrupted.Inc()
+	}
+	return true
+}
+
+// longestSlow returns the slow body other than u that has been unfinished for longest, nil if there is none. The
+// caller holds the lock.
+func (b *BodyMemory) longestSlow(u *unfinishedBody) *unfinishedBody {
+	now := time.Now()
+	for e := b.reading.Front(); e != nil; e = e.Next() {
+		if other := e.Value.(*unfinishedBody); other != u && other.isSlow(now) {
+			return other
+		}
+	}
+	return nil
+}
+
+// release returns the memory of a body.
+func (b *BodyMemory) release(u *unfinishedBody) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u.share.Release()
+}
+
+// note records how much of a body has been received.
+func (b *BodyMemory) note(u *unfinishedBody, received int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u.received, u.last = int64(received), time.Now()
+}
+
 // Read reads a whole body. length is the announced length, -1 if unknown; limit bounds it in
 // bytes, zero means no limit. The function that it returns releases the memory and must be
 // called after an error as well.
 func (b *BodyMemory) Read(r io.Reader, length, limit int64) (body []byte, free func(), err error) {
-	share := b.Share()
-	free = share.Release
+	return b.ReadBody(Body{Reader: r, Length: length}, limit)
+}
+
+// ReadBody is Read for a body that may be interrupted to give way to others. The error then wraps
+// ErrBodiesFull.
+func (b *BodyMemory) ReadBody(from Body, limit int64) (body []byte, free func(), err error) {
+	u := b.begin(from.Interrupt)
+	body, err = b.read(u, from, limit)
+	if b.end(u) {
+		body, err = nil, merry.Wrap(ErrBodiesFull, merry.AppendMessage("the body arrived slowly"))
+	}
+	return body, func() { b.release(u) }, err
+}
+
+func (b *BodyMemory) read(u *unfinishedBody, from Body, limit int64) (body []byte, err error) {
+	length := from.Length
 	if limit > 0 && length > limit {
-		return nil, free, merry.Wrap(ErrBodyTooLarge)
+		return nil, merry.Wrap(ErrBodyTooLarge)
 	}
 	size := length
 	if length < 0 {
 		size = initialBodyBuffer
 	}
 	for {
-		if !share.Grow(size) {
+		if !b.grow(u, size) {
 			bodiesRefused.Inc()
-			return nil, free, merry.Wrap(ErrBodiesFull)
+			return nil, merry.Wrap(ErrBodiesFull)
 		}
 		grown := make([]byte, size)
 		n := copy(grown, body)
-		more, ended, err := fill(r, grown[n:])
+		more, ended, err := fill(from, grown[n:], func(filled int) { b.note(u, n+filled) })
 		body = grown[:n+more]
 		switch {
 		case err != nil:
-			return nil, free, err
+			return nil, err
 		case ended && length >= 0 && int64(len(body)) < length:
-			return nil, free, io.ErrUnexpectedEOF
+			return nil, io.ErrUnexpectedEOF
 		case limit > 0 && int64(len(body)) > limit:
-			return nil, free, merry.Wrap(ErrBodyTooLarge)
+			return nil, merry.Wrap(ErrBodyTooLarge)
 		case ended, length >= 0:
-			return body, free, nil
+			return body, nil
 		}
 		size *= 2
 	}
 }
 
-// fill reads until p is full or the body has ended. A body that is cut off gives an error, which may be
+// fill reads until p is full or the body has ended, and calls note with the bytes read so far. A body that is cut off gives an error, which may be
 // io.ErrUnexpectedEOF; it is not the end.
-func fill(r io.Reader, p []byte) (n int, ended bool, err error) {
+func fill(r io.Reader, p []byte, note func(filled int)) (n int, ended bool, err error) {
 	for n < len(p) {
 		more, err := r.Read(p[n:])
 		n += more
+		note(n)
 		if err == io.EOF {
 			return n, true, nil
 		}
