Own path: memory_mb, and heads within one bound of the process

What callers saw: 1,000 connections with heads of 31 KB of short lines took 636 MB, 8,000 of the 10,000 allowed 4,808. Cause: each connection was bounded alone; the own path had no memory setting to bound them by. Change: memory_mb in the daemon file, 2560 by default, which has room for the 10,000 connections of the default; callers, operators and streams are served by package entrypoint; the collector's soft limit is 0.6 of it, answers take a tenth up to the former 64 MB. limitedListener is gone: further connections take the place of heads that do not end, and buckthorndock_connections_refused_total counts both.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,8 @@
 	ShutdownTimeout time.Duration
 	// MaxConnections limits the open connections of callers and operators.
 	MaxConnections int
+	// MemoryMB is the memory that the process may use, in 2^20 bytes.
+	MemoryMB int
 	// TestFaults enables the fault switches used by the scenarios.
 	TestFaults bool
 }
@@ -43,6 +45,7 @@
 const (
 	DefaultLogRetention   = time.Hour
 	DefaultMaxConnections = 10_000
+	DefaultMemoryMB       = 2560 // has room for DefaultMaxConnections
 )
 
 // MinPeerKeyLen is the shortest peer key accepted, in bytes.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -38,7 +38,7 @@
 		"log: 127.0.0.1:7001", "log: 127.0.0.1:0",
 		"127.0.0.1:9003]", "nowhere]",
 		"seconds: 30", "seconds: soon",
-	).Replace(valid) + "colour: blue\ntls:\n  cert: x\ntest_faults: perhaps\nlog_level: loud\nmax_connections: 0\noperator_token_sha256: abc\n"
+	).Replace(valid) + "colour: blue\ntls:\n  cert: x\ntest_faults: perhaps\nlog_level: loud\nmax_connections: 0\noperator_token_sha256: abc\nmemory_mb: plenty\n"
 	_, findings := Parse("daemon.yaml", []byte(text))
 	got := findings.Error()
 	for _, want := range []string{
@@ -55,6 +55,7 @@
 		"daemon.yaml:16: log_level:",
 		`daemon.yaml:17: max_connections: "0" is not a number above 0`,
 		"daemon.yaml:18: operator_token_sha256: not a SHA-256",
+		`daemon.yaml:19: memory_mb: "plenty" is not a number above 0`,
 	} {
 		if !strings.Contains(got, want) {
 			t.Errorf("no finding %q in:\n%s", want, got)
--- a/internal/config/parser.go
+++ b/internal/config/parser.go
@@ -281,6 +281,7 @@
 		OperatorTokenSHA256: p.tokenHash("operator_token_sha256"),
 		ShutdownTimeout:     p.seconds("shutdown_timeout_seconds"),
 		MaxConnections:      p.positiveCount("max_connections", DefaultMaxConnections),
+		MemoryMB:            p.positiveCount("memory_mb", DefaultMemoryMB),
 		TestFaults:          p.boolean("test_faults"),
 	}
 	if d.Listen != "" && d.Listen == d.PeerListen {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -13,9 +13,11 @@
 	"github.com/buckthorndock/buckthorndock/internal/claims"
 	"github.com/buckthorndock/buckthorndock/internal/config"
 	"github.com/buckthorndock/buckthorndock/internal/core/admission"
+	"github.com/buckthorndock/buckthorndock/internal/core/conntable"
 	"github.com/buckthorndock/buckthorndock/internal/core/ledger"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
 	"github.com/buckthorndock/buckthorndock/internal/deaths"
+	"github.com/buckthorndock/buckthorndock/internal/entrypoint"
 	"github.com/buckthorndock/buckthorndock/internal/follow"
 	"github.com/buckthorndock/buckthorndock/internal/front"
 	"github.com/buckthorndock/buckthorndock/internal/gate"
@@ -56,10 +58,19 @@
 
 // Bounds of what is held of answers, in bytes.
 const (
-	answerMemory       = 64 << 20 // of upstreams, all answers in progress together
+	maxAnswerMemory    = 64 << 20 // of upstreams, all answers in progress together
 	maxPlatformMessage = 64 << 20 // one answer of the platform, which may have a snapshot of the settings
 )
 
+// Parts of the process's memory, beside those of package entrypoint.
+const (
+	answerMemoryShare = 0.1 // what is held of answers, up to maxAnswerMemory
+	bodyMemoryShare   = 0.25
+)
+
+// memory returns what the process may use.
+func (p *process) memory() entrypoint.Memory { return entrypoint.MB(float64(p.cfg.MemoryMB)) }
+
 // platformClient returns a client of one of the platform's services.
 func platformClient(purpose string) *http.Client {
 	c := obs.CountedClient(purpose)
@@ -103,12 +114,14 @@
 	suspects *suspects.Tracker
 
 	front  *front.Server
-	server *http.Server
+	bounds *entrypoint.Bounds
+	server *entrypoint.Server
 }
 
 // newProcess builds a daemon. Its peer listener is open, but nothing runs yet.
 func newProcess(workCtx context.Context, cfg *config.Daemon, log *logrus.Entry) (*process, error) {
 	p := &process{cfg: cfg, log: log, workCtx: workCtx, incarnation: uint64(time.Now().UnixMilli()), shutdown: shutdown.New()}
+	p.bounds = entrypoint.NewBounds(p.memory(), log)
 	steps := []func() error{p.buildPlatform, p.buildPeers, p.buildFollower, p.buildPaths, p.buildUpstreams, p.buildOwner, p.buildOrders, p.buildClaims, p.buildJoin, p.buildFront}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -157,6 +170,8 @@
 		Busy:        func() bool { return p.router.Busy() },
 		TestFaults:  p.cfg.TestFaults,
 		Logger:      p.log,
+
+		NewStreamServer: p.streamServer,
 	})
 	if err != nil {
 		return err
@@ -187,7 +202,7 @@
 
 func (p *process) buildUpstreams() error {
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return p.paths.Dial(ctx, address) }
-	p.answers = inbound.NewMemory("answers", answerMemory)
+	p.answers = inbound.NewMemory("answers", min(p.memory().Share(answerMemoryShare), maxAnswerMemory))
 	p.client = upstream.NewClient(upstream.Options{Dial: dial, Memory: p.answers})
 	p.router = router.New(router.Options{
 		Domain:       p.cfg.Domain,
@@ -288,11 +303,30 @@
 	if p.cfg.TestFaults {
 		handler = withFaults(handler, p.node, hold, p.links)
 	}
-	p.server = &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	p.server = p.bounds.NewServer(entrypoint.Options{
+		Name:         "callers",
+		Handler:      handler,
+		MaxConns:     min(p.cfg.MaxConnections, p.memory().MaxConnections()),
+		Limits:       callerLimits,
+		OnTurnedAway: connectionsRefused.Inc,
+	})
 	return nil
 }
+
+// callerLimits returns the limits on what callers and operators send. The settings have none.
+func callerLimits() conntable.Limits {
+	return conntable.Limits{HeadBytes: maxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+// streamServer returns the server of other daemons' streams, whose connections are no longer its own
+// once a tunnel is open.
+func (p *process) streamServer(h http.Handler) peer.StreamServer {
+	return p.bounds.NewServer(entrypoint.Options{
+		Name:     "streams",
+		Handler:  h,
+		MaxConns: maxTunnels,
+		Limits: func() conntable.Limits {
+			return conntable.Limits{HeadBytes: peer.MaxStreamHeadBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		},
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorndock/buckthorndock/internal/config"
+	"github.com/buckthorndock/buckthorndock/internal/entrypoint"
 	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 	"github.com/buckthorndock/buckthorndock/internal/suspects"
 )
@@ -37,24 +38,24 @@
 func Run(ctx context.Context, cfg *config.Daemon, log *logrus.Entry) error {
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
+	debug.SetMemoryLimit(entrypoint.MB(float64(cfg.MemoryMB)).Share(entrypoint.GarbageShare))
 	p, err := newProcess(workCtx, cfg, log)
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := p.server.Listen(cfg.Listen)
 	if err != nil {
 		p.node.Close()
-		return merry.Prepend(err, "listen for callers")
+		return merry.Prepend(err, "callers")
 	}
-	limited := &limitedListener{Listener: listener, max: int64(cfg.MaxConnections)}
 	gauges := metrics.NewSet()
-	gauges.NewGauge("buckthorndock_connections_open", func() float64 { return float64(limited.open.Load()) })
+	gauges.NewGauge("buckthorndock_connections_open", func() float64 { return float64(p.server.Open()) })
 	p.follower.RegisterMetrics(gauges)
 	metrics.RegisterSet(gauges)
 	defer metrics.UnregisterSet(gauges, true)
 	background := p.start()
 	failed := make(chan error, 1)
-	go func() { failed <- p.server.Serve(limited) }()
+	go func() { failed <- p.server.Serve(listener) }()
 	log.WithFields(logrus.Fields{"listen": cfg.Listen, "domain": cfg.Domain}).Info("started")
 	select {
 	case err = <-failed:
