Own path: the bodies of requests in progress share one bound

What callers saw: nothing yet. 60 bodies of 4 MB, each within its own limit, took 375 MB of 128. Cause: each body had a limit, their sum had none. Change: what bodies take, with the copies of decoding, is counted by package inbound, a quarter of memory_mb. A request for whose body none is left gets queue_full, which says that it has not run. Slow bodies end by the rate that there was.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -286,6 +286,7 @@
 		Journal:             router.NewJournal(journalSize),
 		Client:              p.client,
 		AnswerMemory:        p.answers,
+		BodyMemory:          inbound.NewMemory("requests", p.memory().Share(bodyMemoryShare)),
 		Holder:              p.holder,
 		Gate:                p.gate,
 		Claims:              p.claims,
--- a/internal/front/auth.go
+++ b/internal/front/auth.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"errors"
+	"math"
 	"net/http"
 	"strings"
 
@@ -15,6 +16,7 @@
 	"github.com/buckthorndock/buckthorndock/internal/api/callerapi"
 	"github.com/buckthorndock/buckthorndock/internal/core/request"
 	"github.com/buckthorndock/buckthorndock/internal/core/settings"
+	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/shutdown"
 )
 
@@ -22,6 +24,10 @@
 // bytes.
 const maxOperatorBody = 4 << 20
 
+// bodyLimits are those of the memory of a body, whose length http.MaxBytesReader bounds. Its text is decoded
+// into copies.
+var bodyLimits = inbound.BodyLimits{Bytes: math.MaxInt64, Free: 4 << 10, Factor: 3}
+
 // identity is the sender of a request: a customer, an operator, or unknown (both nil).
 type identity struct {
 	customer *settings.CustomerView
@@ -50,7 +56,9 @@
 		if r.ContentLength != 0 { // without a body, a read is only waiting for the caller to leave
 			body, release := newPacedBody(w, http.MaxBytesReader(w, r.Body, limit), s.opts.Shutdown)
 			defer release()
-			r.Body = body
+			counted := inbound.LimitBody(body, s.opts.BodyMemory, bodyLimits)
+			defer counted.Close()
+			r.Body = counted
 		}
 		ctx := context.WithValue(r.Context(), identityKey{}, id)
 		next.ServeHTTP(w, r.WithContext(ctx))
@@ -136,6 +144,8 @@
 		return leavingRefusal()
 	case errors.As(err, &tooLarge):
 		return request.Refuse(request.CodeTooLarge, 0, "the body is larger than %d bytes", tooLarge.Limit)
+	case errors.Is(err, inbound.ErrNoMemory):
+		return request.Refuse(request.CodeQueueFull, retryElsewhere, "the bodies of the requests in progress take all memory allowed")
 	case errors.As(err, &params), errors.As(err, &body):
 		return request.Refuse(request.CodeBadRequest, 0, "%s", err.Error())
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -46,13 +46,15 @@
 	Client      *upstream.Client
 	// AnswerMemory bounds what is held of the answers of upstreams.
 	AnswerMemory *inbound.Memory
-	Holder       *owner.Holder
-	Gate         *gate.Gate
-	Claims       *claims.Service
-	Join         *join.Service
-	Suspects     *suspects.Tracker
-	Deaths       *deaths.Checker
-	Operator     Operator // status and settings
+	// BodyMemory bounds what the bodies of requests in progress take.
+	BodyMemory *inbound.Memory
+	Holder     *owner.Holder
+	Gate       *gate.Gate
+	Claims     *claims.Service
+	Join       *join.Service
+	Suspects   *suspects.Tracker
+	Deaths     *deaths.Checker
+	Operator   Operator // status and settings
 	// Shutdown tells when the daemon ends; nil if it never does.
 	Shutdown *shutdown.Control
 	// OperatorTokenSHA256 is the SHA-256 hash, in hex, of the site's first operator token.
--- a/test/crowd/own_test.go
+++ b/test/crowd/own_test.go
@@ -99,6 +99,21 @@
 	u.judge(t)
 }
 
+// TestOwnPathBodies guards against bodies that take all memory together, each within its own limit.
+func TestOwnPathBodies(t *testing.T) {
+	const bodies, size = 60, 4 << 20
+	s := newOwnSite(t)
+	u := watch(t, s.process, s.listen, s.peers)
+	text := fmt.Sprintf("POST /operator/v1/settings HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n\"%s",
+		operatorToken, size, strings.Repeat("x", size-2))
+	c := gather(t, dialer(s.listen), bodies, func(int) client { return client{start: []byte(text)} })
+	time.Sleep(playTime)
+	askOften(t, s.process, "beside the crowd", s.ask)
+	c.disperse()
+	askOften(t, s.process, "afterwards", s.ask)
+	u.judge(t)
+}
+
 // TestStandin guards against clients that take all memory of a stand-in.
 func TestStandin(t *testing.T) {
 	playAll(t, func(t *testing.T) (*process, []string, listenerUnderTest) {
