Stand-ins: heads and connections within bounds of their process

What callers saw: a stand-in beside 30 clients with heads of 1 MB took 640 MB. Cause: a plain http.Server with a header timeout only, net/http's limit of 1 MB a head.

--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -7,10 +7,12 @@
 	"io"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/buckthorndock/buckthorndock/internal/entrypoint"
 	"github.com/buckthorndock/buckthorndock/internal/standin"
 )
 
@@ -57,9 +59,20 @@
 	return &cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "IP:port to listen on; port 0 takes a free one"}
 }
 
+func memoryFlag() cli.Flag {
+	return &cli.FloatFlag{Name: "memory-mb", Value: standin.DefaultMemoryMB, Usage: "memory that the process may use, which bounds what its clients may take"}
+}
+
+// boundsOf returns the bounds of this process by memoryFlag.
+func boundsOf(c *cli.Command) *entrypoint.Bounds {
+	mb := c.Float("memory-mb")
+	debug.SetMemoryLimit(entrypoint.MB(mb).Share(entrypoint.GarbageShare))
+	return standin.NewBounds(mb)
+}
+
 // serve runs a stand-in until the context ends.
 func serve(ctx context.Context, c *cli.Command, out io.Writer, h http.Handler) error {
-	s, err := standin.Listen(c.String("listen"), h)
+	s, err := standin.Listen(boundsOf(c), c.String("listen"), h)
 	if err != nil {
 		return err
 	}
@@ -78,6 +91,7 @@
 		Usage: "a model engine with continuous batching",
 		Flags: []cli.Flag{
 			listenFlag(),
+			memoryFlag(),
 			witnessFlag(),
 			&cli.StringFlag{Name: "name", Value: "engine", Usage: "name in log lines"},
 			&cli.StringSliceFlag{Name: "model", Usage: "model to load at the start, `NAME[@VERSION]`; repeatable"},
@@ -134,6 +148,7 @@
 		Usage: "a plain service",
 		Flags: []cli.Flag{
 			listenFlag(),
+			memoryFlag(),
 			witnessFlag(),
 			&cli.StringFlag{Name: "name", Value: "service", Usage: "name in answers"},
 			&cli.StringSliceFlag{Name: "operation", Usage: "operation of the service; repeatable"},
@@ -161,6 +176,7 @@
 		Usage: "the append-only log",
 		Flags: []cli.Flag{
 			listenFlag(),
+			memoryFlag(),
 			&cli.DurationFlag{Name: "retention", Value: standin.DefaultRetention, Usage: "age at which records are dropped"},
 			&cli.IntFlag{Name: "retention-records", Value: standin.DefaultRetentionRecords, Usage: "records kept per stream"},
 			&cli.FloatFlag{Name: "append-rate", Value: standin.DefaultAppendRate, Usage: "appends a second; excess appends wait up to a second"},
@@ -182,6 +198,7 @@
 		Usage: "the list of hosts, which lags; POST /standin/hosts replaces it",
 		Flags: []cli.Flag{
 			listenFlag(),
+			memoryFlag(),
 			&cli.DurationFlag{Name: "lag", Usage: "delay before a change appears"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -196,6 +213,7 @@
 		Usage: "the rate-limited weight store",
 		Flags: []cli.Flag{
 			listenFlag(),
+			memoryFlag(),
 			&cli.FloatFlag{Name: "permit-rate", Value: standin.DefaultPermitRate, Usage: "loads that may start a second"},
 			&cli.IntFlag{Name: "burst", Value: 1, Usage: "loads that may start at once after an idle time"},
 		},
--- a/internal/standin/command/site.go
+++ b/internal/standin/command/site.go
@@ -27,6 +27,7 @@
 			"Example: standin site --dir demo --first-port 7100 --model assistant",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "dir", Required: true, Usage: "directory for site.json; created if missing"},
+			memoryFlag(),
 			&cli.IntFlag{Name: "first-port", Usage: "port of the log, the others follow; 0 takes free ports"},
 			&cli.StringSliceFlag{Name: "model", Value: []string{"assistant"}, Usage: "model of the engines; repeatable"},
 			&cli.FloatFlag{Name: "time-scale", Value: 1, Usage: "engine seconds in a real second"},
@@ -39,6 +40,7 @@
 
 func runSite(ctx context.Context, c *cli.Command, out io.Writer) error {
 	s, err := standin.NewSite(standin.SiteOptions{
+		Bounds:    boundsOf(c),
 		FirstPort: c.Int("first-port"),
 		Models:    c.StringSlice("model"),
 		Engine:    standin.EngineOptions{TimeScale: c.Float("time-scale")},
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -9,45 +9,65 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/core/conntable"
+	"github.com/buckthorndock/buckthorndock/internal/entrypoint"
 )
 
 const (
 	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 5 * time.Minute
+	maxHeaderBytes    = 64 << 10
 	shutdownTimeout   = 2 * time.Second
 )
 
+// DefaultMemoryMB is the memory that the process of a stand-in may use, in 2^20 bytes.
+const DefaultMemoryMB = 1024
+
+// NewBounds returns the bounds of all stand-ins of a process that may use memoryMB.
+func NewBounds(memoryMB float64) *entrypoint.Bounds {
+	return entrypoint.NewBounds(entrypoint.MB(memoryMB), logrus.NewEntry(logrus.StandardLogger()))
+}
+
+// limits returns the limits on what a client sends.
+func limits() conntable.Limits {
+	return conntable.Limits{HeadBytes: maxHeaderBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
 // Server is the HTTP server of one stand-in.
 type Server struct {
 	Address string // IP:port
 
 	handler http.Handler
-	srv     *http.Server
+	srv     *entrypoint.Server
 	done    chan struct{}
 }
 
-// Start serves a stand-in on a free port of 127.0.0.1.
+// Start serves a stand-in on a free port of 127.0.0.1, within bounds of its own.
 func Start(h http.Handler) (*Server, error) {
-	return Listen("127.0.0.1:0", h)
+	return Listen(NewBounds(DefaultMemoryMB), "127.0.0.1:0", h)
 }
 
-// Listen serves a stand-in on an IP:port. Port 0 takes a free one.
-func Listen(address string, h http.Handler) (*Server, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, merry.Prependf(err, "listen at %s", address)
-	}
-	conns := &connSet{all: make(map[*conn]struct{})}
+// Listen serves a stand-in on an IP:port, within the bounds of the process. Port 0 takes a free one.
+func Listen(bounds *entrypoint.Bounds, address string, h http.Handler) (*Server, error) {
 	s := &Server{
-		Address: l.Addr().String(),
 		handler: h,
-		srv: &http.Server{
-			Handler:           h,
-			ReadHeaderTimeout: readHeaderTimeout,
-			ConnContext:       contextWithConn,
-		},
+		srv: bounds.NewServer(entrypoint.Options{
+			Name:        "standin",
+			Handler:     h,
+			MaxConns:    bounds.Memory().MaxConnections(),
+			Limits:      limits,
+			ConnContext: contextWithConn,
+		}),
 		done: make(chan struct{}),
 	}
+	l, err := s.srv.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	s.Address = l.Addr().String()
+	conns := &connSet{all: make(map[*conn]struct{})}
 	if b, ok := h.(connAttacher); ok {
 		b.attach(conns, s.kill)
 	}
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/buckthorndock/buckthorndock/internal/api/platformapi"
+	"github.com/buckthorndock/buckthorndock/internal/entrypoint"
 )
 
 // siteHost is the address that a site listens on.
@@ -23,6 +24,8 @@
 	FirstPort int
 	Models    []string // models of each engine
 	Engine    EngineOptions
+	// Bounds are those of all parts; nil: bounds of their own.
+	Bounds *entrypoint.Bounds
 }
 
 // Part is one stand-in of a site.
@@ -46,6 +49,9 @@
 
 // NewSite starts a site.
 func NewSite(o SiteOptions) (*Site, error) {
+	if o.Bounds == nil {
+		o.Bounds = NewBounds(DefaultMemoryMB)
+	}
 	s := &Site{opts: o, hosts: NewHosts(HostsOptions{})}
 	err := s.startAll()
 	if err != nil {
@@ -83,7 +89,7 @@
 	if s.opts.FirstPort > 0 {
 		port = s.opts.FirstPort + len(s.Parts)
 	}
-	server, err := Listen(net.JoinHostPort(siteHost, strconv.Itoa(port)), h)
+	server, err := Listen(s.opts.Bounds, net.JoinHostPort(siteHost, strconv.Itoa(port)), h)
 	if err != nil {
 		return err
 	}
