--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -38,9 +38,22 @@
 const (
 	adminHeaderBytes = 16 << 10
 	adminIdleTimeout = 2 * time.Minute
-	maxAdminConns    = 64 // on each port
 )
 
+// Connections open at once on each of these ports: 1/adminFilesDivisor of the process's files, within bounds.
+const (
+	adminFilesDivisor = 32
+	minAdminConns     = 8
+	maxAdminConns     = 64
+)
+
+func (p *process) maxAdminConns() int {
+	if p.cfg.MaxFiles == 0 { // not limited
+		return maxAdminConns
+	}
+	return min(max(p.cfg.MaxFiles/adminFilesDivisor, minAdminConns), maxAdminConns)
+}
+
 // streamServer returns the server of other daemons' streams, whose connections are no longer its own
 // once a tunnel is open.
 func (p *process) streamServer(h http.Handler) *entrypoint.Server {
@@ -59,7 +72,7 @@
 	return p.bounds.NewServer(entrypoint.Options{
 		Name:     name,
 		Handler:  h,
-		MaxConns: maxAdminConns,
+		MaxConns: p.maxAdminConns(),
 		Limits: func() conntable.Limits {
 			return conntable.Limits{HeadBytes: adminHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: adminIdleTimeout}
 		},
