Conntable: tests that two more mutants fail

Of eleven mutants of the table two survived: one that lets silent connections go for memory that they do not hold, one that takes a body that is being sent for bytes behind a request. Both are found now.

--- a/internal/core/conntable/table_test.go
+++ b/internal/core/conntable/table_test.go
@@ -37,8 +37,8 @@
 	table := New(testCapacity)
 	callers, ready := table.AddGroup(100, fixedLimits(usualLimits)), table.AddGroup(100, fixedLimits(usualLimits))
 	const lines = 2000
-	oldest := add(t, ready, start)
 	silent := add(t, callers, start.Add(-time.Second))
+	oldest := add(t, ready, start)
 	if evicted := oldest.Received(unfinished(lines), start); evicted != nil {
 		t.Fatalf("the first head: %v", evicted)
 	}
@@ -122,6 +122,8 @@
 		return c
 	}
 	pushing, idle, inProgress := serve(), serve(), serve()
+	inProgress.Serve(true, start)
+	inProgress.Received([]byte("the body"), start)
 	pushing.Received([]byte("GET"), start)
 	idle.Finish(start)
 	young := add(t, g, start)
