Entrypoint, crowd tests: a plainer name, one way to stop a process

HeapLimitShare says what the share is of. The two tests of an exit share how they stop the process; their checks, crowds and bounds are as they were.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,7 +38,7 @@
 func Run(ctx context.Context, cfg *config.Daemon, log *logrus.Entry) error {
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
-	debug.SetMemoryLimit(entrypoint.MB(float64(cfg.MemoryMB)).Share(entrypoint.GarbageShare))
+	debug.SetMemoryLimit(entrypoint.MB(float64(cfg.MemoryMB)).Share(entrypoint.HeapLimitShare))
 	p, err := newProcess(workCtx, cfg, log)
 	if err != nil {
 		return err
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -254,7 +254,7 @@
 // or the grace period is over. Each value of reloads, which may be nil, makes it read the daemon
 // file again. Run returns an error if a component cannot be started or an HTTP server fails.
 func Run(ctx context.Context, cfg *Config, provider Provider, reloads <-chan os.Signal, log *logrus.Entry) error {
-	debug.SetMemoryLimit(entrypoint.MB(cfg.MemoryMB).Share(entrypoint.GarbageShare))
+	debug.SetMemoryLimit(entrypoint.MB(cfg.MemoryMB).Share(entrypoint.HeapLimitShare))
 	p, err := newProcess(cfg, provider, log)
 	if err != nil {
 		return err
--- a/internal/entrypoint/memory.go
+++ b/internal/entrypoint/memory.go
@@ -16,9 +16,9 @@
 	unreadShare     = 0.2  // what the kernel holds for the process and the process has not read
 )
 
-// GarbageShare is the part of a process's memory that is the garbage collector's soft limit; the rest is
+// HeapLimitShare is the part of a process's memory that is the garbage collector's soft limit; the rest is
 // for the program, the kernel's buffers and allocations between two collections.
-const GarbageShare = 0.6
+const HeapLimitShare = 0.6
 
 // connectionMemory is what an open connection takes in bytes: its goroutine, its buffers, and a head that
 // is not counted.
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -66,7 +66,7 @@
 // boundsOf returns the bounds of this process by memoryFlag.
 func boundsOf(c *cli.Command) *entrypoint.Bounds {
 	mb := c.Float("memory-mb")
-	debug.SetMemoryLimit(entrypoint.MB(mb).Share(entrypoint.GarbageShare))
+	debug.SetMemoryLimit(entrypoint.MB(mb).Share(entrypoint.HeapLimitShare))
 	return standin.NewBounds(mb)
 }
 
--- a/test/crowd/edge_test.go
+++ b/test/crowd/edge_test.go
@@ -15,7 +15,6 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -267,17 +266,7 @@
 		return client{start: head(), rest: shortLines(chunkBytes)}
 	})
 	time.Sleep(playTime)
-	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	select {
-	case <-s.ended:
-	case <-time.After(waitTimeout):
-		t.Fatalf("the daemon does not stop\n%s", s.logTail())
-	}
-	if s.result != nil {
-		t.Errorf("it ended with %v\n%s", s.result, s.logTail())
-	}
+	s.stop(t)
 	u.judge(t)
 }
 
--- a/test/crowd/own_test.go
+++ b/test/crowd/own_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -85,17 +84,7 @@
 	gather(t, dialer(s.listen), ownCrowd, func(int) client { return client{start: head(shortLines(ownHead))} })
 	gather(t, dialer(s.listen), ownCrowd, func(int) client { return client{start: head(), rest: shortLines(chunkBytes)} })
 	time.Sleep(playTime)
-	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	select {
-	case <-s.ended:
-	case <-time.After(waitTimeout):
-		t.Fatalf("the daemon does not stop\n%s", s.logTail())
-	}
-	if s.result != nil {
-		t.Errorf("it ended with %v\n%s", s.result, s.logTail())
-	}
+	s.stop(t)
 	u.judge(t)
 }
 
--- a/test/crowd/process_test.go
+++ b/test/crowd/process_test.go
@@ -84,6 +84,22 @@
 	}
 }
 
+// stop sends SIGTERM and checks that the process ends by itself, as one that is done.
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-p.ended:
+	case <-time.After(waitTimeout):
+		t.Fatalf("the daemon does not stop\n%s", p.logTail())
+	}
+	if p.result != nil {
+		t.Errorf("it ended with %v\n%s", p.result, p.logTail())
+	}
+}
+
 // logTail returns the last lines that the process wrote.
 func (p *process) logTail() string {
 	const lines = 12
