--- a/internal/core/conntable/doc.go
+++ b/internal/core/conntable/doc.go
@@ -5,6 +5,6 @@
 // happens to the connections and close those that it names.
 //
 // Invariants: the heads counted never exceed the capacity between two calls; a connection is in one
-// list at most; a request in progress is let go only if its client sends on behind it; what a connection may hold beside, up to
-// FreeHeadMemory, is not counted, so that an ordinary head always has room.
+// list of its listener at most; a request in progress is let go only if its client sends on behind it;
+// up to FreeHeadMemory of each head are not counted, so that an ordinary one always has room.
 package conntable
