Answers: a name that is no token makes the head broken

What callers saw: on an answer with `Bad Name: x` in its head came through with that line dropped and the rest passed on, also where it stood in an interim head; `X-A : x` likewise. `Content-Length : 17` and `Transfer-Encoding : chunked` framed nothing, so what came behind the body was passed on as body, whole.

Cause: net/textproto lets blanks in names through, without canonical form, and forwarding drops what it does not know; what frames the body is then looked for under the proper name and not found.

Evidence: on 5 of the 17 forms here reach callers in TestBrokenAnswersDoNotReachCallers (two of them as 504 where the connection is kept); control bytes, other bytes above 0x7f, a missing name or colon, and CR inside a line ended as 502 there already and keep their tests.

Change: core/answerhead takes tokens only, directly before their colon, no control bytes in values, CR only before LF, and no folded line before the first field. LF alone, and folded values, which RFC 9112 leaves to the reader, are accepted as before.

Why it works: the same bytes are judged before net/http sees them; FuzzChecker compares the verdict with a grammar written as a regular expression, and the end of the head, the status and the names with those of net/http.

--- a/internal/core/answerhead/checker.go
+++ b/internal/core/answerhead/checker.go
@@ -1,6 +1,10 @@
 package answerhead
 
-import "strconv"
+import (
+	"strconv"
+
+	"golang.org/x/net/http/httpguts"
+)
 
 // Statuses. An interim response is followed by another head.
 const (
@@ -16,16 +20,18 @@
 const (
 	firstLine part = iota // up to the status
 	reason
-	fields
+	fieldName
+	fieldValue
 	ended
 )
 
 // Checker checks one head. The zero value is at the beginning of a head.
 type Checker struct {
-	part   part
-	line   int // that has begun, from 0
-	column int // bytes of it, without its end
-	size   Size
+	part    part
+	afterCR bool
+	line    int // that has begun, from 0
+	column  int // bytes of it, without its end
+	size    Size
 
 	status int
 }
@@ -63,8 +69,12 @@
 func (c *Checker) step(b byte) error {
 	switch {
 	case b == '\n':
+		c.afterCR = false
 		return c.endLine()
+	case c.afterCR:
+		return c.fault(FaultLineEnd, strconv.QuoteToASCII(string([]byte{'\r', b})))
 	case b == '\r':
+		c.afterCR = true
 		return nil
 	}
 	c.column++
@@ -73,11 +83,18 @@
 
 // addByte checks a byte within a line.
 func (c *Checker) addByte(b byte) error {
-	if c.part == firstLine {
+	switch c.part {
+	case firstLine:
 		return c.addToFirstLine(b)
+	case fieldName:
+		return c.addToName(b)
 	}
-	if c.part == reason && isControl(b) {
-		return c.faultAt(FaultStatusLine, b)
+	if isControl(b) {
+		fault := FaultFieldValue
+		if c.part == reason {
+			fault = FaultStatusLine
+		}
+		return c.faultAt(fault, b)
 	}
 	return nil
 }
@@ -109,6 +126,29 @@
 	return nil
 }
 
+func (c *Checker) addToName(b byte) error {
+	switch {
+	case c.column == 1 && (b == ' ' || b == '\t'):
+		return c.beginFoldedLine(b)
+	case b == ':' && c.column > 1:
+		c.part = fieldValue
+		return nil
+	case !httpguts.IsTokenRune(rune(b)):
+		return c.faultAt(FaultFieldName, b)
+	}
+	return nil
+}
+
+// beginFoldedLine goes on with the value of the line before.
+func (c *Checker) beginFoldedLine(b byte) error {
+	const firstFieldLine = 1
+	if c.line == firstFieldLine {
+		return c.faultAt(FaultFieldName, b)
+	}
+	c.part = fieldValue
+	return nil
+}
+
 func (c *Checker) endLine() error {
 	c.size.Lines++
 	switch {
@@ -118,11 +158,13 @@
 		if err := c.checkStatus(); err != nil {
 			return err
 		}
-	case c.column == 0:
+	case c.part == fieldName && c.column > 0:
+		return c.fault(FaultFieldName, "no colon")
+	case c.part == fieldName:
 		c.part = ended
 		return nil
 	}
-	c.part = fields
+	c.part = fieldName
 	c.line++
 	c.column = 0
 	return nil
--- a/internal/core/answerhead/checker_test.go
+++ b/internal/core/answerhead/checker_test.go
@@ -1,10 +1,16 @@
 package answerhead
 
 import (
+	"bufio"
 	"errors"
+	"io"
 	"maps"
+	"net/http"
+	"regexp"
 	"strings"
 	"testing"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const okLine = "HTTP/1.1 200 OK\r\n"
@@ -70,10 +76,29 @@
 		"\r\nHTTP/1.1 200 OK":                  {Fault: FaultStatusLine, Line: 1},
 		"HTTP/1.1 200 \x00":                    {Fault: FaultStatusLine, Line: 1},
 	}
+	brokenFields = map[string]Error{
+		"HTTP/1.1 200 OK\rX":       {Fault: FaultLineEnd, Line: 1},
+		"HTTP/1.1 200 OK\r\r":      {Fault: FaultLineEnd, Line: 1},
+		okLine + " X-A: b":         {Fault: FaultFieldName, Line: 2},
+		okLine + "Bad Name":        {Fault: FaultFieldName, Line: 2},
+		okLine + "X-A: b\r\nX-B :": {Fault: FaultFieldName, Line: 3},
+		okLine + ":":               {Fault: FaultFieldName, Line: 2},
+		okLine + "X-A\r\n":         {Fault: FaultFieldName, Line: 2},
+		okLine + "X-\x00":          {Fault: FaultFieldName, Line: 2},
+		okLine + "X-\xe9":          {Fault: FaultFieldName, Line: 2},
+		okLine + "X-A: \x0b":       {Fault: FaultFieldValue, Line: 2},
+		okLine + "X-A: b\r\n \x7f": {Fault: FaultFieldValue, Line: 3},
+		okLine + "X-A: b\rc":       {Fault: FaultLineEnd, Line: 2},
+		okLine + "\rX":             {Fault: FaultLineEnd, Line: 2},
+	}
 )
 
 // brokenHeads are all of them.
-func brokenHeads() map[string]Error { return maps.Clone(brokenStatusLines) }
+func brokenHeads() map[string]Error {
+	all := maps.Clone(brokenStatusLines)
+	maps.Copy(all, brokenFields)
+	return all
+}
 
 func TestBrokenHeadsAreRejected(t *testing.T) {
 	for head, want := range brokenHeads() {
@@ -88,3 +113,92 @@
 		}
 	}
 }
+
+// grammar is that of a head by RFC 9112 and 9110, of characters of Latin 1, with folded lines and bare LF, without
+// what frames a body.
+var grammar = regexp.MustCompile(`^HTTP/1\.[0-9] (10[02-9]|1[1-9][0-9]|[2-5][0-9][0-9])( ` + text + `)?` + end +
+	"([!#$%&'*+.^_`|~0-9A-Za-z-]+:" + text + end + `([ \t]` + text + end + `)*)*` + end)
+
+const (
+	text = `[\t -~\x{80}-\x{ff}]*`
+	end  = `\r?\n`
+)
+
+// matchGrammar returns how many bytes match the grammar; -1: none do.
+func matchGrammar(head []byte) int {
+	latin1 := make([]rune, len(head))
+	for i, b := range head {
+		latin1[i] = rune(b)
+	}
+	match := grammar.FindString(string(latin1))
+	if match == "" {
+		return -1
+	}
+	return len([]rune(match))
+}
+
+// FuzzChecker checks that any bytes are judged as by the grammar, in pieces as in one, and that net/http reads what
+// is accepted as the same head: the same length, status, and end.
+func FuzzChecker(f *testing.F) {
+	for _, head := range soundHeads {
+		f.Add([]byte(head+"body"), 3)
+	}
+	for head := range brokenHeads() {
+		f.Add([]byte(head), 11)
+	}
+	f.Fuzz(func(t *testing.T, p []byte, cut int) {
+		var c Checker
+		n, err := c.Add(p)
+		checkInPieces(t, p, cut, n, err)
+		length := matchGrammar(p)
+		switch {
+		case err == nil && !c.Ended():
+			if length >= 0 {
+				t.Fatalf("%q: %d bytes match, but the head has not ended", p, length)
+			}
+		case err == nil:
+			if length != n {
+				t.Fatalf("%q: %d bytes match, %d are the head", p, length, n)
+			}
+			checkAsNetHTTP(t, p, n, c.status)
+		case length >= 0:
+			t.Fatalf("%q matches, but: %v", p, err)
+		}
+	})
+}
+
+// checkInPieces checks that two pieces are judged as the whole.
+func checkInPieces(t *testing.T, p []byte, cut, n int, err error) {
+	if cut < 0 || cut > len(p) {
+		return
+	}
+	var c Checker
+	first, err1 := c.Add(p[:cut])
+	second, err2 := 0, err1
+	if err1 == nil && !c.Ended() {
+		second, err2 = c.Add(p[cut:])
+	}
+	if first+second != n || (err2 == nil) != (err == nil) {
+		t.Fatalf("%q cut at %d: %d bytes, %v; whole: %d, %v", p, cut, first+second, err2, n, err)
+	}
+}
+
+// checkAsNetHTTP checks that net/http reads an accepted head, of n bytes, in the same way.
+func checkAsNetHTTP(t *testing.T, p []byte, n, status int) {
+	br := bufio.NewReader(strings.NewReader(string(p[:n]) + "rest"))
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return // what frames the body is not checked here
+	}
+	if res.StatusCode != status {
+		t.Fatalf("%q: status %d, net/http reads %d", p, status, res.StatusCode)
+	}
+	for name := range res.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			t.Fatalf("%q: name %q", p, name)
+		}
+	}
+	if rest, err := io.ReadAll(br); string(rest) != "rest" {
+		t.Fatalf("%q: net/http has read up to %q, %v", p, rest, err)
+	}
+}
--- a/internal/core/answerhead/doc.go
+++ b/internal/core/answerhead/doc.go
@@ -2,6 +2,9 @@
 // readers of net/http accept some forms that RFC 9112 forbids, and take what follows such a head for a body, or a
 // body for the next head. It is pure: no I/O, goroutines or clocks.
 //
-// A head is broken unless its first line is HTTP/1.0 or HTTP/1.1, one blank, a status of three digits from 100 to 599
-// other than 101, which nobody asks for, and, after one blank, any reason without control bytes.
+// A head is broken unless
+//   - its first line is HTTP/1.0 or HTTP/1.1, one blank, a status of three digits from 100 to 599 other than 101,
+//     which nobody asks for, and, after one blank, any reason without control bytes;
+//   - each name of a field is a token that its colon follows directly, and no value has control bytes;
+//   - each line ends with CRLF or LF, and CR is nowhere else.
 package answerhead
--- a/internal/core/answerhead/errors.go
+++ b/internal/core/answerhead/errors.go
@@ -12,6 +12,9 @@
 const (
 	FaultStatusLine Fault = "status_line"
 	FaultStatus     Fault = "status"
+	FaultFieldName  Fault = "field_name"
+	FaultFieldValue Fault = "field_value"
+	FaultLineEnd    Fault = "line_end"
 	FaultChunk      Fault = "chunk" // of a body
 	FaultOther      Fault = "other" // found by net/http only
 )
--- a/internal/httpwire/broken_test.go
+++ b/internal/httpwire/broken_test.go
@@ -100,5 +100,10 @@
 		if res.StatusCode < 200 || res.StatusCode > 599 {
 			t.Errorf("%q: status %d", p, res.StatusCode)
 		}
+		for name := range res.Header {
+			if strings.ContainsAny(name, " \t\r\n\x00:()<>@,;\\\"/[]?={}") {
+				t.Errorf("%q: name %q", p, name)
+			}
+		}
 	})
 }
--- a/internal/httpwire/rejected.go
+++ b/internal/httpwire/rejected.go
@@ -22,7 +22,9 @@
 // rejectionReasons are all reasons.
 var rejectionReasons = []string{
 	whyTooLong, whyNoMemory,
-	string(answerhead.FaultStatusLine), string(answerhead.FaultStatus), string(answerhead.FaultChunk), string(answerhead.FaultOther),
+	string(answerhead.FaultStatusLine), string(answerhead.FaultStatus), string(answerhead.FaultFieldName),
+	string(answerhead.FaultFieldValue), string(answerhead.FaultLineEnd),
+	string(answerhead.FaultChunk), string(answerhead.FaultOther),
 }
 
 func init() {
--- a/internal/inbound/inboundtest/broken.go
+++ b/internal/inbound/inboundtest/broken.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"testing"
 )
@@ -11,7 +12,9 @@
 // them for interim, or for shorter than they are, would look for the next one.
 func BrokenAnswers(fields, body string) map[string]string {
 	a := answer{fields: fields, body: body}
-	return a.brokenStatusLines()
+	all := a.brokenStatusLines()
+	maps.Copy(all, a.brokenFields())
+	return all
 }
 
 const okLine = "HTTP/1.1 200 OK"
@@ -36,6 +39,14 @@
 	return fmt.Sprintf("%s\r\nContent-Length: %d\r\n\r\n%s", firstLine, len(a.sound()), a.sound())
 }
 
+// chunks returns the body in chunks, without the empty line at its end.
+func (a answer) chunks() string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(a.body), a.body) }
+
+// inChunks returns an answer with some header lines and a body that is encoded already.
+func (a answer) inChunks(firstLine, fields, chunks string) string {
+	return fmt.Sprintf("%s\r\n%s%s\r\n%s", firstLine, a.fields, fields, chunks)
+}
+
 // brokenStatusLines have a first line that is broken.
 func (a answer) brokenStatusLines() map[string]string {
 	return map[string]string{
@@ -56,6 +67,29 @@
 	}
 }
 
+// brokenFields have a header line that is broken.
+func (a answer) brokenFields() map[string]string {
+	return map[string]string{
+		"blank in a name":                a.framed(okLine, "Bad Name: x\r\n"),
+		"blank before the colon":         a.framed(okLine, "X-A : x\r\n"),
+		"tab in a name":                  a.framed(okLine, "Bad\tName: x\r\n"),
+		"control byte in a name":         a.framed(okLine, "Bad\x01Name: x\r\n"),
+		"NUL in a name":                  a.framed(okLine, "Bad\x00Name: x\r\n"),
+		"DEL in a name":                  a.framed(okLine, "Bad\x7fName: x\r\n"),
+		"high byte in a name":            a.framed(okLine, "Bad\xffName: x\r\n"),
+		"separator in a name":            a.framed(okLine, "Bad(Name): x\r\n"),
+		"no name":                        a.framed(okLine, ": x\r\n"),
+		"no colon":                       a.framed(okLine, "Bad\r\n"),
+		"control byte in a value":        a.framed(okLine, "X-A: a\x01b\r\n"),
+		"CR in a value":                  a.framed(okLine, "X-A: a\rX-B: b\r\n"),
+		"blank in an interim head":       "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\n" + a.sound(),
+		"a folded line at first":         fmt.Sprintf("%s\r\n X-A: b\r\n%sContent-Length: %d\r\n\r\n%s", okLine, a.fields, len(a.body), a.body),
+		"blank in the length":            a.unframed(okLine, fmt.Sprintf("Content-Length : %d\r\n", len(a.body))),
+		"blank in the encoding":          a.inChunks(okLine, "Transfer-Encoding : chunked\r\n", a.chunks()+"\r\n"),
+		"control byte beside the length": a.unframed(okLine, fmt.Sprintf("Content-Length\x0b: %d\r\n", len(a.body))),
+	}
+}
+
 // ServeText answers each client's request with a text, and ends when the client closes. It returns the server's
 // IP:port.
 func ServeText(t *testing.T, text string) (address string) {
