Answers: what frames a body twice, or not as it says, is broken

An interim response with a length or chunks had its body read as the next head, so an answer inside it came through.

Cause: net/http.ReadResponse follows one of two framings and says nothing of the other, does not look at what an interim response announces, and takes chunks for no framing in HTTP/1.0.

Change: core/answerhead collects the lines of Content-Length and Transfer-Encoding and judges them at the end of the head; httpwire checks the names of trailers at the end of the body, and counts chunks that net/http rejects. A length that is told twice alike is accepted, as RFC 9110 allows.

Why it works: a head that ends without an error has one framing, which net/http reads alike: FuzzChecker compares where both end the head, and FuzzAnswer looks for two framings.

Measured: all forms end as 502 or by the sound answer to the next attempt; a stream goes on behind an event that came whole.

--- a/internal/core/answerhead/checker.go
+++ b/internal/core/answerhead/checker.go
@@ -11,6 +11,7 @@
 	minStatus          = 100
 	switchingProtocols = 101
 	firstFinalStatus   = 200
+	noContent          = 204
 	maxStatus          = 599
 )
 
@@ -33,7 +34,11 @@
 	column  int // bytes of it, without its end
 	size    Size
 
-	status int
+	status  int
+	minor   byte // of the version, as a digit
+	name    []byte
+	current *framingField // whose value is read; nil if the field frames nothing
+	framing framing
 }
 
 // Size is the size of a head as far as it has come.
@@ -96,6 +101,9 @@
 		}
 		return c.faultAt(fault, b)
 	}
+	if c.part == fieldValue && c.current != nil {
+		return c.addToFraming(b)
+	}
 	return nil
 }
 
@@ -104,6 +112,7 @@
 // firstLineForm is the form of a first line up to its status; d is any digit.
 const (
 	firstLineForm = "HTTP/1.d ddd"
+	minorColumn   = len("HTTP/1.d")
 	statusColumn  = len("HTTP/1.d d")
 )
 
@@ -120,7 +129,10 @@
 	if want == 'd' && !isDigit || want != 'd' && b != want {
 		return c.faultAt(FaultStatusLine, b)
 	}
-	if c.column >= statusColumn {
+	switch {
+	case c.column == minorColumn:
+		c.minor = b
+	case c.column >= statusColumn:
 		c.status = 10*c.status + int(b-'0')
 	}
 	return nil
@@ -132,23 +144,44 @@
 		return c.beginFoldedLine(b)
 	case b == ':' && c.column > 1:
 		c.part = fieldValue
+		c.current = c.framing.field(c.name)
 		return nil
 	case !httpguts.IsTokenRune(rune(b)):
 		return c.faultAt(FaultFieldName, b)
 	}
+	if len(c.name) <= maxFramingName {
+		c.name = append(c.name, lower(b))
+	}
 	return nil
 }
 
+func lower(b byte) byte {
+	if b >= 'A' && b <= 'Z' {
+		b += 'a' - 'A'
+	}
+	return b
+}
+
 // beginFoldedLine goes on with the value of the line before.
 func (c *Checker) beginFoldedLine(b byte) error {
 	const firstFieldLine = 1
-	if c.line == firstFieldLine {
+	switch {
+	case c.line == firstFieldLine:
 		return c.faultAt(FaultFieldName, b)
+	case c.current != nil:
+		return c.fault(FaultFraming, "a folded line")
 	}
 	c.part = fieldValue
 	return nil
 }
 
+func (c *Checker) addToFraming(b byte) error {
+	if !c.current.add(b) {
+		return c.fault(FaultFraming, "a long value")
+	}
+	return nil
+}
+
 func (c *Checker) endLine() error {
 	c.size.Lines++
 	switch {
@@ -161,12 +194,12 @@
 	case c.part == fieldName && c.column > 0:
 		return c.fault(FaultFieldName, "no colon")
 	case c.part == fieldName:
-		c.part = ended
-		return nil
+		return c.end()
 	}
 	c.part = fieldName
 	c.line++
 	c.column = 0
+	c.name = c.name[:0]
 	return nil
 }
 
@@ -177,6 +210,18 @@
 	return nil
 }
 
+// end ends the head.
+func (c *Checker) end() error {
+	if fault := c.framing.check(c.status, c.minor); fault != "" {
+		c.line = lineUnknown
+		return c.fault(FaultFraming, fault)
+	}
+	c.part = ended
+	return nil
+}
+
+const lineUnknown = -1 // a fault of the head as a whole
+
 func (c *Checker) fault(f Fault, detail string) error {
 	return &Error{Fault: f, Line: c.line + 1, Detail: detail}
 }
--- a/internal/core/answerhead/errors.go
+++ b/internal/core/answerhead/errors.go
@@ -15,8 +15,10 @@
 	FaultFieldName  Fault = "field_name"
 	FaultFieldValue Fault = "field_value"
 	FaultLineEnd    Fault = "line_end"
-	FaultChunk      Fault = "chunk" // of a body
-	FaultOther      Fault = "other" // found by net/http only
+	FaultFraming    Fault = "framing"
+	FaultChunk      Fault = "chunk"   // of a body
+	FaultTrailer    Fault = "trailer" // the name of a field behind the last chunk
+	FaultOther      Fault = "other"   // found by net/http only
 )
 
 // Error tells that an answer is broken.
--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -58,6 +58,9 @@
 	case !a.requestWritten && !a.SelfDelimited():
 		return n, errMaybeReset
 	}
+	if err := answerhead.CheckTrailer(a.Trailer); err != nil {
+		return n, a.reject(err)
+	}
 	a.bodyEnded = true
 	return n, err
 }
--- a/internal/httpwire/broken_test.go
+++ b/internal/httpwire/broken_test.go
@@ -105,5 +105,8 @@
 				t.Errorf("%q: name %q", p, name)
 			}
 		}
+		if res.Header.Get("Content-Length") != "" && len(res.TransferEncoding) > 0 {
+			t.Errorf("%q: two framings", p)
+		}
 	})
 }
--- a/internal/httpwire/rejected.go
+++ b/internal/httpwire/rejected.go
@@ -23,8 +23,8 @@
 var rejectionReasons = []string{
 	whyTooLong, whyNoMemory,
 	string(answerhead.FaultStatusLine), string(answerhead.FaultStatus), string(answerhead.FaultFieldName),
-	string(answerhead.FaultFieldValue), string(answerhead.FaultLineEnd),
-	string(answerhead.FaultChunk), string(answerhead.FaultOther),
+	string(answerhead.FaultFieldValue), string(answerhead.FaultLineEnd), string(answerhead.FaultFraming),
+	string(answerhead.FaultChunk), string(answerhead.FaultTrailer), string(answerhead.FaultOther),
 }
 
 func init() {
--- a/internal/inbound/inboundtest/broken.go
+++ b/internal/inbound/inboundtest/broken.go
@@ -14,6 +14,7 @@
 	a := answer{fields: fields, body: body}
 	all := a.brokenStatusLines()
 	maps.Copy(all, a.brokenFields())
+	maps.Copy(all, a.brokenFramings())
 	return all
 }
 
@@ -42,6 +43,8 @@
 // chunks returns the body in chunks, without the empty line at its end.
 func (a answer) chunks() string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(a.body), a.body) }
 
+const chunkedLine = "Transfer-Encoding: chunked\r\n"
+
 // inChunks returns an answer with some header lines and a body that is encoded already.
 func (a answer) inChunks(firstLine, fields, chunks string) string {
 	return fmt.Sprintf("%s\r\n%s%s\r\n%s", firstLine, a.fields, fields, chunks)
@@ -90,6 +93,31 @@
 	}
 }
 
+// brokenFramings do not tell where their bodies end.
+func (a answer) brokenFramings() map[string]string {
+	return map[string]string{
+		"interim round another":   a.around("HTTP/1.1 102 Processing"),
+		"interim in chunks":       "HTTP/1.1 103 Early Hints\r\n" + chunkedLine + "\r\n" + a.sound(),
+		"length and chunks":       a.inChunks(okLine, fmt.Sprintf("Content-Length: %d\r\n", len(a.chunks())+2)+chunkedLine, a.chunks()+"\r\n"),
+		"chunks in HTTP/1.0":      a.inChunks("HTTP/1.0 200 OK", chunkedLine, a.chunks()+"\r\n"),
+		"another encoding":        a.inChunks(okLine, "Transfer-Encoding: gzip, chunked\r\n", a.chunks()+"\r\n"),
+		"two encodings":           a.inChunks(okLine, chunkedLine+chunkedLine, a.chunks()+"\r\n"),
+		"two lengths":             a.unframed(okLine, fmt.Sprintf("Content-Length: %d\r\nContent-Length: %d\r\n", len(a.body), len(a.body)+1)),
+		"a list of lengths":       a.unframed(okLine, fmt.Sprintf("Content-Length: %d, %d\r\n", len(a.body), len(a.body))),
+		"signed length":           a.unframed(okLine, fmt.Sprintf("Content-Length: +%d\r\n", len(a.body))),
+		"hexadecimal length":      a.unframed(okLine, "Content-Length: 0x2\r\n"),
+		"no length":               a.unframed(okLine, "Content-Length:\r\n"),
+		"huge length":             a.unframed(okLine, "Content-Length: 99999999999999999999\r\n"),
+		"folded length":           a.unframed(okLine, fmt.Sprintf("Content-Length:\r\n %d\r\n", len(a.body))),
+		"status 204 with a body":  a.framed("HTTP/1.1 204 No Content", ""),
+		"status 204 in chunks":    a.inChunks("HTTP/1.1 204 No Content", chunkedLine, a.chunks()+"\r\n"),
+		"odd length of a chunk":   a.inChunks(okLine, chunkedLine, "+"+a.chunks()+"\r\n"),
+		"chunk without its end":   a.inChunks(okLine, chunkedLine, fmt.Sprintf("%x\r\n%s0\r\n\r\n", len(a.body), a.body)),
+		"blank in a trailer":      a.inChunks(okLine, chunkedLine, a.chunks()+"Bad Name: x\r\n\r\n"),
+		"control byte in trailer": a.inChunks(okLine, chunkedLine, a.chunks()+"Bad\x01Name: x\r\n\r\n"),
+	}
+}
+
 // ServeText answers each client's request with a text, and ends when the client closes. It returns the server's
 // IP:port.
 func ServeText(t *testing.T, text string) (address string) {
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -34,6 +34,9 @@
 		}, fields: jsonField, body: `{"known":true}`},
 	} {
 		for form, text := range inboundtest.BrokenAnswers(x.fields, x.body) {
+			if name == "stream" && isBehindTheBody(form) {
+				continue // its last line tells that it is whole, and nothing behind that is read
+			}
 			if x.status != "" {
 				text = strings.ReplaceAll(text, "200 OK", x.status+" X")
 			}
@@ -45,3 +48,8 @@
 		}
 	}
 }
+
+// isBehindTheBody reports whether the fault of a broken answer comes behind its body.
+func isBehindTheBody(form string) bool {
+	return strings.Contains(form, "trailer") || form == "chunk without its end"
+}
