Answers: tunnels, polls, the platform's services and the store read heads as strictly

What was seen: on the same broken heads counted as records of the store (12 of the 50 forms; a record counted as written by two), as reports to polls, and as open tunnels (15 forms by their heads or ignored bodies).

Cause: three more readers of answers: http.Transport under the store's client, under the clients of the platform's services, orders and polls, and http.ReadResponse in the tunnel's client. http.Transport gives no access to the bytes.

Change: all use httpwire, whose Transport can keep connections now (Reuse). Their idle connections are checked before use: a socket by a peek, as before, one through another daemon by a read of 1 ms (CheckByRead), so that polls through a tunnel need no new tunnel each. Idle connections to addresses that are not asked any more are swept. httpwire never sends a request a second time, as http.Transport did for GET when a kept connection broke; their callers repeat.

Ruled out: to check what http.Transport has parsed; two framings, versions and line ends do not show there.

Why it works: there is no other reader of others' answers in the daemons; the command line's clients, which ask our own daemons, are as they were.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -72,8 +72,8 @@
 func (p *process) memory() entrypoint.Memory { return entrypoint.MB(float64(p.cfg.MemoryMB)) }
 
 // platformClient returns a client of one of the platform's services.
-func platformClient(purpose string) *http.Client {
-	c := obs.CountedClient(purpose)
+func (p *process) platformClient(purpose string) *http.Client {
+	c := obs.CountedClient(purpose, p.log)
 	c.Transport = &inbound.Transport{RoundTripper: c.Transport, Limits: inbound.BodyLimits{Bytes: maxPlatformMessage}}
 	return c
 }
@@ -141,15 +141,15 @@
 func formatIncarnation(incarnation uint64) string { return strconv.FormatUint(incarnation, 10) }
 
 func (p *process) buildPlatform() error {
-	logService, err := platform.NewHTTP(p.cfg.Platform.Log, platformClient(obs.PurposeLog))
+	logService, err := platform.NewHTTP(p.cfg.Platform.Log, p.platformClient(obs.PurposeLog))
 	if err != nil {
 		return err
 	}
-	hosts, err := platform.NewHTTP(p.cfg.Platform.Hosts, platformClient(obs.PurposeHosts))
+	hosts, err := platform.NewHTTP(p.cfg.Platform.Hosts, p.platformClient(obs.PurposeHosts))
 	if err != nil {
 		return err
 	}
-	weights, err := platform.NewHTTP(p.cfg.Platform.Weights, platformClient(obs.PurposeWeights))
+	weights, err := platform.NewHTTP(p.cfg.Platform.Weights, p.platformClient(obs.PurposeWeights))
 	if err != nil {
 		return err
 	}
@@ -210,7 +210,7 @@
 		Seed:         p.incarnation,
 	})
 	p.watcher = upstream.NewWatcher(p.client, p.router, upstream.WatchOptions{Interval: watchInterval, Timeout: watchTimeout})
-	p.engines = owner.NewHTTPEngines(upstream.NewOrderClient(dial, p.answers), time.Now)
+	p.engines = owner.NewHTTPEngines(upstream.NewOrderClient(dial, p.answers, p.log), time.Now)
 	return nil
 }
 
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -17,6 +19,8 @@
 	bw      *bufio.Writer
 	address string
 	expires time.Time // while idle: not used from then on
+
+	checkByRead bool // see Options
 }
 
 // Buffer sizes of a connection, in bytes.
@@ -65,6 +69,8 @@
 		reader:  NewHeadReader(c, p.opts.Memory),
 		bw:      bufio.NewWriterSize(c, writeBuffer),
 		address: address,
+
+		checkByRead: p.opts.CheckByRead,
 	}, nil
 }
 
@@ -81,29 +87,38 @@
 	return sockErr
 }
 
-// canBeChecked reports whether isUsable can tell the state of the connection while it is idle.
-// It cannot for one that goes through another daemon.
-func (c *conn) canBeChecked() bool {
-	_, ok := c.Conn.(syscall.Conn)
-	return ok
+// socket returns the connection's socket, nil if it goes through another daemon.
+func (c *conn) socket() syscall.RawConn {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
 }
 
+// canBeChecked reports whether isUsable can tell the state of the connection while it is idle.
+func (c *conn) canBeChecked() bool { return c.checkByRead || c.socket() != nil }
+
 // isUsable reports whether an idle connection is open and has no unread bytes. Such
 // bytes cannot be the answer to a request that is not sent yet.
 func (c *conn) isUsable() bool {
 	if len(c.reader.Buffered()) > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return false
+	if raw := c.socket(); raw != nil {
+		return hasNoData(raw)
 	}
+	return c.checkByRead && c.isSilent()
+}
+
+// hasNoData reports whether an open socket has no unread bytes.
+func hasNoData(raw syscall.RawConn) bool {
 	noData := false
-	err = rc.Read(func(fd uintptr) bool {
+	err := raw.Read(func(fd uintptr) bool {
 		var one [1]byte
 		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		noData = err == unix.EAGAIN || err == unix.EWOULDBLOCK
@@ -111,3 +126,18 @@
 	})
 	return err == nil && noData
 }
+
+// silentReadTime is how long a read waits that is to find nothing.
+const silentReadTime = time.Millisecond
+
+// isSilent reports whether a read finds neither bytes nor the end of the connection. What it reads is lost.
+func (c *conn) isSilent() bool {
+	if err := c.SetReadDeadline(time.Now().Add(silentReadTime)); err != nil {
+		return false
+	}
+	n, err := c.Conn.Read(make([]byte, 1))
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	return c.SetReadDeadline(time.Time{}) == nil
+}
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -23,8 +23,11 @@
 	// IdleMargin is subtracted from the time for which an upstream says it keeps an
 	// idle connection.
 	IdleMargin time.Duration
-	Memory     *inbound.Memory // for what is held of answers; not bounded in all if nil
-	Log        *logrus.Entry   // for lines about broken answers, a few a second at most; none if nil
+	// CheckByRead keeps idle connections through other daemons, too, whose state only a short read tells. A request
+	// that finds one waits for that.
+	CheckByRead bool
+	Memory      *inbound.Memory // for what is held of answers; not bounded in all if nil
+	Log         *logrus.Entry   // for lines about broken answers, a few a second at most; none if nil
 }
 
 // Pool opens connections and keeps idle ones for reuse. It is safe for concurrent
@@ -36,6 +39,7 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address, the most recently used last
 	dialed uint64
+	swept  time.Time // when all idle connections were last checked
 }
 
 // NewPool returns a pool without connections.
@@ -125,9 +129,13 @@
 // putIdle keeps a connection after its answer for the timeout, or closes it if MaxIdle
 // are kept already.
 func (p *Pool) putIdle(c *conn, timeout time.Duration) {
-	c.expires = time.Now().Add(timeout)
+	now := time.Now()
+	c.expires = now.Add(timeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if now.Sub(p.swept) >= p.opts.IdleTimeout {
+		p.sweep(now, func(string) bool { return true })
+	}
 	kept := p.idle[c.address]
 	if len(kept) >= p.opts.MaxIdle {
 		c.Close()
@@ -143,11 +151,22 @@
 	}
 }
 
+// CloseAllIdle closes the idle connections to all addresses.
+func (p *Pool) CloseAllIdle() {
+	p.Sweep(time.Now(), func(string) bool { return false })
+}
+
 // Sweep closes the idle connections that have expired at now, that the upstream has closed or sent
 // bytes on, and those to addresses for which keep reports false.
 func (p *Pool) Sweep(now time.Time, keep func(address string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sweep(now, keep)
+}
+
+// sweep is Sweep for a caller that holds p.mu.
+func (p *Pool) sweep(now time.Time, keep func(address string) bool) {
+	p.swept = now
 	for address, kept := range p.idle {
 		alive := kept[:0]
 		for _, c := range kept {
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -7,16 +7,22 @@
 )
 
 // Transport is an http.RoundTripper that sends each request on a connection of its own, which it
-// closes after the answer. It follows no redirect and decompresses nothing.
-type Transport struct{ Pool *Pool }
+// closes after the answer, unless Reuse is set. It follows no redirect and decompresses nothing.
+type Transport struct {
+	Pool  *Pool
+	Reuse bool // idle connections of the pool are used
+}
+
+// CloseIdleConnections closes the idle connections of the pool.
+func (t Transport) CloseIdleConnections() { t.Pool.CloseAllIdle() }
 
 // RoundTrip implements http.RoundTripper. Its errors, and those of reading the body, wrap the error of
 // the request's context once that has ended.
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	ctx := req.Context()
 	sent := req.Clone(ctx)
-	sent.Close = true
-	a, err := t.Pool.Do(ctx, req.URL.Host, sent, true)
+	sent.Close = !t.Reuse
+	a, err := t.Pool.Do(ctx, req.URL.Host, sent, !t.Reuse)
 	if err != nil {
 		closeBody(req)
 		return nil, errorOf(ctx, err)
--- a/internal/obs/bytes.go
+++ b/internal/obs/bytes.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorndock/buckthorndock/internal/httpwire"
 )
 
 // Purposes under which the bytes of connections are counted.
@@ -21,24 +26,37 @@
 // DefaultDialTimeout limits the time to open a counted connection.
 const DefaultDialTimeout = 2 * time.Second
 
-// MaxHeadBytes bounds the head of an answer on connections that are kept, in bytes.
-const MaxHeadBytes = 16 << 10
+// Times of connections that are kept.
+const (
+	IdleTimeout = time.Minute
+	idleMargin  = time.Second // before the end that the other side tells
+	maxDialTime = time.Hour   // the dial function's own bound is shorter
+)
 
 // CountedClient returns an HTTP client without an overall timeout that counts the
-// bytes sent and received on its connections under a purpose.
-func CountedClient(purpose string) *http.Client {
-	return CountedClientOver(purpose, new(net.Dialer).DialContext)
+// bytes sent and received on its connections under a purpose. log gets lines about broken answers.
+func CountedClient(purpose string, log *logrus.Entry) *http.Client {
+	return CountedClientOver(purpose, new(net.Dialer).DialContext, log)
 }
 
 // CountedClientOver is like CountedClient over connections that dial opens.
-func CountedClientOver(purpose string, dial DialFunc) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:            CountBytes(purpose, WithDialTimeout(dial, DefaultDialTimeout)),
-		MaxIdleConnsPerHost:    2,
-		IdleConnTimeout:        time.Minute,
-		DisableCompression:     true, // a few bytes must not become many
-		MaxResponseHeaderBytes: MaxHeadBytes,
-	}}
+func CountedClientOver(purpose string, dial DialFunc, log *logrus.Entry) *http.Client {
+	const maxIdle = 2
+	return &http.Client{Transport: NewKeptTransport(CountBytes(purpose, WithDialTimeout(dial, DefaultDialTimeout)), maxIdle, log)}
+}
+
+// NewKeptTransport returns a transport that keeps up to maxIdle idle connections to an address, each for up to
+// IdleTimeout. dial has to bound the time that it takes. log gets lines about broken answers; it may be nil.
+func NewKeptTransport(dial DialFunc, maxIdle int, log *logrus.Entry) httpwire.Transport {
+	return httpwire.Transport{Reuse: true, Pool: httpwire.NewPool(httpwire.Options{
+		Dial:        func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
+		DialTimeout: maxDialTime,
+		MaxIdle:     maxIdle,
+		IdleTimeout: IdleTimeout,
+		IdleMargin:  idleMargin,
+		CheckByRead: true,
+		Log:         log,
+	})}
 }
 
 // DialFunc opens a connection.
@@ -86,3 +104,12 @@
 	c.sent.Add(n)
 	return n, err
 }
+
+// SyscallConn implements syscall.Conn. It fails if the connection is no socket of this process.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return s.SyscallConn()
+}
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -1,16 +1,17 @@
 package tunnel
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"net/url"
 	"syscall"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/buckthorndock/buckthorndock/internal/httpwire"
 )
 
 // ErrUnwilling is wrapped by the errors of tunnels that the other daemon does not open: it
@@ -53,24 +54,19 @@
 	return opened, nil
 }
 
-// maxAnswerBytes bounds the answer to CONNECT, which has no body.
-const maxAnswerBytes = 16 << 10
-
 func connect(conn net.Conn, upstream string) (net.Conn, error) {
 	req := &http.Request{Method: http.MethodConnect, URL: &url.URL{Opaque: upstream}, Host: upstream, Header: http.Header{"User-Agent": {""}}}
 	if err := req.Write(conn); err != nil {
 		return nil, merry.Wrap(err, merry.WithCause(ErrUnwilling))
 	}
-	limited := &io.LimitedReader{R: conn, N: maxAnswerBytes}
-	reader := bufio.NewReader(limited)
-	res, err := http.ReadResponse(reader, req)
+	reader := httpwire.NewHeadReader(conn, nil)
+	res, err := reader.ReadHead(req)
 	if err != nil {
 		return nil, merry.Wrap(err, merry.WithCause(ErrUnwilling))
 	}
-	limited.N = math.MaxInt64
 	switch res.StatusCode {
 	case http.StatusOK:
-		return &bufferedConn{Conn: conn, reader: reader}, nil
+		return &bufferedConn{Conn: conn, reader: io.MultiReader(bytes.NewReader(reader.Buffered()), conn)}, nil
 	case statusRefused:
 		return nil, syscall.ECONNREFUSED
 	case statusSilent:
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestBrokenAnswersOfUpstreamsAreErrors guards against a broken answer that counts as the answer to a call, as a
-// stream or, worst, as a refusal or as proof that nothing ran.
+// stream, as a load report or, worst, as a refusal or as proof that nothing ran.
 func TestBrokenAnswersOfUpstreamsAreErrors(t *testing.T) {
 	t.Parallel()
 	call := func(c *Client, address string) error {
@@ -28,6 +28,10 @@
 		"refusal":        {send: call, fields: jsonField + "Retry-After: 60\r\n", body: refusalBody, status: "503"},
 		"stream":         {send: readStream, fields: streamField, body: streamAnswer},
 		"stream refused": {send: readStream, fields: jsonField, body: refusalBody, status: "503"},
+		"poll": {send: func(c *Client, address string) error {
+			_, err := c.Load(context.Background(), address)
+			return err
+		}, fields: jsonField, body: `{"incarnation":"e1"}`},
 		"cancel": {send: func(c *Client, address string) error {
 			_, err := c.Cancel(context.Background(), address, "r1", 1)
 			return err
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -44,7 +44,7 @@
 	dial     obs.DialFunc
 	dispatch *http.Client
 	poll     *http.Client
-	pollPool *http.Transport
+	pollPool httpwire.Transport
 
 	mu              sync.Mutex
 	dispatchClients map[string]*engineapi.Client // by address, over dispatch
@@ -69,13 +69,8 @@
 		Memory:      opts.Memory,
 		Log:         opts.Log,
 	})}
-	shared := &http.Transport{
-		DialContext:            obs.CountBytes(obs.PurposeEngines, dial),
-		MaxIdleConnsPerHost:    1,
-		IdleConnTimeout:        time.Minute,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: obs.MaxHeadBytes,
-	}
+	const idlePolls = 1 // connections to an upstream
+	shared := obs.NewKeptTransport(obs.CountBytes(obs.PurposeEngines, dial), idlePolls, opts.Log)
 	return &Client{
 		opts: opts,
 		dial: dial,
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -7,6 +7,8 @@
 	"mime"
 	"net/http"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/buckthorndock/buckthorndock/internal/inbound"
 	"github.com/buckthorndock/buckthorndock/internal/obs"
 )
@@ -53,9 +55,10 @@
 }
 
 // NewOrderClient returns an HTTP client without an overall timeout for calls of engines whose answers
-// are read whole. It counts its bytes, and bounds what it holds of all answers in m.
-func NewOrderClient(dial obs.DialFunc, m *inbound.Memory) *http.Client {
-	c := obs.CountedClientOver(obs.PurposeEngines, dial)
+// are read whole. It counts its bytes, and bounds what it holds of all answers in m. log gets lines about broken
+// answers.
+func NewOrderClient(dial obs.DialFunc, m *inbound.Memory, log *logrus.Entry) *http.Client {
+	c := obs.CountedClientOver(obs.PurposeEngines, dial, log)
 	c.Transport = &inbound.Transport{RoundTripper: c.Transport, Memory: m, Limits: ReplyLimits}
 	return c
 }
