Relay: an answer in doubt gets no length

Cause: passAnswer gave an answer that it held whole its length before it asked whether the doubt about its end had been cleared; with the length the caller has all of it, whatever happens to the connection then. A server's own failure (5xx) that ended so was not doubted at all.

Evidence: TestAnswerInDoubtHasNoLength on the former code: 200 and 404 at the deadline with length 6 and all six bytes, beside the refusal outcome_lost; 500 as a whole answer without a refusal.

Change: the end is checked before anything else is decided; the length is given only without doubt. In doubt the answer goes out as it was framed, and its connection is broken off.

Why it works: in chunks without a length the end is the last chunk, which does not come; over HTTP/1.0 it is a reset.

Measured: the test passes; an answer that ends 2 ms before the deadline has its length as before.

--- a/internal/relay/deliver.go
+++ b/internal/relay/deliver.go
@@ -156,7 +156,11 @@
 	if rest == nil {
 		t.body.noteEnd(cmp.Or(err, io.EOF), t.ctx.Err() != nil)
 	}
-	if err == nil && answer.Status >= http.StatusInternalServerError && rest == nil {
+	var doubt error // whether it is whole
+	if err == nil && rest == nil {
+		doubt = t.checkEnd(answer)
+	}
+	if err == nil && doubt == nil && answer.Status >= http.StatusInternalServerError && rest == nil {
 		t.silence.stop()
 		return attemptResult{end: retry.Faulted, heldAnswer: &heldAnswer{head: answer.Head, body: whole, memory: memory}, err: errFaulted}
 	}
@@ -164,25 +168,15 @@
 	if err != nil {
 		return t.resultOf(err)
 	}
-	var doubt error // whether it is whole
-	if rest == nil {
-		doubt = t.checkEnd(answer)
-	}
 	if doubt != nil && t.mayRunAgain() {
 		return attemptResult{end: retry.Broken, err: doubt}
 	}
 	t.silence.stop()
 	head := answer.Head
-	if rest == nil && head.Framing != FramedByConnection {
+	if rest == nil && doubt == nil && head.Framing != FramedByConnection {
 		head.Length = int64(len(whole))
 	}
-	t.noteFirstEvent()
-	if err := t.sink.Head(head); err != nil {
-		return attemptResult{callerGone: true, err: err}
-	}
-	t.headSent, t.headFraming = true, head.Framing
-	t.answerBegun.Store(rest != nil)
-	if err := t.sink.Body(whole, rest == nil); err != nil {
+	if err := t.beginAnswer(head, whole, rest != nil); err != nil {
 		return attemptResult{callerGone: true, err: err}
 	}
 	if rest == nil {
@@ -192,6 +186,18 @@
 	return t.copyRest(answer, rest, memory)
 }
 
+// beginAnswer passes on the head of an answer that is not a stream, and the first part of its body. goesOn tells that
+// more follows.
+func (t *attempt) beginAnswer(head Head, body []byte, goesOn bool) error {
+	t.noteFirstEvent()
+	if err := t.sink.Head(head); err != nil {
+		return err
+	}
+	t.headSent, t.headFraming = true, head.Framing
+	t.answerBegun.Store(goesOn)
+	return t.sink.Body(body, !goesOn)
+}
+
 var errFaulted = merry.Sentinel("the upstream failed the request")
 
 // readHeld reads a body up to the size that there is memory for. rest is the remainder, nil if the body
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -148,12 +148,13 @@
 // recordingSink is a Sink that records the answer.
 type recordingSink struct {
 	status int
+	length int64 // that the head tells; -1: none
 	body   strings.Builder
 	heads  int
 }
 
 func (r *recordingSink) Head(h Head) error {
-	r.status = h.Status
+	r.status, r.length = h.Status, h.Length
 	r.heads++
 	return nil
 }
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -124,6 +125,30 @@
 	})
 }
 
+// TestAnswerInDoubtHasNoLength guards against an answer that looks whole to its caller, as its length is told and
+// all of it comes, though its server may have ended it because its time was over.
+func TestAnswerInDoubtHasNoLength(t *testing.T) {
+	const body = "answer"
+	synctest.Test(t, func(t *testing.T) {
+		const patience = 5 * time.Second
+		for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusInternalServerError} {
+			for name, early := range map[string]time.Duration{"before": 2 * time.Millisecond, "at": 0} {
+				req := plainRequest(route.Once, patience)
+				req.Deadline = time.Now().Add(patience + time.Millisecond/2)
+				f := newFixture(t, answerFrom(status, slowEnd{strings.NewReader(body), patience - early}))
+				f.listEngines("e1")
+				sink := &recordingSink{}
+				refusal := f.relay.Run(t.Context(), req, sink)
+				framed := sink.heads > 0 && sink.length == int64(len(body)) && sink.body.String() == body
+				if sound := early > 0; framed != sound || !sound && refusal == nil {
+					t.Errorf("%d, %s the deadline: %d heads, length %d, %q, %v", status, name, sink.heads, sink.length, &sink.body, refusal)
+				}
+			}
+		}
+		time.Sleep(time.Minute) // until all checks have ended
+	})
+}
+
 // slowEnd is a body whose end comes after a time.
 type slowEnd struct {
 	io.Reader
