Tunnel: the end beside a blocked upload is no end of the answer, and comes at once

What callers saw: through another daemon, a server that answered a long upload without a length and shut its sending side while it read no more looked whole: 200 with a part. Directly it is a 504. After a reset the end came a second late, so with a short deadline as 504 in place of 502.

Cause: when the upstream's bytes ended, the tunnel interrupted a write that still waited for the upstream, did not count that as a failure, and announced the end. A write that had failed kept the tunnel open for drainTime, since the client might still be writing.

Change: upload counts what has come, whether a write waits, and for how long. The end is announced once nothing has come for 20 ms (0.25 s behind 64 KB) and no write has failed; a write that waits for a second is given up and counts as failed. After a failure the tunnel is closed as soon as the client has written all it has.

Ruled out: to announce at once unless a write waits at that moment: a client may be between two writes.

Why it works: the client's daemon writes the whole request before it reads, so silence behind a request means that it is written; before that the upstream's end is no proof of anything, as on a direct connection.

--- a/internal/tunnel/handler.go
+++ b/internal/tunnel/handler.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -100,6 +98,19 @@
 	return statusSilent
 }
 
+// Times of a tunnel whose upstream has ended its answer.
+const (
+	quietTime     = 20 * time.Millisecond
+	longQuietTime = 250 * time.Millisecond // a client whose processor time is a quota pauses between two writes
+	uploadPoll    = quietTime / 4
+	// drainTime bounds how long a write may wait for the upstream, and how long the tunnel waits for the other
+	// daemon to close it.
+	drainTime = time.Second
+)
+
+// longUploadBytes is the size of a request that does not fit into the buffers on the way.
+const longUploadBytes = 64 << 10
+
 // carry copies bytes in both directions until either end has gone.
 func carry(client net.Conn, fromClient io.Reader, upstream net.Conn) {
 	up := &upload{to: upstream}
@@ -107,45 +118,48 @@
 	go func() {
 		defer close(uploaded)
 		_, _ = io.Copy(up, fromClient)
-		// An upstream may answer before it has read the whole request. The client writes
-		// the rest of that before it reads.
-		_, _ = io.Copy(io.Discard, fromClient)
 		_ = upstream.Close() // the client has gone
 	}()
 	if _, err := io.Copy(client, upstream); err == nil {
-		if !up.stop() {
-			announceEnd(client)
-		}
-		awaitClose(uploaded)
+		endAnswer(client, up, uploaded)
 	}
 	_ = client.Close()
+	up.interrupt()
 	<-uploaded
 }
 
-// upload writes what the client sends to the upstream.
-type upload struct {
-	to net.Conn
-
-	mu     sync.Mutex // held during a write
-	failed bool       // the upstream's connection broke
-}
-
-// Write implements io.Writer.
-func (u *upload) Write(p []byte) (int, error) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	n, err := u.to.Write(p)
-	u.failed = u.failed || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
-	return n, err
+// endAnswer follows the end of the upstream's answer. It is announced to the client only if the upstream has taken all
+// that the client has sent: a write that fails takes the error of a reset, after which a read tells of an ordinary
+// end, and an upstream that reads no more may have ended in the middle. The client closes the tunnel once it has read
+// what it needs: closed with unread bytes, the connection would be reset, and what was written last lost.
+func endAnswer(client net.Conn, up *upload, closed <-chan struct{}) {
+	if !awaitUpload(up, closed) {
+		return
+	}
+	announceEnd(client)
+	select {
+	case <-closed:
+	case <-time.After(drainTime):
+	}
 }
 
-// stop ends the upload, since the upstream has ended its answer. It reports whether a write has failed:
-// that takes the error of a reset, after which a read tells of an ordinary end.
-func (u *upload) stop() (failed bool) {
-	_ = u.to.SetWriteDeadline(time.Now()) // a write that waits for the upstream holds the lock
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.failed
+// awaitUpload waits until the client sends nothing more, or has gone. It reports whether the upstream has taken
+// everything.
+func awaitUpload(up *upload, closed <-chan struct{}) (taken bool) {
+	for {
+		state := up.state(time.Now())
+		if state.quiet {
+			return !state.failed
+		}
+		if state.blocked {
+			up.interrupt()
+		}
+		select {
+		case <-closed:
+			return false
+		case <-time.After(uploadPoll):
+		}
+	}
 }
 
 // announceEnd tells the client that the upstream's answer has ended.
@@ -154,18 +168,3 @@
 		_ = half.CloseWrite() // a client that has gone needs no end
 	}
 }
-
-// drainTime bounds how long a tunnel whose upstream has ended its answer waits for the other
-// daemon to close it.
-const drainTime = time.Second
-
-// awaitClose waits until the client closes the tunnel: closed with unread bytes, the connection would
-// be reset, and what was written last lost.
-func awaitClose(closed <-chan struct{}) {
-	timer := time.NewTimer(drainTime)
-	defer timer.Stop()
-	select {
-	case <-closed:
-	case <-timer.C:
-	}
-}
