Relay: streams stay with a daemon that leaves and carries their connections

What callers saw: in the planned stop of a daemon that alone carried the connections of another one, streams of the latter's callers were cut the moment the stop began, though the leaving daemon would have carried them to their end.

Cause: a leaving daemon opens no new tunnels, so the other one finds the failure domain cut, and PathChanged moved all attempts that depend on it: their connections, which worked, were closed, and there was nowhere to go on.

Evidence: TestRequestsBesideAStopAreAnswered on the former code: 2 of 2 runs fail, one stream cut in each site, with events 300 ms and 50 ms apart; the log has domain_cut (former=indirect, moved=3) and "the way to the upstream's failure domain is cut" for a stream whose events came. No call, once-only or repeatable, was without an answer (several hundred a run).

Ruled out: to move only where the domain is quiet: events 300 ms apart are quiet by its measure (150 ms).

Why it works: what goes through another daemon ends visibly when that has gone (its connection is probed within two seconds), and a stream that says nothing is moved by its own bound of silence, as on direct connections.

Measured: 3 of 3 runs pass, two sites each; tests of relay and paths pass.

--- a/internal/relay/reach.go
+++ b/internal/relay/reach.go
@@ -24,9 +24,10 @@
 
 // PathChanged acts on a change of the path to a failure domain, and returns the number of attempts
 // that it tried to move. Attempts stay where they are if the domain still sends answers on the
-// connections that are open.
+// connections that are open, or if other daemons have carried these: such a daemon takes no new ones while it
+// leaves, and keeps those that it has; what ends or is silent is found by itself.
 func (r *Relay) PathChanged(domain string, c reach.Change) (moved int) {
-	if c.To == reach.Cut || c.From == reach.Direct && c.Quiet {
+	if c.From == reach.Direct && (c.To == reach.Cut || c.Quiet) {
 		moved = r.moveAttemptsFrom(domain)
 	}
 	if c.To == reach.Cut {
