Scenario: broken heads of engines and services, as processes, on the own path

What it guards: a refusal behind a 000, +12 or a bogus interim head, or with a broken name or framing, that counts as the upstream's word. The stand-in's fault broken_head sends six of them in turn.

--- a/internal/standin/base.go
+++ b/internal/standin/base.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,6 +31,7 @@
 	api          http.Handler
 	control      *http.ServeMux
 	writeFailure func(w http.ResponseWriter, status int, message string)
+	brokenHeads  atomic.Int64 // written
 
 	exit   func(code int) // nil: terminate closes the server, not the process
 	closed chan struct{}
@@ -177,7 +179,7 @@
 	}
 }
 
-// injectFailure answers the call with the error, the garbage or the endless bytes of a fault that is on,
+// injectFailure answers the call with the error, the garbage, the broken or the endless bytes of a fault that is on,
 // and reports whether it did.
 func (b *base) injectFailure(w http.ResponseWriter, r *http.Request) bool {
 	if _, hit := b.faults.trigger(FaultOutage, r.URL.Path); hit {
@@ -193,7 +195,7 @@
 		b.writeFailure(w, http.StatusServiceUnavailable, "turned away")
 		return true
 	}
-	if b.answerEndlessly(w, r) {
+	if b.answerEndlessly(w, r) || b.answerBroken(w, r) {
 		return true
 	}
 	if r.URL.Path == generatePath {
--- a/internal/standin/endless.go
+++ b/internal/standin/endless.go
@@ -17,7 +17,7 @@
 // fault for that is on. It reports whether it did.
 func (b *base) answerEndlessly(w http.ResponseWriter, r *http.Request) bool {
 	if _, hit := b.faults.trigger(FaultEndlessHead, r.URL.Path); hit {
-		b.writeEndlessly(w, "")
+		b.writeEndlessly(w, "HTTP/1.1 200 ")
 		return true
 	}
 	if _, hit := b.faults.trigger(FaultEndlessBody, r.URL.Path); hit {
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -26,6 +26,7 @@
 	FaultGarbage       FaultKind = "garbage"        // answers are not JSON
 	FaultEndlessHead   FaultKind = "endless_head"   // bytes without end in place of an answer, until the caller closes
 	FaultEndlessBody   FaultKind = "endless_body"   // the same after a sound head
+	FaultBrokenHead    FaultKind = "broken_head"    // refusals with heads that are none, each time another one
 	FaultDuplicate     FaultKind = "duplicate"      // append twice, answer once: log
 	FaultRestore       FaultKind = "restore"        // go back to a backup that is Ms old: log; set a Count
 	FaultGapEvents     FaultKind = "gap_events"     // every other cache event is lost: engine
@@ -39,7 +40,7 @@
 
 var faultKinds = []FaultKind{
 	FaultDie, FaultFreeze, FaultSilent, FaultDropAnswer, FaultRefuse, FaultTurnAway, FaultSlow, FaultOutage,
-	FaultGarbage, FaultEndlessHead, FaultEndlessBody, FaultDuplicate, FaultRestore, FaultGapEvents, FaultLateEvents, FaultLoadLag,
+	FaultGarbage, FaultEndlessHead, FaultEndlessBody, FaultBrokenHead, FaultDuplicate, FaultRestore, FaultGapEvents, FaultLateEvents, FaultLoadLag,
 	FaultCrossChunks, FaultTruncate, FaultIgnoreFencing, FaultLeaving,
 }
 
