Answerhead: a fault of the whole head without a pretended line number; a comment

A reader met c.line = -1, set so that the error tells line 0. No change of behaviour: tests of answerhead and httpwire pass, and GOARCH=arm64 go vet ./... too.

--- a/internal/core/answerhead/checker.go
+++ b/internal/core/answerhead/checker.go
@@ -77,7 +77,7 @@
 		c.afterCR = false
 		return c.endLine()
 	case c.afterCR:
-		return c.fault(FaultLineEnd, strconv.QuoteToASCII(string([]byte{'\r', b})))
+		return c.faultAt(FaultLineEnd, '\r', b)
 	case b == '\r':
 		c.afterCR = true
 		return nil
@@ -212,20 +212,18 @@
 
 // end ends the head.
 func (c *Checker) end() error {
-	if fault := c.framing.check(c.status, c.minor); fault != "" {
-		c.line = lineUnknown
-		return c.fault(FaultFraming, fault)
+	if detail := c.framing.check(c.status, c.minor); detail != "" {
+		return &Error{Fault: FaultFraming, Detail: detail}
 	}
 	c.part = ended
 	return nil
 }
 
-const lineUnknown = -1 // a fault of the head as a whole
-
 func (c *Checker) fault(f Fault, detail string) error {
 	return &Error{Fault: f, Line: c.line + 1, Detail: detail}
 }
 
-func (c *Checker) faultAt(f Fault, b byte) error {
-	return c.fault(f, strconv.QuoteToASCII(string([]byte{b})))
+// faultAt returns a fault at some bytes.
+func (c *Checker) faultAt(f Fault, p ...byte) error {
+	return c.fault(f, strconv.QuoteToASCII(string(p)))
 }
--- a/internal/httpwire/rejected.go
+++ b/internal/httpwire/rejected.go
@@ -51,7 +51,8 @@
 	return ""
 }
 
-// IsRejected reports whether an error tells of an answer that has come and is broken.
+// IsRejected reports whether an error tells that an answer has come and was rejected: it is broken or too long, or
+// there is no memory for it.
 func IsRejected(err error) bool { return whyRejected(err) != "" }
 
 func countRejected(err error) {
