--- a/internal/tunnel/upload.go
+++ b/internal/tunnel/upload.go
@@ -28,7 +28,7 @@
 	return len(p), nil
 }
 
-// begin records that a write begins, unless one has failed.
+// begin records that bytes have come. It reports whether they are to be written: not after a failure.
 func (u *upload) begin(bytes int) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
